--- /dev/null
+++ b/include/sycamorebend/rpc.h
@@ -0,0 +1,76 @@
+// JSON-RPC 2.0 over HTTP between sycamorebend processes. Messages are encoded
+// and decoded by libjsonrpccpp.
+#ifndef SYCAMOREBEND_RPC_H_
+#define SYCAMOREBEND_RPC_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <json/value.h>
+
+#include "sycamorebend/base.h"
+#include "sycamorebend/http.h"
+
+namespace sycamorebend {
+
+// Path at which every process serves RPC.
+inline constexpr std::string_view kRpcPath = "/rpc";
+
+// Answers calls. Called on the worker threads of an RpcServer, several at a
+// time; it may block.
+class RpcService {
+ public:
+  virtual ~RpcService() = default;
+
+  // @return the result, or an Error that the caller receives with its code.
+  // Return kUnknownCommand for an unknown method.
+  virtual Result<Json::Value> Call(const std::string& method,
+                                   const Json::Value& params) = 0;
+};
+
+// Decodes RPC requests and runs them on worker threads. The owner passes it
+// the exchanges that arrive at kRpcPath.
+class RpcServer {
+ public:
+  virtual ~RpcServer() = default;
+
+  // @param max_threads calls that can run at the same time; threads are
+  // started as they are needed.
+  static std::unique_ptr<RpcServer> Create(RpcService& service,
+                                           int max_threads);
+
+  // Answers `exchange`. Does not block.
+  virtual void Handle(std::shared_ptr<HttpExchange> exchange) = 0;
+};
+
+using RpcCallback = std::function<void(Result<Json::Value>)>;
+
+// Calls other processes.
+class RpcClient {
+ public:
+  virtual ~RpcClient() = default;
+
+  // @param client must outlive the RpcClient and its calls.
+  static std::unique_ptr<RpcClient> Create(HttpClient& client);
+
+  // @param address "IP:port" of the callee.
+  // @param callback runs once on a thread of the HTTP client; must not block.
+  virtual void CallAsync(const std::string& address,
+                         const std::string& method,
+                         const Json::Value& params,
+                         Duration timeout,
+                         RpcCallback callback) = 0;
+
+  // Waits for the answer. Must not be called on a thread of the HTTP client.
+  // @return the result; the callee's Error; or kConnectFailed (nothing was
+  // sent), kTransportTimeout or kProtocolError (the call may have run).
+  Result<Json::Value> Call(const std::string& address,
+                           const std::string& method,
+                           const Json::Value& params,
+                           Duration timeout);
+};
+
+}  // namespace sycamorebend
+
+#endif  // SYCAMOREBEND_RPC_H_
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,360 @@
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <set>
+#include <utility>
+
+#include "http/hangup_watcher.h"
+#include "http/server_exchange.h"
+#include "sycamorebend/http.h"
+
+namespace sycamorebend {
+
+namespace {
+
+using internal::HangupWatcher;
+using internal::ServerExchange;
+using internal::ServerExchangeHandle;
+
+constexpr int kStatusBodyTooLarge = 413;
+constexpr int kListenBacklog = 1024;
+
+struct BoundSocket {
+  int fd = -1;
+  std::string address;
+};
+
+Result<BoundSocket> BindListener(const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  const std::string host = address.substr(0, colon);
+  unsigned port = 0;
+  if (colon == std::string::npos ||
+      inet_pton(AF_INET, host.c_str(), &target.sin_addr) != 1 ||
+      std::from_chars(address.data() + colon + 1,
+                      address.data() + address.size(), port)
+              .ec != std::errc()) {
+    return MakeError(
+        ResultCode::kListenFailed,
+        fmt::format("\"{}\" is not an IPv4 address and port", address));
+  }
+  target.sin_port = htons(static_cast<std::uint16_t>(port));
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (fd < 0 ||
+      bind(fd, reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0 ||
+      listen(fd, kListenBacklog) != 0) {
+    const std::string reason = std::strerror(errno);
+    if (fd >= 0) {
+      close(fd);
+    }
+    return MakeError(ResultCode::kListenFailed,
+                     fmt::format("cannot listen on {}: {}", address, reason));
+  }
+  socklen_t size = sizeof(target);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&target), &size);
+  return BoundSocket{fd, fmt::format("{}:{}", host, ntohs(target.sin_port))};
+}
+
+MHD_Result AppendHeader(void* context,
+                        MHD_ValueKind /*kind*/,
+                        const char* name,
+                        const char* value) {
+  static_cast<HttpHeaders*>(context)->push_back(
+      {name, value != nullptr ? value : ""});
+  return MHD_YES;
+}
+
+class MicrohttpdServer : public HttpServer {
+ public:
+  MicrohttpdServer(HttpServerOptions options, HttpHandler& handler)
+      : options(std::move(options)), handler(handler) {}
+
+  ~MicrohttpdServer() override { this->Stop(); }
+
+  Status Listen() {
+    BOOST_OUTCOME_TRY(bound, BindListener(this->options.address));
+    this->bound_address = bound.address;
+    this->listen_fd = bound.fd;
+    const unsigned flags =
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+    const auto idle_seconds = static_cast<unsigned>(
+        std::chrono::ceil<seconds>(this->options.receive_timeout).count());
+    this->daemon = MHD_start_daemon(
+        flags, 0, nullptr, nullptr, &MicrohttpdServer::OnAccess, this,
+        MHD_OPTION_LISTEN_SOCKET, bound.fd, MHD_OPTION_THREAD_POOL_SIZE,
+        static_cast<unsigned>(this->options.threads),
+        MHD_OPTION_CONNECTION_LIMIT,
+        static_cast<unsigned>(this->options.max_connections),
+        MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, this->options.max_header_bytes,
+        MHD_OPTION_URI_LOG_CALLBACK, &MicrohttpdServer::OnTarget, this,
+        MHD_OPTION_NOTIFY_COMPLETED, &MicrohttpdServer::OnCompleted, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &MicrohttpdServer::OnConnection, this,
+        MHD_OPTION_END);
+    if (this->daemon == nullptr) {
+      close(bound.fd);
+      return MakeError(ResultCode::kListenFailed,
+                       "cannot start the HTTP server on " + bound.address);
+    }
+    return Success();
+  }
+
+  std::string Address() const override { return this->bound_address; }
+
+  std::size_t OpenExchanges() const override {
+    std::lock_guard lock(this->mutex);
+    return this->open.size();
+  }
+
+  void StopAccepting() override {
+    std::lock_guard lock(this->stop_mutex);
+    if (this->daemon != nullptr && !this->quiesced) {
+      this->quiesced = true;
+      MHD_quiesce_daemon(this->daemon);
+      // Refuses new connections. The descriptor stays open until the daemon
+      // ends, because libmicrohttpd's threads remove it from their poll sets.
+      shutdown(this->listen_fd, SHUT_RDWR);
+    }
+  }
+
+  void Stop() override {
+    this->StopAccepting();
+    std::lock_guard lock(this->stop_mutex);
+    if (this->daemon == nullptr) {
+      return;
+    }
+    // libmicrohttpd requires that no connection is suspended when it stops.
+    std::set<std::shared_ptr<ServerExchange>> left;
+    {
+      std::lock_guard open_lock(this->mutex);
+      this->stopping = true;
+      left = this->open;
+    }
+    for (const auto& exchange : left) {
+      exchange->MarkGone();
+    }
+    left.clear();
+    MHD_stop_daemon(this->daemon);
+    close(this->listen_fd);
+    this->daemon = nullptr;
+  }
+
+ private:
+  using ExchangeSlot = std::shared_ptr<ServerExchange>;
+
+  static void* OnTarget(void* context,
+                        const char* target,
+                        MHD_Connection* connection) {
+    auto* const server = static_cast<MicrohttpdServer*>(context);
+    auto* const slot = new ExchangeSlot(
+        std::make_shared<ServerExchange>(connection, server->clock.Now()));
+    (*slot)->self = *slot;
+    (*slot)->request.target = target;
+    return slot;
+  }
+
+  static void OnConnection(void* context,
+                           MHD_Connection* connection,
+                           void** /*socket_context*/,
+                           MHD_ConnectionNotificationCode code) {
+    if (code != MHD_CONNECTION_NOTIFY_STARTED) {
+      return;
+    }
+    auto* const server = static_cast<MicrohttpdServer*>(context);
+    const int fd = SocketOf(connection);
+    const auto timeout_ms = static_cast<unsigned>(
+        ToMilliseconds(server->options.unacknowledged_timeout));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    constexpr int kKeepAliveIdleSeconds = 10;
+    constexpr int kKeepAliveIntervalSeconds = 5;
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds,
+               sizeof(int));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalSeconds,
+               sizeof(int));
+  }
+
+  static int SocketOf(MHD_Connection* connection) {
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+  }
+
+  static MHD_Result OnAccess(void* context,
+                             MHD_Connection* connection,
+                             const char* url,
+                             const char* method,
+                             const char* /*version*/,
+                             const char* upload,
+                             std::size_t* upload_size,
+                             void** request_context) {
+    auto* const server = static_cast<MicrohttpdServer*>(context);
+    ExchangeSlot& exchange = *static_cast<ExchangeSlot*>(*request_context);
+    return server->Advance(connection, exchange, url, method, upload,
+                           upload_size);
+  }
+
+  MHD_Result Advance(MHD_Connection* connection,
+                     ExchangeSlot& exchange,
+                     const char* url,
+                     const char* method,
+                     const char* upload,
+                     std::size_t* upload_size) {
+    if (exchange->dispatched) {
+      return exchange->QueueOrSuspend();
+    }
+    if (exchange->request.method.empty()) {
+      return this->Begin(connection, *exchange, url, method);
+    }
+    if (*upload_size > 0) {
+      const std::string_view data(upload, *upload_size);
+      *upload_size = 0;
+      return this->Receive(*exchange, data);
+    }
+    return this->Dispatch(connection, exchange);
+  }
+
+  MHD_Result Begin(MHD_Connection* connection,
+                   ServerExchange& exchange,
+                   const char* url,
+                   const char* method) {
+    HttpRequest& request = exchange.request;
+    request.method = method;
+    request.path = url;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &AppendHeader,
+                              &request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AppendHeader,
+                              &request.query);
+    const auto length = FindHeader(request.headers, "Content-Length");
+    std::uint64_t bytes = 0;
+    if (length) {
+      std::from_chars(length->data(), length->data() + length->size(), bytes);
+    }
+    if (bytes > this->options.max_body_bytes) {
+      // Answered before the body is read; the connection is closed afterwards.
+      exchange.dispatched = true;
+      RefuseBody(exchange);
+      return exchange.QueueOrSuspend();
+    }
+    return MHD_YES;
+  }
+
+  static void RefuseBody(ServerExchange& exchange) {
+    const ResultCodeInfo& info = GetResultCodeInfo(ResultCode::kBodyTooLarge);
+    exchange.Respond(
+        kStatusBodyTooLarge,
+        {{"Content-Type", "application/json"}, {"Connection", "close"}},
+        fmt::format(R"({{"error":{{"code":{},"name":"{}","message":"{}",)"
+                    R"("ran":"not_run","retry":false}}}})",
+                    static_cast<int>(info.code), info.name, info.message));
+  }
+
+  MHD_Result Receive(ServerExchange& exchange, std::string_view data) {
+    if (this->clock.Now() - exchange.started > this->options.receive_timeout) {
+      return MHD_NO;
+    }
+    if (exchange.request.body.size() + data.size() >
+        this->options.max_body_bytes) {
+      exchange.body_too_large = true;
+      return MHD_YES;
+    }
+    exchange.request.body.append(data);
+    return MHD_YES;
+  }
+
+  MHD_Result Dispatch(MHD_Connection* connection, ExchangeSlot& exchange) {
+    exchange->dispatched = true;
+    {
+      std::lock_guard lock(this->mutex);
+      if (this->stopping) {
+        return MHD_NO;
+      }
+      this->open.insert(exchange);
+    }
+    if (exchange->body_too_large) {
+      RefuseBody(*exchange);
+    } else {
+      const std::weak_ptr<ServerExchange> weak = exchange;
+      exchange->watch_id = this->watcher.Add(SocketOf(connection), [weak] {
+        if (const auto strong = weak.lock()) {
+          strong->MarkGone();
+        }
+      });
+      this->handler.Handle(std::make_shared<ServerExchangeHandle>(exchange));
+    }
+    return exchange->QueueOrSuspend();
+  }
+
+  static void OnCompleted(void* context,
+                          MHD_Connection* /*connection*/,
+                          void** request_context,
+                          MHD_RequestTerminationCode code) {
+    auto* const server = static_cast<MicrohttpdServer*>(context);
+    auto* const slot = static_cast<ExchangeSlot*>(*request_context);
+    if (slot == nullptr) {
+      return;
+    }
+    const ExchangeSlot exchange = *slot;
+    delete slot;
+    *request_context = nullptr;
+    if (exchange->watch_id != 0) {
+      server->watcher.Remove(exchange->watch_id);
+    }
+    {
+      std::lock_guard lock(server->mutex);
+      server->open.erase(exchange);
+    }
+    exchange->Complete(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+  }
+
+  const HttpServerOptions options;
+  HttpHandler& handler;
+  SystemClock clock;
+  HangupWatcher watcher;
+  std::string bound_address;
+  int listen_fd = -1;
+  std::mutex stop_mutex;
+  MHD_Daemon* daemon = nullptr;
+  bool quiesced = false;
+  mutable std::mutex mutex;
+  bool stopping = false;
+  std::set<ExchangeSlot> open;
+};
+
+}  // namespace
+
+std::optional<std::string> FindHeader(const HttpHeaders& headers,
+                                      std::string_view name) {
+  for (const HttpHeader& header : headers) {
+    if (header.name.size() == name.size() &&
+        strncasecmp(header.name.data(), name.data(), name.size()) == 0) {
+      return header.value;
+    }
+  }
+  return std::nullopt;
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::Start(
+    const HttpServerOptions& options,
+    HttpHandler& handler) {
+  auto server = std::make_unique<MicrohttpdServer>(options, handler);
+  BOOST_OUTCOME_TRY(server->Listen());
+  return std::unique_ptr<HttpServer>(std::move(server));
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/rpc/rpc_client.cc
@@ -0,0 +1,113 @@
+#include <fmt/format.h>
+
+#include <future>
+#include <utility>
+
+#include "rpc/jsonrpc_codec.h"
+#include "sycamorebend/rpc.h"
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+// Half a second is ample between VMs a few milliseconds apart and leaves time
+// to try another address.
+constexpr Duration kConnectTimeout = milliseconds(500);
+
+class ReplyObserver : public HttpObserver {
+ public:
+  ReplyObserver(std::string label, RpcCallback callback)
+      : label(std::move(label)), callback(std::move(callback)) {}
+
+  void OnHeaders(int /*status*/, const HttpHeaders& /*headers*/) override {}
+  void OnData(std::string_view data) override { this->body.append(data); }
+
+  void OnDone(const HttpOutcome& outcome) override {
+    this->callback(this->Decode(outcome));
+  }
+
+ private:
+  Result<Json::Value> Decode(const HttpOutcome& outcome) const {
+    if (outcome.code != ResultCode::kOk) {
+      return MakeError(Transport(outcome), outcome.message);
+    }
+    if (outcome.status != kStatusOk) {
+      return MakeError(
+          ResultCode::kProtocolError,
+          fmt::format("{}: HTTP status {}", this->label, outcome.status));
+    }
+    internal::JsonRpcReply reply = internal::DecodeJsonRpcReply(this->body);
+    if (reply.error_code == 0) {
+      return std::move(reply.result);
+    }
+    const auto code = static_cast<ResultCode>(reply.error_code);
+    if (reply.error_code < 0 || GetResultCodeInfo(code).code != code) {
+      return MakeError(ResultCode::kProtocolError,
+                       this->label + ": " + reply.error_message);
+    }
+    return MakeError(code, reply.error_message);
+  }
+
+  static ResultCode Transport(const HttpOutcome& outcome) {
+    if (outcome.nothing_sent) {
+      return ResultCode::kConnectFailed;
+    }
+    return outcome.code == ResultCode::kCancelled
+               ? ResultCode::kCancelled
+               : ResultCode::kTransportTimeout;
+  }
+
+  const std::string label;
+  const RpcCallback callback;
+  std::string body;
+};
+
+class HttpRpcClient : public RpcClient {
+ public:
+  explicit HttpRpcClient(HttpClient& client) : client(client) {}
+
+  void CallAsync(const std::string& address,
+                 const std::string& method,
+                 const Json::Value& params,
+                 Duration timeout,
+                 RpcCallback callback) override {
+    HttpCall call;
+    call.method = "POST";
+    call.url = fmt::format("http://{}{}", address, kRpcPath);
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = internal::EncodeJsonRpcRequest(method, params);
+    call.connect_timeout = std::min(timeout, kConnectTimeout);
+    call.first_byte_timeout = timeout;
+    call.gap_timeout = timeout;
+    call.total_timeout = timeout;
+    this->client.Start(
+        std::move(call),
+        std::make_shared<ReplyObserver>(
+            fmt::format("{} at {}", method, address), std::move(callback)));
+  }
+
+ private:
+  HttpClient& client;
+};
+
+}  // namespace
+
+std::unique_ptr<RpcClient> RpcClient::Create(HttpClient& client) {
+  return std::make_unique<HttpRpcClient>(client);
+}
+
+Result<Json::Value> RpcClient::Call(const std::string& address,
+                                    const std::string& method,
+                                    const Json::Value& params,
+                                    Duration timeout) {
+  auto promise = std::make_shared<std::promise<Result<Json::Value>>>();
+  std::future<Result<Json::Value>> future = promise->get_future();
+  this->CallAsync(address, method, params, timeout,
+                  [promise](Result<Json::Value> result) {
+                    promise->set_value(std::move(result));
+                  });
+  return future.get();
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/rpc/rpc_server.cc
@@ -0,0 +1,97 @@
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "rpc/jsonrpc_codec.h"
+#include "sycamorebend/rpc.h"
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+
+class WorkerRpcServer : public RpcServer {
+ public:
+  WorkerRpcServer(RpcService& service, int max_threads)
+      : service(service), max_threads(max_threads) {}
+
+  ~WorkerRpcServer() override {
+    {
+      std::lock_guard lock(this->mutex);
+      this->stopping = true;
+    }
+    this->changed.notify_all();
+    for (std::thread& worker : this->workers) {
+      worker.join();
+    }
+  }
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    std::lock_guard lock(this->mutex);
+    this->queue.push_back(std::move(exchange));
+    if (this->idle < static_cast<int>(this->queue.size()) &&
+        static_cast<int>(this->workers.size()) < this->max_threads) {
+      this->workers.emplace_back([this] { this->Work(); });
+    }
+    this->changed.notify_one();
+  }
+
+ private:
+  void Work() {
+    std::unique_lock lock(this->mutex);
+    for (;;) {
+      ++this->idle;
+      this->changed.wait(
+          lock, [this] { return this->stopping || !this->queue.empty(); });
+      --this->idle;
+      if (this->stopping) {
+        return;
+      }
+      const std::shared_ptr<HttpExchange> exchange =
+          std::move(this->queue.front());
+      this->queue.pop_front();
+      lock.unlock();
+      this->Answer(*exchange);
+      lock.lock();
+    }
+  }
+
+  void Answer(HttpExchange& exchange) {
+    const auto call = [this](const std::string& method,
+                             const Json::Value& params) {
+      internal::JsonRpcReply reply;
+      Result<Json::Value> result = this->service.Call(method, params);
+      if (result) {
+        reply.result = std::move(result.value());
+      } else {
+        reply.error_code = static_cast<int>(result.error().code);
+        reply.error_message = result.error().message;
+      }
+      return reply;
+    };
+    exchange.Respond(
+        kStatusOk, {{"Content-Type", "application/json"}},
+        internal::HandleJsonRpcRequest(exchange.Request().body, call));
+  }
+
+  RpcService& service;
+  const int max_threads;
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::deque<std::shared_ptr<HttpExchange>> queue;
+  std::vector<std::thread> workers;
+  int idle = 0;
+  bool stopping = false;
+};
+
+}  // namespace
+
+std::unique_ptr<RpcServer> RpcServer::Create(RpcService& service,
+                                             int max_threads) {
+  return std::make_unique<WorkerRpcServer>(service, max_threads);
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/tests/http/http_test.cc
@@ -0,0 +1,242 @@
+#define BOOST_TEST_MODULE http
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+#include "sycamorebend/http.h"
+
+namespace sycamorebend {
+
+namespace {
+
+using Route = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+class RoutingHandler : public HttpHandler {
+ public:
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    const auto route = this->routes.find(exchange->Request().path);
+    if (route == this->routes.end()) {
+      exchange->Respond(404, {}, "");
+      return;
+    }
+    route->second(std::move(exchange));
+  }
+
+  std::map<std::string, Route> routes;
+};
+
+struct Fixture {
+  Fixture() {
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    options.max_body_bytes = 1 << 20;
+    options.receive_timeout = seconds(2);
+    this->server = std::move(HttpServer::Start(options, handler).value());
+  }
+
+  HttpCall MakeCall(const std::string& path) const {
+    HttpCall call;
+    call.url = "http://" + this->server->Address() + path;
+    return call;
+  }
+
+  // Opens a connection and sends `text`.
+  int Connect(const std::string& text) const {
+    const std::string address = this->server->Address();
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    target.sin_port = htons(static_cast<std::uint16_t>(
+        std::stoi(address.substr(address.rfind(':') + 1))));
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    connect(fd, reinterpret_cast<sockaddr*>(&target), sizeof(target));
+    send(fd, text.data(), text.size(), 0);
+    return fd;
+  }
+
+  RoutingHandler handler;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client = HttpClient::Create(2);
+};
+
+// Gives the exchange to the test.
+struct Capture {
+  Route AsRoute() {
+    return [this](std::shared_ptr<HttpExchange> exchange) {
+      this->arrived.set_value(std::move(exchange));
+    };
+  }
+  std::promise<std::shared_ptr<HttpExchange>> arrived;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(WholeAnswerEchoesBody, Fixture) {
+  handler.routes["/echo"] = [](std::shared_ptr<HttpExchange> exchange) {
+    exchange->Respond(200, {{"X-Test", "1"}}, exchange->Request().body);
+  };
+  HttpCall call = MakeCall("/echo");
+  call.method = "POST";
+  call.body = std::string(300000, 'x');
+  const HttpResponse response = client->Fetch(call).value();
+  BOOST_TEST(response.status == 200);
+  BOOST_TEST(response.body == call.body);
+  BOOST_TEST(FindHeader(response.headers, "x-test").value_or("") == "1");
+}
+
+BOOST_FIXTURE_TEST_CASE(StreamDeliversAllPieces, Fixture) {
+  std::thread writer;
+  handler.routes["/stream"] = [&](std::shared_ptr<HttpExchange> exchange) {
+    writer = std::thread([exchange] {
+      exchange->StartStream(200, {});
+      for (int i = 0; i < 1000; ++i) {
+        exchange->Write("piece;");
+      }
+      exchange->FinishStream();
+    });
+  };
+  const HttpResponse response = client->Fetch(MakeCall("/stream")).value();
+  writer.join();
+  BOOST_TEST(response.body.size() == 6000U);
+}
+
+// Guards against a truncated answer that looks whole.
+BOOST_FIXTURE_TEST_CASE(AbortedStreamIsAnError, Fixture) {
+  handler.routes["/abort"] = [](std::shared_ptr<HttpExchange> exchange) {
+    exchange->StartStream(200, {});
+    exchange->Write("half");
+    exchange->AbortStream();
+  };
+  BOOST_TEST(!client->Fetch(MakeCall("/abort")));
+}
+
+// Guards against a caller that is not noticed to have left while its request
+// waits.
+BOOST_FIXTURE_TEST_CASE(CallerGoneWhileWaiting, Fixture) {
+  Capture capture;
+  handler.routes["/wait"] = capture.AsRoute();
+  const int fd = Connect("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto exchange = capture.arrived.get_future().get();
+  std::promise<void> gone;
+  exchange->OnCallerGone([&] { gone.set_value(); });
+  close(fd);
+  BOOST_TEST((gone.get_future().wait_for(std::chrono::seconds(5)) ==
+              std::future_status::ready));
+}
+
+// Guards against a crash or a wrong answer when the caller leaves mid-stream.
+BOOST_FIXTURE_TEST_CASE(CallerGoneMidStream, Fixture) {
+  Capture capture;
+  handler.routes["/wait"] = capture.AsRoute();
+  const int fd = Connect("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n");
+  const auto exchange = capture.arrived.get_future().get();
+  exchange->StartStream(200, {});
+  exchange->Write("first");
+  std::promise<void> gone;
+  exchange->OnCallerGone([&] { gone.set_value(); });
+  close(fd);
+  BOOST_TEST((gone.get_future().wait_for(std::chrono::seconds(5)) ==
+              std::future_status::ready));
+  exchange->Write("late");
+  exchange->FinishStream();
+}
+
+// Guards against a handler that forgets to answer.
+BOOST_FIXTURE_TEST_CASE(DroppedExchangeIsAnswered, Fixture) {
+  handler.routes["/drop"] = [](const std::shared_ptr<HttpExchange>&) {};
+  BOOST_TEST(client->Fetch(MakeCall("/drop")).value().status == 500);
+}
+
+BOOST_FIXTURE_TEST_CASE(LargeBodyIsRefused, Fixture) {
+  handler.routes["/echo"] = [](std::shared_ptr<HttpExchange> exchange) {
+    exchange->Respond(200, {}, "");
+  };
+  const int fd = Connect(
+      "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999\r\n\r\nabc");
+  char buffer[512] = {};
+  const ssize_t count = recv(fd, buffer, sizeof(buffer) - 1, 0);
+  close(fd);
+  BOOST_TEST(count > 0);
+  BOOST_TEST(std::string(buffer).find("413") != std::string::npos);
+  BOOST_TEST(std::string(buffer).find("body_too_large") != std::string::npos);
+}
+
+// Guards against a truncated body that reaches the handler as a whole request.
+BOOST_FIXTURE_TEST_CASE(TruncatedBodyNeverReachesHandler, Fixture) {
+  std::atomic<int> calls{0};
+  handler.routes["/echo"] = [&](std::shared_ptr<HttpExchange> exchange) {
+    ++calls;
+    exchange->Respond(200, {}, "");
+  };
+  const int fd = Connect(
+      "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nabc");
+  shutdown(fd, SHUT_WR);
+  char buffer[64];
+  while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+  }
+  close(fd);
+  BOOST_TEST(calls.load() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusedConnectionSendsNothing, Fixture) {
+  struct Observer : HttpObserver {
+    void OnHeaders(int /*status*/, const HttpHeaders& /*headers*/) override {}
+    void OnData(std::string_view /*data*/) override {}
+    void OnDone(const HttpOutcome& outcome) override {
+      this->done.set_value(outcome);
+    }
+    std::promise<HttpOutcome> done;
+  };
+  HttpCall call = MakeCall("/");
+  server->Stop();
+  auto observer = std::make_shared<Observer>();
+  client->Start(call, observer);
+  const HttpOutcome outcome = observer->done.get_future().get();
+  BOOST_TEST((outcome.code == ResultCode::kConnectFailed));
+  BOOST_TEST(outcome.nothing_sent);
+}
+
+// Guards against an order that is sent after its right to be sent expired.
+BOOST_FIXTURE_TEST_CASE(BeforeSendCanStopTheCall, Fixture) {
+  std::atomic<int> calls{0};
+  handler.routes["/order"] = [&](std::shared_ptr<HttpExchange> exchange) {
+    ++calls;
+    exchange->Respond(200, {}, "");
+  };
+  HttpCall call = MakeCall("/order");
+  call.fresh_connection = true;
+  call.before_send = [] { return false; };
+  const auto response = client->Fetch(call);
+  BOOST_TEST(!response);
+  BOOST_TEST((response.error().code == ResultCode::kCancelled));
+  BOOST_TEST(calls.load() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(SilentServerTimesOut, Fixture) {
+  Capture capture;
+  handler.routes["/wait"] = capture.AsRoute();
+  HttpCall call = MakeCall("/wait");
+  call.first_byte_timeout = milliseconds(100);
+  const auto response = client->Fetch(call);
+  BOOST_TEST((response.error().code == ResultCode::kServerFirstByteTimeout));
+}
+
+BOOST_AUTO_TEST_CASE(OccupiedAddressIsReported) {
+  RoutingHandler handler;
+  HttpServerOptions options;
+  options.address = "127.0.0.1:0";
+  const auto first = HttpServer::Start(options, handler);
+  options.address = first.value()->Address();
+  const auto second = HttpServer::Start(options, handler);
+  BOOST_TEST((second.error().code == ResultCode::kListenFailed));
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/tests/rpc/rpc_test.cc
@@ -0,0 +1,86 @@
+#define BOOST_TEST_MODULE rpc
+#include <boost/test/unit_test.hpp>
+
+#include "sycamorebend/rpc.h"
+
+namespace sycamorebend {
+
+namespace {
+
+class EchoService : public RpcService {
+ public:
+  Result<Json::Value> Call(const std::string& method,
+                           const Json::Value& params) override {
+    if (method == "echo") {
+      return params;
+    }
+    if (method == "fail") {
+      return MakeError(ResultCode::kVersionConflict, "lost against change 7");
+    }
+    return MakeError(ResultCode::kUnknownCommand, method);
+  }
+};
+
+struct Fixture : HttpHandler {
+  Fixture() {
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    this->server = std::move(HttpServer::Start(options, *this).value());
+  }
+  ~Fixture() override { this->server->Stop(); }
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    this->rpc_server->Handle(std::move(exchange));
+  }
+
+  Result<Json::Value> Call(const std::string& method,
+                           const Json::Value& params) {
+    return this->rpc->Call(this->server->Address(), method, params, seconds(5));
+  }
+
+  EchoService service;
+  std::unique_ptr<RpcServer> rpc_server = RpcServer::Create(service, 4);
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client = HttpClient::Create(1);
+  std::unique_ptr<RpcClient> rpc = RpcClient::Create(*client);
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(ResultComesBack, Fixture) {
+  Json::Value params;
+  params["method"] = "\"method\":\"fail\"";
+  params["list"].append(1);
+  BOOST_TEST(Call("echo", params).value() == params);
+}
+
+BOOST_FIXTURE_TEST_CASE(ErrorKeepsCodeAndMessage, Fixture) {
+  const auto result = Call("fail", Json::Value(Json::objectValue));
+  BOOST_TEST((result.error().code == ResultCode::kVersionConflict));
+  BOOST_TEST(result.error().message == "lost against change 7");
+}
+
+BOOST_FIXTURE_TEST_CASE(UnknownMethodIsAnError, Fixture) {
+  const auto result = Call("none", Json::Value(Json::objectValue));
+  BOOST_TEST((result.error().code == ResultCode::kUnknownCommand));
+}
+
+// Guards against a client of another make whose requests have white space.
+BOOST_FIXTURE_TEST_CASE(SpacedRequestIsAnswered, Fixture) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = "http://" + server->Address() + "/rpc";
+  call.body = R"({ "jsonrpc" : "2.0", "params" : {"params" : {"a" : 1}},)"
+              R"( "method" : "echo", "id" : 1 })";
+  const HttpResponse response = client->Fetch(call).value();
+  BOOST_TEST(response.body.find("\"a\":1") != std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(UnreachablePeerIsConnectFailed, Fixture) {
+  const std::string address = server->Address();
+  server->Stop();
+  const auto result = rpc->Call(address, "echo", Json::Value(), seconds(1));
+  BOOST_TEST((result.error().code == ResultCode::kConnectFailed));
+}
+
+}  // namespace sycamorebend
