Drop tasks posted to a stopped control thread

A task posted after Stop stayed in the queue, so PostAndWait blocked for ever; the base test hung until its 600 s limit. Post now drops the task, whose completion signal releases the waiter. The test ControlThreadRunsTasksInOrder failed before and passes now. The limit of one test program is 180 s.

--- a/cmake/Sycamorebend.cmake
+++ b/cmake/Sycamorebend.cmake
@@ -21,6 +21,6 @@
   target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
   target_link_libraries(${name} PRIVATE ${ARG_LINK} Boost::unit_test_framework)
   add_test(NAME ${name} COMMAND ${name})
-  set_tests_properties(${name} PROPERTIES TIMEOUT 600
+  set_tests_properties(${name} PROPERTIES TIMEOUT 180
     ENVIRONMENT "SB_BIN_DIR=${CMAKE_BINARY_DIR}/bin;SB_SOURCE_DIR=${CMAKE_SOURCE_DIR}")
 endfunction()
--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -353,7 +353,8 @@
   ControlThread(const ControlThread&) = delete;
   ControlThread& operator=(const ControlThread&) = delete;
 
-  // Runs `task` on the thread, after the tasks posted before it.
+  // Runs `task` on the thread, after the tasks posted before it. After Stop the
+  // task is dropped.
   void Post(std::function<void()> task);
 
   // Runs `task` on the thread and waits for it. Called on the thread itself, it
--- a/src/base/control_thread.cc
+++ b/src/base/control_thread.cc
@@ -20,6 +20,9 @@
 void ControlThread::Post(std::function<void()> task) {
   {
     std::lock_guard lock(this->mutex);
+    if (this->stopping) {
+      return;
+    }
     this->tasks.push_back(std::move(task));
   }
   this->wake.notify_one();
