--- /dev/null
+++ b/tests/placement/planner_test.cc
@@ -0,0 +1,203 @@
+#define BOOST_TEST_MODULE placement
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+#include "sycamorebend/placement.h"
+
+namespace sycamorebend {
+
+namespace {
+
+const ModelVersion kRepair{"repair", "1"};
+const ModelVersion kParts{"parts", "1"};
+
+EngineView MakeEngine(int number, std::set<ModelVersion> loaded) {
+  EngineView engine;
+  engine.server_id = "e" + std::to_string(number);
+  engine.failure_domain = "d" + std::to_string(number % 3);
+  engine.loaded = std::move(loaded);
+  return engine;
+}
+
+ModelDemand MakeDemand(const ModelVersion& model, double busy) {
+  ModelDemand demand;
+  demand.model = model;
+  demand.busy_engines = busy;
+  demand.weight_bytes = 10ULL << 30;
+  return demand;
+}
+
+// Engines 0 to count - 1; the first `repair_count` serve repair, the others
+// parts.
+std::vector<EngineView> MakeEngines(int count, int repair_count) {
+  std::vector<EngineView> engines;
+  engines.reserve(static_cast<std::size_t>(count));
+  for (int i = 0; i < count; ++i) {
+    engines.push_back(MakeEngine(i, {i < repair_count ? kRepair : kParts}));
+  }
+  return engines;
+}
+
+std::vector<EngineView> MakeEmptyEngines(int count) {
+  std::vector<EngineView> engines = MakeEngines(count, 0);
+  for (EngineView& engine : engines) {
+    engine.loaded.clear();
+  }
+  return engines;
+}
+
+TimePoint At(Duration elapsed) {
+  return TimePoint(std::chrono::hours(1) + elapsed);
+}
+
+// Engines that carry out every order at once.
+void CarryOut(const std::vector<EngineOrder>& orders,
+              std::vector<EngineView>& engines,
+              PlacementPlanner& planner,
+              TimePoint now) {
+  for (const EngineOrder& order : orders) {
+    for (EngineView& engine : engines) {
+      if (engine.server_id != order.server_id) {
+        continue;
+      }
+      if (order.kind == EngineOrderKind::kLoadModel) {
+        engine.loaded.insert(order.model);
+      } else {
+        engine.loaded.erase(order.model);
+      }
+      planner.OnOrderDone(order.server_id, now);
+    }
+  }
+}
+
+int CountLoaded(const std::vector<EngineView>& engines,
+                const ModelVersion& model) {
+  return static_cast<int>(std::count_if(
+      engines.begin(), engines.end(),
+      [&](const auto& engine) { return engine.loaded.count(model) > 0; }));
+}
+
+}  // namespace
+
+// Guards against a class in use that no engine serves.
+BOOST_AUTO_TEST_CASE(UnservedModelTakesAnEngineAtOnce) {
+  auto planner = PlacementPlanner::Create({});
+  std::vector<EngineView> engines{MakeEngine(0, {kRepair}),
+                                  MakeEngine(1, {kRepair})};
+  const std::vector<ModelDemand> demand{MakeDemand(kRepair, 2),
+                                        MakeDemand(kParts, 0)};
+  for (int step = 0; step < 2; ++step) {
+    CarryOut(planner->Plan(engines, demand, At(seconds(step))), engines,
+             *planner, At(seconds(step)));
+  }
+  BOOST_TEST(CountLoaded(engines, kParts) == 1);
+  BOOST_TEST(CountLoaded(engines, kRepair) == 1);
+}
+
+// Guards against taking the last engine of a model in use.
+BOOST_AUTO_TEST_CASE(LastEngineOfRequiredModelStays) {
+  auto planner = PlacementPlanner::Create({});
+  std::vector<EngineView> engines{MakeEngine(0, {kRepair})};
+  const std::vector<ModelDemand> demand{MakeDemand(kRepair, 0),
+                                        MakeDemand(kParts, 5)};
+  BOOST_TEST(planner->Plan(engines, demand, At(std::chrono::hours(1))).empty());
+}
+
+// Guards against moving engines to and fro on a short change of demand.
+BOOST_AUTO_TEST_CASE(ShortDemandPeaksMoveNoEngine) {
+  auto planner = PlacementPlanner::Create({});
+  const std::vector<EngineView> engines = MakeEngines(6, 3);
+  int orders = 0;
+  for (int second = 0; second < 600; second += 10) {
+    const bool peak = (second / 30) % 2 == 0;
+    const std::vector<ModelDemand> demand{MakeDemand(kRepair, peak ? 3.5 : 0.5),
+                                          MakeDemand(kParts, peak ? 0.5 : 3.5)};
+    orders += static_cast<int>(
+        planner->Plan(engines, demand, At(seconds(second))).size());
+  }
+  BOOST_TEST(orders == 0);
+}
+
+BOOST_AUTO_TEST_CASE(LastingShortageMovesIdleEngines) {
+  auto planner = PlacementPlanner::Create({});
+  std::vector<EngineView> engines = MakeEngines(8, 2);
+  const std::vector<ModelDemand> demand{MakeDemand(kRepair, 3.5),
+                                        MakeDemand(kParts, 0.5)};
+  for (int second = 0; second < 300; second += 10) {
+    CarryOut(planner->Plan(engines, demand, At(seconds(second))), engines,
+             *planner, At(seconds(second)));
+  }
+  BOOST_TEST(CountLoaded(engines, kRepair) == 5);
+  BOOST_TEST(CountLoaded(engines, kParts) == 3);
+}
+
+// Guards against more loads at once than the weight store can deliver.
+BOOST_AUTO_TEST_CASE(WeightStoreRateBoundsLoads) {
+  PlacementOptions options;
+  options.weight_store_bytes_per_second = 1ULL << 30;
+  options.load_window = seconds(20);
+  auto planner = PlacementPlanner::Create(options);
+  std::vector<EngineView> engines = MakeEmptyEngines(10);
+  const std::vector<ModelDemand> demand{MakeDemand(kRepair, 8)};
+  BOOST_TEST(planner->Plan(engines, demand, At(seconds(0))).size() == 2U);
+  BOOST_TEST(planner->Plan(engines, demand, At(seconds(1))).empty());
+  planner->OnOrderDone("e0", At(seconds(2)));
+  engines[0].loaded.insert(kRepair);
+  BOOST_TEST(planner->Plan(engines, demand, At(seconds(2))).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RequiredModelSpreadsOverFailureDomains) {
+  auto planner = PlacementPlanner::Create({});
+  std::vector<EngineView> engines{MakeEngine(0, {kRepair}), MakeEngine(3, {}),
+                                  MakeEngine(1, {})};
+  const std::vector<ModelDemand> demand{MakeDemand(kRepair, 1.2)};
+  const auto orders = planner->Plan(engines, demand, At(seconds(0)));
+  BOOST_TEST(orders.size() == 1U);
+  BOOST_TEST(orders[0].server_id == "e1");
+}
+
+// Guards, over random demands, against an unserved required model while an
+// engine could serve it, and against orders to engines that must not get them.
+BOOST_AUTO_TEST_CASE(RandomDemandKeepsInvariants) {
+  for (unsigned seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    auto planner = PlacementPlanner::Create({});
+    std::vector<EngineView> engines = MakeEmptyEngines(12);
+    for (EngineView& engine : engines) {
+      engine.model_slots = 1 + static_cast<int>(random() % 2);
+      engine.accepting = random() % 10 != 0;
+    }
+    for (int step = 0; step < 60; ++step) {
+      std::vector<ModelDemand> demand;
+      demand.reserve(5);
+      for (int model = 0; model < 5; ++model) {
+        demand.push_back(MakeDemand({"m" + std::to_string(model), "1"},
+                                    static_cast<double>(random() % 60) / 10));
+      }
+      const TimePoint now = At(seconds(30 * step));
+      const auto orders = planner->Plan(engines, demand, now);
+      std::set<std::string> ordered;
+      for (const EngineOrder& order : orders) {
+        BOOST_REQUIRE_MESSAGE(ordered.insert(order.server_id).second,
+                              "two orders for one engine, seed " << seed);
+      }
+      CarryOut(orders, engines, *planner, now);
+      for (const EngineView& engine : engines) {
+        BOOST_REQUIRE_MESSAGE(
+            static_cast<int>(engine.loaded.size()) <= engine.model_slots,
+            "more models than fit, seed " << seed);
+        BOOST_REQUIRE_MESSAGE(engine.accepting || engine.loaded.empty(),
+                              "order to a leaving engine, seed " << seed);
+      }
+      for (const ModelDemand& model : demand) {
+        BOOST_REQUIRE_MESSAGE(
+            step < 10 || CountLoaded(engines, model.model) > 0,
+            "required model without engine, seed " << seed);
+      }
+    }
+  }
+}
+
+}  // namespace sycamorebend
