--- /dev/null
+++ b/benchmark/capacity/capacity_clients.cc
@@ -0,0 +1,227 @@
+// Light stand-ins for many entry daemons or backend servers. They put control
+// load on one daemon, whose cost is measured from outside; see
+// scripts/measure_capacity.py.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "sycamorebend/http.h"
+#include "sycamorebend/rpc.h"
+#include "sycamorebend/settings.h"
+
+ABSL_FLAG(std::string, target, "", "IP:port of the daemon under load");
+ABSL_FLAG(std::string,
+          mode,
+          "feed",
+          "feed (entry daemons) or report (servers)");
+ABSL_FLAG(int, count, 10, "number of stand-ins");
+ABSL_FLAG(int, seconds, 10, "duration of the load");
+ABSL_FLAG(int, period_ms, 500, "time between the messages of one stand-in");
+ABSL_FLAG(int, models, 22, "models over which servers are spread");
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr int kClientThreads = 2;
+constexpr int kFailureDomains = 9;
+constexpr Duration kCallTimeout = seconds(5);
+
+struct Totals {
+  std::atomic<std::uint64_t> messages{0};
+  std::atomic<std::uint64_t> failures{0};
+  std::atomic<std::uint64_t> bytes_sent{0};
+  std::atomic<std::uint64_t> bytes_received{0};
+};
+
+// Adds the sizes of one exchange to the totals and keeps its body.
+class CountingObserver : public HttpObserver {
+ public:
+  using Callback = std::function<void(int status, const std::string& body)>;
+
+  CountingObserver(Totals& totals, Callback callback)
+      : totals(totals), callback(std::move(callback)) {}
+
+  void OnHeaders(int /*status*/, const HttpHeaders& /*headers*/) override {}
+  void OnData(std::string_view data) override { this->body.append(data); }
+  void OnDone(const HttpOutcome& outcome) override {
+    ++this->totals.messages;
+    this->totals.bytes_sent += outcome.bytes_sent;
+    this->totals.bytes_received += outcome.bytes_received;
+    if (outcome.code != ResultCode::kOk || outcome.status != 200) {
+      ++this->totals.failures;
+    }
+    if (this->callback) {
+      this->callback(outcome.status, this->body);
+    }
+  }
+
+ private:
+  Totals& totals;
+  const Callback callback;
+  std::string body;
+};
+
+struct StandIn {
+  int number = 0;
+  bool announced = false;
+  std::uint64_t sequence = 0;
+  std::atomic<bool> busy{false};
+  std::atomic<std::uint64_t> version{0};
+  std::string epoch;
+};
+
+class Load {
+ public:
+  Load()
+      : target(absl::GetFlag(FLAGS_target)),
+        feed(absl::GetFlag(FLAGS_mode) == "feed"),
+        models(absl::GetFlag(FLAGS_models)),
+        client(HttpClient::Create(kClientThreads)) {
+    for (int i = 0; i < absl::GetFlag(FLAGS_count); ++i) {
+      this->stand_ins.push_back(std::make_unique<StandIn>());
+      this->stand_ins.back()->number = i;
+    }
+  }
+
+  void Run() {
+    const Duration period = milliseconds(absl::GetFlag(FLAGS_period_ms));
+    const TimePoint end =
+        this->clock.Now() + seconds(absl::GetFlag(FLAGS_seconds));
+    const auto count = static_cast<int>(this->stand_ins.size());
+    for (std::uint64_t turn = 0; this->clock.Now() < end; ++turn) {
+      // The messages of one period are spread over it.
+      const TimePoint start = this->clock.Now();
+      for (int i = 0; i < count; ++i) {
+        std::this_thread::sleep_until(start + period * i / count);
+        this->Send(*this->stand_ins[static_cast<std::size_t>(i)]);
+      }
+      std::this_thread::sleep_until(start + period);
+    }
+    std::this_thread::sleep_for(seconds(1));
+    this->Print();
+  }
+
+ private:
+  void Send(StandIn& stand_in) {
+    // A feed poll waits at the daemon; the next one follows its answer.
+    if (stand_in.busy.exchange(true)) {
+      return;
+    }
+    HttpCall call;
+    call.method = "POST";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.first_byte_timeout = kCallTimeout;
+    if (this->feed) {
+      call.url = fmt::format("http://{}{}", this->target, kRpcPath);
+      call.body = this->PollBody(stand_in);
+    } else {
+      call.url = fmt::format("http://{}/backend/v1/{}", this->target,
+                             stand_in.announced ? "report" : "announce");
+      call.body = stand_in.announced ? ReportBody(stand_in)
+                                     : this->AnnounceBody(stand_in);
+      stand_in.announced = true;
+    }
+    const bool feed = this->feed;
+    this->client->Start(
+        std::move(call),
+        std::make_shared<CountingObserver>(
+            this->totals,
+            [&stand_in, feed](int /*status*/, const std::string& body) {
+              if (feed) {
+                const Result<Json::Value> reply = ParseJson(body);
+                if (reply && reply.value()["result"].isObject()) {
+                  const Json::Value& result = reply.value()["result"];
+                  stand_in.version = result["version"].asUInt64();
+                  stand_in.epoch = result["epoch"].asString();
+                }
+              }
+              stand_in.busy = false;
+            }));
+  }
+
+  std::string PollBody(const StandIn& stand_in) const {
+    Json::Value params;
+    params["have_version"] = Json::UInt64(stand_in.version.load());
+    params["have_epoch"] = stand_in.epoch;
+    params["entry_id"] = fmt::format("entry-{}", stand_in.number);
+    params["incarnation"] = "1";
+    params["address"] = fmt::format("127.1.{}.{}:8080", stand_in.number / 250,
+                                    1 + stand_in.number % 250);
+    params["failure_domain"] =
+        fmt::format("fd-{}", stand_in.number % kFailureDomains);
+    params["draining"] = false;
+    params["relayed_renewals"] = Json::Value(Json::arrayValue);
+    Json::Value request;
+    request["jsonrpc"] = "2.0";
+    request["id"] = 1;
+    request["method"] = "feed.poll";
+    request["params"]["params"] = params;
+    return WriteJson(request);
+  }
+
+  std::string AnnounceBody(const StandIn& stand_in) const {
+    Json::Value body;
+    body["server_id"] = fmt::format("server-{}", stand_in.number);
+    body["incarnation"] = "1";
+    body["address"] = fmt::format("127.2.{}.{}:9000", stand_in.number / 250,
+                                  1 + stand_in.number % 250);
+    body["kind"] = "engine";
+    const std::string model =
+        fmt::format("model-{}", stand_in.number % this->models);
+    body["labels"]["model"] = model;
+    body["models"].append(model);
+    body["failure_domain"] =
+        fmt::format("fd-{}", stand_in.number % kFailureDomains);
+    body["slots"] = 16;
+    body["checks_fence"] = true;
+    body["roles"].append("mixed");
+    return WriteJson(body);
+  }
+
+  static std::string ReportBody(StandIn& stand_in) {
+    Json::Value body;
+    body["server_id"] = fmt::format("server-{}", stand_in.number);
+    body["incarnation"] = "1";
+    body["seq"] = Json::UInt64(++stand_in.sequence);
+    for (int tier = 0; tier < 4; ++tier) {
+      body["running_by_tier"].append(tier);
+      body["queued_by_tier"].append(0);
+    }
+    body["free_kv_tokens"] = 100000;
+    body["state"] = "serving";
+    return WriteJson(body);
+  }
+
+  void Print() const {
+    fmt::print("messages {} failures {} bytes_sent {} bytes_received {}\n",
+               this->totals.messages.load(), this->totals.failures.load(),
+               this->totals.bytes_sent.load(),
+               this->totals.bytes_received.load());
+  }
+
+  SystemClock clock;
+  const std::string target;
+  const bool feed;
+  const int models;
+  Totals totals;
+  std::vector<std::unique_ptr<StandIn>> stand_ins;
+  std::unique_ptr<HttpClient> client;
+};
+
+}  // namespace
+
+}  // namespace sycamorebend
+
+int main(int argc, char** argv) {
+  absl::ParseCommandLine(argc, argv);
+  sycamorebend::Load().Run();
+  return 0;
+}
--- a/include/sycamorebend/http.h
+++ b/include/sycamorebend/http.h
@@ -145,6 +145,9 @@
   int status = 0;  // 0 if no answer arrived.
   // True if not a single byte of the request can have reached the server.
   bool nothing_sent = false;
+  // Bytes of HTTP messages, without TCP and IP headers.
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
 };
 
 // Receives the answer on a thread of the client. Methods must not block.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -209,6 +209,17 @@
     HttpOutcome outcome;
     outcome.status = this->status;
     outcome.nothing_sent = !this->sending;
+    long request_headers = 0;
+    long response_headers = 0;
+    curl_off_t uploaded = 0;
+    curl_off_t downloaded = 0;
+    curl_easy_getinfo(this->easy, CURLINFO_REQUEST_SIZE, &request_headers);
+    curl_easy_getinfo(this->easy, CURLINFO_HEADER_SIZE, &response_headers);
+    curl_easy_getinfo(this->easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
+    curl_easy_getinfo(this->easy, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
+    outcome.bytes_sent = static_cast<std::uint64_t>(request_headers + uploaded);
+    outcome.bytes_received =
+        static_cast<std::uint64_t>(response_headers + downloaded);
     return outcome;
   }
 
