--- a/include/sycamorebend/consensus.h
+++ b/include/sycamorebend/consensus.h
@@ -4,12 +4,16 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <json/value.h>
+
 #include "sycamorebend/base.h"
+#include "sycamorebend/rpc.h"
 
 namespace sycamorebend {
 
@@ -96,6 +100,72 @@
   virtual LogStatus GetStatus() const = 0;
 };
 
+// RPC method that carries messages between replicas.
+inline constexpr std::string_view kRaftMessageMethod = "raft.message";
+
+struct ReplicaAddress {
+  ReplicaId id = 0;
+  std::string address;  // "IP:port" at which the replica serves RPC.
+};
+
+struct ConsensusTimings {
+  Duration heartbeat = milliseconds(100);
+  // A replica starts an election after a silence drawn from this range, and
+  // grants no vote during the minimum after it heard a leader.
+  Duration election_timeout_min = milliseconds(600);
+  Duration election_timeout_max = milliseconds(1200);
+  // Must be shorter than election_timeout_min; the difference is the margin for
+  // clocks that run at different rates.
+  Duration lease = milliseconds(500);
+  // A proposal or read without an outcome by then fails.
+  Duration request_timeout = seconds(2);
+};
+
+struct ReplicatedLogOptions {
+  ReplicaId id = 0;
+  std::string address;
+  // Created if missing. A directory written by another replica ID is refused.
+  std::string data_directory;
+  // The first replica set. Used only if the data directory is empty and `join`
+  // is false; must be the same at every replica and contain `id`.
+  std::vector<ReplicaAddress> initial_replicas;
+  // Starts empty, without a vote, and waits to be added by AddReplica.
+  bool join = false;
+  ConsensusTimings timings;
+  // A snapshot is written after this many applied entries, or once the log has
+  // grown by snapshot_bytes and by the size of the last snapshot.
+  std::uint64_t snapshot_entries = 20000;
+  std::uint64_t snapshot_bytes = 16 << 20;
+  // Entries kept before the snapshot for followers that are a little behind.
+  std::uint64_t trailing_entries = 2000;
+  std::size_t max_command_bytes = 1 << 20;
+};
+
+// A replica of the log.
+class ReplicatedLogService : public ReplicatedLog {
+ public:
+  // Accepts the params of a received kRaftMessageMethod call. Does not block.
+  // @return an empty object, or kProtocolError.
+  virtual Result<Json::Value> HandleMessage(const Json::Value& params) = 0;
+
+  // Hands leadership over if this replica leads, then stops; open callbacks get
+  // kCancelled. Blocks for at most one election timeout. Must not be called on
+  // the control thread.
+  virtual void Stop() = 0;
+};
+
+// Starts a replica: reads the data directory, restores `state_machine` from
+// the snapshot and begins to take part. The references must outlive the
+// service. Must not be called on the control thread.
+// @return the service, or kLogCorrupt, kStorageFailed, kReplicaIdReused (the
+// directory belongs to another replica) or kSettingsInvalidValue.
+Result<std::unique_ptr<ReplicatedLogService>> CreateReplicatedLog(
+    const ReplicatedLogOptions& options,
+    StateMachine& state_machine,
+    RpcClient& rpc_client,
+    ControlThread& control_thread,
+    const Clock& clock);
+
 }  // namespace sycamorebend
 
 #endif  // SYCAMOREBEND_CONSENSUS_H_
