--- /dev/null
+++ b/src/consensus/core.cc
@@ -0,0 +1,272 @@
+#include "consensus/core.h"
+
+#include <algorithm>
+
+#include "consensus/encoding.h"
+
+namespace sycamorebend::internal {
+
+Core::Core(const CoreOptions& options,
+           const StoredState& stored,
+           const ReplicaSet* initial,
+           TimePoint now)
+    : options(options),
+      random(options.random_seed),
+      echo_mask(static_cast<std::int64_t>(this->random())),
+      started(now),
+      hard(stored.hard),
+      // A restart forgets when a leader was last heard, so the promise not to
+      // vote starts anew.
+      last_heard(now) {
+  this->replica_sets.push_back({0, {}});
+  if (stored.snapshot != nullptr) {
+    this->snapshot = stored.snapshot;
+    this->base_index = this->snapshot->index;
+    this->base_term = this->snapshot->term;
+    this->last_time_ms = this->snapshot->leader_time_ms;
+    this->applied_time_ms = this->last_time_ms;
+    this->commit_index = this->base_index;
+    this->applied_index = this->base_index;
+    this->replica_sets.back() = {this->base_index, this->snapshot->replicas};
+    // The first replica set is stored as a snapshot without a state.
+    if (this->base_index > 0) {
+      this->output.restore = this->snapshot;
+    }
+  } else if (initial != nullptr) {
+    auto first = std::make_shared<SnapshotData>();
+    first->replicas = *initial;
+    this->snapshot = first;
+    this->replica_sets.back() = {0, *initial};
+    Write write;
+    write.snapshot = this->snapshot;
+    this->hard_state_write = this->AddWrite(std::move(write));
+  }
+  for (const EntryPtr& entry : stored.entries) {
+    this->AppendToLog(entry);
+  }
+  this->durable_index = this->LastIndex();
+  this->ResetElectionTimer(now);
+}
+
+LogIndex Core::LastIndex() const {
+  return this->base_index + this->log.size();
+}
+
+LogIndex Core::SnapshotIndex() const {
+  return this->snapshot == nullptr ? 0 : this->snapshot->index;
+}
+
+std::uint64_t Core::SnapshotBytes() const {
+  return this->snapshot == nullptr ? 0 : this->snapshot->state.size();
+}
+
+std::optional<Term> Core::TermAt(LogIndex index) const {
+  if (index == this->base_index) {
+    return this->base_term;
+  }
+  if (index < this->base_index || index > this->LastIndex()) {
+    return std::nullopt;
+  }
+  return this->EntryAt(index)->term;
+}
+
+Term Core::LastTerm() const {
+  return this->log.empty() ? this->base_term : this->log.back()->term;
+}
+
+const EntryPtr& Core::EntryAt(LogIndex index) const {
+  return this->log[index - this->base_index - 1];
+}
+
+bool Core::LogUpToDate(LogIndex last_index, Term last_term) const {
+  return std::make_pair(last_term, last_index) >=
+         std::make_pair(this->LastTerm(), this->LastIndex());
+}
+
+void Core::AppendToLog(EntryPtr entry) {
+  this->last_time_ms = entry->leader_time_ms;
+  this->log_bytes += entry->payload.size();
+  if (entry->kind == EntryKind::kReplicaSet) {
+    this->replica_sets.push_back(
+        {entry->index,
+         DecodeReplicaSet(entry->payload).value_or(ReplicaSet{})});
+  }
+  this->log.push_back(std::move(entry));
+}
+
+void Core::TruncateLog(LogIndex from) {
+  while (this->LastIndex() >= from) {
+    this->log_bytes -= std::min<std::uint64_t>(
+        this->log_bytes, this->log.back()->payload.size());
+    this->log.pop_back();
+  }
+  while (this->replica_sets.size() > 1 &&
+         this->replica_sets.back().index >= from) {
+    this->replica_sets.pop_back();
+  }
+  this->last_time_ms = this->log.empty() ? this->applied_time_ms
+                                         : this->log.back()->leader_time_ms;
+  this->durable_index = std::min(this->durable_index, from - 1);
+  for (PendingWrite& write : this->pending_writes) {
+    write.last_index = std::min(write.last_index, from - 1);
+  }
+}
+
+std::uint64_t Core::AddWrite(Write write) {
+  write.id = ++this->last_write;
+  this->pending_writes.push_back(
+      {write.id, write.entries.empty() ? 0 : write.entries.back()->index});
+  const std::uint64_t id = write.id;
+  this->output.writes.push_back(std::move(write));
+  return id;
+}
+
+void Core::SaveHardState() {
+  Write write;
+  write.hard = this->hard;
+  this->hard_state_write = this->AddWrite(std::move(write));
+}
+
+void Core::WriteDone(std::uint64_t write_id, TimePoint now) {
+  this->done_write = std::max(this->done_write, write_id);
+  while (!this->pending_writes.empty() &&
+         this->pending_writes.front().id <= write_id) {
+    this->durable_index =
+        std::max(this->durable_index, this->pending_writes.front().last_index);
+    this->pending_writes.pop_front();
+  }
+  this->ReleaseMessages();
+  this->MaybeWin(now);
+  this->MaybeCommit();
+}
+
+Message Core::MakeMessage(MessageType type, ReplicaId to) const {
+  Message message;
+  message.type = type;
+  message.from = this->options.id;
+  message.to = to;
+  message.term = this->hard.term;
+  return message;
+}
+
+void Core::Send(Message message) {
+  this->output.messages.push_back(std::move(message));
+}
+
+void Core::SendAfterWrite(Message message, std::uint64_t write_id) {
+  if (write_id <= this->done_write ||
+      !this->options.safeguards.sync_before_acknowledge) {
+    this->Send(std::move(message));
+    return;
+  }
+  this->held.push_back({write_id, std::move(message)});
+}
+
+void Core::ReleaseMessages() {
+  std::deque<HeldMessage> remaining;
+  for (HeldMessage& item : this->held) {
+    if (item.after_write <= this->done_write) {
+      this->Send(std::move(item.message));
+    } else {
+      remaining.push_back(std::move(item));
+    }
+  }
+  this->held.swap(remaining);
+}
+
+void Core::CommitTo(LogIndex index) {
+  this->commit_index = std::max(this->commit_index, index);
+  while (this->applied_index < this->commit_index) {
+    ++this->applied_index;
+    const EntryPtr& entry = this->EntryAt(this->applied_index);
+    this->applied_time_ms = entry->leader_time_ms;
+    this->output.committed.push_back(entry);
+  }
+  this->PromoteConfirmations();
+}
+
+const ReplicaSet& Core::ReplicasAt(LogIndex index) const {
+  const auto after = std::find_if(
+      this->replica_sets.begin() + 1, this->replica_sets.end(),
+      [index](const IndexedSet& item) { return item.index > index; });
+  return std::prev(after)->set;
+}
+
+void Core::Compact(std::string state) {
+  if (this->applied_index <= this->SnapshotIndex()) {
+    return;
+  }
+  auto next = std::make_shared<SnapshotData>();
+  next->index = this->applied_index;
+  next->term = *this->TermAt(this->applied_index);
+  next->leader_time_ms = this->applied_time_ms;
+  next->replicas = this->ReplicasAt(this->applied_index);
+  next->state = std::move(state);
+  this->snapshot = next;
+  Write write;
+  write.snapshot = this->snapshot;
+  this->AddWrite(std::move(write));
+  const LogIndex keep_after =
+      next->index - std::min(next->index, this->options.trailing_entries);
+  while (this->base_index < keep_after) {
+    this->base_term = this->log.front()->term;
+    ++this->base_index;
+    this->log.pop_front();
+  }
+  while (this->replica_sets.size() > 1 &&
+         this->replica_sets[1].index <= this->base_index) {
+    this->replica_sets.erase(this->replica_sets.begin());
+  }
+  this->log_bytes = 0;
+}
+
+void Core::PromoteConfirmations() {
+  while (!this->confirmations.empty() &&
+         this->confirmations.front().commit <= this->applied_index) {
+    this->confirmed_at =
+        std::max(this->confirmed_at, this->confirmations.front().at);
+    this->confirmations.pop_front();
+  }
+}
+
+CoreOutput Core::TakeOutput() {
+  CoreOutput taken;
+  std::swap(taken, this->output);
+  return taken;
+}
+
+void Core::Tick(TimePoint now) {
+  if (this->role == Role::kLeader) {
+    this->TickLeader(now);
+  } else if (now >= this->election_deadline) {
+    this->StartPreVote(now);
+  }
+}
+
+void Core::Receive(const Message& message, TimePoint now) {
+  if (message.to != this->options.id || message.from == this->options.id) {
+    return;
+  }
+  switch (message.type) {
+    case MessageType::kPreVote:
+      return this->OnPreVote(message, now);
+    case MessageType::kPreVoteReply:
+      return this->OnPreVoteReply(message, now);
+    case MessageType::kVote:
+      return this->OnVote(message, now);
+    case MessageType::kVoteReply:
+      return this->OnVoteReply(message, now);
+    case MessageType::kAppend:
+      return this->OnAppend(message, now);
+    case MessageType::kAppendReply:
+      return this->OnAppendReply(message, now);
+    case MessageType::kSnapshot:
+      return this->OnSnapshot(message, now);
+    case MessageType::kSnapshotReply:
+      return this->OnSnapshotReply(message, now);
+    case MessageType::kHandOver:
+      return this->OnHandOver(message, now);
+  }
+}
+
+}  // namespace sycamorebend::internal
--- /dev/null
+++ b/src/consensus/core_election.cc
@@ -0,0 +1,284 @@
+#include <algorithm>
+#include <functional>
+
+#include "consensus/core.h"
+
+namespace sycamorebend::internal {
+
+void Core::BecomeFollower(Term term, ReplicaId leader, TimePoint now) {
+  if (this->role == Role::kLeader) {
+    const TimePoint confirmed = this->LeaseStart(now);
+    if (this->ReadyToLead()) {
+      this->confirmed_at = std::max(this->confirmed_at, confirmed);
+    }
+    this->followers.clear();
+    this->ResetElectionTimer(now);
+  }
+  if (term > this->hard.term) {
+    this->hard = {term, 0};
+    this->SaveHardState();
+    // A reply of an older term must not count for its leader any more.
+    this->held.clear();
+  }
+  this->role = Role::kFollower;
+  this->leader = leader;
+}
+
+void Core::ResetElectionTimer(TimePoint now) {
+  std::uniform_int_distribution<Duration::rep> delay(
+      this->options.timings.election_timeout_min.count(),
+      this->options.timings.election_timeout_max.count());
+  this->election_deadline = now + Duration(delay(this->random));
+}
+
+bool Core::HearsLeader(TimePoint now) const {
+  if (this->role == Role::kLeader) {
+    return this->LeaseValid(now);
+  }
+  return now < this->last_heard + this->options.timings.election_timeout_min;
+}
+
+bool Core::CountsAsVoter(ReplicaId id) const {
+  if (!this->options.safeguards.learner_without_vote) {
+    return this->Replicas().Find(id) != nullptr;
+  }
+  return this->Replicas().IsVoter(id);
+}
+
+std::size_t Core::Quorum() const {
+  return this->Replicas().VoterCount() / 2 + 1;
+}
+
+bool Core::HasQuorum(const std::set<ReplicaId>& ids) const {
+  const auto count =
+      std::count_if(ids.begin(), ids.end(),
+                    [this](ReplicaId id) { return this->CountsAsVoter(id); });
+  return static_cast<std::size_t>(count) >= this->Quorum();
+}
+
+void Core::RequestVotes(MessageType type, Term term, bool hand_over) {
+  for (const Member& member : this->Replicas().members) {
+    if (member.id == this->options.id || !this->CountsAsVoter(member.id)) {
+      continue;
+    }
+    Message message = this->MakeMessage(type, member.id);
+    message.term = term;
+    message.index = this->LastIndex();
+    message.index_term = this->LastTerm();
+    message.hand_over = hand_over;
+    this->SendAfterWrite(std::move(message), this->hard_state_write);
+  }
+}
+
+void Core::StartPreVote(TimePoint now) {
+  this->ResetElectionTimer(now);
+  if (!this->CountsAsVoter(this->options.id)) {
+    return;
+  }
+  if (!this->options.safeguards.pre_vote) {
+    this->StartElection(now, false);
+    return;
+  }
+  this->role = Role::kPreCandidate;
+  this->leader = 0;
+  this->votes = {this->options.id};
+  this->RequestVotes(MessageType::kPreVote, this->hard.term + 1, false);
+  if (this->HasQuorum(this->votes)) {
+    this->StartElection(now, false);
+  }
+}
+
+void Core::StartElection(TimePoint now, bool hand_over) {
+  this->ResetElectionTimer(now);
+  this->role = Role::kCandidate;
+  this->leader = 0;
+  this->hard = {this->hard.term + 1, this->options.id};
+  this->held.clear();
+  this->SaveHardState();
+  this->votes = {this->options.id};
+  this->RequestVotes(MessageType::kVote, this->hard.term, hand_over);
+}
+
+void Core::MaybeWin(TimePoint now) {
+  // The own vote counts once it is durable.
+  if (this->role == Role::kCandidate &&
+      (this->done_write >= this->hard_state_write ||
+       !this->options.safeguards.sync_before_acknowledge) &&
+      this->HasQuorum(this->votes)) {
+    this->BecomeLeader(now);
+  }
+}
+
+void Core::BecomeLeader(TimePoint now) {
+  this->role = Role::kLeader;
+  this->leader = this->options.id;
+  this->leader_since = now;
+  this->handed_over = false;
+  this->followers.clear();
+  this->SyncFollowers();
+  // Entries of earlier terms commit only together with one of this term.
+  this->term_start_index =
+      this->AppendAsLeader(EntryKind::kNoOp, {}, now, this->last_time_ms);
+  this->next_heartbeat = now;
+  this->TickLeader(now);
+}
+
+void Core::OnPreVote(const Message& message, TimePoint now) {
+  Message reply = this->MakeMessage(MessageType::kPreVoteReply, message.from);
+  reply.granted = message.term > this->hard.term && !this->HearsLeader(now) &&
+                  !this->Replicas().members.empty() &&
+                  this->LogUpToDate(message.index, message.index_term);
+  // A granted reply names the term that was asked about.
+  reply.term = reply.granted ? message.term : this->hard.term;
+  this->SendAfterWrite(std::move(reply), this->hard_state_write);
+}
+
+void Core::OnPreVoteReply(const Message& message, TimePoint now) {
+  if (!message.granted) {
+    if (message.term > this->hard.term) {
+      this->BecomeFollower(message.term, 0, now);
+    }
+    return;
+  }
+  if (this->role != Role::kPreCandidate ||
+      message.term != this->hard.term + 1) {
+    return;
+  }
+  this->votes.insert(message.from);
+  if (this->HasQuorum(this->votes)) {
+    this->StartElection(now, false);
+  }
+}
+
+void Core::OnVote(const Message& message, TimePoint now) {
+  if (message.term > this->hard.term) {
+    // The promise to a live leader also protects it against the new term. A
+    // leader that asked for this election has given up its lease.
+    if (this->HearsLeader(now) && !message.hand_over) {
+      return;
+    }
+    this->BecomeFollower(message.term, 0, now);
+  }
+  Message reply = this->MakeMessage(MessageType::kVoteReply, message.from);
+  const bool can_vote = this->hard.vote == 0 || this->hard.vote == message.from;
+  // A replica without any part of the log has no replica set and no vote.
+  reply.granted = message.term == this->hard.term && can_vote &&
+                  !this->Replicas().members.empty() &&
+                  this->LogUpToDate(message.index, message.index_term);
+  if (reply.granted && this->hard.vote == 0) {
+    this->hard.vote = message.from;
+    this->SaveHardState();
+    this->ResetElectionTimer(now);
+  }
+  this->SendAfterWrite(std::move(reply), this->hard_state_write);
+}
+
+void Core::OnVoteReply(const Message& message, TimePoint now) {
+  if (message.term > this->hard.term) {
+    this->BecomeFollower(message.term, 0, now);
+    return;
+  }
+  if (this->role != Role::kCandidate || message.term != this->hard.term ||
+      !message.granted) {
+    return;
+  }
+  this->votes.insert(message.from);
+  this->MaybeWin(now);
+}
+
+void Core::OnHandOver(const Message& message, TimePoint now) {
+  if (message.term == this->hard.term && this->leader == message.from &&
+      this->role == Role::kFollower && this->CountsAsVoter(this->options.id)) {
+    this->StartElection(now, true);
+  }
+}
+
+void Core::HandOver(TimePoint now) {
+  if (this->role != Role::kLeader || this->handed_over) {
+    return;
+  }
+  ReplicaId target = 0;
+  LogIndex best = 0;
+  for (const auto& [id, progress] : this->followers) {
+    const bool alive = progress.acknowledged != TimePoint::min() &&
+                       now < progress.acknowledged +
+                                 this->options.timings.election_timeout_min;
+    if (alive && this->CountsAsVoter(id) && progress.match > best) {
+      target = id;
+      best = progress.match;
+    }
+  }
+  if (target == 0) {
+    return;
+  }
+  this->handed_over = true;
+  this->leader_since = now;
+  this->Send(this->MakeMessage(MessageType::kHandOver, target));
+}
+
+TimePoint Core::LeaseStart(TimePoint now) const {
+  std::vector<TimePoint> times;
+  for (const Member& member : this->Replicas().members) {
+    if (!this->CountsAsVoter(member.id)) {
+      continue;
+    }
+    if (member.id == this->options.id) {
+      times.push_back(now);
+      continue;
+    }
+    const auto found = this->followers.find(member.id);
+    times.push_back(found == this->followers.end()
+                        ? TimePoint::min()
+                        : found->second.acknowledged);
+  }
+  const std::size_t quorum = this->Quorum();
+  if (times.size() < quorum) {
+    return TimePoint::min();
+  }
+  std::sort(times.begin(), times.end(), std::greater<>());
+  return times[quorum - 1];
+}
+
+bool Core::LeaseValid(TimePoint now) const {
+  if (this->role != Role::kLeader || this->handed_over) {
+    return false;
+  }
+  if (!this->options.safeguards.lease_check) {
+    return true;
+  }
+  const TimePoint start = this->LeaseStart(now);
+  return start != TimePoint::min() && now < start + this->options.timings.lease;
+}
+
+bool Core::ReadyToLead() const {
+  return this->role == Role::kLeader &&
+         this->commit_index >= this->term_start_index;
+}
+
+TimePoint Core::ConfirmedAt(TimePoint now) const {
+  TimePoint confirmed = this->confirmed_at;
+  if (this->ReadyToLead()) {
+    confirmed = std::max(confirmed, this->LeaseStart(now));
+  }
+  return confirmed;
+}
+
+Result<ReadPoint> Core::BeginRead(TimePoint now) const {
+  if (!this->LeaseValid(now)) {
+    return MakeError(ResultCode::kNotLeader);
+  }
+  return ReadPoint{this->hard.term,
+                   std::max(this->commit_index, this->term_start_index)};
+}
+
+ReadState Core::CheckRead(const ReadPoint& point, TimePoint now) const {
+  if (this->role != Role::kLeader || this->hard.term != point.term) {
+    return ReadState::kFailed;
+  }
+  if (this->applied_index < point.index || !this->LeaseValid(now)) {
+    return ReadState::kWaiting;
+  }
+  return ReadState::kReady;
+}
+
+}  // namespace sycamorebend::internal
--- /dev/null
+++ b/src/consensus/core_replication.cc
@@ -0,0 +1,530 @@
+#include <algorithm>
+#include <functional>
+
+#include "consensus/core.h"
+#include "consensus/encoding.h"
+
+namespace sycamorebend::internal {
+
+namespace {
+
+// An append or snapshot chunk without an answer after this many heartbeats is
+// sent again.
+constexpr int kResendHeartbeats = 2;
+// A learner may be promoted while it is this many entries behind: under steady
+// load it always has an append in flight.
+constexpr LogIndex kPromotionLagEntries = 100;
+// Confirmations that wait for entries to be applied.
+constexpr std::size_t kMaxConfirmations = 64;
+
+}  // namespace
+
+void Core::SyncFollowers() {
+  const ReplicaSet& replicas = this->Replicas();
+  for (auto it = this->followers.begin(); it != this->followers.end();) {
+    it = replicas.Find(it->first) == nullptr ? this->followers.erase(it)
+                                             : std::next(it);
+  }
+  for (const Member& member : replicas.members) {
+    if (member.id != this->options.id &&
+        this->followers.count(member.id) == 0) {
+      this->followers[member.id].next = this->LastIndex() + 1;
+    }
+  }
+}
+
+void Core::TickLeader(TimePoint now) {
+  const Duration patience = this->options.timings.election_timeout_min;
+  const TimePoint confirmed =
+      this->handed_over ? this->leader_since
+                        : std::max(this->LeaseStart(now), this->leader_since);
+  const bool removed = this->Replicas().Find(this->options.id) == nullptr &&
+                       this->replica_sets.back().index <= this->commit_index;
+  // A leader whose messages arrive but whose answers are lost would otherwise
+  // prevent the election of another one for ever.
+  if (now >= confirmed + patience || removed) {
+    this->BecomeFollower(this->hard.term, 0, now);
+    return;
+  }
+  if (now < this->next_heartbeat) {
+    return;
+  }
+  this->next_heartbeat = now + this->options.timings.heartbeat;
+  for (auto& [id, progress] : this->followers) {
+    this->Heartbeat(id, progress, now);
+  }
+}
+
+void Core::StampAppend(Message& message,
+                       const Progress& progress,
+                       TimePoint now) {
+  message.commit = this->commit_index;
+  message.leader_echo = now.time_since_epoch().count();
+  message.follower_echo = progress.follower_echo;
+  const TimePoint confirmed = this->LeaseStart(now);
+  if (this->ReadyToLead() && confirmed != TimePoint::min()) {
+    message.confirmation_age_ns = (now - confirmed).count();
+  }
+}
+
+void Core::Heartbeat(ReplicaId id, Progress& progress, TimePoint now) {
+  Message message = this->MakeMessage(MessageType::kAppend, id);
+  // The matching entry, so that a heartbeat is accepted in any order with the
+  // appends.
+  const std::optional<Term> term = this->TermAt(progress.match);
+  if (term) {
+    message.index = progress.match;
+    message.index_term = *term;
+  }
+  this->StampAppend(message, progress, now);
+  this->Send(std::move(message));
+  const Duration resend = kResendHeartbeats * this->options.timings.heartbeat;
+  if (progress.snapshot != nullptr) {
+    if (now >= progress.snapshot_sent + resend) {
+      this->SendSnapshotChunk(id, progress, now);
+    }
+    return;
+  }
+  if (progress.in_flight != 0 && now >= progress.in_flight_since + resend) {
+    progress.in_flight = 0;
+  }
+  this->Replicate(id, progress, now);
+}
+
+void Core::ReplicateAll(TimePoint now) {
+  for (auto& [id, progress] : this->followers) {
+    this->Replicate(id, progress, now);
+  }
+}
+
+void Core::Replicate(ReplicaId id, Progress& progress, TimePoint now) {
+  if (progress.snapshot != nullptr || progress.in_flight != 0 ||
+      progress.next > this->LastIndex()) {
+    return;
+  }
+  if (progress.next <= this->base_index) {
+    progress.snapshot =
+        std::make_shared<const std::string>(EncodeSnapshot(*this->snapshot));
+    progress.snapshot_index = this->snapshot->index;
+    progress.snapshot_term = this->snapshot->term;
+    progress.snapshot_offset = 0;
+    this->SendSnapshotChunk(id, progress, now);
+    return;
+  }
+  Message message = this->MakeMessage(MessageType::kAppend, id);
+  message.index = progress.next - 1;
+  message.index_term = *this->TermAt(message.index);
+  std::size_t bytes = 0;
+  for (LogIndex index = progress.next; index <= this->LastIndex(); ++index) {
+    const EntryPtr& entry = this->EntryAt(index);
+    bytes += entry->payload.size();
+    if (!message.entries.empty() && bytes > this->options.max_message_bytes) {
+      break;
+    }
+    message.entries.push_back(entry);
+  }
+  this->StampAppend(message, progress, now);
+  progress.in_flight = message.entries.back()->index;
+  progress.in_flight_since = now;
+  this->Send(std::move(message));
+}
+
+void Core::SendSnapshotChunk(ReplicaId id, Progress& progress, TimePoint now) {
+  Message message = this->MakeMessage(MessageType::kSnapshot, id);
+  message.index = progress.snapshot_index;
+  message.index_term = progress.snapshot_term;
+  message.offset = progress.snapshot_offset;
+  message.total = progress.snapshot->size();
+  message.data = progress.snapshot->substr(message.offset,
+                                           this->options.snapshot_chunk_bytes);
+  message.leader_echo = now.time_since_epoch().count();
+  progress.snapshot_sent = now;
+  this->Send(std::move(message));
+}
+
+void Core::OnAppend(const Message& message, TimePoint now) {
+  if (message.term < this->hard.term) {
+    this->RejectAppend(message, now);
+    return;
+  }
+  this->BecomeFollower(message.term, message.from, now);
+  this->last_heard = now;
+  this->ResetElectionTimer(now);
+  const std::optional<Term> own_term = this->TermAt(message.index);
+  const bool covered = message.index < this->base_index;
+  if (!covered && own_term != message.index_term) {
+    this->RejectAppend(message, now);
+    return;
+  }
+  const std::uint64_t after_write = this->StoreEntries(message);
+  const LogIndex match = message.index + message.entries.size();
+  this->AcceptAppend(message, match, after_write, now);
+  this->CommitTo(std::max(this->commit_index, std::min(message.commit, match)));
+  this->NoteConfirmation(message, now);
+}
+
+std::uint64_t Core::StoreEntries(const Message& message) {
+  Write write;
+  for (const EntryPtr& entry : message.entries) {
+    if (entry->index <= this->base_index) {
+      continue;
+    }
+    if (write.entries.empty()) {
+      if (this->TermAt(entry->index) == entry->term) {
+        continue;
+      }
+      if (entry->index <= this->LastIndex()) {
+        write.truncate_from = entry->index;
+        this->TruncateLog(entry->index);
+      }
+    }
+    this->AppendToLog(entry);
+    write.entries.push_back(entry);
+  }
+  return write.entries.empty() ? 0 : this->AddWrite(std::move(write));
+}
+
+void Core::RejectAppend(const Message& message, TimePoint now) {
+  Message reply = this->MakeMessage(MessageType::kAppendReply, message.from);
+  reply.index = message.index;
+  reply.leader_echo = message.leader_echo;
+  reply.follower_echo = now.time_since_epoch().count() ^ this->echo_mask;
+  reply.hint = std::min(this->LastIndex(), message.index);
+  const std::optional<Term> conflicting = this->TermAt(reply.hint);
+  // Skips the whole conflicting term: one round per term, not per entry.
+  while (message.term == this->hard.term && conflicting &&
+         *conflicting > message.index_term && reply.hint > this->commit_index &&
+         this->TermAt(reply.hint) == conflicting) {
+    --reply.hint;
+  }
+  this->SendAfterWrite(std::move(reply), this->hard_state_write);
+}
+
+void Core::AcceptAppend(const Message& message,
+                        LogIndex match,
+                        std::uint64_t after_write,
+                        TimePoint now) {
+  Message reply = this->MakeMessage(MessageType::kAppendReply, message.from);
+  reply.granted = true;
+  reply.leader_echo = message.leader_echo;
+  reply.follower_echo = now.time_since_epoch().count() ^ this->echo_mask;
+  // Without a write of its own the reply does not wait for one, so that slow
+  // disks do not delay heartbeats; it then names only what is durable.
+  const bool wait = after_write != 0;
+  reply.index = wait || !this->options.safeguards.sync_before_acknowledge
+                    ? match
+                    : std::min(match, this->durable_index);
+  this->SendAfterWrite(std::move(reply),
+                       std::max(after_write, this->hard_state_write));
+}
+
+void Core::NoteConfirmation(const Message& message, TimePoint now) {
+  if (message.confirmation_age_ns < 0) {
+    return;
+  }
+  // The leader sent this after it had received the message of this replica
+  // that carried the echo, so counting from that earlier time never
+  // understates the age.
+  const TimePoint sent(Duration(message.follower_echo ^ this->echo_mask));
+  if (sent < this->started || sent > now) {
+    return;
+  }
+  const TimePoint confirmed = sent - Duration(message.confirmation_age_ns);
+  if (this->confirmations.size() < kMaxConfirmations) {
+    this->confirmations.push_back({message.commit, confirmed});
+  }
+  this->PromoteConfirmations();
+}
+
+void Core::NoteReply(const Message& message, Progress& progress) {
+  const TimePoint sent(Duration(message.leader_echo));
+  progress.acknowledged = std::max(progress.acknowledged, sent);
+  if (message.follower_echo != 0) {
+    progress.follower_echo = message.follower_echo;
+  }
+}
+
+void Core::OnAppendReply(const Message& message, TimePoint now) {
+  if (message.term > this->hard.term) {
+    this->BecomeFollower(message.term, 0, now);
+    return;
+  }
+  const auto found = this->followers.find(message.from);
+  if (this->role != Role::kLeader || message.term != this->hard.term ||
+      found == this->followers.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  this->NoteReply(message, progress);
+  if (!message.granted) {
+    progress.next =
+        std::max(progress.match + 1, std::min(progress.next, message.hint + 1));
+    progress.in_flight = 0;
+  } else {
+    progress.match = std::max(progress.match, message.index);
+    if (progress.in_flight <= progress.match) {
+      progress.in_flight = 0;
+      progress.next = std::max(progress.next, progress.match + 1);
+    }
+    this->MaybeCommit();
+  }
+  this->Replicate(message.from, progress, now);
+}
+
+void Core::MaybeCommit() {
+  if (this->role != Role::kLeader) {
+    return;
+  }
+  std::vector<LogIndex> matches;
+  for (const Member& member : this->Replicas().members) {
+    if (!this->CountsAsVoter(member.id)) {
+      continue;
+    }
+    if (member.id == this->options.id) {
+      matches.push_back(this->options.safeguards.sync_before_acknowledge
+                            ? this->durable_index
+                            : this->LastIndex());
+      continue;
+    }
+    const auto found = this->followers.find(member.id);
+    matches.push_back(found == this->followers.end() ? 0 : found->second.match);
+  }
+  const std::size_t quorum = this->Quorum();
+  if (matches.size() < quorum) {
+    return;
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const LogIndex index = matches[quorum - 1];
+  if (index > this->commit_index && this->TermAt(index) == this->hard.term) {
+    this->CommitTo(index);
+  }
+}
+
+void Core::OnSnapshot(const Message& message, TimePoint now) {
+  if (message.term < this->hard.term) {
+    this->RejectAppend(message, now);
+    return;
+  }
+  this->BecomeFollower(message.term, message.from, now);
+  this->last_heard = now;
+  this->ResetElectionTimer(now);
+  Message reply = this->MakeMessage(MessageType::kSnapshotReply, message.from);
+  reply.granted = true;
+  reply.index = message.index;
+  reply.leader_echo = message.leader_echo;
+  if (message.index <= this->commit_index) {
+    reply.offset = message.total;
+    this->SendAfterWrite(std::move(reply), this->last_write);
+    return;
+  }
+  if (message.offset == 0 || this->incoming_index != message.index ||
+      this->incoming_term != message.term) {
+    this->incoming_snapshot.clear();
+    this->incoming_index = message.index;
+    this->incoming_term = message.term;
+  }
+  if (message.offset == this->incoming_snapshot.size()) {
+    this->incoming_snapshot += message.data;
+  }
+  reply.offset = this->incoming_snapshot.size();
+  std::uint64_t after_write = this->hard_state_write;
+  if (reply.offset == message.total) {
+    std::optional<SnapshotData> decoded =
+        DecodeSnapshot(this->incoming_snapshot);
+    this->incoming_snapshot.clear();
+    this->incoming_index = 0;
+    if (!decoded || decoded->index != message.index) {
+      reply.offset = 0;
+    } else {
+      after_write = this->InstallSnapshot(
+          std::make_shared<const SnapshotData>(std::move(*decoded)));
+    }
+  }
+  this->SendAfterWrite(std::move(reply), after_write);
+}
+
+std::uint64_t Core::InstallSnapshot(SnapshotPtr snapshot) {
+  Write write;
+  write.snapshot = snapshot;
+  if (this->TermAt(snapshot->index) == snapshot->term) {
+    // The entries behind the snapshot continue it, and some may have been
+    // acknowledged.
+    while (this->base_index < snapshot->index) {
+      ++this->base_index;
+      this->log.pop_front();
+    }
+  } else {
+    if (this->LastIndex() > this->base_index) {
+      write.truncate_from = this->base_index + 1;
+      this->TruncateLog(this->base_index + 1);
+    }
+    this->base_index = snapshot->index;
+  }
+  this->base_term = snapshot->term;
+  std::vector<IndexedSet> sets = {{snapshot->index, snapshot->replicas}};
+  for (IndexedSet& item : this->replica_sets) {
+    if (item.index > snapshot->index) {
+      sets.push_back(std::move(item));
+    }
+  }
+  this->replica_sets = std::move(sets);
+  if (this->log.empty()) {
+    this->last_time_ms = snapshot->leader_time_ms;
+  }
+  this->applied_time_ms = snapshot->leader_time_ms;
+  this->log_bytes = 0;
+  this->snapshot = std::move(snapshot);
+  this->commit_index = this->snapshot->index;
+  this->applied_index = this->snapshot->index;
+  this->output.committed.clear();
+  this->output.restore = this->snapshot;
+  const std::uint64_t id = this->AddWrite(std::move(write));
+  // The snapshot makes the entries before it durable.
+  this->pending_writes.back().last_index = this->snapshot->index;
+  this->PromoteConfirmations();
+  return id;
+}
+
+void Core::OnSnapshotReply(const Message& message, TimePoint now) {
+  if (message.term > this->hard.term) {
+    this->BecomeFollower(message.term, 0, now);
+    return;
+  }
+  const auto found = this->followers.find(message.from);
+  if (this->role != Role::kLeader || message.term != this->hard.term ||
+      found == this->followers.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  this->NoteReply(message, progress);
+  if (progress.snapshot == nullptr ||
+      message.index != progress.snapshot_index) {
+    return;
+  }
+  if (message.offset < progress.snapshot->size()) {
+    // A repeated answer to an earlier chunk must not send a chunk again.
+    const bool expected =
+        message.offset == 0 || message.offset > progress.snapshot_offset;
+    if (expected) {
+      progress.snapshot_offset = message.offset;
+      this->SendSnapshotChunk(message.from, progress, now);
+    }
+    return;
+  }
+  progress.match = std::max(progress.match, progress.snapshot_index);
+  progress.next = progress.match + 1;
+  progress.snapshot = nullptr;
+  this->MaybeCommit();
+  this->Replicate(message.from, progress, now);
+}
+
+LogIndex Core::AppendAsLeader(EntryKind kind,
+                              std::string payload,
+                              TimePoint now,
+                              std::int64_t wall_ms) {
+  auto entry = std::make_shared<Entry>();
+  entry->index = this->LastIndex() + 1;
+  entry->term = this->hard.term;
+  entry->leader_time_ms = std::max(wall_ms, this->last_time_ms);
+  entry->kind = kind;
+  entry->payload = std::move(payload);
+  const LogIndex index = entry->index;
+  Write write;
+  write.entries = {entry};
+  this->AppendToLog(std::move(entry));
+  this->AddWrite(std::move(write));
+  this->ReplicateAll(now);
+  return index;
+}
+
+Result<LogIndex> Core::Propose(std::string command,
+                               TimePoint now,
+                               std::int64_t wall_ms) {
+  if (!this->LeaseValid(now)) {
+    return MakeError(ResultCode::kNotLeader);
+  }
+  if (command.size() > this->options.max_command_bytes) {
+    return MakeError(ResultCode::kEntryTooLarge);
+  }
+  return this->AppendAsLeader(EntryKind::kCommand, std::move(command), now,
+                              wall_ms);
+}
+
+Status Core::CheckReplicaChange(TimePoint now) const {
+  if (!this->LeaseValid(now)) {
+    return MakeError(ResultCode::kNotLeader);
+  }
+  // A change before an entry of this term is committed could miss a change
+  // that an earlier leader began, so that two quorums need not intersect.
+  if (!this->ReadyToLead() ||
+      this->replica_sets.back().index > this->commit_index) {
+    return MakeError(ResultCode::kMembershipChangeInProgress);
+  }
+  return Success();
+}
+
+LogIndex Core::ChangeReplicas(const ReplicaSet& set,
+                              TimePoint now,
+                              std::int64_t wall_ms) {
+  const LogIndex index = this->AppendAsLeader(
+      EntryKind::kReplicaSet, EncodeReplicaSet(set), now, wall_ms);
+  this->SyncFollowers();
+  this->ReplicateAll(now);
+  return index;
+}
+
+Result<LogIndex> Core::AddReplica(const Member& member,
+                                  TimePoint now,
+                                  std::int64_t wall_ms) {
+  BOOST_OUTCOME_TRYV(this->CheckReplicaChange(now));
+  const Member* known = this->Replicas().Find(member.id);
+  if (known != nullptr && known->address == member.address) {
+    return LogIndex{0};
+  }
+  if (member.id == 0 || member.id <= this->Replicas().largest_id) {
+    return MakeError(ResultCode::kReplicaIdReused);
+  }
+  ReplicaSet set = this->Replicas();
+  set.members.push_back({member.id, member.address, false});
+  set.largest_id = member.id;
+  return this->ChangeReplicas(set, now, wall_ms);
+}
+
+Result<LogIndex> Core::PromoteReplica(ReplicaId id,
+                                      TimePoint now,
+                                      std::int64_t wall_ms) {
+  BOOST_OUTCOME_TRYV(this->CheckReplicaChange(now));
+  ReplicaSet set = this->Replicas();
+  Member* member = set.Find(id);
+  if (member == nullptr) {
+    return MakeError(ResultCode::kNotFound, "no such replica");
+  }
+  if (member->voter) {
+    return LogIndex{0};
+  }
+  const LogIndex match = this->followers.at(id).match;
+  if (match == 0 || match + kPromotionLagEntries < this->commit_index) {
+    return MakeError(ResultCode::kReplicaNotCaughtUp);
+  }
+  member->voter = true;
+  return this->ChangeReplicas(set, now, wall_ms);
+}
+
+Result<LogIndex> Core::RemoveReplica(ReplicaId id,
+                                     TimePoint now,
+                                     std::int64_t wall_ms) {
+  BOOST_OUTCOME_TRYV(this->CheckReplicaChange(now));
+  ReplicaSet set = this->Replicas();
+  const Member* member = set.Find(id);
+  if (member == nullptr) {
+    return LogIndex{0};
+  }
+  if (member->voter && set.VoterCount() == 1) {
+    return MakeError(ResultCode::kNoQuorum,
+                     "the last voting replica cannot be removed");
+  }
+  set.members.erase(set.members.begin() + (member - set.members.data()));
+  return this->ChangeReplicas(set, now, wall_ms);
+}
+
+}  // namespace sycamorebend::internal
--- /dev/null
+++ b/src/consensus/file_storage.cc
@@ -0,0 +1,753 @@
+#include "consensus/file_storage.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <charconv>
+#include <condition_variable>
+#include <cstdlib>
+#include <cstring>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <mutex>
+#include <system_error>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "consensus/encoding.h"
+
+namespace sycamorebend::internal {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr std::uint32_t kFrameMagic = 0x53426C67;
+constexpr std::uint32_t kSnapshotMagic = 0x53427370;
+// Magic, payload size, checksum, sequence number.
+constexpr std::size_t kFrameHeaderBytes = 4 + 4 + 4 + 8;
+// A group commit ends at this size, so that a frame stays far below the limit
+// of its 32-bit size.
+constexpr std::size_t kMaxFrameBytes = 16 << 20;
+constexpr std::uint32_t kFormatVersion = 1;
+constexpr std::string_view kSegmentPrefix = "log-";
+constexpr std::string_view kSnapshotPrefix = "snapshot-";
+constexpr std::string_view kTemporarySuffix = ".tmp";
+constexpr std::string_view kReplicaFile = "replica";
+
+enum class RecordType : std::uint8_t {
+  kSegmentHeader = 0,
+  kHardState = 1,
+  kTruncate = 2,
+  kEntry = 3,
+};
+
+class Descriptor {
+ public:
+  Descriptor() = default;
+  explicit Descriptor(int value) : value(value) {}
+  Descriptor(Descriptor&& other) noexcept
+      : value(std::exchange(other.value, -1)) {}
+  Descriptor& operator=(Descriptor&& other) noexcept {
+    std::swap(this->value, other.value);
+    return *this;
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  ~Descriptor() {
+    if (this->value >= 0) {
+      ::close(this->value);
+    }
+  }
+  int Get() const { return this->value; }
+
+ private:
+  int value = -1;
+};
+
+struct Segment {
+  std::uint64_t number = 0;
+  LogIndex last_index = 0;  // Largest index of an entry in it.
+};
+
+std::string EncodeFrame(std::uint64_t sequence, std::string_view payload) {
+  std::string checked;
+  PutU64(checked, sequence);
+  std::string frame;
+  frame.reserve(kFrameHeaderBytes + payload.size());
+  PutU32(frame, kFrameMagic);
+  PutU32(frame, static_cast<std::uint32_t>(payload.size()));
+  PutU32(frame, Crc32c(payload, Crc32c(checked)));
+  frame.append(checked);
+  frame.append(payload);
+  return frame;
+}
+
+struct Frame {
+  std::uint64_t sequence = 0;
+  std::string_view payload;
+};
+
+// @return the frame at the start of `data` if it is whole and its checksum
+// matches.
+std::optional<Frame> DecodeFrame(std::string_view data) {
+  ByteReader reader(data.substr(0, kFrameHeaderBytes));
+  const std::uint32_t magic = reader.U32();
+  const std::uint32_t size = reader.U32();
+  const std::uint32_t checksum = reader.U32();
+  Frame frame;
+  frame.sequence = reader.U64();
+  if (!reader.Ok() || magic != kFrameMagic ||
+      data.size() - kFrameHeaderBytes < size) {
+    return std::nullopt;
+  }
+  frame.payload = data.substr(kFrameHeaderBytes, size);
+  std::string checked;
+  PutU64(checked, frame.sequence);
+  if (Crc32c(frame.payload, Crc32c(checked)) != checksum) {
+    return std::nullopt;
+  }
+  return frame;
+}
+
+// @return whether a whole frame starts anywhere in `data`.
+bool HasFrame(std::string_view data) {
+  std::string magic;
+  PutU32(magic, kFrameMagic);
+  for (std::size_t at = data.find(magic); at != std::string_view::npos;
+       at = data.find(magic, at + 1)) {
+    if (DecodeFrame(data.substr(at))) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::optional<std::uint64_t> NumberAfter(std::string_view prefix,
+                                         const std::string& name) {
+  if (name.rfind(prefix, 0) != 0) {
+    return std::nullopt;
+  }
+  std::uint64_t number = 0;
+  const char* const end = name.data() + name.size();
+  const auto parsed = std::from_chars(name.data() + prefix.size(), end, number);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string ReadFile(const fs::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+Error Corrupt(const fs::path& path, std::size_t offset, std::string_view what) {
+  const std::string message =
+      fmt::format("{} at offset {}: {}", path.string(), offset, what);
+  LogEvent(Severity::kError, Event::kLogCorrupt,
+           {{"file", path.string()},
+            {"offset", static_cast<std::uint64_t>(offset)},
+            {"reason", what}});
+  return MakeError(ResultCode::kLogCorrupt, message);
+}
+
+void EndProcess(const std::string& message) {
+  LogEvent(Severity::kError, Event::kStorageFailed, {{"message", message}});
+  std::_Exit(EXIT_FAILURE);
+}
+
+class FileStorage : public Storage {
+ public:
+  explicit FileStorage(FileStorageOptions given)
+      : options(std::move(given)), directory(this->options.directory) {
+    if (this->options.calls == nullptr) {
+      this->options.calls = &this->system_calls;
+    }
+    if (!this->options.on_failure) {
+      this->options.on_failure = EndProcess;
+    }
+  }
+
+  ~FileStorage() override { this->Stop(); }
+
+  Result<StoredState> Load() override;
+
+  void Submit(Write write) override {
+    {
+      std::lock_guard lock(this->mutex);
+      if (this->stopping) {
+        return;
+      }
+      this->queue.push_back(std::move(write));
+    }
+    this->wake.notify_one();
+  }
+
+  bool Full() const override { return this->full; }
+
+  void Stop() override {
+    {
+      std::lock_guard lock(this->mutex);
+      this->stopping = true;
+    }
+    this->wake.notify_one();
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
+  }
+
+ private:
+  Status Open();
+  Status CheckOwner();
+  Status ListFiles();
+  Result<SnapshotPtr> LoadSnapshot();
+  Status LoadSegment(Segment& segment, bool last, StoredState& state);
+  Status ApplyFrame(std::string_view payload,
+                    const fs::path& path,
+                    std::size_t offset,
+                    Segment& segment,
+                    StoredState& state);
+  Status AddEntry(Entry entry, StoredState& state);
+  Status CutTail(const fs::path& path, std::size_t offset);
+
+  void Run();
+  bool Store(std::vector<Write>& batch);
+  bool StoreRecords(std::string records, LogIndex last_index);
+  bool StoreSnapshot(const SnapshotData& snapshot);
+  bool StartSegment();
+  bool WriteWhole(const fs::path& path, std::string_view content);
+  bool Append(int file, std::uint64_t& size, std::string_view data);
+  bool SyncFile(int file, const fs::path& path);
+  bool SyncDirectory();
+  bool Fail(std::string_view action, const fs::path& path, int error);
+  bool WaitForSpace(const fs::path& path);
+  void DeleteSegments(LogIndex upto);
+  void DeleteFile(const fs::path& path);
+
+  fs::path SegmentPath(std::uint64_t number) const {
+    return this->directory / fmt::format("{}{:020}", kSegmentPrefix, number);
+  }
+  fs::path SnapshotPath(LogIndex index) const {
+    return this->directory / fmt::format("{}{:020}", kSnapshotPrefix, index);
+  }
+
+  FileStorageOptions options;
+  const fs::path directory;
+  FileCalls system_calls;
+  Descriptor directory_file;
+
+  // Used by Load, then by the sync thread only.
+  std::vector<Segment> segments;
+  std::vector<LogIndex> snapshots;
+  Descriptor segment_file;
+  std::uint64_t segment_size = 0;
+  std::uint64_t next_segment = 1;
+  std::uint64_t sequence = 0;
+  HardState hard;
+  bool last_segment_empty = false;
+
+  std::mutex mutex;
+  std::condition_variable wake;
+  std::deque<Write> queue;
+  bool stopping = false;
+  std::atomic<bool> full = false;
+  std::thread thread;
+};
+
+// ---------------------------------------------------------------------------
+// Load
+
+Result<StoredState> FileStorage::Load() {
+  BOOST_OUTCOME_TRYV(this->Open());
+  BOOST_OUTCOME_TRYV(this->CheckOwner());
+  BOOST_OUTCOME_TRYV(this->ListFiles());
+  StoredState state;
+  BOOST_OUTCOME_TRY(snapshot, this->LoadSnapshot());
+  state.snapshot = std::move(snapshot);
+  for (std::size_t i = 0; i < this->segments.size(); ++i) {
+    BOOST_OUTCOME_TRYV(this->LoadSegment(
+        this->segments[i], i + 1 == this->segments.size(), state));
+  }
+  if (!this->segments.empty() && this->last_segment_empty) {
+    // The process ended between creating the segment and syncing its header.
+    this->DeleteFile(this->SegmentPath(this->segments.back().number));
+    this->next_segment = this->segments.back().number;
+    this->segments.pop_back();
+  }
+  this->hard = state.hard;
+  this->thread = std::thread([this] { this->Run(); });
+  return state;
+}
+
+Status FileStorage::Open() {
+  std::error_code error;
+  fs::create_directories(this->directory, error);
+  this->directory_file =
+      Descriptor(::open(this->directory.c_str(), O_RDONLY | O_DIRECTORY));
+  if (this->directory_file.Get() < 0) {
+    return MakeError(
+        ResultCode::kStorageFailed,
+        fmt::format("cannot open directory {}: {}", this->directory.string(),
+                    std::generic_category().message(errno)));
+  }
+  if (::flock(this->directory_file.Get(), LOCK_EX | LOCK_NB) != 0) {
+    return MakeError(ResultCode::kStorageFailed,
+                     fmt::format("directory {} is in use by another process",
+                                 this->directory.string()));
+  }
+  return Success();
+}
+
+Status FileStorage::CheckOwner() {
+  const fs::path path = this->directory / kReplicaFile;
+  const std::string own = fmt::format("{}\n", this->options.replica_id);
+  std::error_code error;
+  if (fs::exists(path, error)) {
+    const std::string owner = ReadFile(path);
+    if (owner != own) {
+      return MakeError(
+          ResultCode::kReplicaIdReused,
+          fmt::format("directory {} belongs to replica {}, not to replica {}",
+                      this->directory.string(),
+                      owner.substr(0, owner.find('\n')),
+                      this->options.replica_id));
+    }
+    return Success();
+  }
+  if (!this->WriteWhole(path, own)) {
+    return MakeError(ResultCode::kStorageFailed,
+                     "cannot write " + path.string());
+  }
+  return Success();
+}
+
+Status FileStorage::ListFiles() {
+  std::error_code error;
+  for (const auto& item : fs::directory_iterator(this->directory, error)) {
+    const std::string name = item.path().filename().string();
+    if (item.path().extension() == kTemporarySuffix) {
+      fs::remove(item.path(), error);
+    } else if (const auto segment = NumberAfter(kSegmentPrefix, name)) {
+      this->segments.push_back({*segment, 0});
+    } else if (const auto index = NumberAfter(kSnapshotPrefix, name)) {
+      this->snapshots.push_back(*index);
+    }
+  }
+  std::sort(this->snapshots.begin(), this->snapshots.end());
+  std::sort(this->segments.begin(), this->segments.end(),
+            [](const Segment& left, const Segment& right) {
+              return left.number < right.number;
+            });
+  for (std::size_t i = 1; i < this->segments.size(); ++i) {
+    if (this->segments[i].number != this->segments[i - 1].number + 1) {
+      return Corrupt(this->SegmentPath(this->segments[i - 1].number + 1), 0,
+                     "the segment is missing");
+    }
+  }
+  if (!this->segments.empty()) {
+    this->next_segment = this->segments.back().number + 1;
+  }
+  return Success();
+}
+
+Result<SnapshotPtr> FileStorage::LoadSnapshot() {
+  if (this->snapshots.empty()) {
+    return SnapshotPtr();
+  }
+  const fs::path path = this->SnapshotPath(this->snapshots.back());
+  const std::string content = ReadFile(path);
+  ByteReader reader(content);
+  const std::uint32_t magic = reader.U32();
+  const std::uint32_t checksum = reader.U32();
+  if (!reader.Ok() || magic != kSnapshotMagic) {
+    return Corrupt(path, 0, "not a snapshot");
+  }
+  const std::string_view body =
+      std::string_view(content).substr(sizeof(magic) + sizeof(checksum));
+  std::optional<SnapshotData> snapshot;
+  if (Crc32c(body) == checksum) {
+    snapshot = DecodeSnapshot(body);
+  }
+  if (!snapshot) {
+    return Corrupt(path, sizeof(magic) + sizeof(checksum),
+                   "the checksum does not match");
+  }
+  return SnapshotPtr(
+      std::make_shared<const SnapshotData>(std::move(*snapshot)));
+}
+
+Status FileStorage::LoadSegment(Segment& segment,
+                                bool last,
+                                StoredState& state) {
+  const fs::path path = this->SegmentPath(segment.number);
+  const std::string content = ReadFile(path);
+  const std::string_view data = content;
+  std::size_t offset = 0;
+  while (offset < data.size()) {
+    const std::optional<Frame> frame = DecodeFrame(data.substr(offset));
+    const bool valid =
+        frame && (this->sequence == 0 || frame->sequence == this->sequence + 1);
+    if (!valid) {
+      if (frame || !last || HasFrame(data.substr(offset + 1))) {
+        return Corrupt(path, offset,
+                       frame ? "a record is missing"
+                             : "the checksum does not match and valid records "
+                               "follow");
+      }
+      BOOST_OUTCOME_TRYV(this->CutTail(path, offset));
+      break;
+    }
+    this->sequence = frame->sequence;
+    BOOST_OUTCOME_TRYV(
+        this->ApplyFrame(frame->payload, path, offset, segment, state));
+    offset += kFrameHeaderBytes + frame->payload.size();
+  }
+  if (!last && offset == 0) {
+    return Corrupt(path, 0, "the segment is empty");
+  }
+  this->last_segment_empty = offset == 0;
+  return Success();
+}
+
+Status FileStorage::CutTail(const fs::path& path, std::size_t offset) {
+  LogEvent(Severity::kWarning, Event::kLogTailCut,
+           {{"file", path.string()},
+            {"offset", static_cast<std::uint64_t>(offset)}});
+  const Descriptor file(::open(path.c_str(), O_WRONLY));
+  if (file.Get() < 0 ||
+      ::ftruncate(file.Get(), static_cast<off_t>(offset)) != 0 ||
+      ::fsync(file.Get()) != 0) {
+    return MakeError(ResultCode::kStorageFailed,
+                     "cannot truncate " + path.string());
+  }
+  return Success();
+}
+
+Status FileStorage::ApplyFrame(std::string_view payload,
+                               const fs::path& path,
+                               std::size_t offset,
+                               Segment& segment,
+                               StoredState& state) {
+  ByteReader reader(payload);
+  while (reader.Ok() && !reader.AtEnd()) {
+    switch (static_cast<RecordType>(reader.U8())) {
+      case RecordType::kSegmentHeader: {
+        const std::uint32_t version = reader.U32();
+        const ReplicaId owner = reader.U64();
+        if (version != kFormatVersion || owner != this->options.replica_id) {
+          return Corrupt(path, offset,
+                         "the segment has another format or replica");
+        }
+        break;
+      }
+      case RecordType::kHardState:
+        state.hard.term = reader.U64();
+        state.hard.vote = reader.U64();
+        break;
+      case RecordType::kTruncate: {
+        const LogIndex from = reader.U64();
+        while (!state.entries.empty() && state.entries.back()->index >= from) {
+          state.entries.pop_back();
+        }
+        break;
+      }
+      case RecordType::kEntry: {
+        Entry entry = ReadEntry(reader);
+        segment.last_index = std::max(segment.last_index, entry.index);
+        if (!reader.Ok() || !this->AddEntry(std::move(entry), state)) {
+          return Corrupt(path, offset,
+                         "an entry does not follow its "
+                         "predecessor");
+        }
+        break;
+      }
+      default:
+        return Corrupt(path, offset, "unknown record type");
+    }
+  }
+  return reader.Ok() ? Status(Success())
+                     : Corrupt(path, offset, "a record is too short");
+}
+
+Status FileStorage::AddEntry(Entry entry, StoredState& state) {
+  const LogIndex covered =
+      state.snapshot == nullptr ? 0 : state.snapshot->index;
+  if (entry.index <= covered) {
+    return Success();
+  }
+  const LogIndex expected =
+      state.entries.empty() ? covered + 1 : state.entries.back()->index + 1;
+  if (entry.index != expected) {
+    return MakeError(ResultCode::kLogCorrupt);
+  }
+  state.entries.push_back(std::make_shared<const Entry>(std::move(entry)));
+  return Success();
+}
+
+// ---------------------------------------------------------------------------
+// Sync thread
+
+void FileStorage::Run() {
+  for (;;) {
+    std::vector<Write> batch;
+    {
+      std::unique_lock lock(this->mutex);
+      this->wake.wait(
+          lock, [this] { return this->stopping || !this->queue.empty(); });
+      if (this->queue.empty()) {
+        return;
+      }
+      std::size_t bytes = 0;
+      while (!this->queue.empty() && bytes < kMaxFrameBytes) {
+        for (const EntryPtr& entry : this->queue.front().entries) {
+          bytes += entry->payload.size();
+        }
+        batch.push_back(std::move(this->queue.front()));
+        this->queue.pop_front();
+      }
+    }
+    if (!this->Store(batch)) {
+      return;
+    }
+    if (this->options.on_done) {
+      this->options.on_done(batch.back().id);
+    }
+  }
+}
+
+bool FileStorage::Store(std::vector<Write>& batch) {
+  std::string records;
+  LogIndex last_index = 0;
+  for (const Write& write : batch) {
+    if (write.hard) {
+      PutU8(records, static_cast<std::uint8_t>(RecordType::kHardState));
+      PutU64(records, write.hard->term);
+      PutU64(records, write.hard->vote);
+      this->hard = *write.hard;
+    }
+    if (write.truncate_from) {
+      PutU8(records, static_cast<std::uint8_t>(RecordType::kTruncate));
+      PutU64(records, *write.truncate_from);
+    }
+    if (write.snapshot != nullptr) {
+      if (!this->StoreRecords(std::exchange(records, {}), last_index) ||
+          !this->StoreSnapshot(*write.snapshot)) {
+        return false;
+      }
+      last_index = 0;
+    }
+    for (const EntryPtr& entry : write.entries) {
+      PutU8(records, static_cast<std::uint8_t>(RecordType::kEntry));
+      PutEntry(records, *entry);
+      last_index = std::max(last_index, entry->index);
+    }
+  }
+  return this->StoreRecords(std::move(records), last_index);
+}
+
+bool FileStorage::StoreRecords(std::string records, LogIndex last_index) {
+  if (records.empty()) {
+    return true;
+  }
+  if ((this->segment_file.Get() < 0 ||
+       this->segment_size >= this->options.segment_bytes) &&
+      !this->StartSegment()) {
+    return false;
+  }
+  const fs::path path = this->SegmentPath(this->segments.back().number);
+  if (!this->Append(this->segment_file.Get(), this->segment_size,
+                    EncodeFrame(this->sequence + 1, records)) ||
+      !this->SyncFile(this->segment_file.Get(), path)) {
+    return false;
+  }
+  ++this->sequence;
+  Segment& segment = this->segments.back();
+  segment.last_index = std::max(segment.last_index, last_index);
+  return true;
+}
+
+bool FileStorage::StartSegment() {
+  const fs::path path = this->SegmentPath(this->next_segment);
+  std::string header;
+  PutU8(header, static_cast<std::uint8_t>(RecordType::kSegmentHeader));
+  PutU32(header, kFormatVersion);
+  PutU64(header, this->options.replica_id);
+  // Older segments, which may hold the last term and vote, can be deleted.
+  PutU8(header, static_cast<std::uint8_t>(RecordType::kHardState));
+  PutU64(header, this->hard.term);
+  PutU64(header, this->hard.vote);
+  Descriptor file(::open(
+      path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
+  while (file.Get() < 0) {
+    const int error = errno;
+    if (error != ENOSPC && error != EDQUOT) {
+      return this->Fail("open", path, error);
+    }
+    if (!this->WaitForSpace(path)) {
+      return false;
+    }
+    file = Descriptor(
+        ::open(path.c_str(),
+               O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
+  }
+  std::uint64_t size = 0;
+  // The header is synced before the first frame: a segment is either complete
+  // up to its last frame or has no frame at all.
+  if (!this->Append(file.Get(), size,
+                    EncodeFrame(this->sequence + 1, header)) ||
+      !this->SyncFile(file.Get(), path) || !this->SyncDirectory()) {
+    return false;
+  }
+  ++this->sequence;
+  this->segments.push_back({this->next_segment, 0});
+  ++this->next_segment;
+  this->segment_file = std::move(file);
+  this->segment_size = size;
+  return true;
+}
+
+bool FileStorage::StoreSnapshot(const SnapshotData& snapshot) {
+  const std::string body = EncodeSnapshot(snapshot);
+  std::string content;
+  content.reserve(body.size() + 8);
+  PutU32(content, kSnapshotMagic);
+  PutU32(content, Crc32c(body));
+  content.append(body);
+  if (!this->WriteWhole(this->SnapshotPath(snapshot.index), content)) {
+    return false;
+  }
+  for (const LogIndex old : this->snapshots) {
+    if (old != snapshot.index) {
+      this->DeleteFile(this->SnapshotPath(old));
+    }
+  }
+  this->snapshots = {snapshot.index};
+  LogEvent(Severity::kInfo, Event::kSnapshotWritten,
+           {{"index", snapshot.index},
+            {"bytes", static_cast<std::uint64_t>(content.size())}});
+  this->DeleteSegments(snapshot.index);
+  return true;
+}
+
+void FileStorage::DeleteSegments(LogIndex upto) {
+  while (this->segments.size() > 1 &&
+         this->segments.front().last_index <= upto) {
+    this->DeleteFile(this->SegmentPath(this->segments.front().number));
+    this->segments.erase(this->segments.begin());
+  }
+}
+
+void FileStorage::DeleteFile(const fs::path& path) {
+  std::error_code error;
+  fs::remove(path, error);
+  // A file that stays is deleted with the next snapshot or ignored.
+}
+
+bool FileStorage::WriteWhole(const fs::path& path, std::string_view content) {
+  const fs::path temporary = path.string() + std::string(kTemporarySuffix);
+  const Descriptor file(
+      ::open(temporary.c_str(),
+             O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
+  if (file.Get() < 0) {
+    return this->Fail("open", temporary, errno);
+  }
+  std::uint64_t size = 0;
+  if (!this->Append(file.Get(), size, content) ||
+      !this->SyncFile(file.Get(), temporary)) {
+    return false;
+  }
+  if (::rename(temporary.c_str(), path.c_str()) != 0) {
+    return this->Fail("rename", temporary, errno);
+  }
+  return this->SyncDirectory();
+}
+
+bool FileStorage::Append(int file, std::uint64_t& size, std::string_view data) {
+  for (;;) {
+    const int error = this->options.calls->Write(file, data);
+    if (error == 0) {
+      size += data.size();
+      this->full = false;
+      return true;
+    }
+    if (error != ENOSPC && error != EDQUOT) {
+      return this->Fail("write", this->directory, error);
+    }
+    // Removes the part that was written, so that a retry continues at the end
+    // of the last whole frame.
+    if (::ftruncate(file, static_cast<off_t>(size)) != 0) {
+      return this->Fail("truncate", this->directory, errno);
+    }
+    if (!this->WaitForSpace(this->directory)) {
+      return false;
+    }
+  }
+}
+
+bool FileStorage::WaitForSpace(const fs::path& path) {
+  if (!this->thread.joinable()) {
+    return false;
+  }
+  if (!this->full.exchange(true)) {
+    LogEvent(Severity::kError, Event::kStorageFailed,
+             {{"message", "the disk is full; proposals are refused"},
+              {"file", path.string()}});
+  }
+  std::unique_lock lock(this->mutex);
+  return !this->wake.wait_for(lock, this->options.full_retry_interval,
+                              [this] { return this->stopping; });
+}
+
+bool FileStorage::SyncFile(int file, const fs::path& path) {
+  const int error = this->options.calls->Sync(file);
+  return error == 0 || this->Fail("sync", path, error);
+}
+
+bool FileStorage::SyncDirectory() {
+  return this->SyncFile(this->directory_file.Get(), this->directory);
+}
+
+bool FileStorage::Fail(std::string_view action,
+                       const fs::path& path,
+                       int error) {
+  // Before the thread runs, nothing depends on the data: Load reports it.
+  if (this->thread.joinable()) {
+    this->options.on_failure(
+        fmt::format("cannot {} {}: {}", action, path.string(),
+                    std::generic_category().message(error)));
+  }
+  return false;
+}
+
+}  // namespace
+
+int FileCalls::Write(int file, std::string_view data) {
+  while (!data.empty()) {
+    const ssize_t written = ::write(file, data.data(), data.size());
+    if (written < 0 && errno != EINTR) {
+      return errno;
+    }
+    data.remove_prefix(static_cast<std::size_t>(std::max<ssize_t>(written, 0)));
+  }
+  return 0;
+}
+
+int FileCalls::Sync(int file) {
+  return ::fsync(file) == 0 ? 0 : errno;
+}
+
+std::unique_ptr<Storage> CreateFileStorage(FileStorageOptions options) {
+  return std::make_unique<FileStorage>(std::move(options));
+}
+
+}  // namespace sycamorebend::internal
--- /dev/null
+++ b/src/consensus/service.cc
@@ -0,0 +1,617 @@
+#include "consensus/service.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace sycamorebend {
+
+namespace internal {
+
+namespace {
+
+// Ticks per heartbeat: bounds how late a timeout or a lost lease is noticed.
+constexpr int kTicksPerHeartbeat = 5;
+constexpr Duration kStopPollInterval = milliseconds(5);
+
+// The part that runs on the control thread. Tasks hold it, so that it outlives
+// the service while one of them is queued.
+class Replica : public std::enable_shared_from_this<Replica> {
+ public:
+  Replica(const ReplicatedLogOptions& options, ServiceParts parts)
+      : options(options), parts(std::move(parts)) {}
+
+  Status Start();
+  void Stop();
+
+  void Receive(ReceivedMessages received);
+  void Propose(std::string command, ReplicatedLog::ProposeCallback callback);
+  void Read(ReplicatedLog::ReadCallback callback);
+  using Change =
+      std::function<Result<LogIndex>(Core&, TimePoint, std::int64_t)>;
+  void ChangeReplicas(Change change, ReplicatedLog::ReadCallback callback);
+
+  Duration ConfirmationAge() const {
+    const TimePoint now = this->parts.clock.Now();
+    std::lock_guard lock(this->published_mutex);
+    return this->confirmed_at == TimePoint::min() ? Duration::max()
+                                                  : now - this->confirmed_at;
+  }
+
+  ReplicatedLog::LogStatus GetStatus() const {
+    std::lock_guard lock(this->published_mutex);
+    return this->published;
+  }
+
+  // Runs `step` on the control thread unless the replica has stopped.
+  void Post(std::function<void(Replica&)> step) {
+    this->parts.control_thread.Post([self = this->shared_from_this(),
+                                     step = std::move(step)] { step(*self); });
+  }
+
+  bool Stopped() const { return this->stopped; }
+
+ private:
+  struct PendingProposal {
+    Term term;
+    TimePoint deadline;
+    ReplicatedLog::ProposeCallback callback;
+  };
+  struct PendingRead {
+    ReadPoint point;
+    TimePoint deadline;
+    ReplicatedLog::ReadCallback callback;
+  };
+
+  TimePoint Now() const { return this->parts.clock.Now(); }
+  void Tick();
+  void Drain();
+  void Apply(const Entry& entry);
+  void MaybeSnapshot();
+  void AnswerReads();
+  void FailLostProposals();
+  void FailAll(ResultCode code);
+  void NoteLeadership();
+  void Publish(bool replicas_too);
+  std::string AddressOf(ReplicaId id) const;
+  Error NotLeader() const;
+
+  const ReplicatedLogOptions options;
+  ServiceParts parts;
+  std::unique_ptr<Storage> storage;
+  std::unique_ptr<Core> core;
+  TimerId timer = 0;
+  std::atomic<bool> stopped = false;
+
+  std::map<LogIndex, PendingProposal> proposals;
+  std::vector<PendingRead> reads;
+  // Addresses of senders that are not in the replica set known here.
+  std::map<ReplicaId, std::string> sender_addresses;
+  bool was_leader = false;
+
+  mutable std::mutex published_mutex;
+  ReplicatedLog::LogStatus published;
+  TimePoint confirmed_at = TimePoint::min();
+};
+
+Status Replica::Start() {
+  const std::weak_ptr<Replica> weak = this->weak_from_this();
+  this->storage = this->parts.make_storage([weak](std::uint64_t write_id) {
+    if (const auto self = weak.lock()) {
+      self->Post([write_id](Replica& replica) {
+        if (!replica.stopped) {
+          replica.core->WriteDone(write_id, replica.Now());
+          replica.Drain();
+        }
+      });
+    }
+  });
+  BOOST_OUTCOME_TRY(stored, this->storage->Load());
+  CoreOptions core_options;
+  core_options.id = this->options.id;
+  core_options.timings = this->options.timings;
+  core_options.max_command_bytes = this->options.max_command_bytes;
+  core_options.trailing_entries = this->options.trailing_entries;
+  core_options.random_seed = StableHash64(RandomId());
+  ReplicaSet initial;
+  for (const ReplicaAddress& replica : this->options.initial_replicas) {
+    initial.members.push_back({replica.id, replica.address, true});
+    initial.largest_id = std::max(initial.largest_id, replica.id);
+  }
+  const bool empty = stored.snapshot == nullptr && stored.entries.empty() &&
+                     stored.hard.term == 0;
+  this->parts.control_thread.PostAndWait([&] {
+    this->core = std::make_unique<Core>(
+        core_options, stored, empty && !this->options.join ? &initial : nullptr,
+        this->Now());
+    this->Drain();
+    this->Publish(true);
+  });
+  this->timer = this->parts.control_thread.SubscribePeriodic(
+      this->options.timings.heartbeat / kTicksPerHeartbeat, [weak] {
+        if (const auto self = weak.lock()) {
+          self->Tick();
+        }
+      });
+  return Success();
+}
+
+void Replica::Stop() {
+  if (this->stopped) {
+    return;
+  }
+  std::atomic<bool> leads = false;
+  const auto look = [this, &leads](bool hand_over) {
+    this->parts.control_thread.PostAndWait([this, &leads, hand_over] {
+      if (hand_over && this->core != nullptr) {
+        this->core->HandOver(this->Now());
+        this->Drain();
+      }
+      leads = this->core != nullptr &&
+              this->core->CurrentRole() == Role::kLeader &&
+              this->core->Followers().size() > 0;
+    });
+  };
+  const auto deadline = std::chrono::steady_clock::now() +
+                        this->options.timings.election_timeout_min;
+  look(true);
+  while (leads && std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(kStopPollInterval);
+    leads = false;
+    look(false);
+  }
+  this->parts.control_thread.PostAndWait([this] {
+    this->stopped = true;
+    this->FailAll(ResultCode::kCancelled);
+  });
+  // The control thread may have stopped already and dropped the task.
+  this->stopped = true;
+  this->parts.control_thread.Cancel(this->timer);
+  if (this->storage != nullptr) {
+    this->storage->Stop();
+  }
+  this->parts.transport->Stop();
+}
+
+void Replica::Tick() {
+  if (this->stopped) {
+    return;
+  }
+  const TimePoint now = this->Now();
+  this->core->Tick(now);
+  // A proposal that a full disk holds up times out here.
+  for (auto it = this->proposals.begin(); it != this->proposals.end();) {
+    if (now < it->second.deadline) {
+      ++it;
+      continue;
+    }
+    const auto callback = std::move(it->second.callback);
+    it = this->proposals.erase(it);
+    callback(MakeError(ResultCode::kTransportTimeout,
+                       "the entry was not committed in time"));
+  }
+  this->Drain();
+  this->Publish(true);
+}
+
+void Replica::Receive(ReceivedMessages received) {
+  if (this->stopped) {
+    return;
+  }
+  for (const Message& message : received.messages) {
+    this->sender_addresses[message.from] = received.sender_address;
+    this->core->Receive(message, this->Now());
+    this->Drain();
+  }
+}
+
+void Replica::Propose(std::string command,
+                      ReplicatedLog::ProposeCallback callback) {
+  if (this->stopped) {
+    callback(MakeError(ResultCode::kCancelled));
+    return;
+  }
+  if (this->storage->Full()) {
+    callback(MakeError(ResultCode::kStorageFull));
+    return;
+  }
+  const TimePoint now = this->Now();
+  const Result<LogIndex> index = this->core->Propose(
+      std::move(command), now, this->parts.clock.WallTimeMs());
+  if (!index) {
+    callback(index.error().code == ResultCode::kNotLeader ? this->NotLeader()
+                                                          : index.error());
+    return;
+  }
+  this->proposals[index.value()] = {this->core->CurrentTerm(),
+                                    now + this->options.timings.request_timeout,
+                                    std::move(callback)};
+  this->Drain();
+}
+
+void Replica::Read(ReplicatedLog::ReadCallback callback) {
+  if (this->stopped) {
+    callback(MakeError(ResultCode::kCancelled));
+    return;
+  }
+  const TimePoint now = this->Now();
+  const Result<ReadPoint> point = this->core->BeginRead(now);
+  if (!point) {
+    callback(this->NotLeader());
+    return;
+  }
+  this->reads.push_back({point.value(),
+                         now + this->options.timings.request_timeout,
+                         std::move(callback)});
+  this->AnswerReads();
+}
+
+void Replica::ChangeReplicas(Change change,
+                             ReplicatedLog::ReadCallback callback) {
+  if (this->stopped) {
+    callback(MakeError(ResultCode::kCancelled));
+    return;
+  }
+  const TimePoint now = this->Now();
+  const Result<LogIndex> index =
+      change(*this->core, now, this->parts.clock.WallTimeMs());
+  if (!index) {
+    callback(index.error().code == ResultCode::kNotLeader ? this->NotLeader()
+                                                          : index.error());
+    return;
+  }
+  if (index.value() == 0) {
+    callback(Success());
+    return;
+  }
+  this->proposals[index.value()] = {
+      this->core->CurrentTerm(), now + this->options.timings.request_timeout,
+      [callback = std::move(callback)](const Result<std::string>& result) {
+        callback(result ? Status(Success()) : Status(result.error()));
+      }};
+  this->Drain();
+}
+
+void Replica::Drain() {
+  for (;;) {
+    CoreOutput output = this->core->TakeOutput();
+    if (output.writes.empty() && output.messages.empty() &&
+        output.restore == nullptr && output.committed.empty()) {
+      break;
+    }
+    for (Write& write : output.writes) {
+      this->storage->Submit(std::move(write));
+    }
+    for (const Message& message : output.messages) {
+      const std::string address = this->AddressOf(message.to);
+      if (!address.empty()) {
+        this->parts.transport->Send(address, message);
+      }
+    }
+    if (output.restore != nullptr) {
+      LogEvent(Severity::kInfo, Event::kSnapshotInstalled,
+               {{"index", output.restore->index}});
+      const Status restored =
+          this->parts.state_machine.Restore(output.restore->state);
+      if (!restored) {
+        // The state machine no longer matches the log on any replica.
+        LogEvent(Severity::kError, Event::kLogCorrupt,
+                 {{"message", restored.error().message}});
+        std::_Exit(EXIT_FAILURE);
+      }
+    }
+    for (const EntryPtr& entry : output.committed) {
+      this->Apply(*entry);
+    }
+    this->MaybeSnapshot();
+  }
+  this->NoteLeadership();
+  this->FailLostProposals();
+  this->AnswerReads();
+  this->Publish(false);
+}
+
+void Replica::Apply(const Entry& entry) {
+  std::string answer;
+  if (entry.kind == EntryKind::kCommand) {
+    answer = this->parts.state_machine.Apply(entry.index, entry.leader_time_ms,
+                                             entry.payload);
+  }
+  const auto found = this->proposals.find(entry.index);
+  if (found == this->proposals.end()) {
+    return;
+  }
+  const bool own = found->second.term == entry.term;
+  const auto callback = std::move(found->second.callback);
+  this->proposals.erase(found);
+  if (own) {
+    callback(std::move(answer));
+  } else {
+    callback(this->NotLeader());
+  }
+}
+
+void Replica::MaybeSnapshot() {
+  const std::uint64_t entries =
+      this->core->AppliedIndex() - this->core->SnapshotIndex();
+  const std::uint64_t bytes = this->core->BytesSinceSnapshot();
+  const bool due =
+      entries >= this->options.snapshot_entries ||
+      bytes >= this->options.snapshot_bytes + this->core->SnapshotBytes();
+  if (due && entries > 0) {
+    this->core->Compact(this->parts.state_machine.Snapshot());
+  }
+}
+
+void Replica::AnswerReads() {
+  std::vector<PendingRead> waiting;
+  std::vector<PendingRead> taken;
+  taken.swap(this->reads);
+  for (PendingRead& read : taken) {
+    const TimePoint now = this->Now();
+    const ReadState state = this->core->CheckRead(read.point, now);
+    if (state == ReadState::kReady) {
+      read.callback(Success());
+    } else if (state == ReadState::kFailed) {
+      read.callback(this->NotLeader());
+    } else if (now >= read.deadline) {
+      read.callback(MakeError(ResultCode::kNoQuorum));
+    } else {
+      waiting.push_back(std::move(read));
+    }
+  }
+  // A callback may have begun another read.
+  std::move(this->reads.begin(), this->reads.end(),
+            std::back_inserter(waiting));
+  this->reads.swap(waiting);
+}
+
+void Replica::FailLostProposals() {
+  if (this->proposals.empty() || this->core->CurrentRole() == Role::kLeader) {
+    return;
+  }
+  std::map<LogIndex, PendingProposal> lost;
+  lost.swap(this->proposals);
+  for (auto& [index, proposal] : lost) {
+    proposal.callback(MakeError(ResultCode::kNoQuorum,
+                                "leadership was lost before the entry was "
+                                "committed"));
+  }
+}
+
+void Replica::FailAll(ResultCode code) {
+  std::map<LogIndex, PendingProposal> open_proposals;
+  open_proposals.swap(this->proposals);
+  for (auto& [index, proposal] : open_proposals) {
+    proposal.callback(MakeError(code));
+  }
+  std::vector<PendingRead> open_reads;
+  open_reads.swap(this->reads);
+  for (PendingRead& read : open_reads) {
+    read.callback(MakeError(code));
+  }
+}
+
+void Replica::NoteLeadership() {
+  const bool leads = this->core->CurrentRole() == Role::kLeader;
+  if (leads != this->was_leader) {
+    this->was_leader = leads;
+    LogEvent(
+        Severity::kInfo, leads ? Event::kLeaderElected : Event::kLeadershipLost,
+        {{"replica", this->options.id}, {"term", this->core->CurrentTerm()}});
+    this->Publish(true);
+  }
+}
+
+std::string Replica::AddressOf(ReplicaId id) const {
+  const Member* member = this->core->Replicas().Find(id);
+  if (member != nullptr) {
+    return member->address;
+  }
+  const auto found = this->sender_addresses.find(id);
+  return found == this->sender_addresses.end() ? std::string() : found->second;
+}
+
+Error Replica::NotLeader() const {
+  Error error;
+  error.code = ResultCode::kNotLeader;
+  const ReplicaId leader = this->core->Leader();
+  if (leader != 0 && leader != this->options.id) {
+    error.message = this->AddressOf(leader);
+  }
+  return error;
+}
+
+void Replica::Publish(bool replicas_too) {
+  const TimePoint now = this->Now();
+  std::lock_guard lock(this->published_mutex);
+  ReplicatedLog::LogStatus& status = this->published;
+  status.id = this->options.id;
+  status.term = this->core->CurrentTerm();
+  status.is_leader = this->core->CurrentRole() == Role::kLeader;
+  const ReplicaId leader = this->core->Leader();
+  status.leader.reset();
+  if (leader != 0) {
+    status.leader = leader;
+  }
+  status.commit_index = this->core->CommitIndex();
+  status.applied_index = this->core->AppliedIndex();
+  status.last_index = this->core->LastIndex();
+  status.snapshot_index = this->core->SnapshotIndex();
+  this->confirmed_at = this->core->ConfirmedAt(now);
+  if (!replicas_too) {
+    return;
+  }
+  status.leader_address = leader == 0 ? "" : this->AddressOf(leader);
+  status.replicas.clear();
+  for (const Member& member : this->core->Replicas().members) {
+    ReplicatedLog::ReplicaStatus replica;
+    replica.id = member.id;
+    replica.address = member.address;
+    replica.voter = member.voter;
+    const auto found = this->core->Followers().find(member.id);
+    if (member.id == this->options.id) {
+      replica.reachable = true;
+      replica.match_index = status.last_index;
+    } else {
+      replica.reachable = this->parts.transport->Reachable(member.address);
+      replica.match_index =
+          found == this->core->Followers().end() ? 0 : found->second.match;
+    }
+    status.replicas.push_back(std::move(replica));
+  }
+}
+
+class LogService : public ReplicatedLogService {
+ public:
+  explicit LogService(std::shared_ptr<Replica> replica)
+      : replica(std::move(replica)) {}
+  ~LogService() override { this->replica->Stop(); }
+
+  void Propose(std::string command, ProposeCallback callback) override {
+    this->replica->Post(
+        [command = std::move(command),
+         callback = std::move(callback)](Replica& replica) mutable {
+          replica.Propose(std::move(command), std::move(callback));
+        });
+  }
+
+  void ReadBarrier(ReadCallback callback) override {
+    this->replica->Post(
+        [callback = std::move(callback)](Replica& replica) mutable {
+          replica.Read(std::move(callback));
+        });
+  }
+
+  Duration ConfirmationAge() const override {
+    return this->replica->ConfirmationAge();
+  }
+
+  void AddReplica(ReplicaId id,
+                  std::string address,
+                  ReadCallback callback) override {
+    this->Change(
+        [id, address = std::move(address)](Core& core, TimePoint now,
+                                           std::int64_t wall_ms) {
+          return core.AddReplica({id, address, false}, now, wall_ms);
+        },
+        Event::kReplicaAdded, id, std::move(callback));
+  }
+
+  void PromoteReplica(ReplicaId id, ReadCallback callback) override {
+    this->Change(
+        [id](Core& core, TimePoint now, std::int64_t wall_ms) {
+          return core.PromoteReplica(id, now, wall_ms);
+        },
+        Event::kReplicaPromoted, id, std::move(callback));
+  }
+
+  void RemoveReplica(ReplicaId id, ReadCallback callback) override {
+    this->Change(
+        [id](Core& core, TimePoint now, std::int64_t wall_ms) {
+          return core.RemoveReplica(id, now, wall_ms);
+        },
+        Event::kReplicaRemoved, id, std::move(callback));
+  }
+
+  LogStatus GetStatus() const override { return this->replica->GetStatus(); }
+
+  Result<Json::Value> HandleMessage(const Json::Value& params) override {
+    BOOST_OUTCOME_TRY(received, DecodeTransportParams(params));
+    this->replica->Post(
+        [received = std::move(received)](Replica& replica) mutable {
+          replica.Receive(std::move(received));
+        });
+    return Json::Value(Json::objectValue);
+  }
+
+  void Stop() override { this->replica->Stop(); }
+
+ private:
+  void Change(Replica::Change change,
+              Event event,
+              ReplicaId id,
+              ReadCallback callback) {
+    auto report = [event, id, callback = std::move(callback)](Status status) {
+      if (status) {
+        LogEvent(Severity::kInfo, event, {{"replica", id}});
+      }
+      callback(std::move(status));
+    };
+    this->replica->Post([change = std::move(change),
+                         report = std::move(report)](Replica& replica) mutable {
+      replica.ChangeReplicas(std::move(change), std::move(report));
+    });
+  }
+
+  const std::shared_ptr<Replica> replica;
+};
+
+Status CheckOptions(const ReplicatedLogOptions& options) {
+  const auto invalid = [](std::string message) {
+    return MakeError(ResultCode::kSettingsInvalidValue, std::move(message));
+  };
+  const ConsensusTimings& timings = options.timings;
+  if (options.id == 0) {
+    return invalid("the replica ID must not be 0");
+  }
+  if (timings.heartbeat <= Duration::zero() ||
+      timings.lease <= timings.heartbeat ||
+      timings.election_timeout_min <= timings.lease ||
+      timings.election_timeout_max < timings.election_timeout_min) {
+    return invalid(
+        "timings must satisfy 0 < heartbeat < lease < election_timeout_min <= "
+        "election_timeout_max");
+  }
+  const bool listed = std::any_of(
+      options.initial_replicas.begin(), options.initial_replicas.end(),
+      [&](const ReplicaAddress& replica) { return replica.id == options.id; });
+  if (!options.join && !listed) {
+    return invalid(fmt::format("replica {} is not in the initial replica set",
+                               options.id));
+  }
+  return Success();
+}
+
+}  // namespace
+
+Result<std::unique_ptr<ReplicatedLogService>> StartService(
+    const ReplicatedLogOptions& options,
+    ServiceParts parts) {
+  BOOST_OUTCOME_TRYV(CheckOptions(options));
+  auto replica = std::make_shared<Replica>(options, std::move(parts));
+  BOOST_OUTCOME_TRYV(replica->Start());
+  return std::unique_ptr<ReplicatedLogService>(
+      std::make_unique<LogService>(std::move(replica)));
+}
+
+}  // namespace internal
+
+Result<std::unique_ptr<ReplicatedLogService>> CreateReplicatedLog(
+    const ReplicatedLogOptions& options,
+    StateMachine& state_machine,
+    RpcClient& rpc_client,
+    ControlThread& control_thread,
+    const Clock& clock) {
+  // Half the shortest election timeout: a connection that stopped silently is
+  // given up before its silence can start an election.
+  const Duration call_timeout = options.timings.election_timeout_min / 2;
+  internal::ServiceParts parts{
+      state_machine, control_thread, clock,
+      internal::CreateRpcTransport(rpc_client, options.address, call_timeout),
+      [&options](std::function<void(std::uint64_t)> on_done) {
+        internal::FileStorageOptions storage;
+        storage.directory = options.data_directory;
+        storage.replica_id = options.id;
+        storage.on_done = std::move(on_done);
+        return internal::CreateFileStorage(std::move(storage));
+      }};
+  return internal::StartService(options, std::move(parts));
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/consensus/service.h
@@ -0,0 +1,33 @@
+// The threaded replica. Declared apart from its factory so that tests can hand
+// in their own storage and transport.
+#ifndef SRC_CONSENSUS_SERVICE_H_
+#define SRC_CONSENSUS_SERVICE_H_
+
+#include <functional>
+#include <memory>
+
+#include "consensus/core.h"
+#include "consensus/file_storage.h"
+#include "consensus/storage.h"
+#include "consensus/transport.h"
+
+namespace sycamorebend::internal {
+
+struct ServiceParts {
+  StateMachine& state_machine;
+  ControlThread& control_thread;
+  const Clock& clock;
+  std::unique_ptr<Transport> transport;
+  // Makes the storage; `on_done` may be called on any thread.
+  std::function<std::unique_ptr<Storage>(
+      std::function<void(std::uint64_t write_id)> on_done)>
+      make_storage;
+};
+
+Result<std::unique_ptr<ReplicatedLogService>> StartService(
+    const ReplicatedLogOptions& options,
+    ServiceParts parts);
+
+}  // namespace sycamorebend::internal
+
+#endif  // SRC_CONSENSUS_SERVICE_H_
--- /dev/null
+++ b/src/consensus/transport.h
@@ -0,0 +1,43 @@
+// Carries messages between replicas. Messages may be lost, repeated, delayed
+// and reordered.
+#ifndef SRC_CONSENSUS_TRANSPORT_H_
+#define SRC_CONSENSUS_TRANSPORT_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "consensus/types.h"
+#include "sycamorebend/rpc.h"
+
+namespace sycamorebend::internal {
+
+class Transport {
+ public:
+  virtual ~Transport() = default;
+  // Does not block.
+  virtual void Send(const std::string& address, const Message& message) = 0;
+  // @return false if the last attempt to reach `address` failed.
+  virtual bool Reachable(const std::string& address) const = 0;
+  // Waits until no call is open.
+  virtual void Stop() = 0;
+};
+
+// Sends messages as kRaftMessageMethod calls, several messages in one call.
+// @param own_address is sent along: a replica that was just added does not
+// know the address of the leader yet.
+std::unique_ptr<Transport> CreateRpcTransport(RpcClient& client,
+                                              std::string own_address,
+                                              Duration call_timeout);
+
+struct ReceivedMessages {
+  std::string sender_address;
+  std::vector<Message> messages;
+};
+
+// @return the content of the params of a call, or kProtocolError.
+Result<ReceivedMessages> DecodeTransportParams(const Json::Value& params);
+
+}  // namespace sycamorebend::internal
+
+#endif  // SRC_CONSENSUS_TRANSPORT_H_
--- /dev/null
+++ b/tests/consensus/cluster.h
@@ -0,0 +1,242 @@
+// Replicas in one process that talk over loopback RPC, for tests and the
+// benchmark.
+#ifndef TESTS_CONSENSUS_CLUSTER_H_
+#define TESTS_CONSENSUS_CLUSTER_H_
+
+#include <stdlib.h>
+
+#include <filesystem>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "sycamorebend/consensus.h"
+#include "sycamorebend/http.h"
+#include "sycamorebend/rpc.h"
+
+namespace sycamorebend {
+
+// A directory that is deleted at the end.
+class TemporaryDirectory {
+ public:
+  TemporaryDirectory() {
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "sb-consensus-XXXXXX")
+            .string();
+    this->path = ::mkdtemp(pattern.data());
+  }
+  ~TemporaryDirectory() {
+    std::error_code error;
+    std::filesystem::remove_all(this->path, error);
+  }
+  TemporaryDirectory(const TemporaryDirectory&) = delete;
+  TemporaryDirectory& operator=(const TemporaryDirectory&) = delete;
+
+  std::filesystem::path path;
+};
+
+// Keeps the commands in order; answers with their number.
+class ListMachine : public StateMachine {
+ public:
+  std::string Apply(LogIndex /*index*/,
+                    std::int64_t leader_time_ms,
+                    std::string_view command) override {
+    std::lock_guard lock(this->mutex);
+    this->time_went_back |= leader_time_ms < this->last_time_ms;
+    this->last_time_ms = leader_time_ms;
+    this->commands.emplace_back(command);
+    return std::to_string(this->commands.size());
+  }
+
+  std::string Snapshot() const override {
+    std::lock_guard lock(this->mutex);
+    std::string out;
+    for (const std::string& command : this->commands) {
+      out += command + '\n';
+    }
+    return out;
+  }
+
+  Status Restore(std::string_view snapshot) override {
+    std::lock_guard lock(this->mutex);
+    this->commands.clear();
+    while (!snapshot.empty()) {
+      const std::size_t end = snapshot.find('\n');
+      this->commands.emplace_back(snapshot.substr(0, end));
+      snapshot.remove_prefix(end + 1);
+    }
+    return Success();
+  }
+
+  std::vector<std::string> Commands() const {
+    std::lock_guard lock(this->mutex);
+    return this->commands;
+  }
+
+  bool TimeWentBack() const {
+    std::lock_guard lock(this->mutex);
+    return this->time_went_back;
+  }
+
+ private:
+  mutable std::mutex mutex;
+  std::vector<std::string> commands;
+  std::int64_t last_time_ms = 0;
+  bool time_went_back = false;
+};
+
+// One replica with its own HTTP server, RPC client and control thread.
+class Node : public HttpHandler, public RpcService {
+ public:
+  Node() {
+    HttpServerOptions server_options;
+    server_options.address = "127.0.0.1:0";
+    this->server = std::move(HttpServer::Start(server_options, *this).value());
+  }
+
+  ~Node() override {
+    this->Stop();
+    this->server->Stop();
+  }
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  std::string Address() const { return this->server->Address(); }
+
+  Status Start(ReplicatedLogOptions options) {
+    options.address = this->Address();
+    this->machine = std::make_unique<ListMachine>();
+    this->control = std::make_unique<ControlThread>(this->clock);
+    BOOST_OUTCOME_TRY(started,
+                      CreateReplicatedLog(options, *this->machine, *this->rpc,
+                                          *this->control, this->clock));
+    std::lock_guard lock(this->mutex);
+    this->log = std::move(started);
+    return Success();
+  }
+
+  void Stop() {
+    std::shared_ptr<ReplicatedLogService> stopping;
+    {
+      std::lock_guard lock(this->mutex);
+      stopping = this->log;
+    }
+    if (stopping != nullptr) {
+      // Messages are still answered while leadership is handed over.
+      stopping->Stop();
+    }
+    std::lock_guard lock(this->mutex);
+    this->log.reset();
+    this->control.reset();
+  }
+
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    this->rpc_server->Handle(std::move(exchange));
+  }
+
+  Result<Json::Value> Call(const std::string& method,
+                           const Json::Value& params) override {
+    const std::shared_ptr<ReplicatedLogService> target = this->Log();
+    if (target == nullptr || this->cut || method != kRaftMessageMethod) {
+      return MakeError(ResultCode::kUnknownCommand, method);
+    }
+    return target->HandleMessage(params);
+  }
+
+  std::shared_ptr<ReplicatedLogService> Log() const {
+    std::lock_guard lock(this->mutex);
+    return this->log;
+  }
+
+  Result<std::string> Propose(std::string command) const {
+    auto promise = std::make_shared<std::promise<Result<std::string>>>();
+    std::future<Result<std::string>> answer = promise->get_future();
+    this->Log()->Propose(std::move(command),
+                         [promise](Result<std::string> result) {
+                           promise->set_value(std::move(result));
+                         });
+    return answer.get();
+  }
+
+  // @param begin starts an operation with the callback it gets.
+  template <typename Begin>
+  static Status Wait(const Begin& begin) {
+    auto promise = std::make_shared<std::promise<Status>>();
+    std::future<Status> done = promise->get_future();
+    begin([promise](Status status) { promise->set_value(std::move(status)); });
+    return done.get();
+  }
+
+  SystemClock clock;
+  std::atomic<bool> cut = false;  // Received messages are refused.
+  std::unique_ptr<ListMachine> machine;
+
+ private:
+  std::unique_ptr<RpcServer> rpc_server = RpcServer::Create(*this, 8);
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client = HttpClient::Create(1);
+  std::unique_ptr<RpcClient> rpc = RpcClient::Create(*this->client);
+  std::unique_ptr<ControlThread> control;
+  mutable std::mutex mutex;
+  std::shared_ptr<ReplicatedLogService> log;
+};
+
+class Cluster {
+ public:
+  explicit Cluster(std::size_t size) {
+    for (std::size_t i = 0; i < size; ++i) {
+      this->nodes.push_back(std::make_unique<Node>());
+      this->replicas.push_back({i + 1, this->nodes[i]->Address()});
+    }
+    for (std::size_t i = 0; i < size; ++i) {
+      this->Start(i).value();
+    }
+  }
+
+  ReplicatedLogOptions Options(std::size_t i) const {
+    ReplicatedLogOptions options = this->defaults;
+    options.id = i + 1;
+    options.data_directory =
+        (this->directory.path / std::to_string(options.id)).string();
+    options.initial_replicas = this->replicas;
+    return options;
+  }
+
+  Status Start(std::size_t i) { return this->nodes[i]->Start(Options(i)); }
+
+  // Adds a node that waits to be added to the replica set.
+  std::size_t AddNode() {
+    this->nodes.push_back(std::make_unique<Node>());
+    ReplicatedLogOptions options = this->Options(this->nodes.size() - 1);
+    options.join = true;
+    this->nodes.back()->Start(options).value();
+    return this->nodes.size() - 1;
+  }
+
+  // @return the running node that accepts proposals; waits for one.
+  Node& Leader() {
+    for (;;) {
+      for (const auto& node : this->nodes) {
+        const auto log = node->Log();
+        if (log != nullptr &&
+            Node::Wait([&](auto callback) { log->ReadBarrier(callback); })) {
+          return *node;
+        }
+      }
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+
+  TemporaryDirectory directory;
+  ReplicatedLogOptions defaults;
+  std::vector<std::unique_ptr<Node>> nodes;
+  std::vector<ReplicaAddress> replicas;
+};
+
+}  // namespace sycamorebend
+
+#endif  // TESTS_CONSENSUS_CLUSTER_H_
