--- /dev/null
+++ b/src/routing/scheduler.cc
@@ -0,0 +1,234 @@
+#include <algorithm>
+#include <utility>
+
+#include "routing/scheduler_impl.h"
+
+namespace sycamorebend {
+
+std::unique_ptr<Scheduler> Scheduler::Create(const SchedulerOptions& options) {
+  return std::make_unique<internal::SchedulerImpl>(options);
+}
+
+namespace internal {
+
+SchedulerImpl::SchedulerImpl(const SchedulerOptions& options)
+    : options(options),
+      random(options.seed ^ 0x5bd1e995U),
+      policy(std::make_shared<Policy>()),
+      servers(options) {}
+
+void SchedulerImpl::SetPolicy(std::shared_ptr<const Policy> policy,
+                              TimePoint now) {
+  this->policy = std::move(policy);
+  std::vector<ClassState> old_classes = std::exchange(this->classes, {});
+  std::vector<CustomerState> old_customers = std::exchange(this->customers, {});
+  this->customer_index.clear();
+  for (const CustomerPolicy& one : this->policy->customers) {
+    this->customer_index.emplace(one.name, this->customers.size());
+    this->customers.push_back({one, 0});
+  }
+  // Classes and customers that were removed stay at the end of the lists while
+  // requests use them; new requests cannot reach them.
+  std::vector<ClassPolicy> policies = this->policy->classes;
+  std::vector<Request*> by_arrival;
+  for (const auto& [id, request] : this->requests) {
+    by_arrival.push_back(request.get());
+    this->Remap(*request, old_classes, old_customers, policies);
+  }
+  const std::vector<PoolIndex> pools = this->servers.SetPolicy(policies);
+  std::vector<double> weights;
+  for (const CustomerState& one : this->customers) {
+    weights.push_back(std::max(one.policy.weight, 1e-6));
+  }
+  for (std::size_t i = 0; i < policies.size(); ++i) {
+    ClassState state;
+    for (ClassState& old : old_classes) {
+      if (old.policy.name == policies[i].name) {
+        state = std::move(old);
+        break;
+      }
+    }
+    state.policy = policies[i];
+    state.policy.tier =
+        std::clamp(state.policy.tier, 0, static_cast<Tier>(kMaxTiers) - 1);
+    state.pool = pools[i];
+    state.queue = ClassQueue(weights);
+    state.stats.class_name = state.policy.name;
+    this->classes.push_back(std::move(state));
+  }
+  this->by_tier.clear();
+  for (std::size_t i = 0; i < this->classes.size(); ++i) {
+    this->by_tier.push_back(i);
+  }
+  std::stable_sort(this->by_tier.begin(), this->by_tier.end(),
+                   [this](std::size_t a, std::size_t b) {
+                     return this->classes[a].policy.tier <
+                            this->classes[b].policy.tier;
+                   });
+  this->RequeueAll(std::move(by_arrival), now);
+}
+
+void SchedulerImpl::Remap(Request& request,
+                          const std::vector<ClassState>& old_classes,
+                          const std::vector<CustomerState>& old_customers,
+                          std::vector<ClassPolicy>& policies) {
+  const ClassPolicy& old_class = old_classes[request.class_index].policy;
+  const auto found = std::find_if(
+      policies.begin(), policies.end(),
+      [&](const ClassPolicy& one) { return one.name == old_class.name; });
+  request.class_index = static_cast<std::size_t>(found - policies.begin());
+  if (found == policies.end()) {
+    policies.push_back(old_class);
+  }
+  const CustomerPolicy& old_customer = old_customers[request.customer].policy;
+  std::size_t customer = 0;
+  while (customer < this->customers.size() &&
+         this->customers[customer].policy.name != old_customer.name) {
+    ++customer;
+  }
+  if (customer == this->customers.size()) {
+    this->customers.push_back({old_customer, 0});
+  }
+  request.customer = customer;
+  ++this->customers[customer].in_flight;
+}
+
+void SchedulerImpl::RequeueAll(std::vector<Request*> by_arrival,
+                               TimePoint now) {
+  std::sort(
+      by_arrival.begin(), by_arrival.end(),
+      [](const Request* a, const Request* b) { return a->serial < b->serial; });
+  for (Request* request : by_arrival) {
+    if (!request->queued) {
+      continue;
+    }
+    ClassState& one = this->ClassOf(*request);
+    request->tier = one.policy.tier;
+    if (request->class_index >= this->policy->classes.size()) {
+      request->queued = false;
+      this->Refuse(*request, ResultCode::kUnknownClass,
+                   "the class was removed from the configuration", Duration{0});
+      continue;
+    }
+    one.queue.Push(*request);
+  }
+  this->ServeQueues(kNoServer, now);
+}
+
+void SchedulerImpl::SetEntryCount(int entry_count) {
+  this->servers.SetEntryCount(entry_count);
+}
+
+void SchedulerImpl::SetQuarantine(const std::set<std::string>& fingerprints,
+                                  TimePoint now) {
+  this->quarantine = fingerprints;
+  std::vector<Request*> refused;
+  for (const auto& [id, request] : this->requests) {
+    if (request->queued && fingerprints.count(request->info.fingerprint) > 0) {
+      refused.push_back(request.get());
+    }
+  }
+  std::sort(
+      refused.begin(), refused.end(),
+      [](const Request* a, const Request* b) { return a->serial < b->serial; });
+  for (Request* request : refused) {
+    this->Refuse(*request, ResultCode::kRequestQuarantined, "", Duration{0});
+  }
+  this->ServeQueues(kNoServer, now);
+}
+
+void SchedulerImpl::UpdateServer(const ServerState& server, TimePoint now) {
+  const ServerIndex known = this->servers.Find(server.server_id);
+  if (known != kNoServer &&
+      this->servers.At(known).state.incarnation != server.incarnation) {
+    this->RemoveServer(server.server_id, RemovalReason::kRestarted, now);
+  }
+  this->ServeQueues(this->servers.Update(server), now);
+}
+
+void SchedulerImpl::RemoveServer(const std::string& server_id,
+                                 RemovalReason reason,
+                                 TimePoint now) {
+  const ServerIndex index = this->servers.Find(server_id);
+  if (index == kNoServer) {
+    return;
+  }
+  this->servers.Remove(index);
+  if (reason != RemovalReason::kRestarted) {
+    // Answers may still be on their way: a server that leaves finishes its
+    // work, and one without a lease may only have lost its reports.
+    return;
+  }
+  std::vector<std::pair<std::string, int>> lost;
+  for (const Request* request : this->servers.At(index).own) {
+    lost.emplace_back(request->info.request_id, request->attempt);
+  }
+  for (const auto& [id, attempt] : lost) {
+    const Request* request = this->FindCurrent(id, attempt);
+    if (request == nullptr) {
+      continue;
+    }
+    this->actions.emplace_back(
+        CancelAction{id, attempt, server_id, "the server restarted"});
+    this->OnAttemptDone(id, attempt,
+                        {ResultCode::kServerCrashed, "the server restarted",
+                         false, request->tokens},
+                        now);
+  }
+}
+
+void SchedulerImpl::ApplyCacheEvents(const std::string& server_id,
+                                     const CacheEvents& events) {}
+
+void SchedulerImpl::SetDue(Request& request, TimePoint due) {
+  if (request.due != TimePoint::max()) {
+    this->timers.erase({request.due, &request});
+  }
+  request.due = due;
+  if (due != TimePoint::max()) {
+    this->timers.emplace(due, &request);
+  }
+}
+
+void SchedulerImpl::OnDue(Request& request, TimePoint now) {
+  this->SetDue(request, TimePoint::max());
+  const bool sent_order =
+      !request.queued && !this->ClassOf(request).policy.idempotent;
+  if (!request.queued) {
+    this->CancelAttempt(request, "the deadline has passed");
+  }
+  this->Refuse(request,
+               sent_order ? ResultCode::kOrderOutcomeUnknown
+                          : ResultCode::kDeadlineUnreachable,
+               "the deadline has passed", Duration{0});
+}
+
+void SchedulerImpl::Advance(TimePoint now) {
+  while (!this->timers.empty() && this->timers.begin()->first <= now) {
+    this->OnDue(*this->timers.begin()->second, now);
+  }
+  this->ServeQueues(kNoServer, now);
+}
+
+TimePoint SchedulerImpl::NextWake() const {
+  TimePoint wake =
+      this->timers.empty() ? TimePoint::max() : this->timers.begin()->first;
+  for (const ClassState& one : this->classes) {
+    if (!one.queue.Empty()) {
+      wake = std::min(wake, this->NextTurn(one));
+    }
+  }
+  return wake;
+}
+
+std::vector<RoutingAction> SchedulerImpl::TakeActions() {
+  return std::exchange(this->actions, {});
+}
+
+std::vector<CrashEvidence> SchedulerImpl::TakeEvidence() {
+  return std::exchange(this->evidence, {});
+}
+
+}  // namespace internal
+
+}  // namespace sycamorebend
