Complete the scheduler's rules

Adds learnt lengths, prefix affinity, stragglers with probes, a retry budget, resumes, moves before the first token, crash suspects and quarantine, the aging rule by class and refusal by share when everything is urgent.

--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -23,13 +23,18 @@
                           : static_cast<std::size_t>(found - list.data());
 }
 
-ResultCode SchedulerImpl::Admit(Request& request, TimePoint now) {
+bool SchedulerImpl::IsQuarantined(const std::string& fingerprint) const {
+  return this->quarantine.count(fingerprint) > 0 ||
+         this->crashes.IsGuilty(fingerprint);
+}
+
+ResultCode SchedulerImpl::Admit(const Request& request, TimePoint now) const {
   const CustomerState& customer = this->customers[request.customer];
   const ClassState& one = this->ClassOf(request);
   if (customer.policy.tiers.count(one.policy.tier) == 0) {
     return ResultCode::kTierNotGranted;
   }
-  if (this->quarantine.count(request.info.fingerprint) > 0) {
+  if (this->IsQuarantined(request.info.fingerprint)) {
     return ResultCode::kRequestQuarantined;
   }
   if (customer.in_flight >= customer.policy.max_in_flight) {
@@ -68,6 +73,7 @@
     request.deadline = std::min(request.deadline, *info.deadline);
   }
   ++one.stats.submitted;
+  request.suspect = this->crashes.IsSuspect(info.fingerprint, now);
   const ResultCode code = this->Admit(request, now);
   if (code != ResultCode::kOk) {
     ++one.stats.refused;
@@ -78,46 +84,102 @@
   }
   this->requests.emplace(info.request_id, std::move(owned));
   ++this->customers[request.customer].in_flight;
+  this->customers[request.customer].urgent_in_flight +=
+      request.tier == 0 ? 1 : 0;
+  this->retries.CountRequest(now);
   this->SetDue(request, request.deadline);
   this->Place(request, now);
 }
 
 void SchedulerImpl::Place(Request& request, TimePoint now) {
+  if (request.tier == 0) {
+    this->PlaceUrgent(request, now);
+    return;
+  }
   ClassState& one = this->ClassOf(request);
-  const bool urgent = request.tier == 0;
-  if (urgent || one.queue.Empty()) {
-    const Choice choice = this->Choose(request, request.tier, !urgent);
-    if (choice.server != kNoServer) {
-      const ServerLoad& load = this->servers.LoadAt(choice.server);
-      const Duration wait = this->ExpectedWait(request, load);
-      if (urgent && now + wait > request.deadline) {
-        this->Refuse(request, ResultCode::kDeadlineUnreachable,
-                     "every eligible server has too much urgent work", wait);
-        return;
-      }
-      this->Send(request, choice.server, request.tier, "least loaded", now);
+  Choice choice = this->Choose(request, request.tier, true);
+  if (choice.server != kNoServer && one.on_time.Empty()) {
+    this->ProbeSlowServer(request, choice, now);
+    this->Send(request, choice, request.tier, now);
+  } else if (!choice.eligible && !request.suspect) {
+    this->Refuse(request, ResultCode::kNoEligibleServer, "",
+                 this->RetryAfter(kDefaultRetryAfter));
+  } else if (static_cast<int>(one.on_time.Size() + one.late.Size()) >=
+             one.policy.max_queue) {
+    this->Refuse(
+        request, ResultCode::kQueueFull, "",
+        this->RetryAfter(one.lengths.ServiceTime(request.customer, 0)));
+  } else {
+    this->Enqueue(request, now);
+    this->actions.emplace_back(
+        QueueAction{request.info.request_id, one.policy.name, "no free slot"});
+  }
+}
+
+void SchedulerImpl::PlaceUrgent(Request& request, TimePoint now) {
+  Choice choice = this->Choose(request, 0, false);
+  if (choice.server == kNoServer) {
+    if (request.suspect) {
+      this->Enqueue(request, now);
+      this->actions.emplace_back(QueueAction{
+          request.info.request_id, this->ClassOf(request).policy.name,
+          "every server runs another suspect"});
       return;
     }
-    if (!choice.eligible) {
-      this->Refuse(request, ResultCode::kNoEligibleServer, "",
-                   kDefaultRetryAfter);
+    this->Refuse(request, ResultCode::kNoEligibleServer, "",
+                 this->RetryAfter(kDefaultRetryAfter));
+    return;
+  }
+  if (this->ExpectedWait(request, choice.server) > Duration{0}) {
+    Duration wait{0};
+    choice.server = this->ShortestWait(request, wait);
+    choice.reason = "shortest wait behind urgent work";
+    if (wait > this->AllowedWait(request, now)) {
+      this->Refuse(request, ResultCode::kDeadlineUnreachable,
+                   "every eligible server has too much urgent work",
+                   this->RetryAfter(wait));
       return;
     }
   }
-  if (static_cast<int>(one.queue.Size()) >= one.policy.max_queue) {
-    this->Refuse(request, ResultCode::kQueueFull, "", one.service_time);
-    return;
+  this->ProbeSlowServer(request, choice, now);
+  this->Send(request, choice, 0, now);
+}
+
+Duration SchedulerImpl::AllowedWait(const Request& request,
+                                    TimePoint now) const {
+  const ClassState& one = this->ClassOf(request);
+  const Duration longest =
+      request.deadline - now -
+      one.lengths.ServiceTime(request.customer,
+                              request.info.max_output_tokens) /
+          2;
+  // When everything is urgent, customers above their share are refused first:
+  // the further above it, the shorter the wait they may add to.
+  double weights = 0;
+  double in_flight = 0;
+  for (const CustomerState& customer : this->customers) {
+    if (customer.urgent_in_flight > 0) {
+      weights += customer.policy.weight;
+      in_flight += customer.urgent_in_flight;
+    }
+  }
+  const CustomerState& own = this->customers[request.customer];
+  const double excess = own.urgent_in_flight * weights /
+                        std::max(1e-9, in_flight * own.policy.weight);
+  const Duration target = one.policy.first_token_target;
+  if (excess <= 1 || longest <= target) {
+    return longest;
   }
-  this->Enqueue(request, "no free slot", now);
+  return target +
+         Duration(static_cast<std::int64_t>(
+             static_cast<double>((longest - target).count()) / excess));
 }
 
-void SchedulerImpl::Enqueue(Request& request,
-                            std::string reason,
-                            TimePoint now) {
-  ClassState& one = this->ClassOf(request);
-  one.queue.Push(request);
-  this->actions.emplace_back(
-      QueueAction{request.info.request_id, one.policy.name, std::move(reason)});
+Duration SchedulerImpl::RetryAfter(Duration wait) {
+  constexpr float kRandomPart = 0.5F;
+  return wait +
+         Duration(static_cast<std::int64_t>(static_cast<float>(wait.count()) *
+                                            kRandomPart * this->random.Unit()));
 }
 
 void SchedulerImpl::RefuseNew(const RequestInfo& info,
@@ -143,10 +205,12 @@
 
 void SchedulerImpl::Forget(Request& request) {
   if (request.queued) {
-    this->ClassOf(request).queue.Remove(request);
+    this->Dequeue(request);
   }
   this->SetDue(request, TimePoint::max());
   --this->customers[request.customer].in_flight;
+  this->customers[request.customer].urgent_in_flight -=
+      request.tier == 0 ? 1 : 0;
   // The key is copied because erasing by a reference into the erased value is
   // not safe.
   const std::string id = request.info.request_id;
--- a/src/routing/class_queue.cc
+++ b/src/routing/class_queue.cc
@@ -44,6 +44,11 @@
   return this->by_arrival.empty() ? nullptr : this->by_arrival.begin()->second;
 }
 
+void ClassQueue::Charge(std::size_t customer, double cost) {
+  Customer& one = this->customers[customer];
+  one.service += cost / one.weight;
+}
+
 void ClassQueue::Take(Request& request, double cost) {
   Customer& customer = this->customers[request.customer];
   this->virtual_time = std::max(this->virtual_time, customer.service);
--- a/src/routing/class_queue.h
+++ b/src/routing/class_queue.h
@@ -29,6 +29,8 @@
   Request* Oldest() const;
   // Removes `request` and charges its customer `cost` units of service.
   void Take(Request& request, double cost);
+  // Corrects an earlier charge once the true cost is known.
+  void Charge(std::size_t customer, double cost);
   bool Empty() const { return this->by_arrival.empty(); }
   std::size_t Size() const { return this->by_arrival.size(); }
 
--- a/src/routing/dispatch.cc
+++ b/src/routing/dispatch.cc
@@ -1,4 +1,4 @@
-// Choice of a server, service of the queues, and aging.
+// Choice of a server.
 #include <algorithm>
 #include <utility>
 
@@ -12,168 +12,223 @@
 // daemons that read the same report do not all choose the same server.
 constexpr float kNearEqual = 0.1F;
 // A server in another failure domain must be this much less loaded.
-constexpr float kDomainPenalty = 0.05F;
-// Weight of lower-tier work that would have to be preempted.
-constexpr float kPreemptionWeight = 0.5F;
-// A class whose head waited too long gets a turn after this many dispatches to
-// higher tiers, or after this time if there were fewer.
-constexpr int kAgingPeriod = 8;
-constexpr milliseconds kAgingInterval(1000);
-constexpr std::size_t kTraceCandidates = 16;
+constexpr float kDomainPenalty = 0.02F;
+// Weight of a request of a lower tier that would have to be preempted,
+// relative to one that is ahead.
+constexpr float kPreemptionWeight = 2.0F;
+// A server that holds the whole prompt may be more loaded by this part of its
+// slots. The bound keeps a popular prefix from overloading its holders.
+constexpr float kAffinityWeight = 0.3F;
+constexpr std::size_t kMaxHolders = 16;
 
 }  // namespace
 
 bool SchedulerImpl::IsEligible(const Request& request,
                                ServerIndex server) const {
-  return this->servers.LoadAt(server).accepting &&
+  if (!this->servers.LoadAt(server).accepting) {
+    return false;
+  }
+  if (request.suspect && this->servers.At(server).own_suspects > 0) {
+    return false;
+  }
+  return request.failed_on.empty() ||
          std::find(request.failed_on.begin(), request.failed_on.end(),
                    server) == request.failed_on.end();
 }
 
-float SchedulerImpl::Score(const Request& request,
-                           Tier tier,
-                           const ServerLoad& load) const {
-  const auto slots = static_cast<float>(load.slots);
+float SchedulerImpl::Score(Tier tier, const ServerLoad& load) const {
   const auto ahead = static_cast<float>(load.ahead[tier]);
   const auto total = static_cast<float>(load.ahead[kMaxTiers - 1]);
-  const float excess = std::max(0.0F, total + 1 - slots);
-  return load.slowness * (ahead + kPreemptionWeight * excess + 1) / slots +
+  const float excess =
+      std::max(0.0F, total + 1 - static_cast<float>(load.slots));
+  return load.slowness * (ahead + kPreemptionWeight * excess + 1) *
+             load.per_slot +
          (load.same_domain ? 0 : kDomainPenalty);
 }
 
 Choice SchedulerImpl::Choose(const Request& request,
                              Tier tier,
                              bool needs_room) {
-  Choice best;
+  Choice choice;
+  std::size_t count = 0;
   for (const ServerIndex index :
        this->servers.PoolAt(this->ClassOf(request).pool).members) {
     if (!this->IsEligible(request, index)) {
       continue;
     }
-    best.eligible = true;
+    choice.eligible = true;
     const ServerLoad& load = this->servers.LoadAt(index);
     if (needs_room && load.room[tier] <= 0) {
       continue;
     }
     const float score =
-        this->Score(request, tier, load) + kNearEqual * this->random.Unit();
-    if (best.server == kNoServer || score < best.score) {
-      best.server = index;
-      best.score = score;
+        this->Score(tier, load) + kNearEqual * this->random.Unit();
+    constexpr std::size_t kLast = Choice::kRunnersUp;
+    if (count > kLast && score >= choice.best[kLast].score) {
+      continue;
+    }
+    std::size_t at = std::min(count, kLast);
+    for (; at > 0 && choice.best[at - 1].score > score; --at) {
+      choice.best[at] = choice.best[at - 1];
     }
+    choice.best[at] = {index, score};
+    ++count;
+  }
+  choice.server = choice.best[0].server;
+  choice.score = choice.best[0].score;
+  if (choice.server != kNoServer && !request.info.prefix_hashes.empty()) {
+    this->PreferCached(request, tier, needs_room, choice);
+  }
+  return choice;
+}
+
+void SchedulerImpl::PreferCached(const Request& request,
+                                 Tier tier,
+                                 bool needs_room,
+                                 Choice& choice) const {
+  const auto& hashes = request.info.prefix_hashes;
+  const PrefixIndex::Match match = this->prefixes.Find(hashes);
+  if (match.servers == nullptr) {
+    return;
+  }
+  const float bonus = kAffinityWeight * static_cast<float>(match.blocks) /
+                      static_cast<float>(hashes.size());
+  const PoolIndex pool = this->ClassOf(request).pool;
+  std::size_t tried = 0;
+  for (const ServerIndex index : *match.servers) {
+    if (++tried > kMaxHolders) {
+      break;
+    }
+    const auto& pools = this->servers.At(index).pools;
+    const ServerLoad& load = this->servers.LoadAt(index);
+    if (std::find(pools.begin(), pools.end(), pool) == pools.end() ||
+        !this->IsEligible(request, index) ||
+        (needs_room && load.room[tier] <= 0)) {
+      continue;
+    }
+    const float score = this->Score(tier, load) - bonus;
+    if (score < choice.score) {
+      choice.server = index;
+      choice.score = score;
+      choice.reason = "holds the prompt prefix";
+    }
+  }
+}
+
+void SchedulerImpl::ProbeSlowServer(const Request& request,
+                                    Choice& choice,
+                                    TimePoint now) {
+  const ClassState& one = this->ClassOf(request);
+  if (choice.server == kNoServer || !one.policy.idempotent) {
+    return;
+  }
+  for (const ServerIndex index : this->stragglers.Slow()) {
+    const Server& server = this->servers.At(index);
+    if (!this->stragglers.ProbeDue(index, request.tier == 0, now) ||
+        !this->IsEligible(request, index) ||
+        this->servers.LoadAt(index).ahead[kMaxTiers - 1] >=
+            this->servers.LoadAt(index).slots ||
+        std::find(server.pools.begin(), server.pools.end(), one.pool) ==
+            server.pools.end()) {
+      continue;
+    }
+    this->stragglers.OnProbe(index, now);
+    choice.server = index;
+    choice.score = this->Score(request.tier, this->servers.LoadAt(index));
+    choice.reason = "probe of a slow server";
+    return;
   }
-  return best;
 }
 
 Duration SchedulerImpl::ExpectedWait(const Request& request,
-                                     const ServerLoad& load) const {
-  const int excess = load.ahead[request.tier] + 1 - load.slots;
+                                     ServerIndex server) const {
+  const ServerLoad& load = this->servers.LoadAt(server);
+  // Work that the aging rule put among the urgent requests may delay them but
+  // is no reason to refuse one.
+  const int excess = load.ahead[request.tier] + 1 - load.slots -
+                     this->servers.At(server).own_aged;
   if (excess <= 0) {
     return Duration{0};
   }
-  return this->ClassOf(request).service_time * excess / load.slots;
+  return this->ClassOf(request).lengths.ServiceTime(
+             request.customer, request.info.max_output_tokens) *
+         excess / load.slots;
+}
+
+ServerIndex SchedulerImpl::ShortestWait(const Request& request,
+                                        Duration& wait) const {
+  ServerIndex best = kNoServer;
+  for (const ServerIndex index :
+       this->servers.PoolAt(this->ClassOf(request).pool).members) {
+    if (!this->IsEligible(request, index)) {
+      continue;
+    }
+    const Duration own = this->ExpectedWait(request, index);
+    if (best == kNoServer || own < wait) {
+      best = index;
+      wait = own;
+    }
+  }
+  return best;
 }
 
 void SchedulerImpl::Send(Request& request,
-                         ServerIndex server,
+                         const Choice& choice,
                          Tier priority,
-                         const char* reason,
                          TimePoint now) {
   ClassState& one = this->ClassOf(request);
   if (request.queued) {
-    one.queue.Take(request, 1);
+    request.charged =
+        one.lengths.Tokens(request.customer, request.info.max_output_tokens);
+    this->QueueOf(request).Take(request, request.charged);
+    --this->queued_requests;
   }
-  for (ClassState& other : this->classes) {
-    if (other.policy.tier > priority && !other.queue.Empty()) {
-      ++other.higher_dispatches;
+  one.unserved_since = now;
+  if (this->queued_requests > 0) {
+    for (ClassState& other : this->classes) {
+      other.higher_dispatches += other.policy.tier > priority ? 1 : 0;
     }
   }
   DispatchAction action;
-  action.trace = this->Trace(request, server, reason);
+  action.trace = this->Trace(request, choice);
   ++request.attempt;
-  request.server = server;
+  request.server = choice.server;
   request.sent_at = now;
   request.sent_tier = priority;
   request.first_token_seen = false;
   request.tokens = 0;
   request.resumes = 0;
+  const ServerLoad& load = this->servers.LoadAt(choice.server);
+  request.sent_to_free_slot = load.ahead[kMaxTiers - 1] < load.slots;
   this->servers.AddOwn(request);
+  const ServerState& state = this->servers.At(choice.server).state;
   action.request_id = request.info.request_id;
   action.attempt = request.attempt;
-  action.server_id = this->servers.At(server).state.server_id;
-  action.address = this->servers.At(server).state.address;
+  action.server_id = state.server_id;
+  action.address = state.address;
   action.priority = priority;
   action.first_byte_timeout = one.policy.first_byte_timeout;
   action.gap_timeout = one.policy.gap_timeout;
   this->actions.emplace_back(std::move(action));
-}
-
-void SchedulerImpl::ServeQueues(ServerIndex server, TimePoint now) {
-  this->ServeAged(now);
-  for (const std::size_t index : this->by_tier) {
-    ClassState& one = this->classes[index];
-    if (one.queue.Empty()) {
-      continue;
-    }
-    if (server != kNoServer) {
-      const auto& pools = this->servers.At(server).pools;
-      if (std::find(pools.begin(), pools.end(), one.pool) == pools.end()) {
-        continue;
-      }
-    }
-    while (this->ServeClass(one, now)) {
-    }
-  }
-}
-
-bool SchedulerImpl::ServeClass(ClassState& one, TimePoint now) {
-  Request* request = one.queue.Front();
-  if (request == nullptr) {
-    return false;
-  }
-  const Choice choice = this->Choose(*request, request->tier, true);
-  if (choice.server == kNoServer) {
-    return false;
-  }
-  this->Send(*request, choice.server, request->tier, "slot became free", now);
-  return true;
-}
-
-TimePoint SchedulerImpl::NextTurn(const ClassState& one) const {
-  const Request* oldest = one.queue.Oldest();
-  const TimePoint aged = oldest->submitted_at + one.policy.max_wait;
-  return std::max(aged, one.last_turn + kAgingInterval);
-}
-
-void SchedulerImpl::ServeAged(TimePoint now) {
-  for (const std::size_t index : this->by_tier) {
-    ClassState& one = this->classes[index];
-    Request* oldest = one.queue.Oldest();
-    if (oldest == nullptr || oldest->submitted_at + one.policy.max_wait > now ||
-        (one.higher_dispatches<kAgingPeriod&& this->NextTurn(one)> now)) {
-      continue;
-    }
-    const Choice choice = this->Choose(*oldest, 0, false);
-    if (choice.server != kNoServer) {
-      one.higher_dispatches = 0;
-      one.last_turn = now;
-      this->Send(*oldest, choice.server, 0, "waited longest", now);
-    }
-  }
+  this->SetDue(request, std::min(request.deadline, this->MoveTime(request)));
 }
 
 DecisionTrace SchedulerImpl::Trace(const Request& request,
-                                   ServerIndex chosen,
-                                   std::string reason) const {
+                                   const Choice& choice) const {
   DecisionTrace trace;
   const ClassState& one = this->ClassOf(request);
   trace.class_name = one.policy.name;
   trace.selector = one.policy.servers.Text();
-  trace.reason = std::move(reason);
-  if (chosen != kNoServer) {
+  trace.reason = choice.reason;
+  const auto add = [&](ServerIndex server, float score) {
     trace.candidates.push_back(
-        {this->servers.At(chosen).state.server_id,
-         this->Score(request, request.tier, this->servers.LoadAt(chosen)), ""});
+        {this->servers.At(server).state.server_id, score, ""});
+  };
+  add(choice.server, choice.score);
+  for (const Candidate& candidate : choice.best) {
+    if (candidate.server != kNoServer && candidate.server != choice.server) {
+      add(candidate.server, candidate.score);
+    }
   }
   return trace;
 }
--- a/src/routing/inspect.cc
+++ b/src/routing/inspect.cc
@@ -1,28 +1,71 @@
 // Explanations and statistics.
+#include <algorithm>
+
 #include "routing/scheduler_impl.h"
 
 namespace sycamorebend::internal {
 
+namespace {
+
+constexpr std::size_t kMaxCandidates = 16;
+
+const char* Rejection(const ServerLoad& load, Tier tier) {
+  if (!load.accepting) {
+    return "not accepting";
+  }
+  return tier > 0 && load.room[tier] <= 0 ? "no free slot" : "";
+}
+
+}  // namespace
+
 DecisionTrace SchedulerImpl::Explain(const RequestInfo& info,
                                      TimePoint now) const {
   DecisionTrace trace;
   const std::size_t index = this->FindClass(info);
   if (index == this->policy->classes.size()) {
-    trace.reason = "no class matches";
+    trace.reason = "no class matches the labels";
     return trace;
   }
-  Request request;
-  request.info = info;
-  request.class_index = index;
-  request.tier = this->classes[index].policy.tier;
-  return this->Trace(request, kNoServer, "");
+  const ClassState& one = this->classes[index];
+  const Tier tier = one.policy.tier;
+  trace.class_name = one.policy.name;
+  trace.selector = one.policy.servers.Text();
+  const PrefixIndex::Match match = this->prefixes.Find(info.prefix_hashes);
+  for (const ServerIndex server : this->servers.PoolAt(one.pool).members) {
+    const ServerLoad& load = this->servers.LoadAt(server);
+    trace.candidates.push_back({this->servers.At(server).state.server_id,
+                                this->Score(tier, load),
+                                Rejection(load, tier)});
+  }
+  std::stable_sort(trace.candidates.begin(), trace.candidates.end(),
+                   [](const auto& a, const auto& b) {
+                     return a.rejection.empty() != b.rejection.empty()
+                                ? a.rejection.empty()
+                                : a.score < b.score;
+                   });
+  if (this->IsQuarantined(info.fingerprint)) {
+    trace.reason = "the request is quarantined";
+  } else if (trace.candidates.empty()) {
+    trace.reason = "no server matches the class";
+  } else if (!trace.candidates.front().rejection.empty()) {
+    trace.reason = "no server can run the request now";
+  } else {
+    trace.reason = match.servers != nullptr && !match.servers->empty()
+                       ? "lowest score, cached prefix preferred"
+                       : "lowest score";
+  }
+  if (trace.candidates.size() > kMaxCandidates) {
+    trace.candidates.resize(kMaxCandidates);
+  }
+  return trace;
 }
 
 SchedulerStats SchedulerImpl::GetStats() const {
   SchedulerStats stats;
   for (const ClassState& one : this->classes) {
     stats.classes.push_back(one.stats);
-    stats.classes.back().queued = static_cast<int>(one.queue.Size());
+    stats.classes.back().queued =
+        static_cast<int>(one.on_time.Size() + one.late.Size());
   }
   for (const auto& [id, request] : this->requests) {
     if (!request->queued) {
--- /dev/null
+++ b/src/routing/queues.cc
@@ -0,0 +1,129 @@
+// Order in which waiting requests are served.
+#include <algorithm>
+
+#include "routing/scheduler_impl.h"
+
+namespace sycamorebend::internal {
+
+namespace {
+
+// A class whose turn is due gets it after this many dispatches to higher tiers
+// since its last turn, or after this time if there were fewer.
+constexpr int kAgingPeriod = 8;
+constexpr milliseconds kAgingInterval(1000);
+
+}  // namespace
+
+ClassQueue& SchedulerImpl::QueueOf(Request& request) {
+  ClassState& one = this->ClassOf(request);
+  return request.late ? one.late : one.on_time;
+}
+
+TimePoint SchedulerImpl::LastTimelyStart(const Request& request) const {
+  const ClassState& one = this->ClassOf(request);
+  return request.submitted_at + one.policy.first_token_target -
+         one.lengths.FirstTokenTime();
+}
+
+TimePoint SchedulerImpl::LastUsefulStart(const Request& request) const {
+  // Half of the expected time: a request that is shorter than expected must
+  // not be refused for a wrong guess.
+  return request.deadline -
+         this->ClassOf(request).lengths.ServiceTime(
+             request.customer, request.info.max_output_tokens) /
+             2;
+}
+
+void SchedulerImpl::Enqueue(Request& request, TimePoint now) {
+  ClassState& one = this->ClassOf(request);
+  if (!one.Waiting()) {
+    one.unserved_since = now;
+  }
+  const TimePoint timely = this->LastTimelyStart(request);
+  request.late = timely <= now;
+  this->QueueOf(request).Push(request);
+  ++this->queued_requests;
+  const TimePoint useful = this->LastUsefulStart(request);
+  this->SetDue(request, request.late ? useful : std::min(timely, useful));
+}
+
+void SchedulerImpl::MoveToLate(Request& request, TimePoint now) {
+  this->QueueOf(request).Remove(request);
+  request.late = true;
+  this->QueueOf(request).Push(request);
+  this->SetDue(request, this->LastUsefulStart(request));
+}
+
+void SchedulerImpl::Dequeue(Request& request) {
+  this->QueueOf(request).Remove(request);
+  --this->queued_requests;
+}
+
+void SchedulerImpl::ServeQueues(ServerIndex server, TimePoint now) {
+  if (this->queued_requests == 0) {
+    return;
+  }
+  this->ServeAged(now);
+  const auto can_use = [&](const ClassState& one) {
+    if (server == kNoServer) {
+      return true;
+    }
+    const auto& pools = this->servers.At(server).pools;
+    return std::find(pools.begin(), pools.end(), one.pool) != pools.end();
+  };
+  // Requests that can still be in time go first, also before late ones of a
+  // higher tier: a late answer counts for nobody.
+  for (const bool late : {false, true}) {
+    for (const std::size_t index : this->by_tier) {
+      ClassState& one = this->classes[index];
+      ClassQueue& queue = late ? one.late : one.on_time;
+      if (queue.Empty() || !can_use(one)) {
+        continue;
+      }
+      while (this->ServeOne(queue, now)) {
+      }
+    }
+  }
+}
+
+bool SchedulerImpl::ServeOne(ClassQueue& queue, TimePoint now) {
+  Request* request = queue.Front();
+  if (request == nullptr) {
+    return false;
+  }
+  Choice choice = this->Choose(*request, request->tier, request->tier > 0);
+  if (choice.server == kNoServer) {
+    return false;
+  }
+  if (request->tier > 0) {
+    this->ProbeSlowServer(*request, choice, now);
+  }
+  this->Send(*request, choice, request->tier, now);
+  return true;
+}
+
+TimePoint SchedulerImpl::NextTurn(const ClassState& one) const {
+  return std::max(one.unserved_since + one.policy.max_wait,
+                  one.last_turn + kAgingInterval);
+}
+
+void SchedulerImpl::ServeAged(TimePoint now) {
+  for (const std::size_t index : this->by_tier) {
+    ClassState& one = this->classes[index];
+    if (!one.Waiting() || one.unserved_since + one.policy.max_wait > now ||
+        (one.higher_dispatches<kAgingPeriod&& this->NextTurn(one)> now)) {
+      continue;
+    }
+    Request* request =
+        one.on_time.Empty() ? one.late.Oldest() : one.on_time.Front();
+    Choice choice = this->Choose(*request, 0, false);
+    if (choice.server != kNoServer) {
+      one.higher_dispatches = 0;
+      one.last_turn = now;
+      choice.reason = "the class was not served for its longest wait";
+      this->Send(*request, choice, 0, now);
+    }
+  }
+}
+
+}  // namespace sycamorebend::internal
--- a/src/routing/request.h
+++ b/src/routing/request.h
@@ -25,6 +25,8 @@
   TimePoint due = TimePoint::max();
 
   bool queued = false;
+  // True once its first token can no longer come in time.
+  bool late = false;
   // Attempts so far. The current one runs on `server`.
   int attempt = 0;
   ServerIndex server = kNoServer;
@@ -36,9 +38,16 @@
   bool first_token_seen = false;
   TimePoint first_token_at;
   int tokens = 0;
+  // Where the last sample of the time per token ended.
+  int sampled_tokens = 0;
+  TimePoint sampled_at;
+  // True if a slot seemed free when the attempt was sent.
+  bool sent_to_free_slot = false;
+  // Service charged to the customer's share, in expected tokens.
+  double charged = 0;
   // Resumes of the current attempt without a new token in between.
   int resumes = 0;
-  // True after a crash on its server: it must run alone.
+  // True after a crash on its server: it runs apart from other suspects.
   bool suspect = false;
   // Servers on which an attempt failed.
   std::vector<ServerIndex> failed_on;
--- /dev/null
+++ b/src/routing/retry_budget.cc
@@ -0,0 +1,50 @@
+#include "routing/retry_budget.h"
+
+#include <algorithm>
+
+namespace sycamorebend::internal {
+
+namespace {
+
+constexpr int kPercentOfRequests = 10;
+constexpr int kFloorPerSecond = 3;
+
+std::int64_t ToSeconds(TimePoint now) {
+  return std::chrono::duration_cast<seconds>(now.time_since_epoch()).count();
+}
+
+}  // namespace
+
+RetryBudget::Bucket& RetryBudget::Current(TimePoint now) {
+  const std::int64_t second = ToSeconds(now);
+  Bucket& bucket = this->buckets[static_cast<std::size_t>(second) % kSeconds];
+  if (bucket.second != second) {
+    bucket = {second, 0, 0};
+  }
+  return bucket;
+}
+
+void RetryBudget::CountRequest(TimePoint now) {
+  ++this->Current(now).requests;
+}
+
+bool RetryBudget::TryRetry(TimePoint now) {
+  Bucket& current = this->Current(now);
+  int requests = 0;
+  int retries = 0;
+  for (const Bucket& bucket : this->buckets) {
+    if (bucket.second > current.second - kSeconds) {
+      requests += bucket.requests;
+      retries += bucket.retries;
+    }
+  }
+  const int limit =
+      std::max(kFloorPerSecond * kSeconds, requests * kPercentOfRequests / 100);
+  if (retries >= limit) {
+    return false;
+  }
+  ++current.retries;
+  return true;
+}
+
+}  // namespace sycamorebend::internal
--- /dev/null
+++ b/src/routing/retry_budget.h
@@ -0,0 +1,35 @@
+// Limits retries to a share of the requests, so that a failing backend server
+// does not multiply the load on the others.
+#ifndef ROUTING_RETRY_BUDGET_H_
+#define ROUTING_RETRY_BUDGET_H_
+
+#include <array>
+#include <cstdint>
+
+#include "sycamorebend/base.h"
+
+namespace sycamorebend::internal {
+
+// Counts requests and retries over the last 10 s, in buckets of 1 s.
+class RetryBudget {
+ public:
+  void CountRequest(TimePoint now);
+  // @return true and counts the retry if the budget allows it.
+  bool TryRetry(TimePoint now);
+
+ private:
+  static constexpr int kSeconds = 10;
+  struct Bucket {
+    std::int64_t second = -kSeconds;
+    int requests = 0;
+    int retries = 0;
+  };
+
+  Bucket& Current(TimePoint now);
+
+  std::array<Bucket, kSeconds> buckets;
+};
+
+}  // namespace sycamorebend::internal
+
+#endif  // ROUTING_RETRY_BUDGET_H_
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -35,11 +35,18 @@
     by_arrival.push_back(request.get());
     this->Remap(*request, old_classes, old_customers, policies);
   }
+  this->RebuildClasses(policies, old_classes);
+  this->RequeueAll(std::move(by_arrival), now);
+}
+
+void SchedulerImpl::RebuildClasses(const std::vector<ClassPolicy>& policies,
+                                   std::vector<ClassState>& old_classes) {
   const std::vector<PoolIndex> pools = this->servers.SetPolicy(policies);
   std::vector<double> weights;
   for (const CustomerState& one : this->customers) {
     weights.push_back(std::max(one.policy.weight, 1e-6));
   }
+  this->by_tier.clear();
   for (std::size_t i = 0; i < policies.size(); ++i) {
     ClassState state;
     for (ClassState& old : old_classes) {
@@ -52,12 +59,12 @@
     state.policy.tier =
         std::clamp(state.policy.tier, 0, static_cast<Tier>(kMaxTiers) - 1);
     state.pool = pools[i];
-    state.queue = ClassQueue(weights);
+    state.on_time = ClassQueue(weights);
+    state.late = ClassQueue(weights);
+    // Customers have new indices.
+    state.lengths.ForgetCustomers();
     state.stats.class_name = state.policy.name;
     this->classes.push_back(std::move(state));
-  }
-  this->by_tier.clear();
-  for (std::size_t i = 0; i < this->classes.size(); ++i) {
     this->by_tier.push_back(i);
   }
   std::stable_sort(this->by_tier.begin(), this->by_tier.end(),
@@ -65,7 +72,6 @@
                      return this->classes[a].policy.tier <
                             this->classes[b].policy.tier;
                    });
-  this->RequeueAll(std::move(by_arrival), now);
 }
 
 void SchedulerImpl::Remap(Request& request,
@@ -98,19 +104,22 @@
   std::sort(
       by_arrival.begin(), by_arrival.end(),
       [](const Request* a, const Request* b) { return a->serial < b->serial; });
+  this->queued_requests = 0;
   for (Request* request : by_arrival) {
+    // Running requests keep the tier at which their attempt was sent.
+    const Tier tier = this->ClassOf(*request).policy.tier;
+    this->customers[request->customer].urgent_in_flight += tier == 0 ? 1 : 0;
+    request->tier = tier;
     if (!request->queued) {
       continue;
     }
-    ClassState& one = this->ClassOf(*request);
-    request->tier = one.policy.tier;
+    request->queued = false;
     if (request->class_index >= this->policy->classes.size()) {
-      request->queued = false;
       this->Refuse(*request, ResultCode::kUnknownClass,
                    "the class was removed from the configuration", Duration{0});
       continue;
     }
-    one.queue.Push(*request);
+    this->Enqueue(*request, now);
   }
   this->ServeQueues(kNoServer, now);
 }
@@ -154,6 +163,8 @@
     return;
   }
   this->servers.Remove(index);
+  this->prefixes.Clear(index);
+  this->stragglers.Forget(index);
   if (reason != RemovalReason::kRestarted) {
     // Answers may still be on their way: a server that leaves finishes its
     // work, and one without a lease may only have lost its reports.
@@ -178,43 +189,69 @@
 }
 
 void SchedulerImpl::ApplyCacheEvents(const std::string& server_id,
-                                     const CacheEvents& events) {}
+                                     const CacheEvents& events) {
+  const ServerIndex index = this->servers.Find(server_id);
+  if (index == kNoServer) {
+    return;
+  }
+  if (events.reset) {
+    this->prefixes.Clear(index);
+  }
+  for (const std::uint64_t hash : events.added) {
+    this->prefixes.Add(index, hash);
+  }
+  for (const std::uint64_t hash : events.removed) {
+    this->prefixes.Remove(index, hash);
+  }
+}
 
 void SchedulerImpl::SetDue(Request& request, TimePoint due) {
   if (request.due != TimePoint::max()) {
-    this->timers.erase({request.due, &request});
+    this->timers.erase({request.due, request.serial});
   }
   request.due = due;
   if (due != TimePoint::max()) {
-    this->timers.emplace(due, &request);
+    this->timers.emplace(std::pair(due, request.serial), &request);
   }
 }
 
 void SchedulerImpl::OnDue(Request& request, TimePoint now) {
   this->SetDue(request, TimePoint::max());
-  const bool sent_order =
-      !request.queued && !this->ClassOf(request).policy.idempotent;
-  if (!request.queued) {
-    this->CancelAttempt(request, "the deadline has passed");
+  if (request.queued) {
+    if (!request.late && this->LastUsefulStart(request) > now) {
+      this->MoveToLate(request, now);
+      return;
+    }
+    this->Refuse(request, ResultCode::kDeadlineUnreachable,
+                 "no server became free in time",
+                 this->RetryAfter(this->ClassOf(request).lengths.ServiceTime(
+                     request.customer, 0)));
+    return;
+  }
+  if (now < request.deadline) {
+    this->TryMove(request, now);
+    return;
   }
+  const bool order = !this->ClassOf(request).policy.idempotent;
+  this->CancelAttempt(request, "the deadline has passed");
   this->Refuse(request,
-               sent_order ? ResultCode::kOrderOutcomeUnknown
-                          : ResultCode::kDeadlineUnreachable,
+               order ? ResultCode::kOrderOutcomeUnknown
+                     : ResultCode::kDeadlineUnreachable,
                "the deadline has passed", Duration{0});
 }
 
 void SchedulerImpl::Advance(TimePoint now) {
-  while (!this->timers.empty() && this->timers.begin()->first <= now) {
+  while (!this->timers.empty() && this->timers.begin()->first.first <= now) {
     this->OnDue(*this->timers.begin()->second, now);
   }
   this->ServeQueues(kNoServer, now);
 }
 
 TimePoint SchedulerImpl::NextWake() const {
-  TimePoint wake =
-      this->timers.empty() ? TimePoint::max() : this->timers.begin()->first;
+  TimePoint wake = this->timers.empty() ? TimePoint::max()
+                                        : this->timers.begin()->first.first;
   for (const ClassState& one : this->classes) {
-    if (!one.queue.Empty()) {
+    if (one.Waiting()) {
       wake = std::min(wake, this->NextTurn(one));
     }
   }
--- a/src/routing/server_table.cc
+++ b/src/routing/server_table.cc
@@ -85,7 +85,11 @@
   }
   ServerLoad& load = this->loads[index];
   load.slots = std::max<std::int16_t>(1, ToCount(state.slots));
-  load.accepting = state.accepting;
+  if (state.reported_at > server.down_since + kReportDelay) {
+    server.down = false;
+  }
+  load.accepting = state.accepting && !server.down;
+  load.per_slot = 1.0F / static_cast<float>(load.slots);
   load.same_domain = state.failure_domain == this->failure_domain;
   this->Refresh(index);
   return index;
@@ -107,6 +111,20 @@
   }
 }
 
+void ServerTable::MarkDown(ServerIndex index, TimePoint now) {
+  this->servers[index].down = true;
+  this->servers[index].down_since = now;
+  this->loads[index].accepting = false;
+}
+
+void ServerTable::MarkSuspects(ServerIndex index) {
+  Server& server = this->servers[index];
+  for (Request* request : server.own) {
+    request->suspect = true;
+  }
+  server.own_suspects = static_cast<int>(server.own.size());
+}
+
 void ServerTable::JoinPools(ServerIndex index) {
   Server& server = this->servers[index];
   for (PoolIndex p = 0; p < this->pools.size(); ++p) {
@@ -172,6 +190,8 @@
   server.own.push_back(&request);
   request.reflected = false;
   ++server.sent_since[request.sent_tier];
+  server.own_aged += request.sent_tier < request.tier ? 1 : 0;
+  server.own_suspects += request.suspect ? 1 : 0;
   this->Refresh(request.server);
 }
 
@@ -182,6 +202,8 @@
     return;
   }
   server.own.erase(found);
+  server.own_aged -= request.sent_tier < request.tier ? 1 : 0;
+  server.own_suspects -= request.suspect ? 1 : 0;
   if (request.reflected) {
     ++server.finished_since[request.sent_tier];
   } else {
--- a/src/routing/server_table.h
+++ b/src/routing/server_table.h
@@ -30,6 +30,7 @@
   std::int16_t slots = 1;
   bool accepting = false;
   bool same_domain = false;
+  float per_slot = 1;  // 1 / slots.
   // Time per token relative to peers; 1 for a server like the others.
   float slowness = 1;
 };
@@ -45,6 +46,12 @@
   TierCounts finished_since{};
   TierCounts reported{};
   TierCounts grant{};
+  // Own requests here that were sent by the aging rule, and suspects.
+  int own_aged = 0;
+  int own_suspects = 0;
+  // Set by a crash or a refused connection; a newer report clears it.
+  bool down = false;
+  TimePoint down_since;
 };
 
 // Servers that one selector matches.
@@ -67,6 +74,12 @@
   // @return the index, or kNoServer.
   ServerIndex Find(std::string_view server_id) const;
 
+  // Keeps work away from a server until its next report.
+  void MarkDown(ServerIndex index, TimePoint now);
+
+  // Marks the own requests of a crashed server as suspects.
+  void MarkSuspects(ServerIndex index);
+
   // Records that `request` is sent to or has ended at its server.
   void AddOwn(Request& request);
   void RemoveOwn(Request& request);
