--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -66,6 +66,7 @@
   kOrderNotRun = 405,
   kOrderRightExpired = 406,
   kOrderKeyInvalid = 407,
+  kOrderNotHolder = 408,
   // 5xx: backend servers.
   kServerConnectFailed = 501,
   kServerFirstByteTimeout = 502,
--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -1,46 +1,26 @@
 // Distribution of shared state to entry daemons. See docs/design.md, section
-// 3.4.
+// 3.4, and docs/feed.md.
 #ifndef SYCAMOREBEND_FEED_H_
 #define SYCAMOREBEND_FEED_H_
 
-#include <cstdint>
+#include <cstddef>
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <json/value.h>
 
 #include "sycamorebend/base.h"
+#include "sycamorebend/consensus.h"
+#include "sycamorebend/control.h"
 #include "sycamorebend/rpc.h"
 
 namespace sycamorebend {
 
-// One entry daemon as the control state knows it.
-struct EntryInfo {
-  std::string entry_id;
-  std::string address;  // "IP:port" for callers, backend servers and RPC.
-  std::string failure_domain;
-  std::string incarnation;
-  bool draining = false;
-};
-
-// Everything that entry daemons share, at one version.
-struct SharedState {
-  // Grows with every change of any part.
-  std::uint64_t version = 0;
-  // Version and document of the operators' configuration.
-  std::uint64_t configuration_version = 0;
-  Json::Value configuration;
-  std::vector<EntryInfo> entries;
-  // IDs of backend servers that operators drain.
-  std::set<std::string> drained_servers;
-  // Fingerprints of requests that must not run.
-  std::set<std::string> quarantined;
-  // Addresses of the control replicas.
-  std::vector<std::string> replicas;
-};
+// RPC method of the feed, at control replicas and entry daemons.
+inline constexpr std::string_view kFeedPollMethod = "feed.poll";
 
 struct FeedFollowerOptions {
   EntryInfo self;
@@ -49,6 +29,15 @@
   // Other sources: entry daemons that relay the feed.
   std::vector<std::string> relays;
   Duration poll_wait = milliseconds(500);
+  // A source that does not answer for this long after the wait is replaced.
+  // A renewal that is lost with its source is thus sent again after 1.4 s,
+  // within the lease of 3 s.
+  Duration poll_grace = milliseconds(400);
+  // A source whose own state was confirmed longer ago than this is replaced.
+  Duration max_source_age = seconds(2);
+  // Direct followers that this daemon serves. Each occupies a thread of the
+  // RpcServer that calls ServePoll.
+  std::size_t max_followers = 32;
 };
 
 // Follows the feed from one source after another and serves it to others.
@@ -78,12 +67,51 @@
   virtual void SetDraining() = 0;
 
   // Answers another daemon's `feed.poll`; blocks for at most the poll's wait.
+  // @return the answer; kConfigurationUnconfirmed if there is no state yet;
+  // kMalformedRequest naming a parameter; kShuttingDown after Stop.
   virtual Result<Json::Value> ServePoll(const Json::Value& params) = 0;
 
   // Ends the follower's threads and wakes blocked polls.
   virtual void Stop() = 0;
 };
 
+struct FeedSourceOptions {
+  // An entry daemon whose newest renewal is older than this is expired.
+  Duration entry_lease = seconds(3);
+  // Direct followers that this replica serves; others are referred to them.
+  std::size_t max_followers = 64;
+};
+
+// Serves the feed at a control replica, leader or follower, and keeps the
+// renewals of entry daemons. Methods may be called from any thread.
+class FeedSource {
+ public:
+  virtual ~FeedSource() = default;
+
+  // @param log must outlive the source, as must `rpc` and `clock`.
+  static std::unique_ptr<FeedSource> Create(FeedSourceOptions options,
+                                            RpcClient& rpc,
+                                            const Clock& clock);
+
+  // Takes the log that proposals go to. Polls are refused before that, because
+  // the log is created after the state machine that publishes here.
+  virtual void SetLog(ReplicatedLog& log) = 0;
+
+  // Takes a new state from the control state.
+  virtual void Publish(std::shared_ptr<const SharedState> state) = 0;
+
+  // Answers `feed.poll`; blocks for at most the poll's wait. Errors as for
+  // FeedFollower::ServePoll.
+  virtual Result<Json::Value> ServePoll(const Json::Value& params) = 0;
+
+  // Proposes entry daemons that joined, drain or expired if this replica
+  // leads; passes renewals to the leader otherwise. To be called every 200 ms.
+  virtual void Tick() = 0;
+
+  // Wakes blocked polls and refuses new ones.
+  virtual void Stop() = 0;
+};
+
 }  // namespace sycamorebend
 
 #endif  // SYCAMOREBEND_FEED_H_
--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -74,6 +74,8 @@
      "The right to send the order expired before it was sent.", kNever},
     {Code::kOrderKeyInvalid, "order_key_invalid",
      "The idempotency key is malformed.", kNever},
+    {Code::kOrderNotHolder, "order_not_holder",
+     "Another attempt holds or held the right to send this order.", kNever},
     {Code::kServerConnectFailed, "server_connect_failed",
      "The backend server refused the connection.", kLater},
     {Code::kServerFirstByteTimeout, "server_first_byte_timeout",
--- /dev/null
+++ b/src/control/change_table.cc
@@ -0,0 +1,124 @@
+#include "control/change_table.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+namespace internal {
+
+namespace {
+
+constexpr std::size_t kTimeDigits = 13;
+// A change ID from further in the future would keep forgotten_until_ms ahead
+// of the clock, and valid IDs would be refused as expired.
+constexpr std::int64_t kFutureToleranceMs = 3600LL * 1000;
+
+}  // namespace
+
+std::optional<std::int64_t> ChangeIdTime(const std::string& change_id) {
+  if (change_id.size() <= kTimeDigits || change_id[kTimeDigits] != '-') {
+    return std::nullopt;
+  }
+  std::int64_t time_ms = 0;
+  for (std::size_t i = 0; i < kTimeDigits; ++i) {
+    if (change_id[i] < '0' || change_id[i] > '9') {
+      return std::nullopt;
+    }
+    time_ms = time_ms * 10 + (change_id[i] - '0');
+  }
+  return time_ms;
+}
+
+Result<Json::Value> ChangeTable::Find(const std::string& change_id,
+                                      const std::string& digest,
+                                      std::int64_t now_ms) const {
+  const auto found = this->changes.find(change_id);
+  if (found != this->changes.end()) {
+    if (found->second.digest != digest) {
+      return MakeError(
+          ResultCode::kChangeIdReused,
+          fmt::format("change ID \"{}\" was used with a different change",
+                      change_id));
+    }
+    return ParseJson(found->second.answer);
+  }
+  const std::optional<std::int64_t> created_ms = ChangeIdTime(change_id);
+  if (created_ms && *created_ms <= this->forgotten_until_ms) {
+    return MakeError(
+        ResultCode::kChangeIdExpired,
+        fmt::format("change ID \"{}\" is older than the changes that are kept",
+                    change_id));
+  }
+  if (created_ms && *created_ms > now_ms + kFutureToleranceMs) {
+    return MakeError(
+        ResultCode::kMalformedRequest,
+        fmt::format("the time in change ID \"{}\" is more than an hour ahead "
+                    "of the leader's clock",
+                    change_id));
+  }
+  return Json::Value();
+}
+
+void ChangeTable::Add(const std::string& change_id,
+                      const std::string& digest,
+                      const Json::Value& answer,
+                      std::int64_t now_ms) {
+  this->changes[change_id] = {digest, WriteJson(answer), now_ms};
+  this->oldest_first.push_back(change_id);
+  while (this->changes.size() > this->limits.change_ids) {
+    this->ForgetOldest();
+  }
+}
+
+void ChangeTable::Expire(std::int64_t now_ms) {
+  while (!this->oldest_first.empty() &&
+         this->changes[this->oldest_first.front()].time_ms +
+                 this->limits.change_id_retention_ms <
+             now_ms) {
+    this->ForgetOldest();
+  }
+}
+
+void ChangeTable::ForgetOldest() {
+  const std::string& change_id = this->oldest_first.front();
+  // The client's clock may have been ahead of the leader's.
+  const std::int64_t time_ms = std::max(this->changes[change_id].time_ms,
+                                        ChangeIdTime(change_id).value_or(0));
+  this->forgotten_until_ms = std::max(this->forgotten_until_ms, time_ms);
+  this->changes.erase(change_id);
+  this->oldest_first.pop_front();
+}
+
+void ChangeTable::Save(const LineWriter& write) const {
+  for (const std::string& change_id : this->oldest_first) {
+    const Change& change = this->changes.at(change_id);
+    Json::Value line;
+    line["change"] = change_id;
+    line["digest"] = change.digest;
+    line["answer"] = change.answer;
+    line["time_ms"] = Json::Int64(change.time_ms);
+    write(line);
+  }
+}
+
+Json::Value ChangeTable::SaveHeader() const {
+  return Json::Int64(this->forgotten_until_ms);
+}
+
+void ChangeTable::LoadHeader(const Json::Value& header) {
+  this->forgotten_until_ms = header.asInt64();
+}
+
+void ChangeTable::Load(const Json::Value& line) {
+  const std::string change_id = line["change"].asString();
+  this->changes[change_id] = {line["digest"].asString(),
+                              line["answer"].asString(),
+                              line["time_ms"].asInt64()};
+  this->oldest_first.push_back(change_id);
+}
+
+}  // namespace internal
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/control/change_table.h
@@ -0,0 +1,71 @@
+// Answers to accepted changes, kept for resends.
+#ifndef SYCAMOREBEND_SRC_CONTROL_CHANGE_TABLE_H_
+#define SYCAMOREBEND_SRC_CONTROL_CHANGE_TABLE_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include <json/value.h>
+
+#include "sycamorebend/base.h"
+#include "sycamorebend/control.h"
+
+namespace sycamorebend {
+namespace internal {
+
+// @return the creation time that a change ID of the form "MILLISECONDS-REST"
+// carries, with 13 digits; nullopt for other forms.
+std::optional<std::int64_t> ChangeIdTime(const std::string& change_id);
+
+class ChangeTable {
+ public:
+  explicit ChangeTable(const ControlLimits& limits) : limits(limits) {}
+
+  // Looks for an earlier change with this ID.
+  // @return its answer; null for a new ID; kChangeIdReused if the earlier
+  // change had another digest; kChangeIdExpired if the ID is older than what
+  // is kept.
+  Result<Json::Value> Find(const std::string& change_id,
+                           const std::string& digest,
+                           std::int64_t now_ms) const;
+
+  void Add(const std::string& change_id,
+           const std::string& digest,
+           const Json::Value& answer,
+           std::int64_t now_ms);
+
+  // Forgets changes that are older than the retention time.
+  void Expire(std::int64_t now_ms);
+
+  std::size_t Size() const { return this->changes.size(); }
+
+  using LineWriter = std::function<void(const Json::Value&)>;
+  void Save(const LineWriter& write) const;
+  Json::Value SaveHeader() const;
+  void LoadHeader(const Json::Value& header);
+  void Load(const Json::Value& line);
+
+ private:
+  struct Change {
+    std::string digest;
+    std::string answer;  // JSON text.
+    std::int64_t time_ms = 0;
+  };
+
+  void ForgetOldest();
+
+  const ControlLimits& limits;
+  std::map<std::string, Change> changes;
+  std::deque<std::string> oldest_first;
+  // No change that was created later than this was ever forgotten.
+  std::int64_t forgotten_until_ms = 0;
+};
+
+}  // namespace internal
+}  // namespace sycamorebend
+
+#endif  // SYCAMOREBEND_SRC_CONTROL_CHANGE_TABLE_H_
--- /dev/null
+++ b/src/control/configuration_history.cc
@@ -0,0 +1,140 @@
+#include "control/configuration_history.h"
+
+#include <fmt/format.h>
+
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+namespace internal {
+
+void ConfigurationHistory::Add(const std::string& change_id,
+                               const std::string& operator_name,
+                               std::int64_t time_ms,
+                               const Json::Value& document) {
+  Change change;
+  change.version = ++this->version;
+  change.change_id = change_id;
+  change.operator_name = operator_name;
+  change.time_ms = time_ms;
+  change.undo = WriteJson(DiffJson(document, this->document));
+  this->document = document;
+  this->bytes += change.undo.size();
+  this->changes.push_back(std::move(change));
+  this->Trim();
+}
+
+void ConfigurationHistory::Trim() {
+  // The newest change stays: conflicts name it.
+  while (this->changes.size() > 1 &&
+         (this->changes.size() > this->limits.history_changes ||
+          this->bytes > this->limits.history_bytes)) {
+    this->bytes -= this->changes.front().undo.size();
+    this->changes.pop_front();
+  }
+}
+
+const ConfigurationHistory::Change* ConfigurationHistory::Find(
+    std::uint64_t wanted) const {
+  if (this->changes.empty() || wanted < this->changes.front().version ||
+      wanted > this->version) {
+    return nullptr;
+  }
+  return &this->changes[wanted - this->changes.front().version];
+}
+
+std::string ConfigurationHistory::DescribeConflict(
+    std::uint64_t expected) const {
+  std::string text =
+      fmt::format("version {} was expected, but version {} is in force",
+                  expected, this->version);
+  const Change* winner = this->Find(expected + 1);
+  if (winner == nullptr) {
+    winner = this->Find(this->version);
+  }
+  if (winner != nullptr) {
+    text +=
+        fmt::format("; version {} is change \"{}\" of operator \"{}\"",
+                    winner->version, winner->change_id, winner->operator_name);
+  }
+  return text;
+}
+
+Json::Value ConfigurationHistory::Describe(const Change& change) {
+  Json::Value value;
+  value["version"] = Json::UInt64(change.version);
+  value["change_id"] = change.change_id;
+  value["operator"] = change.operator_name;
+  value["time_ms"] = Json::Int64(change.time_ms);
+  return value;
+}
+
+Result<Json::Value> ConfigurationHistory::Show(std::uint64_t wanted) const {
+  if (wanted == 0 && this->version == 0) {
+    Json::Value empty = Describe({});
+    empty["document"] = Json::nullValue;
+    return empty;
+  }
+  const Change* change = this->Find(wanted);
+  if (change == nullptr) {
+    return MakeError(
+        ResultCode::kNotFound,
+        fmt::format("version {} is not kept; the kept versions "
+                    "are {} to {}",
+                    wanted,
+                    this->changes.empty() ? this->version
+                                          : this->changes.front().version,
+                    this->version));
+  }
+  Json::Value found = this->document;
+  for (std::uint64_t newer = this->version; newer > wanted; --newer) {
+    BOOST_OUTCOME_TRY(undo, ParseJson(this->Find(newer)->undo));
+    BOOST_OUTCOME_TRY(older, PatchJson(std::move(found), undo));
+    found = std::move(older);
+  }
+  Json::Value value = Describe(*change);
+  value["document"] = std::move(found);
+  return value;
+}
+
+Json::Value ConfigurationHistory::List(std::size_t limit) const {
+  Json::Value list(Json::arrayValue);
+  for (auto change = this->changes.rbegin();
+       change != this->changes.rend() && list.size() < limit; ++change) {
+    list.append(Describe(*change));
+  }
+  return list;
+}
+
+void ConfigurationHistory::Save(const LineWriter& write) const {
+  for (const Change& change : this->changes) {
+    Json::Value line = Describe(change);
+    line["undo"] = change.undo;
+    write(line);
+  }
+}
+
+Json::Value ConfigurationHistory::SaveHeader() const {
+  Json::Value header;
+  header["version"] = Json::UInt64(this->version);
+  header["document"] = this->document;
+  return header;
+}
+
+void ConfigurationHistory::LoadHeader(const Json::Value& header) {
+  this->version = header["version"].asUInt64();
+  this->document = header["document"];
+}
+
+void ConfigurationHistory::Load(const Json::Value& line) {
+  Change change;
+  change.version = line["version"].asUInt64();
+  change.change_id = line["change_id"].asString();
+  change.operator_name = line["operator"].asString();
+  change.time_ms = line["time_ms"].asInt64();
+  change.undo = line["undo"].asString();
+  this->bytes += change.undo.size();
+  this->changes.push_back(std::move(change));
+}
+
+}  // namespace internal
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/control/configuration_history.h
@@ -0,0 +1,74 @@
+// The configuration in force and the changes that led to it.
+#ifndef SYCAMOREBEND_SRC_CONTROL_CONFIGURATION_HISTORY_H_
+#define SYCAMOREBEND_SRC_CONTROL_CONFIGURATION_HISTORY_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+
+#include <json/value.h>
+
+#include "sycamorebend/base.h"
+#include "sycamorebend/control.h"
+
+namespace sycamorebend {
+namespace internal {
+
+class ConfigurationHistory {
+ public:
+  explicit ConfigurationHistory(const ControlLimits& limits) : limits(limits) {}
+
+  // Accepts `document` as the next version.
+  void Add(const std::string& change_id,
+           const std::string& operator_name,
+           std::int64_t time_ms,
+           const Json::Value& document);
+
+  std::uint64_t Version() const { return this->version; }
+  const Json::Value& Document() const { return this->document; }
+
+  // @return a sentence that names the change that a writer who expected
+  // version `expected` lost against.
+  std::string DescribeConflict(std::uint64_t expected) const;
+
+  // @return {version, change_id, operator, time_ms, document}, or kNotFound.
+  Result<Json::Value> Show(std::uint64_t wanted) const;
+  // @return the newest `limit` changes without documents, newest first.
+  Json::Value List(std::size_t limit) const;
+
+  std::size_t Size() const { return this->changes.size(); }
+  std::size_t Bytes() const { return this->bytes; }
+
+  using LineWriter = std::function<void(const Json::Value&)>;
+  void Save(const LineWriter& write) const;
+  Json::Value SaveHeader() const;
+  void LoadHeader(const Json::Value& header);
+  void Load(const Json::Value& line);
+
+ private:
+  struct Change {
+    std::uint64_t version = 0;
+    std::string change_id;
+    std::string operator_name;
+    std::int64_t time_ms = 0;
+    // Patch from this version's document to the one before, as JSON text. A
+    // change of one customer costs its own size instead of the document's.
+    std::string undo;
+  };
+
+  static Json::Value Describe(const Change& change);
+  const Change* Find(std::uint64_t wanted) const;
+  void Trim();
+
+  const ControlLimits& limits;
+  std::uint64_t version = 0;
+  Json::Value document;
+  std::deque<Change> changes;  // Oldest first.
+  std::size_t bytes = 0;
+};
+
+}  // namespace internal
+}  // namespace sycamorebend
+
+#endif  // SYCAMOREBEND_SRC_CONTROL_CONFIGURATION_HISTORY_H_
--- /dev/null
+++ b/src/control/control_state.cc
@@ -0,0 +1,573 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "control/change_table.h"
+#include "control/configuration_history.h"
+#include "control/field_reader.h"
+#include "control/finding_table.h"
+#include "control/order_table.h"
+#include "sycamorebend/control.h"
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+
+namespace {
+
+using internal::ChangeTable;
+using internal::ConfigurationHistory;
+using internal::FieldReader;
+using internal::FindingTable;
+using internal::OrderTable;
+
+constexpr int kSnapshotFormat = 1;
+
+// First character of a snapshot line: the table that the line belongs to.
+constexpr char kHeaderTag = 'S';
+constexpr char kHistoryTag = 'H';
+constexpr char kChangeTag = 'C';
+constexpr char kOrderTag = 'O';
+constexpr char kFindingTag = 'F';
+// Last line; holds the number of lines before it.
+constexpr char kEndTag = 'E';
+
+std::string EncodeAnswer(const Result<Json::Value>& result) {
+  Json::Value answer;
+  if (result) {
+    answer["result"] = result.value();
+  } else {
+    answer["error"]["code"] = static_cast<int>(result.error().code);
+    answer["error"]["message"] = result.error().message;
+  }
+  return WriteJson(answer);
+}
+
+// All of the state. Not thread-safe.
+struct Tables {
+  explicit Tables(const ControlLimits& limits)
+      : history(limits), changes(limits), orders(limits), findings(limits) {}
+
+  std::string epoch;
+  std::uint64_t shared_version = 0;
+  ConfigurationHistory history;
+  ChangeTable changes;
+  OrderTable orders;
+  FindingTable findings;
+  std::map<std::string, EntryInfo> entries;
+  std::set<std::string> drained_servers;
+  std::vector<std::string> replicas;
+  std::uint64_t fence = 0;
+};
+
+Json::Value SaveHeader(const Tables& tables) {
+  Json::Value header;
+  header["format"] = kSnapshotFormat;
+  header["epoch"] = tables.epoch;
+  header["shared_version"] = Json::UInt64(tables.shared_version);
+  header["history"] = tables.history.SaveHeader();
+  header["changes"] = tables.changes.SaveHeader();
+  header["fence"] = Json::UInt64(tables.fence);
+  Json::Value& entries = header["entries"] = Json::Value(Json::arrayValue);
+  for (const auto& [id, entry] : tables.entries) {
+    Json::Value item;
+    item["entry_id"] = id;
+    item["address"] = entry.address;
+    item["failure_domain"] = entry.failure_domain;
+    item["incarnation"] = entry.incarnation;
+    item["draining"] = entry.draining;
+    entries.append(item);
+  }
+  Json::Value& drained = header["drained"] = Json::Value(Json::arrayValue);
+  for (const std::string& server : tables.drained_servers) {
+    drained.append(server);
+  }
+  Json::Value& replicas = header["replicas"] = Json::Value(Json::arrayValue);
+  for (const std::string& replica : tables.replicas) {
+    replicas.append(replica);
+  }
+  return header;
+}
+
+void LoadHeader(const Json::Value& header, Tables& tables) {
+  tables.epoch = header["epoch"].asString();
+  tables.shared_version = header["shared_version"].asUInt64();
+  tables.history.LoadHeader(header["history"]);
+  tables.changes.LoadHeader(header["changes"]);
+  tables.fence = header["fence"].asUInt64();
+  for (const Json::Value& item : header["entries"]) {
+    EntryInfo entry;
+    entry.entry_id = item["entry_id"].asString();
+    entry.address = item["address"].asString();
+    entry.failure_domain = item["failure_domain"].asString();
+    entry.incarnation = item["incarnation"].asString();
+    entry.draining = item["draining"].asBool();
+    tables.entries[entry.entry_id] = std::move(entry);
+  }
+  for (const Json::Value& server : header["drained"]) {
+    tables.drained_servers.insert(server.asString());
+  }
+  for (const Json::Value& replica : header["replicas"]) {
+    tables.replicas.push_back(replica.asString());
+  }
+}
+
+Status LoadLine(std::string_view line, Tables& tables) {
+  BOOST_OUTCOME_TRY(value, ParseJson(line.substr(1)));
+  switch (line[0]) {
+    case kHeaderTag:
+      if (value["format"].asInt() != kSnapshotFormat) {
+        return MakeError(ResultCode::kProtocolError,
+                         fmt::format("the snapshot has format {}; this program "
+                                     "reads format {}",
+                                     value["format"].asInt(), kSnapshotFormat));
+      }
+      LoadHeader(value, tables);
+      return Success();
+    case kHistoryTag:
+      tables.history.Load(value);
+      return Success();
+    case kChangeTag:
+      tables.changes.Load(value);
+      return Success();
+    case kOrderTag:
+      tables.orders.Load(value);
+      return Success();
+    case kFindingTag:
+      tables.findings.Load(value);
+      return Success();
+    default:
+      return MakeError(ResultCode::kProtocolError,
+                       "the snapshot has a line of an unknown kind");
+  }
+}
+
+Status LoadLines(std::string_view snapshot, Tables& tables) {
+  if (snapshot.empty() || snapshot[0] != kHeaderTag) {
+    return MakeError(ResultCode::kProtocolError,
+                     "the snapshot does not start with its header");
+  }
+  for (Json::UInt64 lines = 0; !snapshot.empty(); ++lines) {
+    const std::size_t end = snapshot.find('\n');
+    if (end == std::string_view::npos || end == 0) {
+      return MakeError(ResultCode::kProtocolError,
+                       "the snapshot ends within a line or has an empty one");
+    }
+    const std::string_view line = snapshot.substr(0, end);
+    snapshot.remove_prefix(end + 1);
+    if (line[0] == kEndTag) {
+      BOOST_OUTCOME_TRY(count, ParseJson(line.substr(1)));
+      if (!count.isUInt64() || count.asUInt64() != lines || !snapshot.empty()) {
+        break;
+      }
+      return Success();
+    }
+    BOOST_OUTCOME_TRY(LoadLine(line, tables));
+  }
+  return MakeError(ResultCode::kProtocolError, "the snapshot is incomplete");
+}
+
+class TableControlState : public ControlState {
+ public:
+  TableControlState(SharedCallback on_shared, ControlLimits limits)
+      : on_shared(std::move(on_shared)),
+        limits(limits),
+        tables(std::make_unique<Tables>(this->limits)),
+        shared(std::make_shared<SharedState>()) {}
+
+  std::string Apply(LogIndex /*index*/,
+                    std::int64_t leader_time_ms,
+                    std::string_view command) override {
+    std::shared_ptr<const SharedState> changed;
+    std::string answer;
+    {
+      std::lock_guard lock(this->mutex);
+      this->visible_change = this->PassTime(leader_time_ms);
+      answer = EncodeAnswer(this->Run(command, leader_time_ms));
+      if (this->visible_change) {
+        ++this->tables->shared_version;
+        changed = this->Rebuild();
+      }
+    }
+    if (changed != nullptr && this->on_shared) {
+      this->on_shared(changed);
+    }
+    return answer;
+  }
+
+  std::string Snapshot() const override {
+    std::lock_guard lock(this->mutex);
+    std::string text;
+    Json::UInt64 lines = 0;
+    const auto writer = [&text, &lines](char tag) {
+      return [&text, &lines, tag](const Json::Value& line) {
+        text += tag;
+        text += WriteJson(line);
+        text += '\n';
+        ++lines;
+      };
+    };
+    writer(kHeaderTag)(SaveHeader(*this->tables));
+    this->tables->history.Save(writer(kHistoryTag));
+    this->tables->changes.Save(writer(kChangeTag));
+    this->tables->orders.Save(writer(kOrderTag));
+    this->tables->findings.Save(writer(kFindingTag));
+    writer(kEndTag)(Json::Value(lines));
+    return text;
+  }
+
+  Status Restore(std::string_view snapshot) override {
+    std::shared_ptr<const SharedState> restored;
+    {
+      std::lock_guard lock(this->mutex);
+      auto loaded = std::make_unique<Tables>(this->limits);
+      try {
+        BOOST_OUTCOME_TRY(LoadLines(snapshot, *loaded));
+      } catch (const Json::Exception& exception) {
+        return MakeError(ResultCode::kProtocolError,
+                         std::string("the snapshot has a value of another "
+                                     "type than expected: ") +
+                             exception.what());
+      }
+      this->tables = std::move(loaded);
+      restored = this->Rebuild();
+    }
+    if (this->on_shared) {
+      this->on_shared(restored);
+    }
+    return Success();
+  }
+
+  std::shared_ptr<const SharedState> Shared() const override {
+    std::lock_guard lock(this->mutex);
+    return this->shared;
+  }
+
+  Result<Json::Value> ShowConfiguration(
+      std::optional<std::uint64_t> version) const override {
+    std::lock_guard lock(this->mutex);
+    const ConfigurationHistory& history = this->tables->history;
+    return history.Show(version.value_or(history.Version()));
+  }
+
+  Json::Value History(std::size_t limit) const override {
+    std::lock_guard lock(this->mutex);
+    return this->tables->history.List(limit);
+  }
+
+  Result<Json::Value> GetOrder(const std::string& customer,
+                               const std::string& key) const override {
+    std::lock_guard lock(this->mutex);
+    return this->tables->orders.Get(customer, key);
+  }
+
+  Json::Value Counts() const override {
+    std::lock_guard lock(this->mutex);
+    const auto count = [](std::size_t number) { return Json::UInt64(number); };
+    const Tables& kept = *this->tables;
+    Json::Value counts;
+    counts["configuration_version"] = count(kept.history.Version());
+    counts["shared_version"] = count(kept.shared_version);
+    counts["history_changes"] = count(kept.history.Size());
+    counts["history_bytes"] = count(kept.history.Bytes());
+    counts["change_ids"] = count(kept.changes.Size());
+    counts["orders"] = count(kept.orders.Size());
+    counts["order_response_bytes"] = count(kept.orders.ResponseBytes());
+    counts["crashes"] = count(kept.findings.Crashes());
+    counts["quarantined"] = count(kept.findings.Quarantined().size());
+    counts["entries"] = count(kept.entries.size());
+    counts["fence"] = count(kept.fence);
+    return counts;
+  }
+
+  bool NeedsTick(std::int64_t now_ms) const override {
+    std::lock_guard lock(this->mutex);
+    return this->tables->orders.HasExpired(now_ms) ||
+           this->tables->findings.NeedsSettle(now_ms);
+  }
+
+ private:
+  using Handler = Result<Json::Value> (
+      TableControlState::*)(const Json::Value& command, std::int64_t now_ms);
+
+  // @return true if the shared state changed.
+  bool PassTime(std::int64_t now_ms) {
+    this->tables->orders.Expire(now_ms);
+    this->tables->changes.Expire(now_ms);
+    const std::vector<std::string> guilty =
+        this->tables->findings.Settle(now_ms);
+    for (const std::string& fingerprint : guilty) {
+      LogEvent(Severity::kWarning, Event::kFindingRecorded,
+               {{"fingerprint", fingerprint}, {"quarantined", true}});
+    }
+    return !guilty.empty();
+  }
+
+  std::shared_ptr<const SharedState> Rebuild() {
+    auto state = std::make_shared<SharedState>();
+    state->epoch = this->tables->epoch;
+    state->version = this->tables->shared_version;
+    state->configuration_version = this->tables->history.Version();
+    state->configuration = this->tables->history.Document();
+    for (const auto& [id, entry] : this->tables->entries) {
+      state->entries.push_back(entry);
+    }
+    state->drained_servers = this->tables->drained_servers;
+    state->quarantined = this->tables->findings.Quarantined();
+    state->replicas = this->tables->replicas;
+    this->shared = state;
+    return state;
+  }
+
+  Result<Json::Value> Run(std::string_view text, std::int64_t now_ms) {
+    BOOST_OUTCOME_TRY(command, ParseJson(text));
+    if (!command.isObject() || !command["type"].isString()) {
+      return MakeError(ResultCode::kMalformedRequest,
+                       "a command is an object with a \"type\"");
+    }
+    static const std::map<std::string, Handler> kHandlers = {
+        {"config.apply", &TableControlState::ApplyConfiguration},
+        {"server.drain", &TableControlState::DrainServer},
+        {"server.undrain", &TableControlState::DrainServer},
+        {"entry.join", &TableControlState::JoinEntry},
+        {"entry.drain", &TableControlState::DrainEntry},
+        {"entry.expire", &TableControlState::ExpireEntry},
+        {"order.begin", &TableControlState::BeginOrder},
+        {"order.finish", &TableControlState::FinishOrder},
+        {"finding.report", &TableControlState::ReportFinding},
+        {"fence.take", &TableControlState::TakeFence},
+        {"cluster.init", &TableControlState::InitCluster},
+        {"replicas.set", &TableControlState::SetReplicas},
+        {"clock.tick", &TableControlState::Tick},
+    };
+    const auto handler = kHandlers.find(command["type"].asString());
+    if (handler == kHandlers.end()) {
+      return MakeError(
+          ResultCode::kUnknownCommand,
+          fmt::format("command \"{}\" is unknown", command["type"].asString()));
+    }
+    return (this->*handler->second)(command, now_ms);
+  }
+
+  // The document is checked by ParsePolicy before it is proposed, not here:
+  // during a rolling upgrade replicas with different checks would disagree.
+  Result<Json::Value> ApplyConfiguration(const Json::Value& command,
+                                         std::int64_t now_ms) {
+    FieldReader reader(command);
+    const std::string change_id = reader.Name("change_id");
+    const std::string operator_name = reader.Name("operator");
+    const std::uint64_t expected = reader.Unsigned("expected_version");
+    const Json::Value& document = command["document"];
+    if (!document.isObject()) {
+      reader.Reject("document", "an object");
+    }
+    BOOST_OUTCOME_TRY(reader.Finish());
+    const std::string text = WriteJson(document);
+    const std::string digest = Sha256Hex(
+        fmt::format("config.apply\n{}\n{}\n{}", operator_name, expected, text));
+    BOOST_OUTCOME_TRY(earlier,
+                      this->tables->changes.Find(change_id, digest, now_ms));
+    if (!earlier.isNull()) {
+      return earlier;
+    }
+    if (text.size() > this->limits.document_bytes) {
+      return MakeError(
+          ResultCode::kConfigurationInvalid,
+          fmt::format("the document has {} bytes; at most {} are accepted",
+                      text.size(), this->limits.document_bytes));
+    }
+    ConfigurationHistory& history = this->tables->history;
+    if (expected != history.Version()) {
+      return MakeError(ResultCode::kVersionConflict,
+                       history.DescribeConflict(expected));
+    }
+    history.Add(change_id, operator_name, now_ms, document);
+    this->visible_change = true;
+    Json::Value answer;
+    answer["version"] = Json::UInt64(history.Version());
+    answer["change_id"] = change_id;
+    answer["shared_version"] = this->NextSharedVersion();
+    this->tables->changes.Add(change_id, digest, answer, now_ms);
+    return answer;
+  }
+
+  Result<Json::Value> DrainServer(const Json::Value& command,
+                                  std::int64_t now_ms) {
+    FieldReader reader(command);
+    const std::string change_id = reader.Name("change_id");
+    const std::string server_id = reader.Name("server_id");
+    BOOST_OUTCOME_TRY(reader.Finish());
+    const std::string type = command["type"].asString();
+    const std::string digest =
+        Sha256Hex(fmt::format("{}\n{}", type, server_id));
+    BOOST_OUTCOME_TRY(earlier,
+                      this->tables->changes.Find(change_id, digest, now_ms));
+    if (!earlier.isNull()) {
+      return earlier;
+    }
+    std::set<std::string>& drained = this->tables->drained_servers;
+    const bool drain = type == "server.drain";
+    this->visible_change = (drain ? drained.insert(server_id).second
+                                  : drained.erase(server_id) > 0) ||
+                           this->visible_change;
+    Json::Value answer;
+    answer["server_id"] = server_id;
+    answer["drained"] = drain;
+    answer["shared_version"] = this->NextSharedVersion();
+    this->tables->changes.Add(change_id, digest, answer, now_ms);
+    return answer;
+  }
+
+  Result<Json::Value> JoinEntry(const Json::Value& command,
+                                std::int64_t /*now_ms*/) {
+    FieldReader reader(command);
+    EntryInfo entry;
+    entry.entry_id = reader.Name("entry_id");
+    entry.address = reader.Name("address");
+    entry.failure_domain = reader.OptionalString("failure_domain");
+    entry.incarnation = reader.Name("incarnation");
+    entry.draining = reader.OptionalBool("draining");
+    BOOST_OUTCOME_TRY(reader.Finish());
+    this->visible_change = true;
+    this->tables->entries[entry.entry_id] = std::move(entry);
+    return this->SharedVersionAnswer();
+  }
+
+  // Reads the entry daemon that `command` names.
+  // @return its place, or the end if it is unknown or was replaced by another
+  // incarnation.
+  Result<std::map<std::string, EntryInfo>::iterator> FindEntry(
+      const Json::Value& command) {
+    FieldReader reader(command);
+    const std::string id = reader.Name("entry_id");
+    const std::string incarnation = reader.Name("incarnation");
+    BOOST_OUTCOME_TRY(reader.Finish());
+    const auto found = this->tables->entries.find(id);
+    const bool same = found != this->tables->entries.end() &&
+                      found->second.incarnation == incarnation;
+    return same ? found : this->tables->entries.end();
+  }
+
+  Result<Json::Value> DrainEntry(const Json::Value& command,
+                                 std::int64_t /*now_ms*/) {
+    BOOST_OUTCOME_TRY(found, this->FindEntry(command));
+    if (found != this->tables->entries.end() && !found->second.draining) {
+      found->second.draining = true;
+      this->visible_change = true;
+    }
+    return this->SharedVersionAnswer();
+  }
+
+  Result<Json::Value> ExpireEntry(const Json::Value& command,
+                                  std::int64_t /*now_ms*/) {
+    BOOST_OUTCOME_TRY(found, this->FindEntry(command));
+    if (found != this->tables->entries.end()) {
+      this->tables->entries.erase(found);
+      this->visible_change = true;
+    }
+    return this->SharedVersionAnswer();
+  }
+
+  Result<Json::Value> BeginOrder(const Json::Value& command,
+                                 std::int64_t now_ms) {
+    return this->tables->orders.Begin(command, now_ms);
+  }
+
+  Result<Json::Value> FinishOrder(const Json::Value& command,
+                                  std::int64_t /*now_ms*/) {
+    return this->tables->orders.Finish(command);
+  }
+
+  Result<Json::Value> ReportFinding(const Json::Value& command,
+                                    std::int64_t now_ms) {
+    return this->tables->findings.Report(command, now_ms);
+  }
+
+  Result<Json::Value> TakeFence(const Json::Value& command,
+                                std::int64_t /*now_ms*/) {
+    FieldReader reader(command);
+    const std::string holder = reader.Name("holder");
+    BOOST_OUTCOME_TRY(reader.Finish());
+    Json::Value answer;
+    answer["fence"] = Json::UInt64(++this->tables->fence);
+    answer["holder"] = holder;
+    return answer;
+  }
+
+  // The first leader names the deployment; later attempts change nothing.
+  Result<Json::Value> InitCluster(const Json::Value& command,
+                                  std::int64_t /*now_ms*/) {
+    FieldReader reader(command);
+    const std::string epoch = reader.Name("epoch");
+    BOOST_OUTCOME_TRY(reader.Finish());
+    if (this->tables->epoch.empty()) {
+      this->tables->epoch = epoch;
+      this->visible_change = true;
+    }
+    return this->SharedVersionAnswer();
+  }
+
+  Result<Json::Value> SetReplicas(const Json::Value& command,
+                                  std::int64_t /*now_ms*/) {
+    FieldReader reader(command);
+    std::vector<std::string> addresses = reader.Names("addresses");
+    BOOST_OUTCOME_TRY(reader.Finish());
+    std::sort(addresses.begin(), addresses.end());
+    if (addresses != this->tables->replicas) {
+      this->tables->replicas = std::move(addresses);
+      this->visible_change = true;
+    }
+    return this->SharedVersionAnswer();
+  }
+
+  Result<Json::Value> Tick(const Json::Value& /*command*/,
+                           std::int64_t /*now_ms*/) {
+    return this->SharedVersionAnswer();
+  }
+
+  // @return the shared version once the running command is applied.
+  Json::Value NextSharedVersion() const {
+    return Json::UInt64(this->tables->shared_version +
+                        (this->visible_change ? 1 : 0));
+  }
+
+  Json::Value SharedVersionAnswer() const {
+    Json::Value answer;
+    answer["shared_version"] = this->NextSharedVersion();
+    return answer;
+  }
+
+  const SharedCallback on_shared;
+  const ControlLimits limits;
+  mutable std::mutex mutex;
+  std::unique_ptr<Tables> tables;
+  std::shared_ptr<const SharedState> shared;
+  bool visible_change = false;
+};
+
+}  // namespace
+
+std::unique_ptr<ControlState> ControlState::Create(SharedCallback on_shared,
+                                                   ControlLimits limits) {
+  return std::make_unique<TableControlState>(std::move(on_shared), limits);
+}
+
+Result<Json::Value> DecodeAnswer(const std::string& answer) {
+  BOOST_OUTCOME_TRY(value, ParseJson(answer));
+  if (value.isObject() && value.isMember("result")) {
+    return value["result"];
+  }
+  const Json::Value& error =
+      value.isObject() ? value["error"] : Json::Value::nullSingleton();
+  if (!error.isObject() || !error["code"].isInt() ||
+      !error["message"].isString()) {
+    return MakeError(ResultCode::kProtocolError,
+                     "the state machine's answer is malformed");
+  }
+  return MakeError(static_cast<ResultCode>(error["code"].asInt()),
+                   error["message"].asString());
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/control/finding_table.cc
@@ -0,0 +1,149 @@
+#include "control/finding_table.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "control/field_reader.h"
+
+namespace sycamorebend {
+namespace internal {
+
+namespace {
+
+constexpr std::size_t kCrashesForGuilt = 2;
+
+}  // namespace
+
+Result<Json::Value> FindingTable::Report(const Json::Value& command,
+                                         std::int64_t now_ms) {
+  FieldReader reader(command);
+  const std::string fingerprint = reader.Name("fingerprint");
+  const std::string server_id = reader.Name("server_id");
+  const std::string incarnation = reader.Name("incarnation");
+  std::vector<std::string> candidates = reader.Names("candidates");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  candidates.push_back(fingerprint);
+  Json::Value answer;
+  answer["quarantined"] = this->quarantined.count(fingerprint) > 0;
+  const std::string id =
+      fmt::format("{}:{}{}", server_id.size(), server_id, incarnation);
+  auto crash = std::find_if(this->crashes.begin(), this->crashes.end(),
+                            [&](const Crash& known) { return known.id == id; });
+  if (crash == this->crashes.end()) {
+    if (this->crashes.size() >= this->limits.crashes) {
+      this->crashes.erase(this->crashes.begin());
+    }
+    this->crashes.push_back({id, now_ms, false, {}});
+    crash = std::prev(this->crashes.end());
+  }
+  crash->candidates.insert(candidates.begin(), candidates.end());
+  return answer;
+}
+
+bool FindingTable::IsExplained(const Crash& crash) const {
+  return std::any_of(crash.candidates.begin(), crash.candidates.end(),
+                     [this](const std::string& candidate) {
+                       return this->quarantined.count(candidate) > 0;
+                     });
+}
+
+bool FindingTable::IsGuilty(const std::string& fingerprint) const {
+  std::size_t seen = 0;
+  std::set<std::string> common;
+  for (const Crash& crash : this->crashes) {
+    if (crash.candidates.count(fingerprint) == 0 || this->IsExplained(crash)) {
+      continue;
+    }
+    if (!crash.settled) {
+      return false;
+    }
+    if (seen++ == 0) {
+      common = crash.candidates;
+      continue;
+    }
+    std::set<std::string> both;
+    std::set_intersection(common.begin(), common.end(),
+                          crash.candidates.begin(), crash.candidates.end(),
+                          std::inserter(both, both.end()));
+    common = std::move(both);
+  }
+  return seen >= kCrashesForGuilt && common.size() == 1;
+}
+
+std::vector<std::string> FindingTable::Settle(std::int64_t now_ms) {
+  this->crashes.erase(
+      std::remove_if(this->crashes.begin(), this->crashes.end(),
+                     [&](const Crash& crash) {
+                       return crash.time_ms + this->limits.crash_retention_ms <
+                              now_ms;
+                     }),
+      this->crashes.end());
+  std::set<std::string> suspects;
+  for (Crash& crash : this->crashes) {
+    if (!crash.settled &&
+        crash.time_ms + this->limits.finding_settle_ms <= now_ms) {
+      crash.settled = true;
+      suspects.insert(crash.candidates.begin(), crash.candidates.end());
+    }
+  }
+  std::vector<std::string> guilty;
+  std::copy_if(suspects.begin(), suspects.end(), std::back_inserter(guilty),
+               [this](const std::string& suspect) {
+                 return this->quarantined.count(suspect) == 0 &&
+                        this->IsGuilty(suspect);
+               });
+  for (const std::string& fingerprint : guilty) {
+    this->quarantined.insert(fingerprint);
+    this->quarantined_oldest_first.push_back(fingerprint);
+    if (this->quarantined.size() > this->limits.quarantined) {
+      this->quarantined.erase(this->quarantined_oldest_first.front());
+      this->quarantined_oldest_first.erase(
+          this->quarantined_oldest_first.begin());
+    }
+  }
+  return guilty;
+}
+
+bool FindingTable::NeedsSettle(std::int64_t now_ms) const {
+  return std::any_of(
+      this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
+        return !crash.settled &&
+               crash.time_ms + this->limits.finding_settle_ms <= now_ms;
+      });
+}
+
+void FindingTable::Save(const LineWriter& write) const {
+  for (const Crash& crash : this->crashes) {
+    Json::Value line;
+    line["crash"] = crash.id;
+    line["time_ms"] = Json::Int64(crash.time_ms);
+    line["settled"] = crash.settled;
+    for (const std::string& candidate : crash.candidates) {
+      line["candidates"].append(candidate);
+    }
+    write(line);
+  }
+  for (const std::string& fingerprint : this->quarantined_oldest_first) {
+    write(fingerprint);
+  }
+}
+
+void FindingTable::Load(const Json::Value& line) {
+  if (line.isString()) {
+    this->quarantined.insert(line.asString());
+    this->quarantined_oldest_first.push_back(line.asString());
+    return;
+  }
+  Crash crash;
+  crash.id = line["crash"].asString();
+  crash.time_ms = line["time_ms"].asInt64();
+  crash.settled = line["settled"].asBool();
+  for (const Json::Value& candidate : line["candidates"]) {
+    crash.candidates.insert(candidate.asString());
+  }
+  this->crashes.push_back(std::move(crash));
+}
+
+}  // namespace internal
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/controld/control_http.cc
@@ -0,0 +1,100 @@
+#include "controld/control_http.h"
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusNotAllowed = 405;
+constexpr int kStatusUnavailable = 503;
+
+HttpHeaders PlainText() {
+  return {{"Content-Type", "text/plain; version=0.0.4; charset=utf-8"}};
+}
+
+void RespondError(HttpExchange& exchange, int status, ResultCode code) {
+  exchange.Respond(status, PlainText(),
+                   std::string(GetResultCodeInfo(code).message) + "\n");
+}
+
+void AddGauge(prometheus::Registry& registry,
+              const std::string& name,
+              const std::string& help,
+              const Json::Value& value) {
+  prometheus::BuildGauge()
+      .Name("sycamorebend_control_" + name)
+      .Help(help)
+      .Register(registry)
+      .Add({})
+      .Set(value.isBool() ? static_cast<double>(value.asBool())
+                          : value.asDouble());
+}
+
+}  // namespace
+
+ControlHttp::ControlHttp(ControlService& service, int rpc_threads)
+    : service(service), rpc_server(RpcServer::Create(service, rpc_threads)) {}
+
+void ControlHttp::Handle(std::shared_ptr<HttpExchange> exchange) {
+  const HttpRequest& request = exchange->Request();
+  if (request.path == kRpcPath) {
+    if (request.method != "POST") {
+      RespondError(*exchange, kStatusNotAllowed, ResultCode::kMethodNotAllowed);
+      return;
+    }
+    this->rpc_server->Handle(std::move(exchange));
+    return;
+  }
+  this->Get(*exchange);
+}
+
+void ControlHttp::Get(HttpExchange& exchange) {
+  const HttpRequest& request = exchange.Request();
+  const bool known = request.path == "/healthz" || request.path == "/readyz" ||
+                     request.path == "/metrics";
+  if (!known) {
+    RespondError(exchange, kStatusNotFound, ResultCode::kNotFound);
+  } else if (request.method != "GET") {
+    RespondError(exchange, kStatusNotAllowed, ResultCode::kMethodNotAllowed);
+  } else if (request.path == "/metrics") {
+    exchange.Respond(kStatusOk, PlainText(), ControlMetrics(this->service));
+  } else if (request.path == "/readyz" && !this->service.Ready()) {
+    RespondError(exchange, kStatusUnavailable,
+                 ResultCode::kConfigurationUnconfirmed);
+  } else {
+    exchange.Respond(kStatusOk, PlainText(), "ok\n");
+  }
+}
+
+std::string ControlMetrics(const ControlService& service) {
+  prometheus::Registry registry;
+  const Result<Json::Value> status = service.StatusReport();
+  AddGauge(registry, "ready", "1 if a quorum confirmed the state recently.",
+           service.Ready());
+  if (status) {
+    const Json::Value& report = status.value();
+    AddGauge(registry, "leader", "1 on the leader.", report["is_leader"]);
+    AddGauge(registry, "term", "Current term.", report["term"]);
+    AddGauge(registry, "commit_index", "Last committed entry of the log.",
+             report["commit_index"]);
+    AddGauge(registry, "applied_index", "Last applied entry of the log.",
+             report["applied_index"]);
+    AddGauge(registry, "snapshot_index", "Last entry in the newest snapshot.",
+             report["snapshot_index"]);
+    AddGauge(registry, "confirmation_age_seconds",
+             "Time since a quorum confirmed the state; negative if never.",
+             report["confirmation_age_ms"].asDouble() / 1000);
+    const Json::Value& counts = report["counts"];
+    for (const std::string& name : counts.getMemberNames()) {
+      AddGauge(registry, name, "Size of the control state.", counts[name]);
+    }
+  }
+  return prometheus::TextSerializer().Serialize(registry.Collect());
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/controld/control_service.cc
@@ -0,0 +1,341 @@
+#include "controld/control_service.h"
+
+#include <algorithm>
+#include <future>
+#include <map>
+#include <mutex>
+#include <utility>
+
+#include "control/field_reader.h"
+#include "sycamorebend/policy.h"
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+
+namespace {
+
+using internal::FieldReader;
+
+// A replica whose state was confirmed longer ago is not ready.
+constexpr Duration kReadyAge = seconds(3);
+constexpr std::uint64_t kDefaultHistory = 20;
+
+// @return the value, or kCancelled if the log was stopped and dropped the
+// callback that would have set it.
+template <typename T>
+Result<T> Wait(std::future<Result<T>> future) {
+  try {
+    return future.get();
+  } catch (const std::future_error&) {
+    return MakeError(ResultCode::kCancelled, "this replica is stopping");
+  }
+}
+
+Json::Value AgeToJson(Duration age) {
+  return Json::Int64(age == Duration::max() ? -1 : ToMilliseconds(age) + 1);
+}
+
+Json::Value ReplicasToJson(const ReplicatedLog::LogStatus& status) {
+  Json::Value list(Json::arrayValue);
+  for (const ReplicatedLog::ReplicaStatus& replica : status.replicas) {
+    Json::Value item;
+    item["id"] = Json::UInt64(replica.id);
+    item["address"] = replica.address;
+    item["voter"] = replica.voter;
+    item["reachable"] = replica.reachable;
+    item["match_index"] = Json::UInt64(replica.match_index);
+    list.append(item);
+  }
+  return list;
+}
+
+}  // namespace
+
+ControlService::ControlService(ControlState& state,
+                               FeedSource& feed,
+                               const Clock& clock)
+    : state(state), feed(feed), clock(clock) {}
+
+void ControlService::SetLog(ReplicatedLogService& new_log) {
+  this->log = &new_log;
+}
+
+void ControlService::StopChanges() {
+  this->stopping = true;
+}
+
+Result<Json::Value> ControlService::Call(const std::string& method,
+                                         const Json::Value& params) {
+  static const std::map<std::string, Method> kMethods = {
+      {"control.apply", &ControlService::Apply},
+      {"control.show", &ControlService::Show},
+      {"control.history", &ControlService::History},
+      {"control.drain", &ControlService::Drain},
+      {"control.undrain", &ControlService::Undrain},
+      {"control.replica", &ControlService::ChangeReplicas},
+      {"order.begin", &ControlService::BeginOrder},
+      {"order.finish", &ControlService::FinishOrder},
+      {"order.get", &ControlService::GetOrder},
+      {"finding.report", &ControlService::ReportFinding},
+      {"fence.take", &ControlService::TakeFence},
+  };
+  ReplicatedLogService* const replica_log = this->log;
+  if (replica_log == nullptr) {
+    return MakeError(ResultCode::kNotLeader, "");
+  }
+  if (method == kRaftMessageMethod) {
+    return replica_log->HandleMessage(params);
+  }
+  if (method == kFeedPollMethod) {
+    return this->feed.ServePoll(params);
+  }
+  if (method == "control.status") {
+    return this->StatusReport();
+  }
+  const auto found = kMethods.find(method);
+  if (found == kMethods.end()) {
+    return MakeError(ResultCode::kUnknownCommand,
+                     "method \"" + method + "\" is unknown");
+  }
+  if (this->stopping) {
+    return MakeError(ResultCode::kShuttingDown, "this replica is stopping");
+  }
+  if (!params.isObject()) {
+    return MakeError(ResultCode::kMalformedRequest,
+                     "the parameters must be an object");
+  }
+  return (this->*found->second)(params);
+}
+
+Result<Json::Value> ControlService::Propose(const std::string& type,
+                                            Json::Value params) {
+  params["type"] = type;
+  auto promise = std::make_shared<std::promise<Result<std::string>>>();
+  std::future<Result<std::string>> future = promise->get_future();
+  this->log.load()->Propose(WriteJson(params),
+                            [promise](Result<std::string> result) {
+                              promise->set_value(std::move(result));
+                            });
+  BOOST_OUTCOME_TRY(answer, Wait(std::move(future)));
+  return DecodeAnswer(answer);
+}
+
+Status ControlService::Barrier() {
+  auto promise = std::make_shared<std::promise<Status>>();
+  std::future<Status> future = promise->get_future();
+  this->log.load()->ReadBarrier(
+      [promise](Status result) { promise->set_value(std::move(result)); });
+  return Wait(std::move(future));
+}
+
+Result<Json::Value> ControlService::Apply(const Json::Value& params) {
+  if (params["dry_run"] == Json::Value(true)) {
+    return this->DryRun(params);
+  }
+  FieldReader reader(params);
+  const std::string change_id = reader.Name("change_id");
+  const std::string operator_name = reader.Name("operator");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(ParsePolicy(params["document"]));
+  Result<Json::Value> answer = this->Propose("config.apply", params);
+  if (answer) {
+    LogEvent(Severity::kInfo, Event::kConfigurationAccepted,
+             {{"version", answer.value()["version"].asUInt64()},
+              {"change_id", change_id},
+              {"operator", operator_name}});
+  } else if (answer.error().code == ResultCode::kVersionConflict) {
+    LogEvent(Severity::kInfo, Event::kConfigurationConflict,
+             {{"change_id", change_id},
+              {"operator", operator_name},
+              {"message", answer.error().message}});
+  }
+  return answer;
+}
+
+Result<Json::Value> ControlService::DryRun(const Json::Value& params) {
+  BOOST_OUTCOME_TRY(ParsePolicy(params["document"]));
+  BOOST_OUTCOME_TRY(this->Barrier());
+  BOOST_OUTCOME_TRY(current, this->state.ShowConfiguration(std::nullopt));
+  Json::Value answer;
+  answer["version"] = current["version"];
+  answer["changed"] = current["document"] != params["document"];
+  answer["patch"] = DiffJson(current["document"], params["document"]);
+  return answer;
+}
+
+Result<Json::Value> ControlService::Show(const Json::Value& params) {
+  FieldReader reader(params);
+  const std::optional<std::uint64_t> version =
+      reader.OptionalUnsigned("version");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(this->Barrier());
+  return this->state.ShowConfiguration(version);
+}
+
+Result<Json::Value> ControlService::History(const Json::Value& params) {
+  FieldReader reader(params);
+  const std::uint64_t limit =
+      reader.OptionalUnsigned("limit").value_or(kDefaultHistory);
+  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(this->Barrier());
+  Json::Value answer;
+  answer["changes"] = this->state.History(limit);
+  return answer;
+}
+
+Result<Json::Value> ControlService::Drain(const Json::Value& params) {
+  return this->Propose("server.drain", params);
+}
+
+Result<Json::Value> ControlService::Undrain(const Json::Value& params) {
+  return this->Propose("server.undrain", params);
+}
+
+Result<Json::Value> ControlService::ChangeReplicas(const Json::Value& params) {
+  FieldReader reader(params);
+  const std::string action = reader.Name("action");
+  const ReplicaId id = reader.Unsigned("id");
+  const std::string address = reader.OptionalString("address");
+  if (id == 0) {
+    reader.Reject("id", "a replica ID greater than 0");
+  }
+  if (action != "add" && action != "remove" && action != "promote") {
+    reader.Reject("action", "\"add\", \"remove\" or \"promote\"");
+  }
+  if (action == "add" && !IsAddress(address)) {
+    reader.Reject("address", "\"IP:port\" with an IPv4 address");
+  }
+  BOOST_OUTCOME_TRY(reader.Finish());
+  auto promise = std::make_shared<std::promise<Status>>();
+  std::future<Status> future = promise->get_future();
+  const auto callback = [promise](Status result) {
+    promise->set_value(std::move(result));
+  };
+  ReplicatedLogService& replica_log = *this->log.load();
+  if (action == "add") {
+    replica_log.AddReplica(id, address, callback);
+  } else if (action == "promote") {
+    replica_log.PromoteReplica(id, callback);
+  } else {
+    replica_log.RemoveReplica(id, callback);
+  }
+  BOOST_OUTCOME_TRY(Wait(std::move(future)));
+  Json::Value answer;
+  answer["replicas"] = ReplicasToJson(replica_log.GetStatus());
+  return answer;
+}
+
+Result<Json::Value> ControlService::BeginOrder(const Json::Value& params) {
+  return this->Propose("order.begin", params);
+}
+
+Result<Json::Value> ControlService::FinishOrder(const Json::Value& params) {
+  return this->Propose("order.finish", params);
+}
+
+Result<Json::Value> ControlService::GetOrder(const Json::Value& params) {
+  FieldReader reader(params);
+  const std::string customer = reader.Name("customer");
+  const std::string key = reader.Name("key");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  BOOST_OUTCOME_TRY(this->Barrier());
+  BOOST_OUTCOME_TRY(record, this->state.GetOrder(customer, key));
+  Json::Value answer;
+  answer["record"] = std::move(record);
+  return answer;
+}
+
+Result<Json::Value> ControlService::ReportFinding(const Json::Value& params) {
+  return this->Propose("finding.report", params);
+}
+
+Result<Json::Value> ControlService::TakeFence(const Json::Value& params) {
+  return this->Propose("fence.take", params);
+}
+
+void ControlService::Tick() {
+  this->feed.Tick();
+  ReplicatedLogService* const replica_log = this->log;
+  if (replica_log == nullptr || this->stopping) {
+    return;
+  }
+  const ReplicatedLog::LogStatus status = replica_log->GetStatus();
+  if (!status.is_leader) {
+    return;
+  }
+  const std::shared_ptr<const SharedState> shared = this->state.Shared();
+  if (shared->epoch.empty()) {
+    Json::Value command;
+    command["epoch"] = RandomId();
+    this->ProposeOnce("cluster.init", command);
+  }
+  std::vector<std::string> addresses;
+  for (const ReplicatedLog::ReplicaStatus& replica : status.replicas) {
+    addresses.push_back(replica.address);
+  }
+  std::sort(addresses.begin(), addresses.end());
+  if (!addresses.empty() && addresses != shared->replicas) {
+    Json::Value command;
+    for (const std::string& address : addresses) {
+      command["addresses"].append(address);
+    }
+    this->ProposeOnce("replicas.set", command);
+  }
+  if (this->state.NeedsTick(this->clock.WallTimeMs())) {
+    this->ProposeOnce("clock.tick", Json::Value(Json::objectValue));
+  }
+}
+
+void ControlService::ProposeOnce(const std::string& type, Json::Value command) {
+  {
+    std::lock_guard lock(this->in_flight->mutex);
+    if (!this->in_flight->types.insert(type).second) {
+      return;
+    }
+  }
+  command["type"] = type;
+  this->log.load()->Propose(
+      WriteJson(command),
+      [flags = this->in_flight, type](Result<std::string> /*answer*/) {
+        std::lock_guard lock(flags->mutex);
+        flags->types.erase(type);
+      });
+}
+
+bool ControlService::Ready() const {
+  const ReplicatedLogService* const replica_log = this->log;
+  return replica_log != nullptr && !this->stopping &&
+         replica_log->ConfirmationAge() <= kReadyAge;
+}
+
+Result<Json::Value> ControlService::StatusReport() const {
+  const ReplicatedLogService* const replica_log = this->log;
+  if (replica_log == nullptr) {
+    return MakeError(ResultCode::kNotLeader, "");
+  }
+  const ReplicatedLog::LogStatus status = replica_log->GetStatus();
+  const std::shared_ptr<const SharedState> shared = this->state.Shared();
+  Json::Value answer;
+  answer["id"] = Json::UInt64(status.id);
+  answer["term"] = Json::UInt64(status.term);
+  answer["is_leader"] = status.is_leader;
+  answer["leader"] = Json::UInt64(status.leader.value_or(0));
+  answer["leader_address"] = status.leader_address;
+  answer["commit_index"] = Json::UInt64(status.commit_index);
+  answer["applied_index"] = Json::UInt64(status.applied_index);
+  answer["last_index"] = Json::UInt64(status.last_index);
+  answer["snapshot_index"] = Json::UInt64(status.snapshot_index);
+  answer["replicas"] = ReplicasToJson(status);
+  answer["confirmation_age_ms"] = AgeToJson(replica_log->ConfirmationAge());
+  answer["epoch"] = shared->epoch;
+  answer["configuration_version"] = Json::UInt64(shared->configuration_version);
+  answer["shared_version"] = Json::UInt64(shared->version);
+  const Json::Value visible = SharedStateToJson(*shared);
+  answer["entries"] = visible["entries"];
+  answer["drained_servers"] = visible["drained_servers"];
+  answer["quarantined"] = visible["quarantined"];
+  answer["counts"] = this->state.Counts();
+  return answer;
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/ctl/commands.cc
@@ -0,0 +1,613 @@
+#include "ctl/commands.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <fstream>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+#include "ctl/document_diff.h"
+#include "ctl/help.h"
+#include "ctl/table.h"
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr Duration kWaitPause = milliseconds(100);
+constexpr std::size_t kRandomDigits = 16;
+
+using Outcome = Result<CtlExit>;
+
+// Makes the time of a change ID readable for the leader, which refuses one
+// that is older than the answers it keeps.
+std::string NewChangeId(const Clock& clock) {
+  return fmt::format("{:013}-{}", clock.WallTimeMs(),
+                     RandomId().substr(0, kRandomDigits));
+}
+
+Result<Json::Value> ReadDocument(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    return MakeError(ResultCode::kSettingsUnreadable,
+                     fmt::format("{} cannot be read", path));
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseJsonWithComments(text.str(), path);
+}
+
+std::string Pretty(const Json::Value& value) {
+  std::string text = value.toStyledString();
+  if (text.empty() || text.back() != '\n') {
+    text += '\n';
+  }
+  return text;
+}
+
+std::string FormatTime(std::int64_t time_ms) {
+  constexpr std::int64_t kMsPerSecond = 1000;
+  return fmt::format(
+      "{:%Y-%m-%dT%H:%M:%SZ}",
+      fmt::gmtime(static_cast<std::time_t>(time_ms / kMsPerSecond)));
+}
+
+// Turns {"id": {...}} into [{KEY: "id", ...}].
+Json::Value ListById(const Json::Value& object, const std::string& key) {
+  Json::Value list(Json::arrayValue);
+  if (object.isObject()) {
+    for (const std::string& id : object.getMemberNames()) {
+      Json::Value item = object[id];
+      item[key] = id;
+      list.append(std::move(item));
+    }
+  }
+  return list;
+}
+
+// Mistakes on the command line and in files have 1xx codes, which no replica
+// returns.
+Error Usage(const CtlOptions& options, const std::string& text) {
+  return MakeError(ResultCode::kSettingsInvalidValue,
+                   fmt::format("{}; see \"sycamorebend-ctl {} --help\"", text,
+                               options.command));
+}
+
+// The run of one subcommand.
+class Session {
+ public:
+  Session(const CtlOptions& options,
+          RpcClient& rpc,
+          const Clock& clock,
+          std::ostream& out,
+          std::ostream& err)
+      : options(options),
+        clock(clock),
+        client(rpc, clock, options.control, options.timeout),
+        out(out),
+        err(err) {}
+
+  Outcome Apply();
+  Outcome Show();
+  Outcome Diff();
+  Outcome History();
+  Outcome DryRun();
+  Outcome Servers();
+  Outcome Drain();
+  Outcome ShowStatus();
+  Outcome Explain();
+  Outcome Replica();
+
+ private:
+  // One entry daemon's answer to entry.status, or why there is none.
+  struct EntryState {
+    std::string entry_id;
+    std::string address;
+    Result<Json::Value> status;
+  };
+
+  Status NeedArguments(std::size_t count, const std::string& what) const;
+  Json::Value ChangeParams();
+  Result<Json::Value> ShowVersion(std::optional<std::uint64_t> version);
+  Outcome PrintDifferences(const Json::Value& before, const Json::Value& after);
+  Outcome Done(const Json::Value& result, const std::string& text);
+  Outcome WaitUntil(const std::string& field, std::uint64_t version);
+  Result<std::vector<EntryState>> EntryStates();
+  Result<std::vector<std::string>> EntryAddresses();
+  void PrintTrace(const Json::Value& trace);
+
+  const CtlOptions& options;
+  const Clock& clock;
+  ControlClient client;
+  std::ostream& out;
+  std::ostream& err;
+};
+
+Status Session::NeedArguments(std::size_t count,
+                              const std::string& what) const {
+  if (this->options.arguments.size() != count) {
+    return Usage(this->options,
+                 fmt::format("{} expects {}", this->options.command, what));
+  }
+  return Success();
+}
+
+Json::Value Session::ChangeParams() {
+  Json::Value params;
+  params["change_id"] = this->options.change_id.empty()
+                            ? NewChangeId(this->clock)
+                            : this->options.change_id;
+  params["operator"] = this->options.operator_name;
+  this->err << "change ID " << params["change_id"].asString() << "\n";
+  return params;
+}
+
+Outcome Session::Done(const Json::Value& result, const std::string& text) {
+  this->out << (this->options.json ? Pretty(result) : text);
+  return CtlExit::kOk;
+}
+
+Outcome Session::Apply() {
+  BOOST_OUTCOME_TRY(this->NeedArguments(1, "one file"));
+  if (!this->options.expected_version) {
+    return Usage(this->options,
+                 "apply needs --expected-version=N, the version that the file "
+                 "is based on; \"show\" prints it, and it is 0 for the first "
+                 "configuration");
+  }
+  BOOST_OUTCOME_TRY(document, ReadDocument(this->options.arguments[0]));
+  Json::Value params = this->ChangeParams();
+  params["expected_version"] = Json::UInt64(*this->options.expected_version);
+  params["document"] = std::move(document);
+  BOOST_OUTCOME_TRY(answer, this->client.CallLeader("control.apply", params));
+  BOOST_OUTCOME_TRY(this->Done(
+      answer,
+      fmt::format("version {} accepted\n", answer["version"].asUInt64())));
+  return this->WaitUntil("configuration_version", answer["version"].asUInt64());
+}
+
+Result<Json::Value> Session::ShowVersion(std::optional<std::uint64_t> version) {
+  Json::Value params(Json::objectValue);
+  if (version) {
+    params["version"] = Json::UInt64(*version);
+  }
+  return this->client.CallLeader("control.show", params);
+}
+
+Outcome Session::Show() {
+  BOOST_OUTCOME_TRY(this->NeedArguments(0, "no arguments"));
+  BOOST_OUTCOME_TRY(shown, this->ShowVersion(this->options.version));
+  if (!this->options.json) {
+    this->err << fmt::format("version {}", shown["version"].asUInt64());
+    if (shown["version"].asUInt64() > 0) {
+      this->err << fmt::format(", {}, change \"{}\" of operator \"{}\"",
+                               FormatTime(shown["time_ms"].asInt64()),
+                               shown["change_id"].asString(),
+                               shown["operator"].asString());
+    }
+    this->err << "\n";
+  }
+  return this->Done(shown, Pretty(shown["document"]));
+}
+
+Outcome Session::PrintDifferences(const Json::Value& before,
+                                  const Json::Value& after) {
+  const std::vector<std::string> lines = DescribeDifferences(before, after);
+  Json::Value result;
+  result["differences"] = Json::Value(Json::arrayValue);
+  std::string text;
+  for (const std::string& line : lines) {
+    result["differences"].append(line);
+    text += line + "\n";
+  }
+  return this->Done(result, lines.empty() ? "no differences\n" : text);
+}
+
+Outcome Session::Diff() {
+  const std::vector<std::string>& arguments = this->options.arguments;
+  if (arguments.size() == 2) {
+    std::vector<Json::Value> documents;
+    for (const std::string& argument : arguments) {
+      if (argument.empty() ||
+          argument.find_first_not_of("0123456789") != std::string::npos) {
+        return Usage(this->options, "diff expects one file or two versions");
+      }
+      BOOST_OUTCOME_TRY(shown, this->ShowVersion(std::strtoull(argument.c_str(),
+                                                               nullptr, 10)));
+      documents.push_back(shown["document"]);
+    }
+    return this->PrintDifferences(documents[0], documents[1]);
+  }
+  BOOST_OUTCOME_TRY(this->NeedArguments(1, "one file or two versions"));
+  BOOST_OUTCOME_TRY(document, ReadDocument(arguments[0]));
+  BOOST_OUTCOME_TRY(shown, this->ShowVersion(std::nullopt));
+  return this->PrintDifferences(shown["document"], document);
+}
+
+Outcome Session::History() {
+  BOOST_OUTCOME_TRY(this->NeedArguments(0, "no arguments"));
+  Json::Value params;
+  params["limit"] = Json::UInt64(this->options.limit);
+  BOOST_OUTCOME_TRY(answer, this->client.CallLeader("control.history", params));
+  Json::Value rows(Json::arrayValue);
+  for (Json::Value change : answer["changes"]) {
+    change["time"] = FormatTime(change["time_ms"].asInt64());
+    rows.append(std::move(change));
+  }
+  return this->Done(answer, FormatTable({{"VERSION", "version"},
+                                         {"TIME", "time"},
+                                         {"OPERATOR", "operator"},
+                                         {"CHANGE ID", "change_id"}},
+                                        rows));
+}
+
+Outcome Session::DryRun() {
+  BOOST_OUTCOME_TRY(this->NeedArguments(1, "one file"));
+  BOOST_OUTCOME_TRY(document, ReadDocument(this->options.arguments[0]));
+  Json::Value params;
+  params["dry_run"] = true;
+  params["document"] = document;
+  BOOST_OUTCOME_TRY(answer, this->client.CallLeader("control.apply", params));
+  const std::uint64_t version = answer["version"].asUInt64();
+  if (this->options.expected_version &&
+      *this->options.expected_version != version) {
+    return MakeError(ResultCode::kVersionConflict,
+                     fmt::format("version {} is in force, not {}", version,
+                                 *this->options.expected_version));
+  }
+  this->err << fmt::format("the document is valid; version {} is in force\n",
+                           version);
+  BOOST_OUTCOME_TRY(shown, this->ShowVersion(version));
+  return this->PrintDifferences(shown["document"], document);
+}
+
+Outcome Session::Drain() {
+  BOOST_OUTCOME_TRY(this->NeedArguments(1, "one server ID"));
+  Json::Value params = this->ChangeParams();
+  params["server_id"] = this->options.arguments[0];
+  BOOST_OUTCOME_TRY(answer, this->client.CallLeader(
+                                "control." + this->options.command, params));
+  BOOST_OUTCOME_TRY(this->Done(
+      answer,
+      fmt::format("{} {}\n", this->options.arguments[0],
+                  answer["drained"].asBool() ? "is draining" : "gets work")));
+  return this->WaitUntil("shared_version", answer["shared_version"].asUInt64());
+}
+
+Result<std::vector<Session::EntryState>> Session::EntryStates() {
+  BOOST_OUTCOME_TRY(
+      status,
+      this->client.CallAny("control.status", Json::Value(Json::objectValue)));
+  std::vector<EntryState> states;
+  for (const Json::Value& entry : ListById(status["entries"], "entry_id")) {
+    const std::string address = entry["address"].asString();
+    states.push_back({entry["entry_id"].asString(), address,
+                      this->client.CallAt(address, "entry.status",
+                                          Json::Value(Json::objectValue))});
+  }
+  return states;
+}
+
+Outcome Session::WaitUntil(const std::string& field, std::uint64_t version) {
+  if (!this->options.wait) {
+    return CtlExit::kOk;
+  }
+  const TimePoint deadline = this->clock.Now() + this->options.wait_timeout;
+  std::string progress;
+  for (;;) {
+    const Result<std::vector<EntryState>> states = this->EntryStates();
+    std::string waiting;
+    std::size_t reached = 0;
+    if (!states) {
+      waiting = "no control replica answers";
+    } else {
+      for (const EntryState& entry : states.value()) {
+        if (entry.status && entry.status.value().isObject() &&
+            entry.status.value()[field].isUInt64() &&
+            entry.status.value()[field].asUInt64() >= version) {
+          ++reached;
+        } else {
+          waiting += (waiting.empty() ? "waiting for " : ", ") + entry.entry_id;
+        }
+      }
+    }
+    const std::string now =
+        fmt::format("{} {}: in force at {} entry daemons{}{}\n", field, version,
+                    reached, waiting.empty() ? "" : "; ", waiting);
+    if (now != progress) {
+      this->err << now;
+      progress = now;
+    }
+    if (waiting.empty()) {
+      return CtlExit::kOk;
+    }
+    if (this->clock.Now() >= deadline) {
+      this->err << "timed out; the change stays accepted\n";
+      return CtlExit::kTimedOut;
+    }
+    std::this_thread::sleep_for(kWaitPause);
+  }
+}
+
+Outcome Session::ShowStatus() {
+  BOOST_OUTCOME_TRY(this->NeedArguments(0, "no arguments"));
+  Json::Value result;
+  result["replicas"] = Json::Value(Json::arrayValue);
+  Error unreachable = MakeError(ResultCode::kConnectFailed);
+  bool answered = false;
+  for (const std::string& address : this->client.Replicas()) {
+    Result<Json::Value> status = this->client.CallAt(
+        address, "control.status", Json::Value(Json::objectValue));
+    Json::Value row;
+    if (status) {
+      answered = true;
+      row = std::move(status.value());
+      row["role"] = row["is_leader"].asBool() ? "leader" : "follower";
+    } else {
+      unreachable = status.error();
+      row["role"] = "unreachable";
+      row["error"] = status.error().message;
+    }
+    row["address"] = address;
+    result["replicas"].append(std::move(row));
+  }
+  if (!answered) {
+    return unreachable;
+  }
+  result["entries"] = Json::Value(Json::arrayValue);
+  BOOST_OUTCOME_TRY(states, this->EntryStates());
+  for (EntryState& entry : states) {
+    Json::Value row = entry.status && entry.status.value().isObject()
+                          ? entry.status.value()
+                          : Json::Value(Json::objectValue);
+    if (!entry.status) {
+      row["error"] = entry.status.error().message;
+    }
+    row["entry_id"] = entry.entry_id;
+    row["address"] = entry.address;
+    result["entries"].append(std::move(row));
+  }
+  const std::string text =
+      FormatTable({{"REPLICA", "id"},
+                   {"ADDRESS", "address"},
+                   {"ROLE", "role"},
+                   {"TERM", "term"},
+                   {"COMMITTED", "commit_index"},
+                   {"APPLIED", "applied_index"},
+                   {"CONFIRMED MS AGO", "confirmation_age_ms"},
+                   {"CONFIGURATION", "configuration_version"},
+                   {"ERROR", "error"}},
+                  result["replicas"]) +
+      "\n" +
+      FormatTable({{"ENTRY DAEMON", "entry_id"},
+                   {"ADDRESS", "address"},
+                   {"CONFIGURATION", "configuration_version"},
+                   {"SHARED", "shared_version"},
+                   {"CONFIRMED MS AGO", "confirmation_age_ms"},
+                   {"IN FLIGHT", "in_flight"},
+                   {"QUEUED", "queued"},
+                   {"DRAINING", "draining"},
+                   {"ERROR", "error"}},
+                  result["entries"]);
+  return this->Done(result, text);
+}
+
+Result<std::vector<std::string>> Session::EntryAddresses() {
+  std::vector<std::string> addresses;
+  if (!this->options.entry.empty()) {
+    addresses.push_back(this->options.entry);
+    return addresses;
+  }
+  if (this->options.control.empty()) {
+    return Usage(this->options, "--entry or --control is required");
+  }
+  BOOST_OUTCOME_TRY(
+      status,
+      this->client.CallAny("control.status", Json::Value(Json::objectValue)));
+  for (const Json::Value& entry : ListById(status["entries"], "entry_id")) {
+    addresses.push_back(entry["address"].asString());
+  }
+  if (addresses.empty()) {
+    return MakeError(ResultCode::kConnectFailed,
+                     "there is no live entry daemon");
+  }
+  return addresses;
+}
+
+Outcome Session::Servers() {
+  BOOST_OUTCOME_TRY(this->NeedArguments(0, "no arguments"));
+  BOOST_OUTCOME_TRY(addresses, this->EntryAddresses());
+  std::map<std::string, Json::Value> newest;
+  bool answered = false;
+  Error last = MakeError(ResultCode::kConnectFailed);
+  for (const std::string& address : addresses) {
+    const Result<Json::Value> answer = this->client.CallAt(
+        address, "entry.servers", Json::Value(Json::objectValue));
+    if (!answer) {
+      last = answer.error();
+      this->err << address << ": " << last.message << "\n";
+      continue;
+    }
+    answered = true;
+    for (const Json::Value& server : answer.value()["servers"]) {
+      Json::Value& known = newest[server["server_id"].asString()];
+      if (known.isNull() || server["report_age_ms"] < known["report_age_ms"]) {
+        known = server;
+      }
+    }
+  }
+  if (!answered) {
+    return last;
+  }
+  Json::Value result;
+  result["servers"] = Json::Value(Json::arrayValue);
+  for (const auto& [id, server] : newest) {
+    result["servers"].append(server);
+  }
+  return this->Done(result, FormatTable({{"SERVER", "server_id"},
+                                         {"ADDRESS", "address"},
+                                         {"KIND", "kind"},
+                                         {"STATE", "state"},
+                                         {"FAILURE DOMAIN", "failure_domain"},
+                                         {"RUNNING", "running"},
+                                         {"SLOTS", "slots"},
+                                         {"REPORT AGE MS", "report_age_ms"},
+                                         {"MODELS", "models"},
+                                         {"LABELS", "labels"}},
+                                        result["servers"]));
+}
+
+void Session::PrintTrace(const Json::Value& trace) {
+  this->out << "class:    " << FormatCell(trace["class"]) << "\n"
+            << "selector: " << FormatCell(trace["selector"]) << "\n"
+            << "reason:   " << FormatCell(trace["reason"]) << "\n\n"
+            << FormatTable({{"SERVER", "server_id"},
+                            {"SCORE", "score"},
+                            {"NOT TAKEN BECAUSE", "rejection"}},
+                           trace["candidates"]);
+}
+
+Outcome Session::Explain() {
+  const bool described =
+      !this->options.labels.empty() || !this->options.class_name.empty() ||
+      !this->options.customer.empty() || !this->options.model.empty();
+  if (this->options.arguments.size() > 1 ||
+      described == (this->options.arguments.size() == 1)) {
+    return Usage(this->options,
+                 "explain expects a request ID, or --labels, --class, "
+                 "--customer or --model");
+  }
+  Json::Value params;
+  if (!described) {
+    params["request_id"] = this->options.arguments[0];
+  } else {
+    params["labels"] = this->options.labels;
+    params["class"] = this->options.class_name;
+    params["customer"] = this->options.customer;
+    params["model"] = this->options.model;
+  }
+  BOOST_OUTCOME_TRY(addresses, this->EntryAddresses());
+  BOOST_OUTCOME_TRY(
+      trace, this->client.CallAt(addresses.front(), "entry.explain", params));
+  if (this->options.json || !trace.isObject()) {
+    return this->Done(trace, Pretty(trace));
+  }
+  this->PrintTrace(trace);
+  return CtlExit::kOk;
+}
+
+Outcome Session::Replica() {
+  const std::vector<std::string>& arguments = this->options.arguments;
+  const std::string action = arguments.empty() ? "" : arguments[0];
+  const bool known =
+      action == "add" || action == "promote" || action == "remove";
+  const std::size_t expected = action == "add" ? 3 : 2;
+  if (!known || arguments.size() != expected || arguments[1].empty() ||
+      arguments[1].find_first_not_of("0123456789") != std::string::npos) {
+    return Usage(this->options,
+                 "replica expects add ID IP:port, promote ID or remove ID");
+  }
+  Json::Value params;
+  params["action"] = action;
+  params["id"] = Json::UInt64(std::strtoull(arguments[1].c_str(), nullptr, 10));
+  if (action == "add") {
+    params["address"] = arguments[2];
+  }
+  BOOST_OUTCOME_TRY(answer, this->client.CallLeader("control.replica", params));
+  return this->Done(answer, FormatTable({{"REPLICA", "id"},
+                                         {"ADDRESS", "address"},
+                                         {"VOTER", "voter"},
+                                         {"REACHABLE", "reachable"},
+                                         {"MATCH", "match_index"}},
+                                        answer["replicas"]));
+}
+
+using Command = Outcome (Session::*)();
+
+const std::map<std::string, Command>& Commands() {
+  static const std::map<std::string, Command> kCommands = {
+      {"apply", &Session::Apply},       {"show", &Session::Show},
+      {"diff", &Session::Diff},         {"history", &Session::History},
+      {"dry-run", &Session::DryRun},    {"servers", &Session::Servers},
+      {"drain", &Session::Drain},       {"undrain", &Session::Drain},
+      {"status", &Session::ShowStatus}, {"explain", &Session::Explain},
+      {"replica", &Session::Replica},
+  };
+  return kCommands;
+}
+
+Outcome Run(const CtlOptions& options,
+            RpcClient& rpc,
+            const Clock& clock,
+            std::ostream& out,
+            std::ostream& err) {
+  const auto command = Commands().find(options.command);
+  if (options.help || options.command == "help") {
+    const std::string topic =
+        options.command == "help" && !options.arguments.empty()
+            ? options.arguments[0]
+            : options.command;
+    out << CtlHelp(topic);
+    return CtlExit::kOk;
+  }
+  if (command == Commands().end()) {
+    return MakeError(
+        ResultCode::kSettingsInvalidValue,
+        options.command.empty()
+            ? "a command is missing; see \"sycamorebend-ctl --help\""
+            : fmt::format("command \"{}\" is unknown; see \"sycamorebend-ctl "
+                          "--help\"",
+                          options.command));
+  }
+  const bool asks_entry =
+      options.command == "servers" || options.command == "explain";
+  if (options.control.empty() && !asks_entry) {
+    return Usage(options, "--control=IP:port[,IP:port...] is required");
+  }
+  Session session(options, rpc, clock, out, err);
+  return (session.*command->second)();
+}
+
+}  // namespace
+
+CtlExit ExitFor(const Error& error) {
+  switch (error.code) {
+    case ResultCode::kSettingsUnreadable:
+    case ResultCode::kSettingsSyntax:
+    case ResultCode::kSettingsInvalidValue:
+      return CtlExit::kUsage;
+    case ResultCode::kVersionConflict:
+      return CtlExit::kConflict;
+    default:
+      return IsUnreachable(error.code) ? CtlExit::kUnreachable
+                                       : CtlExit::kRefused;
+  }
+}
+
+CtlExit RunCtl(const std::vector<std::string>& arguments,
+               RpcClient& rpc,
+               const Clock& clock,
+               std::ostream& out,
+               std::ostream& err) {
+  const Result<CtlOptions> options = ParseCtlOptions(arguments);
+  if (!options) {
+    err << "sycamorebend-ctl: " << options.error().message << "\n";
+    return CtlExit::kUsage;
+  }
+  const Outcome outcome = Run(options.value(), rpc, clock, out, err);
+  if (outcome) {
+    return outcome.value();
+  }
+  const Error& error = outcome.error();
+  err << fmt::format("sycamorebend-ctl: {} ({} {})\n", error.message,
+                     static_cast<int>(error.code),
+                     GetResultCodeInfo(error.code).name);
+  return ExitFor(error);
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/feed/renewals.cc
@@ -0,0 +1,130 @@
+#include "feed/renewals.h"
+
+#include <algorithm>
+
+#include "control/field_reader.h"
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+namespace internal {
+
+namespace {
+
+// Longest time that a poll is held.
+constexpr milliseconds kMaxWait{500};
+// A follower that has not polled for this long no longer counts.
+constexpr Duration kFollowerIdle = seconds(2);
+
+Result<Renewal> ReadRenewal(const Json::Value& value, TimePoint now) {
+  FieldReader reader(value);
+  Renewal renewal;
+  renewal.entry.entry_id = reader.Name("entry_id");
+  renewal.entry.address = reader.Name("address");
+  renewal.entry.failure_domain = reader.OptionalString("failure_domain");
+  renewal.entry.incarnation = reader.Name("incarnation");
+  renewal.entry.draining = reader.OptionalBool("draining");
+  const std::uint64_t age_ms = reader.OptionalUnsigned("age_ms").value_or(0);
+  if (reader.Finish() && !IsAddress(renewal.entry.address)) {
+    reader.Reject("address", "\"IP:port\" with an IPv4 address");
+  }
+  constexpr std::uint64_t kLongestAgeMs = 3600ULL * 1000;
+  renewal.sent = now - milliseconds(std::min(age_ms, kLongestAgeMs));
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return renewal;
+}
+
+}  // namespace
+
+Result<FeedPoll> ReadFeedPoll(const Json::Value& params, TimePoint now) {
+  FieldReader reader(params);
+  FeedPoll poll;
+  poll.have_epoch = reader.OptionalString("have_epoch");
+  poll.have_version = reader.OptionalUnsigned("have_version").value_or(0);
+  const std::uint64_t wait_ms =
+      reader.OptionalUnsigned("wait_ms").value_or(kMaxWait.count());
+  poll.wait =
+      std::min(milliseconds(std::min<std::uint64_t>(wait_ms, kMaxWait.count())),
+               kMaxWait);
+  poll.entry_id = reader.OptionalString("entry_id");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  if (!poll.entry_id.empty()) {
+    BOOST_OUTCOME_TRY(own, ReadRenewal(params, now));
+    poll.renewals.push_back(std::move(own));
+  }
+  const Json::Value& relayed = params["relayed_renewals"];
+  if (!relayed.isNull() && !relayed.isArray()) {
+    return MakeError(ResultCode::kMalformedRequest,
+                     "\"relayed_renewals\" must be a list of renewals");
+  }
+  for (const Json::Value& value : relayed) {
+    BOOST_OUTCOME_TRY(renewal, ReadRenewal(value, now));
+    poll.renewals.push_back(std::move(renewal));
+  }
+  return poll;
+}
+
+Json::Value RenewalToJson(const Renewal& renewal, TimePoint now) {
+  Json::Value value;
+  value["entry_id"] = renewal.entry.entry_id;
+  value["address"] = renewal.entry.address;
+  value["failure_domain"] = renewal.entry.failure_domain;
+  value["incarnation"] = renewal.entry.incarnation;
+  value["draining"] = renewal.entry.draining;
+  // Rounded up: an entry daemon must not appear more alive than it is.
+  value["age_ms"] = Json::Int64(ToMilliseconds(now - renewal.sent) + 1);
+  return value;
+}
+
+void RenewalTable::Add(const Renewal& renewal) {
+  const auto [known, added] =
+      this->renewals.try_emplace(renewal.entry.entry_id, renewal);
+  // A renewal of an earlier incarnation can arrive late through a relay.
+  if (!added && renewal.sent >= known->second.sent) {
+    known->second = renewal;
+  }
+}
+
+void RenewalTable::DropBefore(TimePoint limit) {
+  for (auto entry = this->renewals.begin(); entry != this->renewals.end();) {
+    entry = entry->second.sent < limit ? this->renewals.erase(entry)
+                                       : std::next(entry);
+  }
+}
+
+Json::Value RenewalTable::ToJson(TimePoint now) const {
+  Json::Value list(Json::arrayValue);
+  for (const auto& [id, renewal] : this->renewals) {
+    list.append(RenewalToJson(renewal, now));
+  }
+  return list;
+}
+
+bool FollowerTable::Admit(const FeedPoll& poll, TimePoint now) {
+  if (poll.entry_id.empty()) {
+    return true;
+  }
+  for (auto entry = this->followers.begin(); entry != this->followers.end();) {
+    entry = now - entry->second.last_poll > kFollowerIdle
+                ? this->followers.erase(entry)
+                : std::next(entry);
+  }
+  const auto known = this->followers.find(poll.entry_id);
+  if (known == this->followers.end() && this->followers.size() >= this->limit) {
+    return false;
+  }
+  this->followers[poll.entry_id] = {poll.renewals.front().entry.address, now};
+  return true;
+}
+
+Json::Value FollowerTable::Referral() const {
+  Json::Value answer;
+  answer["busy"] = true;
+  answer["relays"] = Json::Value(Json::arrayValue);
+  for (const auto& [id, follower] : this->followers) {
+    answer["relays"].append(follower.address);
+  }
+  return answer;
+}
+
+}  // namespace internal
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/feed/renewals.h
@@ -0,0 +1,82 @@
+// Signs of life of entry daemons on their way to the leader.
+#ifndef SYCAMOREBEND_SRC_FEED_RENEWALS_H_
+#define SYCAMOREBEND_SRC_FEED_RENEWALS_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <json/value.h>
+
+#include "sycamorebend/base.h"
+#include "sycamorebend/control.h"
+
+namespace sycamorebend {
+namespace internal {
+
+// A renewal received by this process.
+struct Renewal {
+  EntryInfo entry;
+  // When it was sent, at the earliest, on this process's clock.
+  TimePoint sent;
+};
+
+// Parameters of one `feed.poll`.
+struct FeedPoll {
+  std::string have_epoch;
+  std::uint64_t have_version = 0;
+  Duration wait{0};
+  // The caller's entry_id; empty for a control replica that passes renewals
+  // on.
+  std::string entry_id;
+  // The caller's own renewal, if it is an entry daemon, and those that it
+  // passes on.
+  std::vector<Renewal> renewals;
+};
+
+// @return the poll, or kMalformedRequest naming the parameter.
+Result<FeedPoll> ReadFeedPoll(const Json::Value& params, TimePoint now);
+
+Json::Value RenewalToJson(const Renewal& renewal, TimePoint now);
+
+// The newest renewal of each entry daemon. Not thread-safe.
+class RenewalTable {
+ public:
+  // Keeps `renewal` unless a newer one is known.
+  void Add(const Renewal& renewal);
+  // Drops renewals sent before `limit`.
+  void DropBefore(TimePoint limit);
+  Json::Value ToJson(TimePoint now) const;
+
+  const std::map<std::string, Renewal>& All() const { return this->renewals; }
+
+ private:
+  std::map<std::string, Renewal> renewals;
+};
+
+// The daemons that poll this process directly. Not thread-safe.
+class FollowerTable {
+ public:
+  explicit FollowerTable(std::size_t limit) : limit(limit) {}
+
+  // @return false if the poll must go elsewhere, because this process serves
+  // as many others as it may.
+  bool Admit(const FeedPoll& poll, TimePoint now);
+
+  // @return {busy, relays: addresses of daemons served here}.
+  Json::Value Referral() const;
+
+ private:
+  struct Follower {
+    std::string address;
+    TimePoint last_poll;
+  };
+
+  const std::size_t limit;
+  std::map<std::string, Follower> followers;
+};
+
+}  // namespace internal
+}  // namespace sycamorebend
+
+#endif  // SYCAMOREBEND_SRC_FEED_RENEWALS_H_
--- /dev/null
+++ b/src/feed/source_list.cc
@@ -0,0 +1,83 @@
+#include "feed/source_list.h"
+
+#include <algorithm>
+
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+namespace internal {
+
+namespace {
+
+// Relays out of the shared state that are tried in one round. Trying all 380
+// while the control replicas are down would delay the next attempt at those.
+constexpr std::size_t kMaxRelays = 6;
+
+}  // namespace
+
+SourceList::SourceList(const FeedFollowerOptions& options) : options(options) {}
+
+std::string SourceList::Next(const std::shared_ptr<const SharedState>& state) {
+  if (this->remaining.empty()) {
+    this->Refill(state);
+  }
+  if (this->remaining.empty()) {
+    return {};
+  }
+  std::string next = std::move(this->remaining.back());
+  this->remaining.pop_back();
+  return next;
+}
+
+void SourceList::Refer(const Json::Value& relays) {
+  std::vector<std::string> addresses;
+  for (const Json::Value& relay : relays) {
+    if (relay.isString() && IsAddress(relay.asString()) &&
+        relay.asString() != this->options.self.address) {
+      addresses.push_back(relay.asString());
+    }
+  }
+  std::vector<std::string> later;
+  std::swap(later, this->remaining);
+  this->Append(std::move(addresses));
+  // Tried first, hence last in the list.
+  std::reverse(this->remaining.begin(), this->remaining.end());
+  this->remaining.insert(this->remaining.begin(), later.begin(), later.end());
+}
+
+void SourceList::Refill(const std::shared_ptr<const SharedState>& state) {
+  this->Append(this->options.replicas);
+  std::vector<std::string> entries;
+  if (state != nullptr) {
+    this->Append(state->replicas);
+    for (const EntryInfo& entry : state->entries) {
+      if (!entry.draining && entry.entry_id != this->options.self.entry_id) {
+        entries.push_back(entry.address);
+      }
+    }
+  }
+  this->Append(this->options.relays);
+  const std::size_t before = this->remaining.size();
+  this->Append(std::move(entries));
+  this->remaining.resize(std::min(this->remaining.size(), before + kMaxRelays));
+  std::reverse(this->remaining.begin(), this->remaining.end());
+}
+
+void SourceList::Append(std::vector<std::string> addresses) {
+  const auto rank = [this](const std::string& address) {
+    return StableHash64(this->options.self.entry_id + " " + address);
+  };
+  std::sort(addresses.begin(), addresses.end(),
+            [&](const std::string& left, const std::string& right) {
+              return rank(left) < rank(right);
+            });
+  for (std::string& address : addresses) {
+    if (std::find(this->remaining.begin(), this->remaining.end(), address) ==
+        this->remaining.end()) {
+      this->remaining.push_back(std::move(address));
+    }
+  }
+}
+
+}  // namespace internal
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/feed/source_list.h
@@ -0,0 +1,42 @@
+// The order in which a daemon tries the sources of the feed.
+#ifndef SYCAMOREBEND_SRC_FEED_SOURCE_LIST_H_
+#define SYCAMOREBEND_SRC_FEED_SOURCE_LIST_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <json/value.h>
+
+#include "sycamorebend/feed.h"
+
+namespace sycamorebend {
+namespace internal {
+
+// Control replicas first, then relays; within each group in an order that
+// differs between daemons, so that they spread. Not thread-safe.
+class SourceList {
+ public:
+  explicit SourceList(const FeedFollowerOptions& options);
+
+  // @param state the newest state, or nullptr; its replicas and entry daemons
+  // are sources too.
+  // @return the next source; empty if there is none.
+  std::string Next(const std::shared_ptr<const SharedState>& state);
+
+  // Takes the addresses that a busy source named. They are tried next.
+  void Refer(const Json::Value& relays);
+
+ private:
+  void Refill(const std::shared_ptr<const SharedState>& state);
+  void Append(std::vector<std::string> addresses);
+
+  const FeedFollowerOptions& options;
+  // Sources of this round that are still to be tried, last one first.
+  std::vector<std::string> remaining;
+};
+
+}  // namespace internal
+}  // namespace sycamorebend
+
+#endif  // SYCAMOREBEND_SRC_FEED_SOURCE_LIST_H_
--- /dev/null
+++ b/tests/control/memory_log.h
@@ -0,0 +1,167 @@
+// A replicated log of one replica without storage, for tests.
+#ifndef SYCAMOREBEND_TESTS_CONTROL_MEMORY_LOG_H_
+#define SYCAMOREBEND_TESTS_CONTROL_MEMORY_LOG_H_
+
+#include <algorithm>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sycamorebend/consensus.h"
+
+namespace sycamorebend {
+
+class MemoryLog : public ReplicatedLogService {
+ public:
+  MemoryLog(StateMachine& state_machine,
+            ControlThread& control_thread,
+            const Clock& clock)
+      : state_machine(state_machine),
+        control_thread(control_thread),
+        clock(clock) {
+    this->status.id = 1;
+    this->status.term = 1;
+    this->status.is_leader = true;
+    this->status.leader = 1;
+  }
+
+  void Propose(std::string command, ProposeCallback callback) override {
+    if (const Status leading = this->CheckLeader(); !leading) {
+      callback(leading.error());
+      return;
+    }
+    this->control_thread.Post(
+        [this, command = std::move(command), callback = std::move(callback)] {
+          std::string answer = this->Commit(command);
+          if (this->lose_answers.exchange(false)) {
+            callback(MakeError(ResultCode::kTransportTimeout, "answer lost"));
+            return;
+          }
+          callback(std::move(answer));
+        });
+  }
+
+  void ReadBarrier(ReadCallback callback) override {
+    const Status leading = this->CheckLeader();
+    this->control_thread.Post(
+        [leading, callback = std::move(callback)] { callback(leading); });
+  }
+
+  Duration ConfirmationAge() const override { return this->age; }
+
+  void AddReplica(ReplicaId id,
+                  std::string address,
+                  ReadCallback callback) override {
+    this->ChangeReplicas(
+        [id, address](std::vector<ReplicaStatus>& replicas) {
+          replicas.push_back({id, address, false, true, 0});
+        },
+        std::move(callback));
+  }
+  void PromoteReplica(ReplicaId id, ReadCallback callback) override {
+    this->ChangeReplicas(
+        [id](std::vector<ReplicaStatus>& replicas) {
+          for (ReplicaStatus& replica : replicas) {
+            replica.voter = replica.voter || replica.id == id;
+          }
+        },
+        std::move(callback));
+  }
+  void RemoveReplica(ReplicaId id, ReadCallback callback) override {
+    this->ChangeReplicas(
+        [id](std::vector<ReplicaStatus>& replicas) {
+          replicas.erase(std::remove_if(replicas.begin(), replicas.end(),
+                                        [id](const ReplicaStatus& replica) {
+                                          return replica.id == id;
+                                        }),
+                         replicas.end());
+        },
+        std::move(callback));
+  }
+
+  LogStatus GetStatus() const override {
+    std::lock_guard lock(this->mutex);
+    return this->status;
+  }
+
+  Result<Json::Value> HandleMessage(const Json::Value& /*params*/) override {
+    return Json::Value(Json::objectValue);
+  }
+
+  void Stop() override {}
+
+  // Makes this replica a follower of the leader at `address`.
+  void Follow(const std::string& address) {
+    std::lock_guard lock(this->mutex);
+    this->status.is_leader = false;
+    this->status.leader = 2;
+    this->status.leader_address = address;
+  }
+
+  void Lead(const std::string& address) {
+    std::lock_guard lock(this->mutex);
+    this->status.is_leader = true;
+    this->status.leader = this->status.id;
+    this->status.leader_address = address;
+    ++this->status.term;
+  }
+
+  void SetReplicas(std::vector<ReplicaStatus> replicas) {
+    std::lock_guard lock(this->mutex);
+    this->status.replicas = std::move(replicas);
+  }
+
+  // Applies a command as the log of the leader would. Runs on any thread.
+  std::string Commit(const std::string& command) {
+    std::lock_guard lock(this->apply_mutex);
+    LogIndex index = 0;
+    {
+      std::lock_guard status_lock(this->mutex);
+      index = ++this->status.commit_index;
+      this->status.applied_index = this->status.last_index = index;
+    }
+    return this->state_machine.Apply(index, this->clock.WallTimeMs(), command);
+  }
+
+  // What ConfirmationAge returns.
+  std::atomic<Duration> age{Duration(0)};
+  // Commits the next proposal without giving its answer.
+  std::atomic<bool> lose_answers{false};
+
+ private:
+  Status CheckLeader() const {
+    std::lock_guard lock(this->mutex);
+    if (!this->status.is_leader) {
+      return MakeError(ResultCode::kNotLeader,
+                       this->status.leader_address.empty()
+                           ? std::string()
+                           : this->status.leader_address);
+    }
+    return Success();
+  }
+
+  template <typename Change>
+  void ChangeReplicas(const Change& change, ReadCallback callback) {
+    const Status leading = this->CheckLeader();
+    if (leading) {
+      std::lock_guard lock(this->mutex);
+      change(this->status.replicas);
+    }
+    this->control_thread.Post(
+        [leading, callback = std::move(callback)] { callback(leading); });
+  }
+
+  StateMachine& state_machine;
+  ControlThread& control_thread;
+  const Clock& clock;
+  mutable std::mutex mutex;
+  std::mutex apply_mutex;
+  LogStatus status;
+};
+
+}  // namespace sycamorebend
+
+#endif  // SYCAMOREBEND_TESTS_CONTROL_MEMORY_LOG_H_
--- /dev/null
+++ b/tests/feed/feed_test.cc
@@ -0,0 +1,529 @@
+#define BOOST_TEST_MODULE feed
+#include <boost/test/unit_test.hpp>
+
+#include <json/writer.h>
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+
+#include "../control/memory_log.h"
+#include "local_rpc.h"
+#include "sycamorebend/feed.h"
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+
+namespace {
+
+// Far above what any step needs; a test that reaches it fails.
+constexpr Duration kPatience = seconds(20);
+
+// Waits until `condition` holds.
+bool Eventually(const std::function<bool()>& condition) {
+  const auto deadline = std::chrono::steady_clock::now() + kPatience;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  return true;
+}
+
+// A control replica: state, log and source of the feed.
+struct Replica {
+  Replica(LocalRpc& rpc,
+          const Clock& clock,
+          const std::string& address,
+          FeedSourceOptions options = {})
+      : rpc(rpc),
+        source(FeedSource::Create(options, rpc, clock)),
+        state(ControlState::Create(
+            [this](std::shared_ptr<const SharedState> shared) {
+              this->source->Publish(std::move(shared));
+            })),
+        control_thread(clock),
+        log(*state, control_thread, clock) {
+    this->source->SetLog(this->log);
+    rpc.Serve(address, [this](const Json::Value& params) {
+      return this->source->ServePoll(params);
+    });
+  }
+  // Waits for the polls that run in this object.
+  ~Replica() {
+    this->source->Stop();
+    this->rpc.Join();
+  }
+
+  void Init(const std::string& epoch = "x") {
+    this->log.Commit(R"({"type":"cluster.init","epoch":")" + epoch + "\"}");
+  }
+  void Drain(const std::string& server) {
+    this->log.Commit(R"({"type":"server.drain","change_id":"d-)" + server +
+                     R"(","server_id":")" + server + "\"}");
+  }
+  std::size_t Entries() const { return this->state->Shared()->entries.size(); }
+
+  LocalRpc& rpc;
+  std::unique_ptr<FeedSource> source;
+  std::unique_ptr<ControlState> state;
+  ControlThread control_thread;
+  MemoryLog log;
+};
+
+const char kReplica1[] = "127.0.0.1:7001";
+const char kReplica2[] = "127.0.0.1:7002";
+
+struct Fixture {
+  ~Fixture() { this->rpc.Join(); }
+
+  std::shared_ptr<FeedFollower> Follow(const std::string& id,
+                                       std::vector<std::string> replicas,
+                                       std::vector<std::string> relays = {}) {
+    FeedFollowerOptions options;
+    options.self.entry_id = id;
+    options.self.address = "127.0.0.1:" + std::to_string(this->next_port++);
+    options.self.failure_domain = "a";
+    options.self.incarnation = "1";
+    options.replicas = std::move(replicas);
+    options.relays = std::move(relays);
+    const std::string address = options.self.address;
+    std::shared_ptr<FeedFollower> follower = FeedFollower::Start(
+        std::move(options), this->rpc, this->clock,
+        [this](const std::shared_ptr<const SharedState>& state) {
+          std::lock_guard lock(this->mutex);
+          this->updates.push_back(state->version);
+        });
+    this->rpc.Serve(address, [follower](const Json::Value& params) {
+      return follower->ServePoll(params);
+    });
+    return follower;
+  }
+
+  static std::uint64_t VersionOf(const FeedFollower& follower) {
+    const auto state = follower.Current();
+    return state == nullptr ? 0 : state->version;
+  }
+
+  ManualClock clock;
+  LocalRpc rpc;
+  std::mutex mutex;
+  std::vector<std::uint64_t> updates;
+  int next_port = 8001;
+};
+
+// Answers a poll as scripted.
+Json::Value FakeAnswer(const std::string& epoch,
+                       std::uint64_t version,
+                       int age_ms) {
+  SharedState state;
+  state.epoch = epoch;
+  state.version = version;
+  Json::Value answer;
+  answer["epoch"] = epoch;
+  answer["version"] = Json::UInt64(version);
+  answer["snapshot"] = SharedStateToJson(state);
+  answer["confirmed_age_ms"] = age_ms;
+  answer["path"] = Json::Value(Json::arrayValue);
+  return answer;
+}
+
+}  // namespace
+
+// Guards against a follower whose state differs from the replica's.
+BOOST_FIXTURE_TEST_CASE(FollowerGetsSnapshotThenDeltas, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  replica.Drain("s1");
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 2; }));
+  for (int i = 2; i < 30; ++i) {
+    replica.Drain("s" + std::to_string(i));
+  }
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 30; }));
+  BOOST_TEST(SharedStateToJson(*follower->Current()) ==
+             SharedStateToJson(*replica.state->Shared()));
+  follower->Stop();
+  std::lock_guard lock(mutex);
+  BOOST_TEST(std::is_sorted(updates.begin(), updates.end()));
+}
+
+// Guards against sending the whole configuration with each change.
+BOOST_FIXTURE_TEST_CASE(SourceSendsDeltasWhileTheyAreKept, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  Json::Value params;
+  params["wait_ms"] = 0;
+  BOOST_TEST(replica.source->ServePoll(params).value().isMember("snapshot"));
+  replica.Drain("s1");
+  params["have_epoch"] = "x";
+  params["have_version"] = 1;
+  const Json::Value answer = replica.source->ServePoll(params).value();
+  BOOST_TEST(answer["deltas"].size() == 1U);
+  BOOST_TEST(!answer.isMember("snapshot"));
+  for (int i = 0; i < 300; ++i) {
+    replica.Drain("t" + std::to_string(i));
+    params["have_version"] = Json::UInt64(replica.state->Shared()->version - 1);
+    BOOST_TEST(replica.source->ServePoll(params).value().isMember("deltas"));
+  }
+  params["have_version"] = 1;
+  BOOST_TEST(replica.source->ServePoll(params).value().isMember("snapshot"));
+}
+
+// Guards against a daemon that stays with a replica that died, fell silent, or
+// is cut off from the quorum.
+BOOST_FIXTURE_TEST_CASE(FollowerLeavesABadSource, Fixture) {
+  for (int fault = 0; fault < 3; ++fault) {
+    LocalRpc faulty;
+    Replica first(faulty, clock, kReplica1);
+    Replica second(faulty, clock, kReplica2);
+    for (Replica* replica : {&first, &second}) {
+      replica->Init();
+    }
+    FeedFollowerOptions options;
+    options.self = {"e1", "127.0.0.1:8001", "a", "1", false};
+    options.replicas = {kReplica1, kReplica2};
+    options.poll_wait = milliseconds(20);
+    const auto follower = FeedFollower::Start(options, faulty, clock, nullptr);
+    BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 1; }));
+    const bool uses_first = faulty.Calls(kReplica1) > faulty.Calls(kReplica2);
+    const std::string used = uses_first ? kReplica1 : kReplica2;
+    Replica& other = uses_first ? second : first;
+    if (fault == 0) {
+      faulty.Refuse(used);
+    } else if (fault == 1) {
+      faulty.Silence(used);
+    } else {
+      (uses_first ? first : second).log.age = seconds(60);
+    }
+    other.Drain("s1");
+    BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 2; }));
+    follower->Stop();
+    faulty.Join();
+  }
+}
+
+// Guards against going back to an old configuration (invariant I8): a replica
+// that restarted or lags behind must not lower the version.
+BOOST_FIXTURE_TEST_CASE(VersionIsNeverLowered, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  replica.Drain("s1");
+  std::atomic<bool> reached{false};
+  std::atomic<int> polls{0};
+  rpc.Serve(kReplica2, [&](const Json::Value&) -> Result<Json::Value> {
+    if (!reached) {
+      return MakeError(ResultCode::kConnectFailed);
+    }
+    ++polls;
+    return FakeAnswer("x", 1, 0);
+  });
+  const auto follower = this->Follow("e1", {kReplica1, kReplica2});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 2; }));
+  reached = true;
+  rpc.Refuse(kReplica1);
+  const int before = polls;
+  BOOST_TEST(Eventually([&] { return polls > before + 1; }));
+  clock.Advance(seconds(5));
+  BOOST_TEST(Eventually([&] { return polls > before + 4; }));
+  BOOST_TEST(VersionOf(*follower) == 2U);
+  // Nor does the old version count as confirmation.
+  BOOST_TEST((follower->ConfirmationAge() >= seconds(5)));
+  follower->Stop();
+  rpc.Join();
+}
+
+// Guards against mixing the states of two deployments.
+BOOST_FIXTURE_TEST_CASE(OtherDeploymentIsRefused, Fixture) {
+  std::atomic<bool> other{false};
+  std::atomic<int> polls{0};
+  rpc.Serve(kReplica1, [&](const Json::Value&) -> Result<Json::Value> {
+    ++polls;
+    return other ? FakeAnswer("y", 99, 0) : FakeAnswer("x", 5, 0);
+  });
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 5; }));
+  other = true;
+  const int before = polls;
+  BOOST_TEST(Eventually([&] { return polls > before + 3; }));
+  BOOST_TEST(follower->Current()->epoch == "x");
+  follower->Stop();
+  rpc.Join();
+}
+
+// Guards against an age that leaves out the time on the way: a daemon would
+// serve longer than the configuration lease allows.
+BOOST_FIXTURE_TEST_CASE(AgeIncludesTheTimeOfTheCall, Fixture) {
+  std::atomic<int> polls{0};
+  rpc.Serve(kReplica1, [&](const Json::Value&) -> Result<Json::Value> {
+    // The answer of the first poll takes three seconds.
+    if (++polls == 1) {
+      clock.Advance(seconds(3));
+      return FakeAnswer("x", 1, 700);
+    }
+    return MakeError(ResultCode::kConnectFailed);
+  });
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST((follower->ConfirmationAge() >= milliseconds(3700)));
+  BOOST_TEST(Eventually(
+      [&] { return follower->ConfirmationAge() == milliseconds(3700); }));
+  clock.Advance(seconds(1));
+  BOOST_TEST((follower->ConfirmationAge() == milliseconds(4700)));
+  follower->Stop();
+  rpc.Join();
+}
+
+// Guards against an unconfirmed state that passes for a confirmed one.
+BOOST_FIXTURE_TEST_CASE(UnconfirmedStateHasNoAge, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  replica.log.age = Duration::max();
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 1; }));
+  BOOST_TEST((follower->ConfirmationAge() == Duration::max()));
+  follower->Stop();
+}
+
+// Guards against a relay that passes on a younger age than it has, and against
+// a chain that loses changes.
+BOOST_FIXTURE_TEST_CASE(RelayChainAddsUpTheAge, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  const auto first = this->Follow("e1", {kReplica1});
+  const auto second = this->Follow("e2", {}, {"127.0.0.1:8001"});
+  const auto third = this->Follow("e3", {}, {"127.0.0.1:8002"});
+  const std::vector<FeedFollower*> chain = {first.get(), second.get(),
+                                            third.get()};
+  for (FeedFollower* follower : chain) {
+    BOOST_TEST(Eventually([&] { return VersionOf(*follower) >= 1; }));
+  }
+  replica.Drain("s1");
+  for (FeedFollower* follower : chain) {
+    BOOST_TEST(Eventually(
+        [&] { return follower->Current()->drained_servers.count("s1") == 1; }));
+  }
+  // The control replica is gone: from now on every age only grows.
+  replica.source->Stop();
+  rpc.Refuse(kReplica1);
+  clock.Advance(seconds(4));
+  for (int i = 0; i < 50; ++i) {
+    std::this_thread::sleep_for(milliseconds(4));
+    for (FeedFollower* follower : chain) {
+      BOOST_TEST((follower->ConfirmationAge() >= seconds(4)));
+    }
+  }
+  third->Stop();
+  second->Stop();
+  first->Stop();
+}
+
+// Guards against daemons that confirm each other in a circle.
+BOOST_FIXTURE_TEST_CASE(CircleOfRelaysDoesNotConfirm, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  const auto first = this->Follow("e1", {kReplica1}, {"127.0.0.1:8002"});
+  BOOST_TEST(Eventually([&] { return VersionOf(*first) >= 1; }));
+  const auto second = this->Follow("e2", {}, {"127.0.0.1:8001"});
+  BOOST_TEST(Eventually([&] { return VersionOf(*second) >= 1; }));
+  replica.source->Stop();
+  rpc.Refuse(kReplica1);
+  clock.Advance(seconds(9));
+  const int before = rpc.Calls("127.0.0.1:8002");
+  BOOST_TEST(
+      Eventually([&] { return rpc.Calls("127.0.0.1:8002") > before + 3; }));
+  BOOST_TEST((first->ConfirmationAge() >= seconds(9)));
+  BOOST_TEST((second->ConfirmationAge() >= seconds(9)));
+  second->Stop();
+  first->Stop();
+}
+
+// Guards against a source that is polled by every daemon of a large fleet.
+BOOST_FIXTURE_TEST_CASE(BusySourceRefersToItsFollowers, Fixture) {
+  FeedSourceOptions options;
+  options.max_followers = 1;
+  Replica replica(rpc, clock, kReplica1, options);
+  replica.Init();
+  const auto first = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return VersionOf(*first) >= 1; }));
+  const auto second = this->Follow("e2", {kReplica1});
+  BOOST_TEST(Eventually([&] { return VersionOf(*second) >= 1; }));
+  // Both are known to the leader, the second one through its relay.
+  BOOST_TEST(Eventually([&] {
+    replica.source->Tick();
+    return replica.Entries() == 2;
+  }));
+  second->Stop();
+  first->Stop();
+}
+
+// Guards against dropping live daemons when the leader changes, and against
+// keeping a dead one in the list given to callers.
+BOOST_FIXTURE_TEST_CASE(LeaseOfEntryDaemons, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  const auto first = this->Follow("e1", {kReplica1});
+  const auto second = this->Follow("e2", {kReplica1});
+  BOOST_TEST(Eventually([&] {
+    replica.source->Tick();
+    return replica.Entries() == 2;
+  }));
+  first->Stop();
+  // Another replica was the leader for a while: renewals went there.
+  replica.log.Follow("");
+  replica.source->Tick();
+  clock.Advance(seconds(4));
+  replica.log.Lead(kReplica1);
+  replica.source->Tick();
+  clock.Advance(milliseconds(900));
+  replica.source->Tick();
+  replica.control_thread.PostAndWait([] {});
+  BOOST_TEST(replica.Entries() == 2U);
+  BOOST_TEST(Eventually([&] {
+    clock.Advance(milliseconds(5));
+    replica.source->Tick();
+    return replica.Entries() == 1;
+  }));
+  BOOST_TEST(replica.state->Shared()->entries[0].entry_id == "e2");
+  second->Stop();
+}
+
+// Guards against expiring everyone after the leader itself was paused.
+BOOST_FIXTURE_TEST_CASE(PausedLeaderGrantsAFullLease, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  replica.log.Commit(
+      R"({"type":"entry.join","entry_id":"e1","address":"127.0.0.1:8001",)"
+      R"("failure_domain":"a","incarnation":"1"})");
+  replica.source->Tick();
+  clock.Advance(seconds(60));
+  replica.source->Tick();
+  clock.Advance(milliseconds(900));
+  replica.source->Tick();
+  replica.control_thread.PostAndWait([] {});
+  BOOST_TEST(replica.Entries() == 1U);
+}
+
+// Guards against a drain that callers learn of only when the lease expires.
+BOOST_FIXTURE_TEST_CASE(DrainingIsAnnounced, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] {
+    replica.source->Tick();
+    return replica.Entries() == 1;
+  }));
+  follower->SetDraining();
+  BOOST_TEST(Eventually([&] {
+    replica.source->Tick();
+    const auto state = follower->Current();
+    return state->entries.size() == 1 && state->entries[0].draining;
+  }));
+  follower->Stop();
+}
+
+// Guards against renewals that end at a follower replica.
+BOOST_FIXTURE_TEST_CASE(FollowerReplicaPassesRenewalsOn, Fixture) {
+  Replica leader(rpc, clock, kReplica1);
+  Replica replica(rpc, clock, kReplica2);
+  leader.Init();
+  replica.Init();
+  replica.log.Follow(kReplica1);
+  const auto follower = this->Follow("e1", {kReplica2});
+  BOOST_TEST(Eventually([&] {
+    replica.source->Tick();
+    leader.source->Tick();
+    return leader.Entries() == 1;
+  }));
+  follower->Stop();
+}
+
+// Guards against a late renewal of an earlier incarnation that replaces the
+// running one.
+BOOST_FIXTURE_TEST_CASE(LateRenewalDoesNotReplaceANewerOne, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  const auto poll = [&](const std::string& incarnation, int age_ms) {
+    Json::Value params;
+    params["entry_id"] = "e1";
+    params["address"] = "127.0.0.1:8001";
+    params["incarnation"] = incarnation;
+    params["age_ms"] = age_ms;
+    params["wait_ms"] = 0;
+    replica.source->ServePoll(params).value();
+    replica.source->Tick();
+    replica.control_thread.PostAndWait([] {});
+  };
+  poll("2", 0);
+  poll("1", 500);
+  BOOST_REQUIRE(replica.Entries() == 1U);
+  BOOST_TEST(replica.state->Shared()->entries[0].incarnation == "2");
+}
+
+// Guards against a peer of another release that stops the replica, and against
+// errors that do not say what is wrong.
+BOOST_FIXTURE_TEST_CASE(MalformedPollsNameTheField, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  const auto message = [&](const std::string& text) {
+    const Result<Json::Value> answer =
+        replica.source->ServePoll(ParseJson(text).value());
+    BOOST_TEST((!answer.has_value() &&
+                answer.error().code == ResultCode::kMalformedRequest));
+    return answer.has_value() ? std::string() : answer.error().message;
+  };
+  BOOST_TEST(message("[]").find("object") != std::string::npos);
+  BOOST_TEST(message(R"({"have_version":"1"})").find("have_version") !=
+             std::string::npos);
+  BOOST_TEST(message(R"({"entry_id":"e"})").find("address") !=
+             std::string::npos);
+  BOOST_TEST(message(R"({"entry_id":"e","address":"x","incarnation":"1"})")
+                 .find("IPv4") != std::string::npos);
+  BOOST_TEST(message(R"({"relayed_renewals":3})").find("relayed_renewals") !=
+             std::string::npos);
+  BOOST_TEST(message(R"({"relayed_renewals":[3]})").find("object") !=
+             std::string::npos);
+}
+
+// Guards against a malformed answer that ends the follower.
+BOOST_FIXTURE_TEST_CASE(MalformedAnswersAreSurvived, Fixture) {
+  std::atomic<int> polls{0};
+  const std::vector<std::string> answers = {
+      "3",
+      "null",
+      "{}",
+      R"({"busy":true,"relays":[3]})",
+      R"({"busy":true,"relays":"x"})",
+      R"({"epoch":"x","version":1,"confirmed_age_ms":0,"path":[]})",
+      R"({"epoch":"x","version":1,"confirmed_age_ms":0,"path":[],)"
+      R"("deltas":[{"from":0,"patch":{}}]})",
+      R"({"epoch":"x","version":1,"confirmed_age_ms":0,"path":[],)"
+      R"("snapshot":{"version":2}})",
+      R"({"epoch":"x","version":1,"confirmed_age_ms":0,"path":[],)"
+      R"("snapshot":3})",
+      R"({"epoch":"x","version":1,"confirmed_age_ms":"0","path":[]})",
+  };
+  rpc.Serve(kReplica1, [&](const Json::Value&) -> Result<Json::Value> {
+    const auto poll = static_cast<std::size_t>(polls++);
+    return poll < answers.size() ? ParseJson(answers[poll])
+                                 : Result<Json::Value>(FakeAnswer("x", 7, 0));
+  });
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 7; }));
+  follower->Stop();
+  rpc.Join();
+}
+
+// Guards against a stop that waits for a silent source, and against polls that
+// stay blocked.
+BOOST_FIXTURE_TEST_CASE(StopWakesEverything, Fixture) {
+  rpc.Silence(kReplica1);
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return rpc.Calls(kReplica1) > 0; }));
+  follower->Stop();
+  const Result<Json::Value> answer =
+      follower->ServePoll(Json::Value(Json::objectValue));
+  BOOST_TEST((answer.error().code == ResultCode::kShuttingDown));
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/tests/feed/local_rpc.h
@@ -0,0 +1,108 @@
+// RPC between objects of one process, with faults on demand.
+#ifndef SYCAMOREBEND_TESTS_FEED_LOCAL_RPC_H_
+#define SYCAMOREBEND_TESTS_FEED_LOCAL_RPC_H_
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "sycamorebend/rpc.h"
+
+namespace sycamorebend {
+
+class LocalRpc : public RpcClient {
+ public:
+  using Service = std::function<Result<Json::Value>(const Json::Value&)>;
+
+  ~LocalRpc() override { this->Join(); }
+
+  // Waits for the calls in progress; later ones are not made.
+  void Join() {
+    std::vector<std::thread> running;
+    {
+      std::lock_guard lock(this->mutex);
+      running.swap(this->threads);
+      this->joined = true;
+    }
+    this->changed.notify_all();
+    for (std::thread& thread : running) {
+      thread.join();
+    }
+  }
+
+  void Serve(const std::string& address, Service service) {
+    std::lock_guard lock(this->mutex);
+    this->services[address] = std::move(service);
+  }
+
+  // Calls to `address` fail at once.
+  void Refuse(const std::string& address) {
+    std::lock_guard lock(this->mutex);
+    this->services.erase(address);
+  }
+
+  // Calls to `address` get no answer and time out.
+  void Silence(const std::string& address) {
+    std::lock_guard lock(this->mutex);
+    this->silent.insert(address);
+  }
+
+  int Calls(const std::string& address) {
+    std::lock_guard lock(this->mutex);
+    return this->calls[address];
+  }
+
+  void CallAsync(const std::string& address,
+                 const std::string& /*method*/,
+                 const Json::Value& params,
+                 Duration timeout,
+                 RpcCallback callback) override {
+    std::lock_guard lock(this->mutex);
+    if (this->joined) {
+      return;
+    }
+    ++this->calls[address];
+    this->threads.emplace_back(
+        [this, address, params, timeout, callback = std::move(callback)] {
+          callback(this->Answer(address, params, timeout));
+        });
+  }
+
+ private:
+  Result<Json::Value> Answer(const std::string& address,
+                             const Json::Value& params,
+                             Duration timeout) {
+    Service service;
+    {
+      std::unique_lock lock(this->mutex);
+      if (this->silent.count(address) > 0) {
+        this->changed.wait_for(lock, timeout, [this] { return this->joined; });
+        return MakeError(ResultCode::kTransportTimeout);
+      }
+      const auto found = this->services.find(address);
+      if (found == this->services.end()) {
+        return MakeError(ResultCode::kConnectFailed);
+      }
+      service = found->second;
+    }
+    return service(params);
+  }
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::map<std::string, Service> services;
+  std::set<std::string> silent;
+  std::map<std::string, int> calls;
+  std::vector<std::thread> threads;
+  bool joined = false;
+};
+
+}  // namespace sycamorebend
+
+#endif  // SYCAMOREBEND_TESTS_FEED_LOCAL_RPC_H_
