--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -189,14 +189,16 @@
   reply.index = message.index;
   reply.leader_echo = message.leader_echo;
   reply.follower_echo = now.time_since_epoch().count() ^ this->echo_mask;
-  reply.hint = std::min(this->LastIndex(), message.index);
-  const std::optional<Term> conflicting = this->TermAt(reply.hint);
-  // Skips the whole conflicting term: one round per term, not per entry.
-  while (message.term == this->hard.term && conflicting &&
-         *conflicting > message.index_term && reply.hint > this->commit_index &&
-         this->TermAt(reply.hint) == conflicting) {
+  // The entry at message.index is missing or differs. Terms never decrease
+  // along a log, so entries of later terms than the leader's at that place
+  // differ too; the leader skips its own entries of later terms likewise.
+  reply.hint = std::min(this->LastIndex(),
+                        message.index - std::min<LogIndex>(message.index, 1));
+  while (reply.hint > this->commit_index &&
+         this->TermAt(reply.hint).value_or(0) > message.index_term) {
     --reply.hint;
   }
+  reply.index_term = this->TermAt(reply.hint).value_or(0);
   this->SendAfterWrite(std::move(reply), this->hard_state_write);
 }
 
@@ -257,8 +259,12 @@
   Progress& progress = found->second;
   this->NoteReply(message, progress);
   if (!message.granted) {
-    progress.next =
-        std::max(progress.match + 1, std::min(progress.next, message.hint + 1));
+    LogIndex matching = std::min(progress.next - 1, message.hint);
+    while (matching > progress.match &&
+           this->TermAt(matching).value_or(0) > message.index_term) {
+      --matching;
+    }
+    progress.next = std::max(progress.match, matching) + 1;
     progress.in_flight = 0;
   } else {
     progress.match = std::max(progress.match, message.index);
@@ -317,7 +323,9 @@
     this->SendAfterWrite(std::move(reply), this->last_write);
     return;
   }
-  if (message.offset == 0 || this->incoming_index != message.index ||
+  // A repeated first chunk does not start again: the leader ignores answers
+  // that go back, other than to the beginning.
+  if (this->incoming_index != message.index ||
       this->incoming_term != message.term) {
     this->incoming_snapshot.clear();
     this->incoming_index = message.index;
@@ -502,7 +510,9 @@
   if (member->voter) {
     return LogIndex{0};
   }
-  const LogIndex match = this->followers.at(id).match;
+  const auto found = this->followers.find(id);
+  const LogIndex match =
+      found == this->followers.end() ? 0 : found->second.match;
   if (match == 0 || match + kPromotionLagEntries < this->commit_index) {
     return MakeError(ResultCode::kReplicaNotCaughtUp);
   }
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -106,7 +106,8 @@
   LogIndex commit = 0;
   bool granted = false;    // Replies: accepted.
   bool hand_over = false;  // kVote: the leader asked for this election.
-  // kAppendReply with granted == false: where the leader should go on.
+  // kAppendReply with granted == false: the last entry that may match;
+  // index_term is its term.
   LogIndex hint = 0;
   // Leader's send time, returned unchanged by the reply. Meaningful to the
   // leader only.
--- /dev/null
+++ b/tests/consensus/core_test.cc
@@ -0,0 +1,182 @@
+#define BOOST_TEST_MODULE consensus_core
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include "simulation.h"
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr std::uint64_t kSchedules = 3000;
+// Schedules within which a missing safeguard has to show.
+constexpr std::uint64_t kSchedulesToDetect = 400;
+constexpr unsigned kThreads = 3;
+
+// SB_SEED=n runs one schedule, SB_SCHEDULES=n another number of them.
+std::optional<std::uint64_t> NumberFromEnvironment(const char* name) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? std::nullopt
+                         : std::optional(std::strtoull(text, nullptr, 10));
+}
+
+struct RunResult {
+  SimulationCounts counts;
+  std::vector<std::string> violations;
+  std::uint64_t schedules = 0;
+};
+
+// Runs the schedules of seeds 1 to `count` and stops at the first violation.
+// @param safety_only ignores schedules after which the replicas did not
+// recover.
+RunResult RunSchedules(std::uint64_t count,
+                       internal::Safeguards safeguards,
+                       bool safety_only) {
+  RunResult result;
+  std::mutex mutex;
+  std::atomic<std::uint64_t> next = 1;
+  std::atomic<bool> found = false;
+  const auto work = [&] {
+    for (std::uint64_t seed = next++; seed <= count && !found; seed = next++) {
+      SimulationOptions options;
+      options.seed = seed;
+      options.safeguards = safeguards;
+      Simulation simulation(options);
+      std::string violation;
+      try {
+        simulation.RunSchedule();
+      } catch (const Violation& error) {
+        if (error.safety || !safety_only) {
+          violation = error.what();
+          found = true;
+        }
+      }
+      std::lock_guard lock(mutex);
+      result.counts.Add(simulation.Counts());
+      ++result.schedules;
+      if (!violation.empty()) {
+        result.violations.push_back(violation);
+      }
+    }
+  };
+  std::vector<std::thread> threads;
+  for (unsigned i = 0; i < kThreads; ++i) {
+    threads.emplace_back(work);
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  return result;
+}
+
+void RequireDetected(const internal::Safeguards& safeguards) {
+  const RunResult result = RunSchedules(kSchedulesToDetect, safeguards, true);
+  BOOST_TEST_REQUIRE(!result.violations.empty());
+  std::cout << "detected: " << result.violations.front() << "\n";
+}
+
+// @return whether a follower that was isolated for a while leaves the leader
+// and the term as they were.
+bool ReturnIsQuiet(std::uint64_t seed, const internal::Safeguards& safeguards) {
+  SimulationOptions options;
+  options.seed = seed;
+  options.faults = false;
+  options.safeguards = safeguards;
+  Simulation simulation(options);
+  simulation.RunFor(seconds(4));
+  const ReplicaId leader = simulation.LeaseHolder();
+  BOOST_TEST_REQUIRE(leader != 0u);
+  const Term term = simulation.LargestTerm();
+  const ReplicaId isolated = leader % 3 + 1;
+  const auto cut = [&](bool value) {
+    for (ReplicaId other = 1; other <= 3; ++other) {
+      simulation.Cut(isolated, other, value);
+      simulation.Cut(other, isolated, value);
+    }
+  };
+  cut(true);
+  simulation.RunFor(seconds(5));
+  cut(false);
+  simulation.RunFor(seconds(2));
+  return simulation.LeaseHolder() == leader && simulation.LargestTerm() == term;
+}
+
+}  // namespace
+
+// Guards against two leaders in a term, overlapping leases, lost or changed
+// entries, diverging replicas, stale reads, understated confirmation ages and
+// groups that do not recover.
+BOOST_AUTO_TEST_CASE(SchedulesKeepTheLogSafe) {
+  if (const auto seed = NumberFromEnvironment("SB_SEED")) {
+    SimulationOptions options;
+    options.seed = *seed;
+    Simulation simulation(options);
+    try {
+      simulation.RunSchedule();
+    } catch (const Violation& error) {
+      BOOST_ERROR(error.what());
+    }
+    return;
+  }
+  const RunResult result = RunSchedules(
+      NumberFromEnvironment("SB_SCHEDULES").value_or(kSchedules), {}, false);
+  for (const std::string& violation : result.violations) {
+    BOOST_ERROR(violation << " (repeat with SB_SEED)");
+  }
+  const SimulationCounts& counts = result.counts;
+  std::cout << result.schedules << " schedules: " << counts.committed
+            << " entries, " << counts.reads << " reads, " << counts.leaders
+            << " leaders, " << counts.crashes << " crashes, " << counts.freezes
+            << " freezes, " << counts.cuts << " cuts, " << counts.replaced_disks
+            << " replaced disks, " << counts.replica_changes
+            << " replica changes, " << counts.snapshots << " snapshots, "
+            << counts.installed_snapshots << " installed, " << counts.hand_overs
+            << " handovers\n";
+  // Schedules that exercise nothing would pass as well.
+  BOOST_TEST(counts.reads > kSchedules);
+  BOOST_TEST(counts.replaced_disks > kSchedules / 10);
+  BOOST_TEST(counts.replica_changes > kSchedules);
+  BOOST_TEST(counts.installed_snapshots > kSchedules / 10);
+}
+
+// Guards against schedules too weak to notice that acknowledgements precede
+// the sync.
+BOOST_AUTO_TEST_CASE(SchedulesDetectMissingSync) {
+  internal::Safeguards safeguards;
+  safeguards.sync_before_acknowledge = false;
+  RequireDetected(safeguards);
+}
+
+// Guards against schedules too weak to notice a leader that answers without a
+// valid lease.
+BOOST_AUTO_TEST_CASE(SchedulesDetectMissingLeaseCheck) {
+  internal::Safeguards safeguards;
+  safeguards.lease_check = false;
+  RequireDetected(safeguards);
+}
+
+// Guards against schedules too weak to notice that learners vote.
+BOOST_AUTO_TEST_CASE(SchedulesDetectVotingLearners) {
+  internal::Safeguards safeguards;
+  safeguards.learner_without_vote = false;
+  RequireDetected(safeguards);
+}
+
+// Guards against a returning replica that deposes a healthy leader.
+BOOST_AUTO_TEST_CASE(PreVoteProtectsTheLeader) {
+  internal::Safeguards without;
+  without.pre_vote = false;
+  int disturbed = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    BOOST_TEST(ReturnIsQuiet(seed, {}), "seed " << seed);
+    disturbed += ReturnIsQuiet(seed, without) ? 0 : 1;
+  }
+  BOOST_TEST(disturbed > 0);
+}
+
+}  // namespace sycamorebend
