Add the membership registry and a first entry daemon

Cause: callers and backend servers have no process to talk to.

Ruled out: one control-thread task for each token (280,000 tokens/s); one stream name for all attempts of a request, because the cancellation of the first could hit the second at the same engine; cutting a sent order at its deadline, because its late answer settles the outcome.

Conclusion: the daemon builds against the headers; its process needs the feed.

--- /dev/null
+++ b/src/entry/control_calls.h
@@ -0,0 +1,79 @@
+// Calls to the control replicas.
+#ifndef SYCAMOREBEND_SRC_ENTRY_CONTROL_CALLS_H_
+#define SYCAMOREBEND_SRC_ENTRY_CONTROL_CALLS_H_
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "sycamorebend/base.h"
+#include "sycamorebend/rpc.h"
+
+namespace sycamorebend::entry {
+
+// Runs calls at the leader.
+class ControlCalls {
+ public:
+  virtual ~ControlCalls() = default;
+
+  // @param callback runs once, on any thread; must not block. Its error is the
+  // leader's, or that of the last try when `deadline` has passed; in the latter
+  // case the call may have run (see IsUncertain).
+  virtual void Call(const std::string& method,
+                    const Json::Value& params,
+                    TimePoint deadline,
+                    RpcCallback callback) = 0;
+};
+
+// @return true if a call that ended with `code` may have run, or may still
+// run, at the leader.
+bool IsUncertain(ResultCode code);
+
+// Finds the leader: follows the address in a kNotLeader error and tries the
+// replicas in turn while none answers.
+class LeaderCalls : public ControlCalls,
+                    public std::enable_shared_from_this<LeaderCalls> {
+ public:
+  using ReplicaList = std::function<std::vector<std::string>()>;
+
+  // @param replicas returns the known addresses; called from any thread.
+  // @param rpc, timers and clock must outlive the calls.
+  LeaderCalls(ReplicaList replicas,
+              RpcClient& rpc,
+              TimerService& timers,
+              const Clock& clock);
+
+  void Call(const std::string& method,
+            const Json::Value& params,
+            TimePoint deadline,
+            RpcCallback callback) override;
+
+ private:
+  struct Pending;
+
+  void Try(const std::shared_ptr<Pending>& pending);
+  void OnResult(const std::shared_ptr<Pending>& pending,
+                const std::string& address,
+                Result<Json::Value> result);
+  std::string ChooseAddress();
+  // Another address is tried next time; `hint` first if it is one.
+  void Redirect(const std::string& failed, const std::string& hint);
+
+  const ReplicaList replicas;
+  RpcClient& rpc;
+  TimerService& timers;
+  const Clock& clock;
+  std::mutex mutex;
+  // The replica that answered last, or a hint. Empty if none is known.
+  std::string preferred;
+  std::size_t next_replica = 0;
+};
+
+// @return the first "IP:port" in `text`, or an empty string.
+std::string FindAddress(const std::string& text);
+
+}  // namespace sycamorebend::entry
+
+#endif  // SYCAMOREBEND_SRC_ENTRY_CONTROL_CALLS_H_
--- /dev/null
+++ b/src/entry/main.cc
@@ -0,0 +1,98 @@
+// sycamorebend-entry: serves callers and backend servers.
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <time.h>
+
+#include <cstdio>
+#include <memory>
+
+#include "entry/daemon.h"
+#include "entry/settings.h"
+
+ABSL_FLAG(std::string, settings, "", "path of the settings file");
+ABSL_FLAG(bool, check, false, "validate the settings file and exit");
+
+namespace sycamorebend::entry {
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitSettings = 2;
+constexpr int kExitListen = 3;
+constexpr long kDrainPollNanoseconds = 50L * 1000 * 1000;
+
+int Fail(int exit_code, const Error& error) {
+  LogEvent(
+      Severity::kError, Event::kSettingsRejected,
+      {{"code", static_cast<int>(error.code)}, {"message", error.message}});
+  fmt::print(stderr, "{}\n", error.message);
+  return exit_code;
+}
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+DaemonParts RealParts() {
+  DaemonParts parts;
+  parts.make_scheduler = &Scheduler::Create;
+  parts.make_follower = &FeedFollower::Start;
+  return parts;
+}
+
+// @return true if a further signal asks for an immediate end.
+bool WaitForDrain(EntryDaemon& daemon, const sigset_t& signals) {
+  const timespec pause{0, kDrainPollNanoseconds};
+  while (!daemon.AdvanceDrain()) {
+    if (sigtimedwait(&signals, nullptr, &pause) == SIGINT) {
+      return true;
+    }
+  }
+  return false;
+}
+
+int Run() {
+  Result<EntrySettings> settings =
+      LoadEntrySettings(absl::GetFlag(FLAGS_settings));
+  if (!settings) {
+    return Fail(kExitSettings, settings.error());
+  }
+  if (absl::GetFlag(FLAGS_check)) {
+    return kExitOk;
+  }
+  // Blocked before any thread starts, so that only this thread takes them.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  LogEvent(Severity::kInfo, Event::kProcessStarted,
+           {{"entry_id", settings.value().entry_id}});
+  Result<std::unique_ptr<EntryDaemon>> daemon =
+      EntryDaemon::Start(std::move(settings.value()), RealParts());
+  if (!daemon) {
+    return Fail(kExitListen, daemon.error());
+  }
+  int received = 0;
+  sigwait(&signals, &received);
+  daemon.value()->BeginDrain();
+  const bool cut = WaitForDrain(*daemon.value(), signals);
+  daemon.value()->Stop();
+  LogEvent(Severity::kInfo, Event::kProcessStopped, {{"cut", cut}});
+  return kExitOk;
+}
+
+}  // namespace
+
+}  // namespace sycamorebend::entry
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage("sycamorebend-entry --settings=FILE [--check]");
+  absl::ParseCommandLine(argc, argv);
+  return sycamorebend::entry::Run();
+}
--- /dev/null
+++ b/src/entry/shared_view.cc
@@ -0,0 +1,89 @@
+#include "entry/shared_view.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace sycamorebend::entry {
+
+namespace {
+
+// @return the policy of `state`, or nullptr if it cannot be read.
+std::shared_ptr<const Policy> ReadPolicy(const SharedState& state) {
+  if (state.configuration.empty()) {
+    // No operator has applied a configuration yet.
+    return std::make_shared<Policy>();
+  }
+  Result<Policy> parsed = ParsePolicy(state.configuration);
+  if (!parsed) {
+    LogEvent(Severity::kError, Event::kConfigurationConflict,
+             {{"version", state.configuration_version},
+              {"message", parsed.error().message}});
+    return nullptr;
+  }
+  parsed.value().version = state.configuration_version;
+  return std::make_shared<Policy>(std::move(parsed.value()));
+}
+
+}  // namespace
+
+SharedView::SharedView(Duration lease, bool serve_unconfirmed)
+    : lease(lease), serve_unconfirmed(serve_unconfirmed) {}
+
+void SharedView::SetFollower(const FeedFollower* follower) {
+  std::lock_guard lock(this->mutex);
+  this->follower = follower;
+}
+
+SharedSnapshot SharedView::Update(std::shared_ptr<const SharedState> state) {
+  std::shared_ptr<const Policy> policy = this->Current().policy;
+  if (!policy || policy->version != state->configuration_version) {
+    if (auto fresh = ReadPolicy(*state)) {
+      policy = std::move(fresh);
+      LogEvent(Severity::kInfo, Event::kConfigurationInForce,
+               {{"version", state->configuration_version},
+                {"state_version", state->version}});
+    }
+  }
+  std::lock_guard lock(this->mutex);
+  this->snapshot.state = std::move(state);
+  this->snapshot.policy = std::move(policy);
+  return this->snapshot;
+}
+
+SharedSnapshot SharedView::Current() const {
+  std::lock_guard lock(this->mutex);
+  return this->snapshot;
+}
+
+Duration SharedView::ConfirmationAge() const {
+  const FeedFollower* current = nullptr;
+  {
+    std::lock_guard lock(this->mutex);
+    current = this->follower;
+  }
+  return current != nullptr ? current->ConfirmationAge() : Duration::max();
+}
+
+Status SharedView::CheckConfirmed() const {
+  const Duration age = this->ConfirmationAge();
+  std::lock_guard lock(this->mutex);
+  const bool known = this->snapshot.policy != nullptr;
+  if (known && age <= this->lease) {
+    this->unconfirmed_logged = false;
+    return Success();
+  }
+  if (known && this->serve_unconfirmed) {
+    return Success();
+  }
+  if (!this->unconfirmed_logged) {
+    this->unconfirmed_logged = true;
+    LogEvent(
+        Severity::kWarning, Event::kConfigurationUnconfirmed,
+        {{"known", known},
+         {"lease_ms", static_cast<std::int64_t>(ToMilliseconds(this->lease))}});
+  }
+  return MakeError(ResultCode::kConfigurationUnconfirmed);
+}
+
+}  // namespace sycamorebend::entry
--- /dev/null
+++ b/src/entry/sse_splitter.h
@@ -0,0 +1,47 @@
+// Splits a server-sent event stream into whole events.
+#ifndef SYCAMOREBEND_SRC_ENTRY_SSE_SPLITTER_H_
+#define SYCAMOREBEND_SRC_ENTRY_SSE_SPLITTER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sycamorebend::entry {
+
+// One event. The views are valid until the next call of the splitter.
+struct SseEvent {
+  // The event's bytes as received, with the empty line that ends it.
+  std::string_view bytes;
+  // The value of its `id` line, if that is a number.
+  std::optional<std::int64_t> id;
+  bool has_data = false;
+  // True for `data: [DONE]`.
+  bool done = false;
+};
+
+// Takes the stream in pieces of any size. Only line ends, `id` and `data` are
+// interpreted; lines end with LF or CRLF.
+class SseSplitter {
+ public:
+  void Append(std::string_view data);
+
+  // @return the next whole event, or nothing until more data is appended.
+  std::optional<SseEvent> Next();
+
+  // @return bytes that belong to an event that is not whole yet.
+  std::size_t PendingBytes() const {
+    return this->buffer.size() - this->event_begin;
+  }
+
+ private:
+  std::string buffer;
+  std::size_t event_begin = 0;
+  // Up to here the pending event has been searched for its end.
+  std::size_t line_begin = 0;
+};
+
+}  // namespace sycamorebend::entry
+
+#endif  // SYCAMOREBEND_SRC_ENTRY_SSE_SPLITTER_H_
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -126,6 +126,12 @@
     }
     // Without this, libcurl waits for "100 Continue" before larger bodies.
     this->AddHeader("Expect:");
+    // libcurl adds these on its own; a call has the caller's headers only.
+    for (const char* const name : {"Accept", "Content-Type"}) {
+      if (!FindHeader(this->call.headers, name)) {
+        this->AddHeader(std::string(name) + ":");
+      }
+    }
     for (const HttpHeader& header : this->call.headers) {
       this->AddHeader(header.value.empty() ? header.name + ";"
                                            : header.name + ": " + header.value);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -26,6 +26,10 @@
 using internal::ServerExchangeHandle;
 
 constexpr int kStatusBodyTooLarge = 413;
+constexpr int kStatusHeadersTooLarge = 431;
+// libmicrohttpd answers headers that exceed its own limit without an error
+// body, so that limit is this many times the one that is checked here.
+constexpr std::size_t kHeaderMemoryFactor = 2;
 constexpr int kListenBacklog = 1024;
 
 struct BoundSocket {
@@ -98,7 +102,8 @@
         MHD_OPTION_CONNECTION_LIMIT,
         static_cast<unsigned>(this->options.max_connections),
         MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, this->options.max_header_bytes,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        kHeaderMemoryFactor * this->options.max_header_bytes,
         MHD_OPTION_URI_LOG_CALLBACK, &MicrohttpdServer::OnTarget, this,
         MHD_OPTION_NOTIFY_COMPLETED, &MicrohttpdServer::OnCompleted, this,
         MHD_OPTION_NOTIFY_CONNECTION, &MicrohttpdServer::OnConnection, this,
@@ -245,22 +250,33 @@
     if (length) {
       std::from_chars(length->data(), length->data() + length->size(), bytes);
     }
+    std::size_t header_bytes = request.target.size();
+    for (const HttpHeader& header : request.headers) {
+      header_bytes += header.name.size() + header.value.size();
+    }
+    // Answered before the body is read; the connection is closed afterwards.
+    if (header_bytes > this->options.max_header_bytes) {
+      exchange.dispatched = true;
+      RefuseInput(exchange, kStatusHeadersTooLarge,
+                  ResultCode::kHeadersTooLarge);
+      return exchange.QueueOrSuspend();
+    }
     if (bytes > this->options.max_body_bytes) {
-      // Answered before the body is read; the connection is closed afterwards.
       exchange.dispatched = true;
-      RefuseBody(exchange);
+      RefuseInput(exchange, kStatusBodyTooLarge, ResultCode::kBodyTooLarge);
       return exchange.QueueOrSuspend();
     }
     return MHD_YES;
   }
 
-  static void RefuseBody(ServerExchange& exchange) {
-    const ResultCodeInfo& info = GetResultCodeInfo(ResultCode::kBodyTooLarge);
+  static void RefuseInput(ServerExchange& exchange,
+                          int status,
+                          ResultCode code) {
+    const ResultCodeInfo& info = GetResultCodeInfo(code);
     exchange.Respond(
-        kStatusBodyTooLarge,
-        {{"Content-Type", "application/json"}, {"Connection", "close"}},
+        status, {{"Content-Type", "application/json"}, {"Connection", "close"}},
         fmt::format(R"({{"error":{{"code":{},"name":"{}","message":"{}",)"
-                    R"("ran":"not_run","retry":false}}}})",
+                    R"("ran":"not_run","retry":false,"retry_after_ms":0}}}})",
                     static_cast<int>(info.code), info.name, info.message));
   }
 
@@ -287,7 +303,7 @@
       this->open.insert(exchange);
     }
     if (exchange->body_too_large) {
-      RefuseBody(*exchange);
+      RefuseInput(*exchange, kStatusBodyTooLarge, ResultCode::kBodyTooLarge);
     } else {
       const std::weak_ptr<ServerExchange> weak = exchange;
       exchange->watch_id = this->watcher.Add(SocketOf(connection), [weak] {
--- /dev/null
+++ b/tests/entry/control_calls_test.cc
@@ -0,0 +1,107 @@
+#include "entry/control_calls.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace sycamorebend::entry {
+
+namespace {
+
+// Answers calls from a list of results by address.
+class FakeRpc : public RpcClient {
+ public:
+  void CallAsync(const std::string& address,
+                 const std::string& /*method*/,
+                 const Json::Value& /*params*/,
+                 Duration /*timeout*/,
+                 RpcCallback callback) override {
+    this->called.push_back(address);
+    callback(this->answer(address));
+  }
+
+  std::vector<std::string> called;
+  std::function<Result<Json::Value>(const std::string&)> answer;
+};
+
+struct Fixture {
+  // Runs a call of at most one second.
+  Result<Json::Value> Run() {
+    std::optional<Result<Json::Value>> result;
+    this->calls->Call("order.begin", Json::Value(),
+                      this->clock.Now() + seconds(1),
+                      [&](Result<Json::Value> done) { result = done; });
+    for (int i = 0; i < 200 && !result; ++i) {
+      this->clock.Advance(milliseconds(10));
+      this->timers.RunDue();
+    }
+    BOOST_REQUIRE(result.has_value());
+    return *result;
+  }
+
+  ManualClock clock;
+  TimerQueue timers{clock};
+  FakeRpc rpc;
+  std::vector<std::string> replicas = {"10.0.0.1:1", "10.0.0.2:1",
+                                       "10.0.0.3:1"};
+  std::shared_ptr<LeaderCalls> calls =
+      std::make_shared<LeaderCalls>([this] { return this->replicas; },
+                                    rpc,
+                                    timers,
+                                    clock);
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(LeaderIsFollowedAndRemembered, Fixture) {
+  rpc.answer = [](const std::string& address) -> Result<Json::Value> {
+    if (address == "10.0.0.3:1") {
+      return Json::Value(5);
+    }
+    return MakeError(ResultCode::kNotLeader, "the leader is 10.0.0.3:1.");
+  };
+  BOOST_TEST(Run().value().asInt() == 5);
+  BOOST_TEST(Run().value().asInt() == 5);
+  BOOST_TEST(rpc.called == (std::vector<std::string>{"10.0.0.1:1", "10.0.0.3:1",
+                                                     "10.0.0.3:1"}),
+             boost::test_tools::per_element());
+}
+
+// Guards against a hint that names a replica which was just killed.
+BOOST_FIXTURE_TEST_CASE(DeadReplicasArePassedOver, Fixture) {
+  rpc.answer = [](const std::string& address) -> Result<Json::Value> {
+    if (address == "10.0.0.2:1") {
+      return Json::Value(5);
+    }
+    return MakeError(address == "10.0.0.1:1" ? ResultCode::kNotLeader
+                                             : ResultCode::kConnectFailed,
+                     "10.0.0.9:1");
+  };
+  BOOST_TEST(Run().value().asInt() == 5);
+}
+
+BOOST_FIXTURE_TEST_CASE(LeadersErrorIsNotRepeated, Fixture) {
+  rpc.answer = [](const std::string&) -> Result<Json::Value> {
+    return MakeError(ResultCode::kOrderKeyReused);
+  };
+  BOOST_TEST((Run().error().code == ResultCode::kOrderKeyReused));
+  BOOST_TEST(rpc.called.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(DeadlineEndsTheTries, Fixture) {
+  rpc.answer = [](const std::string&) -> Result<Json::Value> {
+    return MakeError(ResultCode::kNoQuorum);
+  };
+  const Result<Json::Value> result = Run();
+  BOOST_TEST(IsUncertain(result.error().code));
+  BOOST_TEST(rpc.called.size() > 3U);
+  replicas.clear();
+  BOOST_TEST(!Run());
+}
+
+BOOST_AUTO_TEST_CASE(AddressesAreFoundInMessages) {
+  BOOST_TEST(FindAddress("10.0.0.1:7000") == "10.0.0.1:7000");
+  BOOST_TEST(FindAddress("replica 2 leads: 10.0.0.1:7000.") == "10.0.0.1:7000");
+  BOOST_TEST(FindAddress("no leader 10.0.0.1") == "");
+  BOOST_TEST(FindAddress("") == "");
+}
+
+}  // namespace sycamorebend::entry
--- /dev/null
+++ b/tests/entry/daemon_fixture.h
@@ -0,0 +1,94 @@
+// An entry daemon inside the test process, with a fake feed, a fake control
+// replica and fake engines.
+#ifndef SYCAMOREBEND_TESTS_ENTRY_DAEMON_FIXTURE_H_
+#define SYCAMOREBEND_TESTS_ENTRY_DAEMON_FIXTURE_H_
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+#include "entry/daemon.h"
+#include "fake_engine.h"
+#include "sycamorebend/http.h"
+
+namespace sycamorebend::entry {
+
+// A feed whose state and age the test sets.
+class FakeFollower : public FeedFollower {
+ public:
+  std::shared_ptr<const SharedState> Current() const override {
+    return nullptr;
+  }
+  Duration ConfirmationAge() const override { return this->age.load(); }
+  void SetDraining() override { this->draining.store(true); }
+  Result<Json::Value> ServePoll(const Json::Value& params) override {
+    return params;
+  }
+  void Stop() override {}
+
+  std::atomic<Duration> age{Duration::zero()};
+  std::atomic<bool> draining{false};
+};
+
+// Serves order.begin, order.finish and order.get from memory.
+class FakeReplica : public HttpHandler, public RpcService {
+ public:
+  FakeReplica();
+  ~FakeReplica() override;
+
+  std::string Address() const { return this->server->Address(); }
+  void Handle(std::shared_ptr<HttpExchange> exchange) override;
+  Result<Json::Value> Call(const std::string& method,
+                           const Json::Value& params) override;
+  // @return "started", "ran", "not_run", or "" if there is no record.
+  std::string StateOf(const std::string& key) const;
+  // While set, no call succeeds.
+  std::atomic<bool> no_quorum{false};
+
+ private:
+  mutable std::mutex mutex;
+  std::map<std::string, Json::Value> records;
+  std::unique_ptr<RpcServer> rpc_server;
+  std::unique_ptr<HttpServer> server;
+};
+
+struct DaemonFixture {
+  DaemonFixture();
+  ~DaemonFixture();
+
+  // Announces the engine and reports for it every 200 ms.
+  void AddEngine(const std::string& server_id, FakeEngine& engine);
+  void StopReports(const std::string& server_id);
+
+  HttpCall ChatCall(const std::string& prompt, bool stream) const;
+  HttpCall OrderCall(const std::string& key) const;
+  HttpCall Call(const std::string& method, const std::string& path) const;
+  // Runs the call; the test fails if there is no answer.
+  HttpResponse Fetch(HttpCall call);
+  // Opens a connection to the daemon and sends `text`.
+  int Connect(const std::string& text) const;
+  // Waits until no request is open at the daemon.
+  void WaitUntilIdle();
+  // @return the value of a line of /metrics, or -1.
+  double Metric(const std::string& line_start);
+
+  void ReportLoop();
+  void Post(const std::string& path, const Json::Value& body);
+
+  FakeReplica replica;
+  FakeFollower* follower = nullptr;
+  std::unique_ptr<HttpClient> client = HttpClient::Create(2);
+  std::unique_ptr<EntryDaemon> daemon;
+  std::mutex mutex;
+  std::map<std::string, Json::Value> reports;
+  std::atomic<bool> stopping{false};
+  std::thread reporter;
+};
+
+}  // namespace sycamorebend::entry
+
+#endif  // SYCAMOREBEND_TESTS_ENTRY_DAEMON_FIXTURE_H_
--- /dev/null
+++ b/tests/entry/daemon_stream_test.cc
@@ -0,0 +1,308 @@
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "daemon_fixture.h"
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend::entry {
+
+namespace {
+
+constexpr const char* kChat = "POST /v1/chat/completions";
+
+// @return the stream without heartbeat comments.
+std::string WithoutHeartbeats(std::string text) {
+  constexpr std::string_view kHeartbeat = ": heartbeat\n\n";
+  for (std::size_t at = text.find(kHeartbeat); at != std::string::npos;
+       at = text.find(kHeartbeat, at)) {
+    text.erase(at, kHeartbeat.size());
+  }
+  return text;
+}
+
+std::string RawChat(const std::string& body) {
+  return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: "
+         "Bearer secret\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Streams, DaemonFixture)
+
+// Guards against an answer that differs from what the engine sent.
+BOOST_AUTO_TEST_CASE(StreamEqualsTheEnginesBytes) {
+  FakeEngine engine;
+  const std::string sent = ": started\n\n" + TokenEvents(1, 300);
+  engine.SetHandler([&](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    for (std::size_t i = 0; i < sent.size(); i += 37) {
+      exchange->Write(std::string_view(sent).substr(i, 37));
+    }
+    exchange->FinishStream();
+  });
+  AddEngine("engine-1", engine);
+  const HttpResponse response = Fetch(ChatCall("hello", true));
+  BOOST_TEST(response.status == 200);
+  BOOST_TEST((WithoutHeartbeats(response.body) == sent));
+  const HttpRequest request = engine.WaitForRequest(kChat);
+  BOOST_TEST(FindHeader(request.headers, "X-Request-Id").value_or("") ==
+             FindHeader(response.headers, "X-Sycamorebend-Request-Id")
+                 .value_or("none"));
+  BOOST_TEST(FindHeader(request.headers, "X-Attempt").value_or("") == "1");
+  BOOST_TEST(FindHeader(request.headers, "X-Priority").value_or("") == "0");
+  BOOST_TEST(!FindHeader(request.headers, "Authorization"));
+  WaitUntilIdle();
+  BOOST_TEST(Metric("sycamorebend_finished_total{class=\"chat\"}") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(WholeCompletionIsPassedOn) {
+  FakeEngine engine;
+  const std::string body = R"({"usage":{"completion_tokens":12},"x":"é"})";
+  engine.SetHandler([&](std::shared_ptr<HttpExchange> exchange) {
+    exchange->Respond(200, {{"Content-Type", "application/json"}}, body);
+  });
+  AddEngine("engine-1", engine);
+  const HttpResponse response = Fetch(ChatCall("hello", false));
+  BOOST_TEST(response.status == 200);
+  BOOST_TEST(response.body == body);
+}
+
+// Guards against an engine's refusal that the caller does not see.
+BOOST_AUTO_TEST_CASE(ClientErrorOfTheEngineIsPassedOn) {
+  FakeEngine engine;
+  engine.SetHandler([&](std::shared_ptr<HttpExchange> exchange) {
+    exchange->Respond(400, {}, "prompt too long");
+  });
+  AddEngine("engine-1", engine);
+  const HttpResponse response = Fetch(ChatCall("hello", true));
+  BOOST_TEST(response.status == 400);
+  BOOST_TEST(response.body == "prompt too long");
+}
+
+// Guards against a caller that sees the crash of an engine before the first
+// token, although another engine could answer.
+BOOST_AUTO_TEST_CASE(CrashBeforeTheFirstTokenIsRetried) {
+  FakeEngine bad;
+  FakeEngine good;
+  bad.SetHandler(
+      [](std::shared_ptr<HttpExchange> exchange) { exchange->AbortStream(); });
+  good.SetHandler([](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    exchange->Write(TokenEvents(1, 3));
+    exchange->FinishStream();
+  });
+  AddEngine("engine-bad", bad);
+  AddEngine("engine-good", good);
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST((Fetch(ChatCall("hello", true)).body == TokenEvents(1, 3)));
+  }
+}
+
+// Guards against a truncated answer that looks whole, and against two outputs
+// in one answer.
+BOOST_AUTO_TEST_CASE(CrashAfterTheFirstTokenEndsWithAnErrorEvent) {
+  FakeEngine first;
+  FakeEngine second;
+  const auto crash = [](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    exchange->Write(TokenEvent(1) + TokenEvent(2) + "id: 3\ndata: {\"ch");
+    exchange->AbortStream();
+  };
+  first.SetHandler(crash);
+  second.SetHandler(crash);
+  AddEngine("engine-1", first);
+  AddEngine("engine-2", second);
+  const HttpResponse response = Fetch(ChatCall("hello", true));
+  const std::string events = TokenEvent(1) + TokenEvent(2) + "event: error\n";
+  const std::string body = WithoutHeartbeats(response.body);
+  BOOST_TEST((body.substr(0, events.size()) == events), body);
+  BOOST_TEST(body.find("[DONE]") == std::string::npos);
+  BOOST_TEST(body.find("\"stream_truncated\"") != std::string::npos);
+  BOOST_TEST(first.CountRequests(kChat) + second.CountRequests(kChat) == 1);
+}
+
+// Guards against a stream that ends early without an error of the transport.
+BOOST_AUTO_TEST_CASE(EndWithoutDoneIsAnError) {
+  FakeEngine engine;
+  engine.SetHandler([](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    exchange->Write(TokenEvent(1));
+    exchange->FinishStream();
+  });
+  AddEngine("engine-1", engine);
+  const std::string body = Fetch(ChatCall("hello", true)).body;
+  BOOST_TEST(body.find("event: error") != std::string::npos);
+  BOOST_TEST(body.find("[DONE]") == std::string::npos);
+}
+
+// Guards against missing or repeated events after a connection went silent in
+// the middle of an event.
+BOOST_AUTO_TEST_CASE(SilentStreamIsResumedAtTheOffset) {
+  FakeEngine engine;
+  std::shared_ptr<HttpExchange> silent;
+  engine.SetHandler([&](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    if (exchange->Request().method == "POST") {
+      exchange->Write(TokenEvent(1) + TokenEvent(2) + "id: 3\nda");
+      silent = exchange;
+      return;
+    }
+    // An engine that sends an event again must not cause a duplicate.
+    exchange->Write(TokenEvent(2) + TokenEvents(3, 9));
+    exchange->FinishStream();
+  });
+  AddEngine("engine-1", engine);
+  const HttpResponse response = Fetch(ChatCall("hello", true));
+  BOOST_TEST((WithoutHeartbeats(response.body) == TokenEvents(1, 9)),
+             response.body);
+  const HttpRequest resume = engine.WaitForRequest("GET /v1/streams/");
+  BOOST_TEST(FindHeader(resume.query, "offset").value_or("") == "2");
+  BOOST_TEST(engine.CountRequests(kChat) == 1);
+}
+
+// Guards against a gap after a resume that the caller cannot see.
+BOOST_AUTO_TEST_CASE(ResumeWithAGapEndsWithAnErrorEvent) {
+  FakeEngine engine;
+  std::shared_ptr<HttpExchange> silent;
+  engine.SetHandler([&](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    if (exchange->Request().method == "POST") {
+      exchange->Write(TokenEvent(1));
+      silent = exchange;
+      return;
+    }
+    exchange->Write(TokenEvents(3, 4));
+    exchange->FinishStream();
+  });
+  AddEngine("engine-1", engine);
+  const std::string body =
+      WithoutHeartbeats(Fetch(ChatCall("hello", true)).body);
+  BOOST_TEST(body.rfind(TokenEvent(1) + "event: error", 0) == 0U, body);
+  BOOST_TEST(body.find("[DONE]") == std::string::npos);
+}
+
+// Guards against an idle connection that a proxy at the caller's side closes.
+BOOST_AUTO_TEST_CASE(IdleStreamHasHeartbeatsBetweenEvents) {
+  FakeEngine engine;
+  std::thread writer;
+  engine.SetHandler([&](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    exchange->Write(TokenEvent(1) + "id: 2\n");
+    writer = std::thread([exchange] {
+      std::this_thread::sleep_for(milliseconds(300));
+      exchange->Write("data: {}\n\ndata: [DONE]\n\n");
+      exchange->FinishStream();
+    });
+  });
+  AddEngine("engine-1", engine);
+  const std::string body = Fetch(ChatCall("hello", true)).body;
+  writer.join();
+  BOOST_TEST(body.find("\n\n: heartbeat\n\n") != std::string::npos);
+  BOOST_TEST((WithoutHeartbeats(body) ==
+              TokenEvent(1) + "id: 2\ndata: {}\n\ndata: [DONE]\n\n"));
+}
+
+// Guards against work for a caller that left while its stream ran.
+BOOST_AUTO_TEST_CASE(CallerGoneMidStreamCancelsUpstream) {
+  FakeEngine engine;
+  std::shared_ptr<HttpExchange> open;
+  engine.SetHandler([&](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    exchange->Write(TokenEvent(1));
+    open = exchange;
+  });
+  AddEngine("engine-1", engine);
+  const int fd = Connect(RawChat(ChatCall("hello", true).body));
+  char byte = 0;
+  BOOST_TEST(recv(fd, &byte, 1, 0) == 1);
+  close(fd);
+  engine.WaitForRequest("DELETE /v1/streams/");
+  WaitUntilIdle();
+  BOOST_TEST(Metric("sycamorebend_wasted_tokens_total{cause=\"caller_gone\"") ==
+             1);
+}
+
+// Guards against a dispatch for a caller that left the queue.
+BOOST_AUTO_TEST_CASE(CallerGoneWhileQueuedIsForgotten) {
+  FakeEngine engine;
+  std::mutex held_mutex;
+  std::vector<std::shared_ptr<HttpExchange>> held;
+  engine.SetHandler([&](std::shared_ptr<HttpExchange> exchange) {
+    std::lock_guard lock(held_mutex);
+    held.push_back(std::move(exchange));
+  });
+  AddEngine("parts-1", engine);
+  // Eight slots are occupied, so that the ninth call waits.
+  const std::string lookup =
+      "GET /stock HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer secret\r\n"
+      "X-Sycamorebend-Labels: kind=lookup\r\n\r\n";
+  std::vector<int> callers;
+  callers.reserve(9);
+  for (int i = 0; i < 9; ++i) {
+    callers.push_back(Connect(lookup));
+  }
+  const auto give_up = std::chrono::steady_clock::now() + seconds(10);
+  while (Metric("sycamorebend_queued{class=\"lookup\"}") != 1) {
+    BOOST_REQUIRE(std::chrono::steady_clock::now() < give_up);
+  }
+  for (const int fd : callers) {
+    close(fd);
+  }
+  WaitUntilIdle();
+  BOOST_TEST(engine.CountRequests("GET /stock") == 8);
+  std::lock_guard lock(held_mutex);
+  held.clear();
+}
+
+// Guards against memory that grows without limit behind a caller that does not
+// read.
+BOOST_AUTO_TEST_CASE(SlowCallerIsDisconnected) {
+  FakeEngine engine;
+  std::thread writer;
+  std::atomic<bool> stop{false};
+  engine.SetHandler([&](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    writer = std::thread([exchange, &stop] {
+      const std::string data = "data: " + std::string(16 << 10, 'x') + "\n\n";
+      // More than the socket buffers of loopback connections hold.
+      for (int i = 0; i < 4000 && !stop.load(); ++i) {
+        exchange->Write(data);
+        while (exchange->PendingBytes() > (1 << 20) && !stop.load()) {
+          std::this_thread::sleep_for(milliseconds(1));
+        }
+      }
+    });
+  });
+  AddEngine("engine-1", engine);
+  const int fd = Connect(RawChat(ChatCall("hello", true).body));
+  engine.WaitForRequest("DELETE /v1/streams/");
+  stop.store(true);
+  writer.join();
+  WaitUntilIdle();
+  BOOST_TEST(Metric("sycamorebend_wasted_tokens_total{cause=\"slow_caller\"") >
+             0);
+  close(fd);
+}
+
+// Guards against new work for a server whose reports ceased.
+BOOST_AUTO_TEST_CASE(SilentServerGetsNoWorkAfterItsLease) {
+  FakeEngine engine;
+  engine.SetHandler([](std::shared_ptr<HttpExchange> exchange) {
+    exchange->Respond(200, {}, "{}");
+  });
+  AddEngine("engine-1", engine);
+  BOOST_TEST(Fetch(ChatCall("hello", false)).status == 200);
+  StopReports("engine-1");
+  std::this_thread::sleep_for(kServerLease + milliseconds(300));
+  const HttpResponse response = Fetch(ChatCall("hello", false));
+  BOOST_TEST(response.status == 503);
+  BOOST_TEST(response.body.find("\"code\":301") != std::string::npos);
+  BOOST_TEST(response.body.find("\"ran\":\"not_run\"") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace sycamorebend::entry
