Add an example for each stable public header

Readers of the headers need a program that runs at once. The five programs end by themselves and check their own result; harness_test runs them, so that they keep up with the libraries. They are no CTest entries of their own, because run_tests.py counts Boost.Test cases only.

The fake engine now announces the role "mixed", the name that placement.h uses.

--- a/tests/fakes/engine_server.cc
+++ b/tests/fakes/engine_server.cc
@@ -56,7 +56,7 @@
   options.identity = ReadIdentity(settings);
   options.models = settings.GetStringList("models");
   options.roles =
-      settings.GetStringList("roles", std::vector<std::string>{"both"});
+      settings.GetStringList("roles", std::vector<std::string>{"mixed"});
   options.checks_fence = settings.GetBool("checks_fence", true);
   options.http_threads =
       static_cast<int>(settings.GetInteger("http_threads", 1, 64, 2));
--- a/tests/system/harness_test.cc
+++ b/tests/system/harness_test.cc
@@ -80,4 +80,13 @@
   }
 }
 
+// Guards against examples that no longer match the libraries.
+BOOST_AUTO_TEST_CASE(ExamplesRun) {
+  for (const char* const name :
+       {"settings", "selector", "http", "rpc", "timer"}) {
+    const CommandResult result = RunCommand(std::string("example-") + name, {});
+    BOOST_TEST(result.exit_status == 0, name << ": " << result.output);
+  }
+}
+
 }  // namespace sycamorebend
