--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -81,6 +81,9 @@
   const Duration resend = kResendHeartbeats * this->options.timings.heartbeat;
   if (progress.snapshot != nullptr) {
     if (now >= progress.snapshot_sent + resend) {
+      // A late answer of an earlier run of the follower may have set the
+      // offset too high. The first chunk is answered with what it really has.
+      progress.snapshot_offset = 0;
       this->SendSnapshotChunk(id, progress, now);
     }
     return;
