--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -81,7 +81,7 @@
   // Largest stored answer of one order, and of all orders together.
   std::size_t order_response_bytes = 64 << 10;
   std::size_t order_responses_bytes = 64 << 20;
-  std::size_t orders = 1000000;
+  std::size_t orders = 500000;
   // Time for all entry daemons to report their part of a crash.
   std::int64_t finding_settle_ms = 1000;
   std::int64_t crash_retention_ms = 3600LL * 1000;
--- a/src/control/change_table.cc
+++ b/src/control/change_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "control/record_codec.h"
 #include "sycamorebend/settings.h"
 
 namespace sycamorebend {
@@ -92,15 +93,17 @@
   this->oldest_first.pop_front();
 }
 
-void ChangeTable::Save(const LineWriter& write) const {
+void ChangeTable::Save(const RecordSink& write) const {
+  std::string bytes;
   for (const std::string& change_id : this->oldest_first) {
     const Change& change = this->changes.at(change_id);
-    Json::Value line;
-    line["change"] = change_id;
-    line["digest"] = change.digest;
-    line["answer"] = change.answer;
-    line["time_ms"] = Json::Int64(change.time_ms);
-    write(line);
+    bytes.clear();
+    RecordWriter record(bytes);
+    record.Text(change_id);
+    record.Text(change.digest);
+    record.Text(change.answer);
+    record.Number(static_cast<std::uint64_t>(change.time_ms));
+    write(bytes);
   }
 }
 
@@ -112,12 +115,19 @@
   this->forgotten_until_ms = header.asInt64();
 }
 
-void ChangeTable::Load(const Json::Value& line) {
-  const std::string change_id = line["change"].asString();
-  this->changes[change_id] = {line["digest"].asString(),
-                              line["answer"].asString(),
-                              line["time_ms"].asInt64()};
+bool ChangeTable::Load(std::string_view record) {
+  RecordReader reader(record);
+  const std::string change_id(reader.Text());
+  Change change;
+  change.digest = reader.Text();
+  change.answer = reader.Text();
+  change.time_ms = reader.Signed();
+  if (reader.Failed() || !reader.AtEnd()) {
+    return false;
+  }
+  this->changes[change_id] = std::move(change);
   this->oldest_first.push_back(change_id);
+  return true;
 }
 
 }  // namespace internal
--- a/src/control/change_table.h
+++ b/src/control/change_table.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <json/value.h>
 
@@ -43,11 +44,13 @@
 
   std::size_t Size() const { return this->changes.size(); }
 
-  using LineWriter = std::function<void(const Json::Value&)>;
-  void Save(const LineWriter& write) const;
+  using RecordSink = std::function<void(std::string_view)>;
+  // Passes each record of the table to `write`.
+  void Save(const RecordSink& write) const;
   Json::Value SaveHeader() const;
   void LoadHeader(const Json::Value& header);
-  void Load(const Json::Value& line);
+  // @return false if the record is damaged.
+  bool Load(std::string_view record);
 
  private:
   struct Change {
--- a/src/control/configuration_history.cc
+++ b/src/control/configuration_history.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include "control/record_codec.h"
 #include "sycamorebend/settings.h"
 
 namespace sycamorebend {
@@ -105,11 +106,17 @@
   return list;
 }
 
-void ConfigurationHistory::Save(const LineWriter& write) const {
+void ConfigurationHistory::Save(const RecordSink& write) const {
+  std::string bytes;
   for (const Change& change : this->changes) {
-    Json::Value line = Describe(change);
-    line["undo"] = change.undo;
-    write(line);
+    bytes.clear();
+    RecordWriter record(bytes);
+    record.Number(change.version);
+    record.Text(change.change_id);
+    record.Text(change.operator_name);
+    record.Number(static_cast<std::uint64_t>(change.time_ms));
+    record.Text(change.undo);
+    write(bytes);
   }
 }
 
@@ -125,15 +132,20 @@
   this->document = header["document"];
 }
 
-void ConfigurationHistory::Load(const Json::Value& line) {
+bool ConfigurationHistory::Load(std::string_view record) {
+  RecordReader reader(record);
   Change change;
-  change.version = line["version"].asUInt64();
-  change.change_id = line["change_id"].asString();
-  change.operator_name = line["operator"].asString();
-  change.time_ms = line["time_ms"].asInt64();
-  change.undo = line["undo"].asString();
+  change.version = reader.Number();
+  change.change_id = reader.Text();
+  change.operator_name = reader.Text();
+  change.time_ms = reader.Signed();
+  change.undo = reader.Text();
+  if (reader.Failed() || !reader.AtEnd()) {
+    return false;
+  }
   this->bytes += change.undo.size();
   this->changes.push_back(std::move(change));
+  return true;
 }
 
 }  // namespace internal
--- a/src/control/configuration_history.h
+++ b/src/control/configuration_history.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include <json/value.h>
 
@@ -40,11 +41,13 @@
   std::size_t Size() const { return this->changes.size(); }
   std::size_t Bytes() const { return this->bytes; }
 
-  using LineWriter = std::function<void(const Json::Value&)>;
-  void Save(const LineWriter& write) const;
+  using RecordSink = std::function<void(std::string_view)>;
+  // Passes each record of the table to `write`.
+  void Save(const RecordSink& write) const;
   Json::Value SaveHeader() const;
   void LoadHeader(const Json::Value& header);
-  void Load(const Json::Value& line);
+  // @return false if the record is damaged.
+  bool Load(std::string_view record);
 
  private:
   struct Change {
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -10,6 +10,7 @@
 #include "control/field_reader.h"
 #include "control/finding_table.h"
 #include "control/order_table.h"
+#include "control/record_codec.h"
 #include "sycamorebend/control.h"
 #include "sycamorebend/settings.h"
 
@@ -22,16 +23,19 @@
 using internal::FieldReader;
 using internal::FindingTable;
 using internal::OrderTable;
+using internal::RecordReader;
+using internal::RecordWriter;
 
 constexpr int kSnapshotFormat = 1;
 
-// First character of a snapshot line: the table that the line belongs to.
+// A snapshot is a sequence of records. Each is a tag, which names its table,
+// its size and its bytes.
 constexpr char kHeaderTag = 'S';
 constexpr char kHistoryTag = 'H';
 constexpr char kChangeTag = 'C';
 constexpr char kOrderTag = 'O';
 constexpr char kFindingTag = 'F';
-// Last line; holds the number of lines before it.
+// Last record; holds the number of records before it.
 constexpr char kEndTag = 'E';
 
 std::string EncodeAnswer(const Result<Json::Value>& result) {
@@ -114,59 +118,71 @@
   }
 }
 
-Status LoadLine(std::string_view line, Tables& tables) {
-  BOOST_OUTCOME_TRY(value, ParseJson(line.substr(1)));
-  switch (line[0]) {
+Error DamagedSnapshot(const std::string& detail) {
+  return MakeError(ResultCode::kProtocolError, "the snapshot " + detail);
+}
+
+Status LoadHeaderRecord(std::string_view record, Tables& tables) {
+  BOOST_OUTCOME_TRY(header, ParseJson(record));
+  const Json::Value& format =
+      header.isObject() ? header["format"] : Json::Value::nullSingleton();
+  if (!format.isInt() || format.asInt() != kSnapshotFormat) {
+    return DamagedSnapshot(
+        fmt::format("has a format other than {}", kSnapshotFormat));
+  }
+  LoadHeader(header, tables);
+  return Success();
+}
+
+Status LoadRecord(char tag, std::string_view record, Tables& tables) {
+  bool loaded = false;
+  switch (tag) {
     case kHeaderTag:
-      if (value["format"].asInt() != kSnapshotFormat) {
-        return MakeError(ResultCode::kProtocolError,
-                         fmt::format("the snapshot has format {}; this program "
-                                     "reads format {}",
-                                     value["format"].asInt(), kSnapshotFormat));
-      }
-      LoadHeader(value, tables);
-      return Success();
+      return LoadHeaderRecord(record, tables);
     case kHistoryTag:
-      tables.history.Load(value);
-      return Success();
+      loaded = tables.history.Load(record);
+      break;
     case kChangeTag:
-      tables.changes.Load(value);
-      return Success();
+      loaded = tables.changes.Load(record);
+      break;
     case kOrderTag:
-      tables.orders.Load(value);
-      return Success();
+      loaded = tables.orders.Load(record);
+      break;
     case kFindingTag:
-      tables.findings.Load(value);
-      return Success();
+      loaded = tables.findings.Load(record);
+      break;
     default:
-      return MakeError(ResultCode::kProtocolError,
-                       "the snapshot has a line of an unknown kind");
+      break;
   }
+  if (!loaded) {
+    return DamagedSnapshot(
+        fmt::format("has a damaged record of kind {}", static_cast<int>(tag)));
+  }
+  return Success();
 }
 
-Status LoadLines(std::string_view snapshot, Tables& tables) {
+Status LoadRecords(std::string_view snapshot, Tables& tables) {
   if (snapshot.empty() || snapshot[0] != kHeaderTag) {
-    return MakeError(ResultCode::kProtocolError,
-                     "the snapshot does not start with its header");
-  }
-  for (Json::UInt64 lines = 0; !snapshot.empty(); ++lines) {
-    const std::size_t end = snapshot.find('\n');
-    if (end == std::string_view::npos || end == 0) {
-      return MakeError(ResultCode::kProtocolError,
-                       "the snapshot ends within a line or has an empty one");
+    return DamagedSnapshot("does not start with its header");
+  }
+  for (std::uint64_t records = 0; !snapshot.empty(); ++records) {
+    const char tag = snapshot[0];
+    snapshot.remove_prefix(1);
+    RecordReader reader(snapshot);
+    const std::string_view record = reader.Text();
+    if (reader.Failed()) {
+      break;
     }
-    const std::string_view line = snapshot.substr(0, end);
-    snapshot.remove_prefix(end + 1);
-    if (line[0] == kEndTag) {
-      BOOST_OUTCOME_TRY(count, ParseJson(line.substr(1)));
-      if (!count.isUInt64() || count.asUInt64() != lines || !snapshot.empty()) {
+    snapshot.remove_prefix(sizeof(std::uint64_t) + record.size());
+    if (tag == kEndTag) {
+      if (RecordReader(record).Number() != records || !snapshot.empty()) {
         break;
       }
       return Success();
     }
-    BOOST_OUTCOME_TRY(LoadLine(line, tables));
+    BOOST_OUTCOME_TRY(LoadRecord(tag, record, tables));
   }
-  return MakeError(ResultCode::kProtocolError, "the snapshot is incomplete");
+  return DamagedSnapshot("is incomplete");
 }
 
 class TableControlState : public ControlState {
@@ -199,23 +215,24 @@
 
   std::string Snapshot() const override {
     std::lock_guard lock(this->mutex);
-    std::string text;
-    Json::UInt64 lines = 0;
-    const auto writer = [&text, &lines](char tag) {
-      return [&text, &lines, tag](const Json::Value& line) {
-        text += tag;
-        text += WriteJson(line);
-        text += '\n';
-        ++lines;
+    std::string bytes;
+    std::uint64_t records = 0;
+    const auto sink = [&bytes, &records](char tag) {
+      return [&bytes, &records, tag](std::string_view record) {
+        bytes += tag;
+        RecordWriter(bytes).Text(record);
+        ++records;
       };
     };
-    writer(kHeaderTag)(SaveHeader(*this->tables));
-    this->tables->history.Save(writer(kHistoryTag));
-    this->tables->changes.Save(writer(kChangeTag));
-    this->tables->orders.Save(writer(kOrderTag));
-    this->tables->findings.Save(writer(kFindingTag));
-    writer(kEndTag)(Json::Value(lines));
-    return text;
+    sink(kHeaderTag)(WriteJson(SaveHeader(*this->tables)));
+    this->tables->history.Save(sink(kHistoryTag));
+    this->tables->changes.Save(sink(kChangeTag));
+    this->tables->orders.Save(sink(kOrderTag));
+    this->tables->findings.Save(sink(kFindingTag));
+    std::string end;
+    RecordWriter(end).Number(records);
+    sink(kEndTag)(end);
+    return bytes;
   }
 
   Status Restore(std::string_view snapshot) override {
@@ -224,7 +241,7 @@
       std::lock_guard lock(this->mutex);
       auto loaded = std::make_unique<Tables>(this->limits);
       try {
-        BOOST_OUTCOME_TRY(LoadLines(snapshot, *loaded));
+        BOOST_OUTCOME_TRY(LoadRecords(snapshot, *loaded));
       } catch (const Json::Exception& exception) {
         return MakeError(ResultCode::kProtocolError,
                          std::string("the snapshot has a value of another "
--- a/src/control/finding_table.cc
+++ b/src/control/finding_table.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "control/field_reader.h"
+#include "control/record_codec.h"
 
 namespace sycamorebend {
 namespace internal {
@@ -113,36 +114,43 @@
       });
 }
 
-void FindingTable::Save(const LineWriter& write) const {
+void FindingTable::Save(const RecordSink& write) const {
+  std::string bytes;
   for (const Crash& crash : this->crashes) {
-    Json::Value line;
-    line["crash"] = crash.id;
-    line["time_ms"] = Json::Int64(crash.time_ms);
-    line["settled"] = crash.settled;
+    bytes.clear();
+    RecordWriter record(bytes);
+    record.Text(crash.id);
+    record.Number(static_cast<std::uint64_t>(crash.time_ms));
+    record.Number(crash.settled ? 1 : 0);
     for (const std::string& candidate : crash.candidates) {
-      line["candidates"].append(candidate);
+      record.Text(candidate);
     }
-    write(line);
+    write(bytes);
   }
+  // A record of one text is a quarantined fingerprint.
   for (const std::string& fingerprint : this->quarantined_oldest_first) {
-    write(fingerprint);
+    bytes.clear();
+    RecordWriter(bytes).Text(fingerprint);
+    write(bytes);
   }
 }
 
-void FindingTable::Load(const Json::Value& line) {
-  if (line.isString()) {
-    this->quarantined.insert(line.asString());
-    this->quarantined_oldest_first.push_back(line.asString());
-    return;
-  }
+bool FindingTable::Load(std::string_view record) {
+  RecordReader reader(record);
   Crash crash;
-  crash.id = line["crash"].asString();
-  crash.time_ms = line["time_ms"].asInt64();
-  crash.settled = line["settled"].asBool();
-  for (const Json::Value& candidate : line["candidates"]) {
-    crash.candidates.insert(candidate.asString());
+  crash.id = reader.Text();
+  if (reader.AtEnd() && !reader.Failed()) {
+    this->quarantined.insert(crash.id);
+    this->quarantined_oldest_first.push_back(std::move(crash.id));
+    return true;
+  }
+  crash.time_ms = reader.Signed();
+  crash.settled = reader.Number() != 0;
+  while (!reader.AtEnd() && !reader.Failed()) {
+    crash.candidates.emplace(reader.Text());
   }
   this->crashes.push_back(std::move(crash));
+  return !reader.Failed();
 }
 
 }  // namespace internal
--- a/src/control/finding_table.h
+++ b/src/control/finding_table.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <json/value.h>
@@ -34,9 +35,11 @@
   const std::set<std::string>& Quarantined() const { return this->quarantined; }
   std::size_t Crashes() const { return this->crashes.size(); }
 
-  using LineWriter = std::function<void(const Json::Value&)>;
-  void Save(const LineWriter& write) const;
-  void Load(const Json::Value& line);
+  using RecordSink = std::function<void(std::string_view)>;
+  // Passes each record of the table to `write`.
+  void Save(const RecordSink& write) const;
+  // @return false if the record is damaged.
+  bool Load(std::string_view record);
 
  private:
   struct Crash {
--- a/src/control/order_table.cc
+++ b/src/control/order_table.cc
@@ -3,8 +3,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 
 #include "control/field_reader.h"
+#include "control/record_codec.h"
 #include "sycamorebend/settings.h"
 
 namespace sycamorebend {
@@ -130,6 +132,7 @@
   const std::string state = reader.Name("state");
   const auto status =
       static_cast<std::int64_t>(reader.OptionalUnsigned("status").value_or(0));
+  const bool dropped = reader.OptionalBool("response_dropped");
   if (state != "ran" && state != "not_run") {
     reader.Reject("state", "\"ran\" or \"not_run\"");
   }
@@ -151,6 +154,7 @@
   if (order.state == State::kStarted) {
     order.state = wanted;
     order.status = status;
+    order.response_dropped = dropped;
     if (wanted == State::kRan) {
       this->Store(id, order, command["response"]);
     }
@@ -259,52 +263,60 @@
   return Describe(found->second);
 }
 
-void OrderTable::Save(const LineWriter& write) const {
+void OrderTable::Save(const RecordSink& write) const {
+  std::string bytes;
   const auto save = [&](const std::string& id) {
     const Order& order = this->orders.at(id);
-    Json::Value line(Json::arrayValue);
-    line.append(id);
-    line.append(static_cast<int>(order.state));
-    line.append(order.expired);
-    line.append(order.response_dropped);
-    line.append(Json::Int64(order.begun_ms));
-    line.append(Json::Int64(order.status));
-    line.append(order.body_digest);
-    line.append(order.attempt_id);
-    line.append(order.entry_id);
-    line.append(order.response);
-    write(line);
+    bytes.clear();
+    RecordWriter record(bytes);
+    record.Text(id);
+    record.Number(static_cast<std::uint64_t>(order.state));
+    record.Number(order.expired ? 1 : 0);
+    record.Number(order.response_dropped ? 1 : 0);
+    record.Number(static_cast<std::uint64_t>(order.begun_ms));
+    record.Number(static_cast<std::uint64_t>(order.status));
+    record.Text(order.body_digest);
+    record.Text(order.attempt_id);
+    record.Text(order.entry_id);
+    record.Text(order.response);
+    write(bytes);
   };
   std::for_each(this->expired.begin(), this->expired.end(), save);
   std::for_each(this->live.begin(), this->live.end(), save);
-  // The sequence in which answers are dropped is part of the state.
+  // The sequence in which answers are dropped is part of the state. A record of
+  // one text is a step of it.
   for (const std::string& id : this->answered) {
-    Json::Value line(Json::arrayValue);
-    line.append(id);
-    write(line);
+    bytes.clear();
+    RecordWriter(bytes).Text(id);
+    write(bytes);
   }
 }
 
-void OrderTable::Load(const Json::Value& line) {
-  const std::string id = line[0].asString();
-  if (line.size() == 1) {
+bool OrderTable::Load(std::string_view record) {
+  RecordReader reader(record);
+  const std::string id(reader.Text());
+  if (reader.AtEnd() && !reader.Failed()) {
     this->answered.push_back(id);
-    return;
+    return true;
   }
-  Json::ArrayIndex next = 1;
   Order order;
-  order.state = static_cast<State>(line[next++].asInt());
-  order.expired = line[next++].asBool();
-  order.response_dropped = line[next++].asBool();
-  order.begun_ms = line[next++].asInt64();
-  order.status = line[next++].asInt64();
-  order.body_digest = line[next++].asString();
-  order.attempt_id = line[next++].asString();
-  order.entry_id = line[next++].asString();
-  order.response = line[next++].asString();
+  const std::uint64_t state = reader.Number();
+  order.expired = reader.Number() != 0;
+  order.response_dropped = reader.Number() != 0;
+  order.begun_ms = reader.Signed();
+  order.status = reader.Signed();
+  order.body_digest = reader.Text();
+  order.attempt_id = reader.Text();
+  order.entry_id = reader.Text();
+  order.response = reader.Text();
+  if (reader.Failed() || !reader.AtEnd() || state >= std::size(kStateNames)) {
+    return false;
+  }
+  order.state = static_cast<State>(state);
   this->response_bytes += order.response.size();
   (order.expired ? this->expired : this->live).push_back(id);
   this->orders.emplace(id, std::move(order));
+  return true;
 }
 
 }  // namespace internal
--- a/src/control/order_table.h
+++ b/src/control/order_table.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include <json/value.h>
@@ -38,9 +39,11 @@
   std::size_t Size() const { return this->orders.size(); }
   std::size_t ResponseBytes() const { return this->response_bytes; }
 
-  using LineWriter = std::function<void(const Json::Value&)>;
-  void Save(const LineWriter& write) const;
-  void Load(const Json::Value& line);
+  using RecordSink = std::function<void(std::string_view)>;
+  // Passes each record of the table to `write`.
+  void Save(const RecordSink& write) const;
+  // @return false if the record is damaged.
+  bool Load(std::string_view record);
 
  private:
   enum class State : int { kStarted = 0, kRan = 1, kNotRun = 2 };
--- a/src/controld/control_http.cc
+++ b/src/controld/control_http.cc
@@ -22,6 +22,15 @@
                    std::string(GetResultCodeInfo(code).message) + "\n");
 }
 
+// @return true if `body` is a call of `method` as our own client writes it,
+// with sorted keys and no white space. A call that is written differently only
+// runs among the others.
+bool IsCallOf(std::string_view body, std::string_view method) {
+  constexpr std::size_t kLongestHead = 128;
+  const std::string key = "\"method\":\"" + std::string(method) + "\"";
+  return body.substr(0, kLongestHead).find(key) != std::string_view::npos;
+}
+
 void AddGauge(prometheus::Registry& registry,
               const std::string& name,
               const std::string& help,
@@ -37,8 +46,11 @@
 
 }  // namespace
 
-ControlHttp::ControlHttp(ControlService& service, int rpc_threads)
-    : service(service), rpc_server(RpcServer::Create(service, rpc_threads)) {}
+ControlHttp::ControlHttp(ControlService& service, const ControlThreads& threads)
+    : service(service),
+      raft_calls(RpcServer::Create(service, threads.raft)),
+      feed_calls(RpcServer::Create(service, threads.feed)),
+      other_calls(RpcServer::Create(service, threads.other)) {}
 
 void ControlHttp::Handle(std::shared_ptr<HttpExchange> exchange) {
   const HttpRequest& request = exchange->Request();
@@ -47,7 +59,11 @@
       RespondError(*exchange, kStatusNotAllowed, ResultCode::kMethodNotAllowed);
       return;
     }
-    this->rpc_server->Handle(std::move(exchange));
+    const std::string& body = request.body;
+    RpcServer& server = IsCallOf(body, kRaftMessageMethod) ? *this->raft_calls
+                        : IsCallOf(body, kFeedPollMethod)  ? *this->feed_calls
+                                                           : *this->other_calls;
+    server.Handle(std::move(exchange));
     return;
   }
   this->Get(*exchange);
--- a/src/controld/control_http.h
+++ b/src/controld/control_http.h
@@ -10,10 +10,18 @@
 
 namespace sycamorebend {
 
+// Calls that can run at the same time, by kind. Calls of one kind do not wait
+// for those of another: proposals hold a thread until messages between replicas
+// have committed them, and polls are held for half a second.
+struct ControlThreads {
+  int raft = 4;
+  int feed = 96;
+  int other = 64;
+};
+
 class ControlHttp : public HttpHandler {
  public:
-  // @param rpc_threads calls that can run at the same time.
-  ControlHttp(ControlService& service, int rpc_threads);
+  ControlHttp(ControlService& service, const ControlThreads& threads);
 
   void Handle(std::shared_ptr<HttpExchange> exchange) override;
 
@@ -21,7 +29,9 @@
   void Get(HttpExchange& exchange);
 
   ControlService& service;
-  const std::unique_ptr<RpcServer> rpc_server;
+  const std::unique_ptr<RpcServer> raft_calls;
+  const std::unique_ptr<RpcServer> feed_calls;
+  const std::unique_ptr<RpcServer> other_calls;
 };
 
 // @return the replica's figures in the Prometheus text format.
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -230,7 +230,15 @@
 }
 
 Result<Json::Value> ControlService::FinishOrder(const Json::Value& params) {
-  return this->Propose("order.finish", params);
+  // The log refuses entries that are too large, and the order would stay
+  // without an outcome.
+  Json::Value command = params;
+  if (WriteJson(params["response"]).size() >
+      ControlLimits().order_response_bytes) {
+    command.removeMember("response");
+    command["response_dropped"] = true;
+  }
+  return this->Propose("order.finish", std::move(command));
 }
 
 Result<Json::Value> ControlService::GetOrder(const Json::Value& params) {
--- a/src/controld/main.cc
+++ b/src/controld/main.cc
@@ -24,9 +24,9 @@
 
 constexpr int kClientThreads = 2;
 constexpr Duration kTickPeriod = milliseconds(200);
-// Calls that run besides the polls of followers: proposals, which wait for a
-// sync of the disk, and messages between replicas.
-constexpr int kOtherCalls = 64;
+// Polls that control replicas send each other to pass renewals on, and polls
+// that are referred elsewhere.
+constexpr int kSparePolls = 16;
 // Longest time that a graceful stop waits for open calls.
 constexpr Duration kStopTimeout = seconds(5);
 constexpr Duration kStopCheck = milliseconds(20);
@@ -58,8 +58,9 @@
         feed->Publish(std::move(shared));
       });
   ControlService service(*state, *feed, clock);
-  ControlHttp http(service,
-                   static_cast<int>(settings.feed.max_followers) + kOtherCalls);
+  ControlThreads threads;
+  threads.feed = static_cast<int>(settings.feed.max_followers) + kSparePolls;
+  ControlHttp http(service, threads);
   HttpServerOptions http_options;
   http_options.address = settings.log.address;
   auto server = HttpServer::Start(http_options, http);
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -3,6 +3,7 @@
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fstream>
 #include <map>
 #include <optional>
@@ -57,6 +58,16 @@
       fmt::gmtime(static_cast<std::time_t>(time_ms / kMsPerSecond)));
 }
 
+bool IsNumber(const std::string& text) {
+  constexpr std::size_t kMaxDigits = 18;
+  return !text.empty() && text.size() <= kMaxDigits &&
+         text.find_first_not_of("0123456789") == std::string::npos;
+}
+
+std::uint64_t ToNumber(const std::string& text) {
+  return std::strtoull(text.c_str(), nullptr, 10);
+}
+
 // Turns {"id": {...}} into [{KEY: "id", ...}].
 Json::Value ListById(const Json::Value& object, const std::string& key) {
   Json::Value list(Json::arrayValue);
@@ -211,17 +222,12 @@
 Outcome Session::Diff() {
   const std::vector<std::string>& arguments = this->options.arguments;
   if (arguments.size() == 2) {
-    std::vector<Json::Value> documents;
-    for (const std::string& argument : arguments) {
-      if (argument.empty() ||
-          argument.find_first_not_of("0123456789") != std::string::npos) {
-        return Usage(this->options, "diff expects one file or two versions");
-      }
-      BOOST_OUTCOME_TRY(shown, this->ShowVersion(std::strtoull(argument.c_str(),
-                                                               nullptr, 10)));
-      documents.push_back(shown["document"]);
+    if (!IsNumber(arguments[0]) || !IsNumber(arguments[1])) {
+      return Usage(this->options, "diff expects one file or two versions");
     }
-    return this->PrintDifferences(documents[0], documents[1]);
+    BOOST_OUTCOME_TRY(before, this->ShowVersion(ToNumber(arguments[0])));
+    BOOST_OUTCOME_TRY(after, this->ShowVersion(ToNumber(arguments[1])));
+    return this->PrintDifferences(before["document"], after["document"]);
   }
   BOOST_OUTCOME_TRY(this->NeedArguments(1, "one file or two versions"));
   BOOST_OUTCOME_TRY(document, ReadDocument(arguments[0]));
@@ -340,7 +346,10 @@
   result["replicas"] = Json::Value(Json::arrayValue);
   Error unreachable = MakeError(ResultCode::kConnectFailed);
   bool answered = false;
-  for (const std::string& address : this->client.Replicas()) {
+  // Replicas that the answers name are asked too.
+  std::vector<std::string> addresses = this->client.Replicas();
+  for (std::size_t next = 0; next < addresses.size(); ++next) {
+    const std::string address = addresses[next];
     Result<Json::Value> status = this->client.CallAt(
         address, "control.status", Json::Value(Json::objectValue));
     Json::Value row;
@@ -348,6 +357,13 @@
       answered = true;
       row = std::move(status.value());
       row["role"] = row["is_leader"].asBool() ? "leader" : "follower";
+      for (const Json::Value& replica : row["replicas"]) {
+        const std::string named = replica["address"].asString();
+        if (std::find(addresses.begin(), addresses.end(), named) ==
+            addresses.end()) {
+          addresses.push_back(named);
+        }
+      }
     } else {
       unreachable = status.error();
       row["role"] = "unreachable";
@@ -486,10 +502,17 @@
   if (!described) {
     params["request_id"] = this->options.arguments[0];
   } else {
-    params["labels"] = this->options.labels;
-    params["class"] = this->options.class_name;
-    params["customer"] = this->options.customer;
-    params["model"] = this->options.model;
+    const std::pair<const char*, const std::string&> described_by[] = {
+        {"labels", this->options.labels},
+        {"class", this->options.class_name},
+        {"customer", this->options.customer},
+        {"model", this->options.model},
+    };
+    for (const auto& [key, value] : described_by) {
+      if (!value.empty()) {
+        params[key] = value;
+      }
+    }
   }
   BOOST_OUTCOME_TRY(addresses, this->EntryAddresses());
   BOOST_OUTCOME_TRY(
@@ -507,14 +530,13 @@
   const bool known =
       action == "add" || action == "promote" || action == "remove";
   const std::size_t expected = action == "add" ? 3 : 2;
-  if (!known || arguments.size() != expected || arguments[1].empty() ||
-      arguments[1].find_first_not_of("0123456789") != std::string::npos) {
+  if (!known || arguments.size() != expected || !IsNumber(arguments[1])) {
     return Usage(this->options,
                  "replica expects add ID IP:port, promote ID or remove ID");
   }
   Json::Value params;
   params["action"] = action;
-  params["id"] = Json::UInt64(std::strtoull(arguments[1].c_str(), nullptr, 10));
+  params["id"] = Json::UInt64(ToNumber(arguments[1]));
   if (action == "add") {
     params["address"] = arguments[2];
   }
--- a/src/ctl/document_diff.cc
+++ b/src/ctl/document_diff.cc
@@ -75,7 +75,7 @@
                       const Members& before,
                       const Members& after) {
     for (const auto& [name, value] : before) {
-      const std::string path = prefix + name + suffix;
+      const std::string path = fmt::format("{}{}{}", prefix, name, suffix);
       const auto found = after.find(name);
       if (found == after.end()) {
         this->lines.push_back(fmt::format("- {}: {}", path, WriteJson(*value)));
--- a/src/ctl/table.cc
+++ b/src/ctl/table.cc
@@ -43,6 +43,7 @@
   }
   for (const Json::Value& row : rows) {
     std::vector<std::string> cells;
+    cells.reserve(columns.size());
     for (const Column& column : columns) {
       cells.push_back(row.isObject() ? FormatCell(row[column.key]) : "-");
     }
--- a/tests/control/control_test.cc
+++ b/tests/control/control_test.cc
@@ -3,6 +3,7 @@
 
 #include <random>
 
+#include "control/record_codec.h"
 #include "control_fixture.h"
 
 namespace sycamorebend {
@@ -172,10 +173,26 @@
   for (std::size_t size = 0; size < snapshot.size(); ++size) {
     BOOST_TEST(!this->state->Restore(snapshot.substr(0, size)).has_value());
   }
-  BOOST_TEST(!this->state->Restore("S[]\n").has_value());
-  BOOST_TEST(!this->state->Restore("S{\"format\":2}\n").has_value());
-  BOOST_TEST(
-      !this->state->Restore("S{\"format\":1,\"history\":3}\n").has_value());
+  for (const char* header :
+       {"[]", "{}", R"({"format":2})", R"({"format":1,"history":3})"}) {
+    std::string damaged = "S";
+    internal::RecordWriter(damaged).Text(header);
+    const Status restored = this->state->Restore(damaged);
+    BOOST_TEST(!restored.has_value());
+    BOOST_TEST(restored.error().message.find("incomplete") ==
+               std::string::npos);
+  }
+  BOOST_TEST(this->state->Snapshot() == snapshot);
+  // A changed byte is refused, or gives a state that works.
+  for (std::size_t place = 0; place < snapshot.size(); ++place) {
+    std::string damaged = snapshot;
+    damaged[place] = static_cast<char>(damaged[place] ^ 0x11);
+    ControlFixture other;
+    if (other.state->Restore(damaged)) {
+      (void)other.Configure("b", 1, 2);
+      (void)other.state->Snapshot();
+    }
+  }
 }
 
 // Guards against a command that stops the replica, or changes anything.
--- a/tests/control/memory_log.h
+++ b/tests/control/memory_log.h
@@ -33,6 +33,8 @@
       callback(leading.error());
       return;
     }
+    this->largest_command =
+        std::max(this->largest_command.load(), command.size());
     this->control_thread.Post(
         [this, command = std::move(command), callback = std::move(callback)] {
           std::string answer = this->Commit(command);
@@ -128,6 +130,8 @@
 
   // What ConfirmationAge returns.
   std::atomic<Duration> age{Duration(0)};
+  // Size of the largest command that was proposed.
+  std::atomic<std::size_t> largest_command{0};
   // Commits the next proposal without giving its answer.
   std::atomic<bool> lose_answers{false};
 
--- /dev/null
+++ b/tests/control/service_test.cc
@@ -0,0 +1,304 @@
+#define BOOST_TEST_MODULE control_service
+#include <boost/test/unit_test.hpp>
+
+#include <json/writer.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "control_node.h"
+#include "controld/control_settings.h"
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+
+namespace {
+
+const char kDocument[] =
+    R"({"tiers":["urgent"],"classes":[{"name":"r","tier":"urgent"}]})";
+
+struct Fixture {
+  Result<Json::Value> Call(const std::string& method,
+                           const std::string& params) {
+    return this->rpc->Call(this->node.Address(), method,
+                           ParseJson(params).value(), seconds(10));
+  }
+
+  Error Refusal(const std::string& method, const std::string& params) {
+    const Result<Json::Value> result = this->Call(method, params);
+    return result ? Error{ResultCode::kOk, ""} : result.error();
+  }
+
+  Result<Json::Value> Apply(const std::string& id,
+                            int expected,
+                            const std::string& document) {
+    return this->Call("control.apply",
+                      R"({"change_id":")" + id +
+                          R"(","operator":"alice","expected_version":)" +
+                          std::to_string(expected) + R"(,"document":)" +
+                          document + "}");
+  }
+
+  HttpResponse Get(const std::string& path) {
+    HttpCall call;
+    call.url = "http://" + this->node.Address() + path;
+    return this->client->Fetch(call).value();
+  }
+
+  ManualClock clock;
+  std::unique_ptr<HttpClient> client = HttpClient::Create(1);
+  std::unique_ptr<RpcClient> rpc = RpcClient::Create(*client);
+  ControlNode node{*rpc, clock};
+};
+
+Result<ControlSettings> Settings(const std::string& text) {
+  return ReadControlSettings(SettingsObject::Parse(text, "c.json").value());
+}
+
+}  // namespace
+
+// Guards against an operator or a peer of another release that gets an error
+// without the cause.
+BOOST_FIXTURE_TEST_CASE(MalformedParametersNameTheField, Fixture) {
+  const struct {
+    const char* method;
+    const char* params;
+    ResultCode code;
+    const char* text;
+  } cases[] = {
+      {"control.apply", "[]", ResultCode::kMalformedRequest, "object"},
+      {"control.apply", "{}", ResultCode::kMalformedRequest, "change_id"},
+      {"control.apply", R"({"change_id":"a"})", ResultCode::kMalformedRequest,
+       "operator"},
+      {"control.apply", R"({"change_id":"a","operator":"b"})",
+       ResultCode::kConfigurationInvalid, "object"},
+      {"control.apply",
+       R"({"change_id":"a","operator":"b","document":{"tier":[]}})",
+       ResultCode::kConfigurationInvalid, "tiers"},
+      {"control.apply",
+       R"({"change_id":"a","operator":"b","document":{"tiers":["u"]}})",
+       ResultCode::kMalformedRequest, "expected_version"},
+      {"control.show", R"({"version":"1"})", ResultCode::kMalformedRequest,
+       "version"},
+      {"control.history", R"({"limit":-1})", ResultCode::kMalformedRequest,
+       "limit"},
+      {"control.drain", R"({"change_id":"a"})", ResultCode::kMalformedRequest,
+       "server_id"},
+      {"control.replica", R"({"action":"none","id":1})",
+       ResultCode::kMalformedRequest, "action"},
+      {"control.replica", R"({"action":"add","id":1,"address":"x"})",
+       ResultCode::kMalformedRequest, "address"},
+      {"control.replica", R"({"action":"remove","id":0})",
+       ResultCode::kMalformedRequest, "id"},
+      {"order.begin", R"({"customer":"c"})", ResultCode::kOrderKeyMissing,
+       "Idempotency-Key"},
+      {"order.begin", R"({"customer":"c","key":"k"})",
+       ResultCode::kMalformedRequest, "body_digest"},
+      {"order.finish", R"({"customer":"c","key":"k","attempt_id":"a"})",
+       ResultCode::kMalformedRequest, "state"},
+      {"order.get", R"({"customer":"c"})", ResultCode::kMalformedRequest,
+       "key"},
+      {"finding.report", "{}", ResultCode::kMalformedRequest, "fingerprint"},
+      {"fence.take", "{}", ResultCode::kMalformedRequest, "holder"},
+      {"feed.poll", R"({"entry_id":"e"})", ResultCode::kMalformedRequest,
+       "address"},
+      {"control.none", "{}", ResultCode::kUnknownCommand, "control.none"},
+  };
+  for (const auto& item : cases) {
+    const Error error = this->Refusal(item.method, item.params);
+    BOOST_TEST((error.code == item.code),
+               item.method << item.params << error.message);
+    BOOST_TEST(error.message.find(item.text) != std::string::npos,
+               item.method << item.params << error.message);
+  }
+}
+
+// Guards against a change that is lost between RPC and state.
+BOOST_FIXTURE_TEST_CASE(AppliedChangeIsShown, Fixture) {
+  BOOST_TEST(this->Apply("a", 0, kDocument).value()["version"].asInt() == 1);
+  const Json::Value shown = this->Call("control.show", "{}").value();
+  BOOST_TEST(shown["document"] == ParseJson(kDocument).value());
+  BOOST_TEST(shown["change_id"] == "a");
+  const Json::Value history = this->Call("control.history", "{}").value();
+  BOOST_TEST(history["changes"].size() == 1U);
+  BOOST_TEST((this->Apply("b", 0, kDocument).error().code ==
+              ResultCode::kVersionConflict));
+}
+
+// Guards against a dry run that changes something.
+BOOST_FIXTURE_TEST_CASE(DryRunChangesNothing, Fixture) {
+  const std::string params =
+      std::string(R"({"dry_run":true,"document":)") + kDocument + "}";
+  const Json::Value answer = this->Call("control.apply", params).value();
+  BOOST_TEST(answer["changed"].asBool());
+  BOOST_TEST(this->node.state->Shared()->configuration_version == 0U);
+  BOOST_TEST(
+      (this->Refusal("control.apply", R"({"dry_run":true,"document":{}})")
+           .code == ResultCode::kConfigurationInvalid));
+}
+
+// Guards against a change that is applied twice when its answer is lost.
+BOOST_FIXTURE_TEST_CASE(LostAnswerIsRepeated, Fixture) {
+  this->node.log.lose_answers = true;
+  BOOST_TEST((this->Apply("a", 0, kDocument).error().code ==
+              ResultCode::kTransportTimeout));
+  BOOST_TEST(this->Apply("a", 0, kDocument).value()["version"].asInt() == 1);
+  BOOST_TEST(this->node.state->Shared()->configuration_version == 1U);
+}
+
+// Guards against answers from a replica that is not the leader.
+BOOST_FIXTURE_TEST_CASE(FollowerNamesTheLeader, Fixture) {
+  this->node.log.Follow("127.0.0.1:9999");
+  for (const char* method : {"control.show", "control.history", "fence.take"}) {
+    const Error error = this->Refusal(method, R"({"holder":"h"})");
+    BOOST_TEST((error.code == ResultCode::kNotLeader));
+    BOOST_TEST(error.message == "127.0.0.1:9999");
+  }
+  BOOST_TEST(!this->Call("control.status", "{}").value()["is_leader"].asBool());
+}
+
+// Guards against a second grant over RPC, the path that entry daemons use.
+BOOST_FIXTURE_TEST_CASE(OrderThroughRpc, Fixture) {
+  const auto begin = [this](const std::string& attempt) {
+    return this
+        ->Call("order.begin", R"({"customer":"c","key":"k","body_digest":"d",)"
+                              R"("entry_id":"e","attempt_id":")" +
+                                  attempt + "\"}")
+        .value();
+  };
+  BOOST_TEST(begin("1")["granted"].asBool());
+  BOOST_TEST(!begin("2")["granted"].asBool());
+  this->Call("order.finish",
+             R"({"customer":"c","key":"k","attempt_id":"1","state":"ran",)"
+             R"("status":201,"response":{"body":"x"}})")
+      .value();
+  const Json::Value record =
+      this->Call("order.get", R"({"customer":"c","key":"k"})")
+          .value()["record"];
+  BOOST_TEST(record["state"] == "ran");
+  BOOST_TEST(record["status"].asInt() == 201);
+  BOOST_TEST(record["response"]["body"] == "x");
+}
+
+// Guards against an order without an outcome because its answer is larger than
+// an entry of the log.
+BOOST_FIXTURE_TEST_CASE(LargeAnswerIsDroppedBeforeTheLog, Fixture) {
+  const std::string order = R"("customer":"c","key":"k","attempt_id":"1")";
+  this->Call("order.begin",
+             "{" + order + R"(,"body_digest":"d","entry_id":"e"})")
+      .value();
+  const std::string large(2 << 20, 'x');
+  const Json::Value record =
+      this->Call("order.finish",
+                 "{" + order + R"(,"state":"ran","response":")" + large + "\"}")
+          .value()["record"];
+  BOOST_TEST(record["state"] == "ran");
+  BOOST_TEST(record["response_dropped"].asBool());
+  BOOST_TEST(this->node.log.largest_command.load() < 1000U);
+}
+
+// Guards against state that only changes when somebody happens to call: the
+// leader names the deployment, publishes the replicas and settles findings.
+BOOST_FIXTURE_TEST_CASE(LeaderMaintainsTheState, Fixture) {
+  this->node.Tick();
+  const std::string epoch = this->node.state->Shared()->epoch;
+  BOOST_TEST(!epoch.empty());
+  this->node.Tick();
+  BOOST_TEST(this->node.state->Shared()->epoch == epoch);
+  BOOST_TEST((this->node.state->Shared()->replicas ==
+              std::vector<std::string>{this->node.Address()}));
+  for (const char* server : {"s1", "s2"}) {
+    this->Call("finding.report",
+               std::string(R"({"fingerprint":"f","incarnation":"1",)") +
+                   R"("candidates":["f"],"server_id":")" + server + "\"}")
+        .value();
+  }
+  clock.Advance(seconds(2));
+  this->node.Tick();
+  BOOST_TEST(this->node.state->Shared()->quarantined.count("f") == 1U);
+}
+
+// Guards against a replica that reports itself ready without a quorum.
+BOOST_FIXTURE_TEST_CASE(HealthAndMetrics, Fixture) {
+  BOOST_TEST(this->Get("/healthz").status == 200);
+  BOOST_TEST(this->Get("/readyz").status == 200);
+  this->node.log.age = seconds(4);
+  BOOST_TEST(this->Get("/readyz").status == 503);
+  BOOST_TEST(this->Get("/healthz").status == 200);
+  BOOST_TEST(this->Get("/none").status == 404);
+  BOOST_TEST(this->Get("/rpc").status == 405);
+  const std::string metrics = this->Get("/metrics").body;
+  BOOST_TEST(metrics.find("sycamorebend_control_leader 1") !=
+             std::string::npos);
+  BOOST_TEST(metrics.find("sycamorebend_control_confirmation_age_seconds 4") !=
+             std::string::npos);
+}
+
+// Guards against a deadlock: proposals that hold every thread wait for messages
+// between replicas, which need a thread too.
+BOOST_FIXTURE_TEST_CASE(BlockedProposalsDoNotHoldUpMessages, Fixture) {
+  std::promise<void> release;
+  std::shared_future<void> released = release.get_future().share();
+  this->node.control_thread.Post([released] { released.wait(); });
+  constexpr int kProposals = 10;
+  std::atomic<int> answered{0};
+  for (int i = 0; i < kProposals; ++i) {
+    this->rpc->CallAsync(this->node.Address(), "fence.take",
+                         ParseJson(R"({"holder":"h"})").value(), seconds(60),
+                         [&](Result<Json::Value>) { ++answered; });
+  }
+  BOOST_TEST(this->Call("raft.message", "{}").has_value());
+  const Error poll = this->Refusal("feed.poll", "[]");
+  BOOST_TEST((poll.code == ResultCode::kMalformedRequest));
+  BOOST_TEST(answered == 0);
+  release.set_value();
+  while (answered < kProposals) {
+    std::this_thread::yield();
+  }
+}
+
+// Guards against changes accepted by a replica that is about to stop.
+BOOST_FIXTURE_TEST_CASE(StoppingReplicaRefusesChanges, Fixture) {
+  this->node.service.StopChanges();
+  BOOST_TEST((this->Apply("a", 0, kDocument).error().code ==
+              ResultCode::kShuttingDown));
+  BOOST_TEST(this->Call("raft.message", "{}").has_value());
+}
+
+// Guards against settings that start a replica which cannot work.
+BOOST_AUTO_TEST_CASE(SettingsAreChecked) {
+  const std::string good =
+      R"("id":1,"address":"127.0.0.1:7000","failure_domain":"a",)"
+      R"("data_directory":"/tmp/x")";
+  const std::string replicas =
+      R"(,"replicas":[{"id":1,"address":"127.0.0.1:7000"}])";
+  const auto accepted = Settings("{" + good + replicas + "}");
+  BOOST_REQUIRE(accepted.has_value());
+  BOOST_TEST(accepted.value().log.initial_replicas.size() == 1U);
+  BOOST_TEST(Settings("{" + good + R"(,"join":true})").has_value());
+  const struct {
+    std::string text;
+    const char* key;
+  } cases[] = {
+      {"{" + good + "}", "replicas"},
+      {"{" + good + replicas + R"(,"x":1})", "x"},
+      {"{" + good + replicas + R"(,"timings":{"lease_ms":700}})", "lease_ms"},
+      {"{" + good + replicas + R"(,"timings":{"heartbeat_ms":500}})",
+       "heartbeat_ms"},
+      {"{" + good +
+           R"(,"replicas":[{"id":1,"address":"127.0.0.1:7000"},)"
+           R"({"id":1,"address":"127.0.0.1:7001"}]})",
+       "id"},
+      {"{" + good + replicas + R"(,"log_severity":"loud"})", "log_severity"},
+  };
+  for (const auto& item : cases) {
+    const auto refused = Settings(item.text);
+    BOOST_REQUIRE(!refused.has_value());
+    BOOST_TEST(refused.error().message.find(item.key) != std::string::npos,
+               refused.error().message);
+    BOOST_TEST(refused.error().message.find("c.json") != std::string::npos);
+  }
+}
+
+}  // namespace sycamorebend
--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -488,19 +488,18 @@
 // Guards against a malformed answer that ends the follower.
 BOOST_FIXTURE_TEST_CASE(MalformedAnswersAreSurvived, Fixture) {
   std::atomic<int> polls{0};
+  const std::string head =
+      R"({"epoch":"x","version":1,"confirmed_age_ms":0,"path":[])";
   const std::vector<std::string> answers = {
       "3",
       "null",
       "{}",
       R"({"busy":true,"relays":[3]})",
       R"({"busy":true,"relays":"x"})",
-      R"({"epoch":"x","version":1,"confirmed_age_ms":0,"path":[]})",
-      R"({"epoch":"x","version":1,"confirmed_age_ms":0,"path":[],)"
-      R"("deltas":[{"from":0,"patch":{}}]})",
-      R"({"epoch":"x","version":1,"confirmed_age_ms":0,"path":[],)"
-      R"("snapshot":{"version":2}})",
-      R"({"epoch":"x","version":1,"confirmed_age_ms":0,"path":[],)"
-      R"("snapshot":3})",
+      head + "}",
+      head + R"(,"deltas":[{"from":0,"patch":{}}]})",
+      head + R"(,"snapshot":{"version":2}})",
+      head + R"(,"snapshot":3})",
       R"({"epoch":"x","version":1,"confirmed_age_ms":"0","path":[]})",
   };
   rpc.Serve(kReplica1, [&](const Json::Value&) -> Result<Json::Value> {
