--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -223,7 +223,8 @@
   LogIndex ChangeReplicas(const ReplicaSet& set,
                           TimePoint now,
                           std::int64_t wall_ms);
-  void SyncFollowers();
+  // Follows exactly the members; new ones from `next` on.
+  void SyncFollowers(LogIndex next);
 
   const CoreOptions options;
   std::mt19937_64 random;
--- a/src/consensus/core_election.cc
+++ b/src/consensus/core_election.cc
@@ -115,7 +115,7 @@
   this->leader_since = now;
   this->handed_over = false;
   this->followers.clear();
-  this->SyncFollowers();
+  this->SyncFollowers(this->LastIndex() + 1);
   // Entries of earlier terms commit only together with one of this term.
   this->term_start_index =
       this->AppendAsLeader(EntryKind::kNoOp, {}, now, this->last_time_ms);
--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-void Core::SyncFollowers() {
+void Core::SyncFollowers(LogIndex next) {
   const ReplicaSet& replicas = this->Replicas();
   for (auto it = this->followers.begin(); it != this->followers.end();) {
     it = replicas.Find(it->first) == nullptr ? this->followers.erase(it)
@@ -28,7 +28,7 @@
   for (const Member& member : replicas.members) {
     if (member.id != this->options.id &&
         this->followers.count(member.id) == 0) {
-      this->followers[member.id].next = this->LastIndex() + 1;
+      this->followers[member.id].next = next;
     }
   }
 }
@@ -479,7 +479,9 @@
                               std::int64_t wall_ms) {
   const LogIndex index = this->AppendAsLeader(
       EntryKind::kReplicaSet, EncodeReplicaSet(set), now, wall_ms);
-  this->SyncFollowers();
+  // Starts with the change itself: without a later entry, a new member would
+  // otherwise never be asked for its log.
+  this->SyncFollowers(index);
   this->ReplicateAll(now);
   return index;
 }
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -321,6 +321,9 @@
   if (entry.kind == EntryKind::kCommand) {
     answer = this->parts.state_machine.Apply(entry.index, entry.leader_time_ms,
                                              entry.payload);
+  } else if (entry.kind == EntryKind::kReplicaSet) {
+    // The caller of the change sees its effect in the status.
+    this->Publish(true);
   }
   const auto found = this->proposals.find(entry.index);
   if (found == this->proposals.end()) {
--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -187,7 +187,8 @@
 
 class Cluster {
  public:
-  explicit Cluster(std::size_t size) {
+  explicit Cluster(std::size_t size, const ReplicatedLogOptions& defaults = {})
+      : defaults(defaults) {
     for (std::size_t i = 0; i < size; ++i) {
       this->nodes.push_back(std::make_unique<Node>());
       this->replicas.push_back({i + 1, this->nodes[i]->Address()});
@@ -232,7 +233,7 @@
   }
 
   TemporaryDirectory directory;
-  ReplicatedLogOptions defaults;
+  const ReplicatedLogOptions defaults;
   std::vector<std::unique_ptr<Node>> nodes;
   std::vector<ReplicaAddress> replicas;
 };
--- a/tests/consensus/service_test.cc
+++ b/tests/consensus/service_test.cc
@@ -58,4 +58,116 @@
   }
 }
 
+// Guards against a replica whose disk was lost that cannot be replaced, a
+// learner that is promoted without the log, and a reused replica ID. The new
+// replica needs a snapshot in several chunks.
+BOOST_AUTO_TEST_CASE(LostReplicaIsReplaced) {
+  ReplicatedLogOptions options;
+  options.snapshot_entries = 50;
+  options.trailing_entries = 5;
+  Cluster cluster(3, options);
+  for (int i = 0; i < 60; ++i) {
+    cluster.Leader().Propose(std::string(20000, 'x')).value();
+  }
+  const ReplicaId leader_id = cluster.Leader().Log()->GetStatus().id;
+  const ReplicaId lost = leader_id % 3 + 1;
+  cluster.nodes[lost - 1]->Stop();
+
+  const std::size_t added = cluster.AddNode();
+  const std::string address = cluster.nodes[added]->Address();
+  Node& leader = cluster.Leader();
+  const auto change = [&](const auto& begin) {
+    Status status = Success();
+    do {
+      status = Node::Wait([&](auto callback) { begin(callback); });
+    } while (!status &&
+             (status.error().code == ResultCode::kReplicaNotCaughtUp ||
+              status.error().code == ResultCode::kMembershipChangeInProgress));
+    return status;
+  };
+  const Status reused = change([&](auto callback) {
+    leader.Log()->AddReplica(lost, address, callback);
+  });
+  BOOST_TEST((reused.error().code == ResultCode::kReplicaIdReused));
+  const auto require_change = [&](const auto& begin) {
+    const Status status = change(begin);
+    BOOST_TEST_REQUIRE(status.has_value(), static_cast<int>(status.error().code)
+                                               << " "
+                                               << status.error().message);
+  };
+  require_change(
+      [&](auto callback) { leader.Log()->AddReplica(4, address, callback); });
+  require_change(
+      [&](auto callback) { leader.Log()->PromoteReplica(4, callback); });
+  require_change(
+      [&](auto callback) { leader.Log()->RemoveReplica(lost, callback); });
+  BOOST_TEST(leader.Log()->GetStatus().replicas.size() == 3u);
+
+  leader.Propose("last").value();
+  WaitApplied(cluster, 61);
+  BOOST_TEST(cluster.nodes[added]->machine->Commands() ==
+             leader.machine->Commands());
+  BOOST_TEST(cluster.nodes[added]->Log()->GetStatus().snapshot_index > 0u);
+  // The replaced replica counts for the quorum.
+  leader.Stop();
+  BOOST_TEST(cluster.Leader().Propose("after").value() == "62");
+}
+
+// Guards against an isolated leader that goes on to answer, and against
+// confirmation ages that stay small without a quorum.
+BOOST_AUTO_TEST_CASE(IsolatedLeaderStopsAnswering) {
+  Cluster cluster(3);
+  Node& leader = cluster.Leader();
+  leader.Propose("x").value();
+  WaitApplied(cluster, 1);
+  for (const auto& node : cluster.nodes) {
+    while (node->Log()->ConfirmationAge() > seconds(1)) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+  for (const auto& node : cluster.nodes) {
+    node->cut = true;
+  }
+  while (
+      Node::Wait([&](auto callback) { leader.Log()->ReadBarrier(callback); })) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  BOOST_TEST((leader.Propose("y").error().code == ResultCode::kNotLeader));
+  const Duration age = leader.Log()->ConfirmationAge();
+  std::this_thread::sleep_for(milliseconds(50));
+  BOOST_TEST((leader.Log()->ConfirmationAge() >= age + milliseconds(50)));
+  for (const auto& node : cluster.nodes) {
+    node->cut = false;
+  }
+  BOOST_TEST(cluster.Leader().Propose("z").value() == "2");
+}
+
+// Guards against params of another process that end the replica.
+BOOST_AUTO_TEST_CASE(MalformedMessagesAreRefused) {
+  Cluster cluster(1);
+  Node& node = cluster.Leader();
+  Json::Value params;
+  params["address"] = "127.0.0.1:1";
+  for (const char* const text : {"", "AAAA", "not base64", "CQ=="}) {
+    params["messages"] = Json::Value(Json::arrayValue);
+    params["messages"].append(text);
+    BOOST_TEST((node.Log()->HandleMessage(params).error().code ==
+                ResultCode::kProtocolError));
+  }
+  BOOST_TEST((node.Log()->HandleMessage(Json::Value("x")).error().code ==
+              ResultCode::kProtocolError));
+  BOOST_TEST(node.Propose("x").value() == "1");
+}
+
+// Guards against settings with which leases are not safe.
+BOOST_AUTO_TEST_CASE(UnsafeTimingsAreRefused) {
+  ReplicatedLogOptions options;
+  options.id = 1;
+  options.initial_replicas = {{1, "127.0.0.1:1"}};
+  options.timings.lease = options.timings.election_timeout_min;
+  Node node;
+  const Status started = node.Start(options);
+  BOOST_TEST((started.error().code == ResultCode::kSettingsInvalidValue));
+}
+
 }  // namespace sycamorebend
