--- a/src/entry/request_router.cc
+++ b/src/entry/request_router.cc
@@ -222,6 +222,11 @@
                 {"message", result.message},
                 {"nothing_sent", result.nothing_sent},
                 {"delivered_tokens", result.delivered_tokens}});
+    } else {
+      LogEvent(Severity::kInfo, Event::kRequestFinished,
+               {{"request_id", request_id},
+                {"attempt", attempt},
+                {"tokens", result.delivered_tokens}});
     }
     this->scheduler->OnAttemptDone(request_id, attempt, result,
                                    this->clock.Now());
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -13,7 +13,8 @@
 
 struct EntryLimits {
   std::size_t max_body_bytes = 4 << 20;
-  std::size_t max_header_bytes = 64 << 10;
+  // Each connection can take this much memory.
+  std::size_t max_header_bytes = 32 << 10;
   // Largest answer that is passed on whole.
   std::size_t max_answer_bytes = 16 << 20;
   // A caller that leaves more than this of its stream unread is disconnected.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -28,8 +28,9 @@
 constexpr int kStatusBodyTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
 // libmicrohttpd answers headers that exceed its own limit without an error
-// body, so that limit is this many times the one that is checked here.
-constexpr std::size_t kHeaderMemoryFactor = 2;
+// body, so that limit is larger by this than the one that is checked here. It
+// is memory of each connection, so it is not much larger.
+constexpr std::size_t kHeaderMemorySlack = 16 << 10;
 constexpr int kListenBacklog = 1024;
 
 struct BoundSocket {
@@ -103,7 +104,7 @@
         static_cast<unsigned>(this->options.max_connections),
         MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        kHeaderMemoryFactor * this->options.max_header_bytes,
+        this->options.max_header_bytes + kHeaderMemorySlack,
         MHD_OPTION_URI_LOG_CALLBACK, &MicrohttpdServer::OnTarget, this,
         MHD_OPTION_NOTIFY_COMPLETED, &MicrohttpdServer::OnCompleted, this,
         MHD_OPTION_NOTIFY_CONNECTION, &MicrohttpdServer::OnConnection, this,
--- a/tests/entry/daemon_fixture.cc
+++ b/tests/entry/daemon_fixture.cc
@@ -77,6 +77,10 @@
     return MakeError(ResultCode::kNoQuorum);
   }
   std::lock_guard lock(this->mutex);
+  if (method == "finding.report") {
+    this->finding = params;
+    return Json::Value(Json::objectValue);
+  }
   const std::string key = params["key"].asString();
   const bool known = this->records.count(key) > 0;
   Json::Value answer;
@@ -107,6 +111,11 @@
   return answer;
 }
 
+Json::Value FakeReplica::LastFinding() const {
+  std::lock_guard lock(this->mutex);
+  return this->finding;
+}
+
 std::string FakeReplica::StateOf(const std::string& key) const {
   std::lock_guard lock(this->mutex);
   const auto found = this->records.find(key);
--- a/tests/entry/daemon_fixture.h
+++ b/tests/entry/daemon_fixture.h
@@ -34,7 +34,7 @@
   std::atomic<bool> draining{false};
 };
 
-// Serves order.begin, order.finish and order.get from memory.
+// Serves order.begin, order.finish, order.get and finding.report from memory.
 class FakeReplica : public HttpHandler, public RpcService {
  public:
   FakeReplica();
@@ -46,12 +46,15 @@
                            const Json::Value& params) override;
   // @return "started", "ran", "not_run", or "" if there is no record.
   std::string StateOf(const std::string& key) const;
+  // @return the parameters of the last finding.report, or null.
+  Json::Value LastFinding() const;
   // While set, no call succeeds.
   std::atomic<bool> no_quorum{false};
 
  private:
   mutable std::mutex mutex;
   std::map<std::string, Json::Value> records;
+  Json::Value finding;
   std::unique_ptr<RpcServer> rpc_server;
   std::unique_ptr<HttpServer> server;
 };
--- a/tests/entry/daemon_stream_test.cc
+++ b/tests/entry/daemon_stream_test.cc
@@ -124,6 +124,29 @@
   BOOST_TEST(first.CountRequests(kChat) + second.CountRequests(kChat) == 1);
 }
 
+// Guards against a request that crashes engine after engine because nobody
+// learns of it.
+BOOST_AUTO_TEST_CASE(CrashEvidenceIsReported) {
+  FakeEngine engine;
+  engine.SetHandler([](std::shared_ptr<HttpExchange> exchange) {
+    StartEvents(*exchange);
+    exchange->Write(TokenEvent(1));
+    exchange->AbortStream();
+  });
+  AddEngine("engine-1", engine);
+  Fetch(ChatCall("hello", true));
+  const auto give_up = std::chrono::steady_clock::now() + seconds(10);
+  while (replica.LastFinding().isNull()) {
+    BOOST_REQUIRE(std::chrono::steady_clock::now() < give_up);
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  const Json::Value finding = replica.LastFinding();
+  BOOST_TEST(finding["server_id"].asString() == "engine-1");
+  BOOST_TEST(finding["incarnation"].asString() == "1");
+  BOOST_TEST(finding["candidates"].size() == 1U);
+  BOOST_TEST(finding["candidates"][0] == finding["fingerprint"]);
+}
+
 // Guards against a stream that ends early without an error of the transport.
 BOOST_AUTO_TEST_CASE(EndWithoutDoneIsAnError) {
   FakeEngine engine;
@@ -239,16 +262,24 @@
   const std::string lookup =
       "GET /stock HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer secret\r\n"
       "X-Sycamorebend-Labels: kind=lookup\r\n\r\n";
+  const auto wait_until = [&](int arrived, int queued) {
+    const auto give_up = std::chrono::steady_clock::now() + seconds(10);
+    while (engine.CountRequests("GET /stock") != arrived ||
+           Metric("sycamorebend_queued{class=\"lookup\"}") != queued) {
+      BOOST_REQUIRE(std::chrono::steady_clock::now() < give_up);
+    }
+  };
   std::vector<int> callers;
-  callers.reserve(9);
-  for (int i = 0; i < 9; ++i) {
+  callers.reserve(8);
+  for (int i = 0; i < 8; ++i) {
     callers.push_back(Connect(lookup));
   }
-  const auto give_up = std::chrono::steady_clock::now() + seconds(10);
-  while (Metric("sycamorebend_queued{class=\"lookup\"}") != 1 ||
-         engine.CountRequests("GET /stock") != 8) {
-    BOOST_REQUIRE(std::chrono::steady_clock::now() < give_up);
-  }
+  wait_until(8, 0);
+  const int queued_caller = Connect(lookup);
+  wait_until(8, 1);
+  close(queued_caller);
+  // The slots are free only after the queued caller is known to have left.
+  wait_until(8, 0);
   for (const int fd : callers) {
     close(fd);
   }
