Leave headroom to higher tiers and measure aging by started work

Cause: lower-tier work was sent to the last free slots and preempted at once; a dispatch into a server's queue counted as service of its class, so that classes starved behind urgent work on the servers. Change: tiers 2 and lower leave 1/8 and 1/4 of the slots free; late requests need a quarter of the slots free; a class counts as served at a first token, and a request that waits at a server can be sent again with priority 0; pools over 256 servers are searched in part.

--- a/benchmark/routing/deployment.h
+++ b/benchmark/routing/deployment.h
@@ -27,6 +27,8 @@
   std::string model;
   int domain = 0;
   int slots = 16;
+  // Fixed part of a step; a plain service has none.
+  Duration step_base{0};
 };
 
 struct Deployment {
--- a/benchmark/routing/engine_model.h
+++ b/benchmark/routing/engine_model.h
@@ -51,8 +51,8 @@
 
 class EngineModel {
  public:
-  // Costs of a step; `kBase + running * kPerSequence + prefill * kPerToken`.
-  static constexpr microseconds kBase{6000};
+  // A step takes `step_base + decoding * kPerSequence + prefill *
+  // kPerPrefillToken`.
   static constexpr microseconds kPerSequence{900};
   static constexpr microseconds kPerPrefillToken{30};
   static constexpr int kPrefillChunk = 512;
--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -88,6 +88,9 @@
       request.tier == 0 ? 1 : 0;
   this->retries.CountRequest(now);
   this->SetDue(request, request.deadline);
+  if (!one.Waiting()) {
+    one.unserved_since = now;
+  }
   this->Place(request, now);
 }
 
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -49,6 +49,8 @@
     return;
   }
   request->first_token_seen = true;
+  this->ClassOf(*request).unserved_since = now;
+  this->ClassOf(*request).unstarted.erase(request->serial);
   request->first_token_at = now;
   request->tokens = std::max(request->tokens, 1);
   request->sampled_tokens = request->tokens;
@@ -98,6 +100,7 @@
 
 void SchedulerImpl::EndAttempt(Request& request) {
   if (request.server != kNoServer) {
+    this->ClassOf(request).unstarted.erase(request.serial);
     this->servers.RemoveOwn(request);
     request.server = kNoServer;
   }
--- a/src/routing/dispatch.cc
+++ b/src/routing/dispatch.cc
@@ -21,6 +21,21 @@
 constexpr float kAffinityWeight = 0.3F;
 constexpr std::size_t kMaxHolders = 16;
 
+// A pool with more servers is searched from a random place until this many were
+// seen and one of them can run the request at once, so that the time for a
+// decision does not grow with the pool.
+constexpr std::size_t kEnoughServers = 256;
+
+bool HasRoom(const Request& request, Tier tier, const ServerLoad& load) {
+  if (load.room[tier] <= 0) {
+    return false;
+  }
+  // A late answer counts for nobody, so it must not take a slot that a timely
+  // request may need soon.
+  return !request.late || tier == 0 ||
+         load.ahead[kMaxTiers - 1] * 4 <= load.slots * 3;
+}
+
 }  // namespace
 
 bool SchedulerImpl::IsEligible(const Request& request,
@@ -51,14 +66,24 @@
                              bool needs_room) {
   Choice choice;
   std::size_t count = 0;
-  for (const ServerIndex index :
-       this->servers.PoolAt(this->ClassOf(request).pool).members) {
+  const auto& members =
+      this->servers.PoolAt(this->ClassOf(request).pool).members;
+  const std::size_t size = members.size();
+  const std::size_t start =
+      size > kEnoughServers ? this->random.Next() % size : 0;
+  for (std::size_t i = 0; i < size; ++i) {
+    const ServerIndex index = members[(start + i) % size];
+    if (i >= kEnoughServers && choice.best[0].server != kNoServer &&
+        this->servers.LoadAt(choice.best[0].server).ahead[kMaxTiers - 1] <
+            this->servers.LoadAt(choice.best[0].server).slots) {
+      break;
+    }
     if (!this->IsEligible(request, index)) {
       continue;
     }
     choice.eligible = true;
     const ServerLoad& load = this->servers.LoadAt(index);
-    if (needs_room && load.room[tier] <= 0) {
+    if (needs_room && !HasRoom(request, tier, load)) {
       continue;
     }
     const float score =
@@ -103,7 +128,7 @@
     const ServerLoad& load = this->servers.LoadAt(index);
     if (std::find(pools.begin(), pools.end(), pool) == pools.end() ||
         !this->IsEligible(request, index) ||
-        (needs_room && load.room[tier] <= 0)) {
+        (needs_room && !HasRoom(request, tier, load))) {
       continue;
     }
     const float score = this->Score(tier, load) - bonus;
@@ -183,7 +208,7 @@
     this->QueueOf(request).Take(request, request.charged);
     --this->queued_requests;
   }
-  one.unserved_since = now;
+  one.unstarted.emplace(request.serial, &request);
   if (this->queued_requests > 0) {
     for (ClassState& other : this->classes) {
       other.higher_dispatches += other.policy.tier > priority ? 1 : 0;
--- a/src/routing/queues.cc
+++ b/src/routing/queues.cc
@@ -35,10 +35,6 @@
 }
 
 void SchedulerImpl::Enqueue(Request& request, TimePoint now) {
-  ClassState& one = this->ClassOf(request);
-  if (!one.Waiting()) {
-    one.unserved_since = now;
-  }
   const TimePoint timely = this->LastTimelyStart(request);
   request.late = timely <= now;
   this->QueueOf(request).Push(request);
@@ -60,10 +56,10 @@
 }
 
 void SchedulerImpl::ServeQueues(ServerIndex server, TimePoint now) {
+  this->ServeAged(now);
   if (this->queued_requests == 0) {
     return;
   }
-  this->ServeAged(now);
   const auto can_use = [&](const ClassState& one) {
     if (server == kNoServer) {
       return true;
@@ -107,20 +103,41 @@
                   one.last_turn + kAgingInterval);
 }
 
+Request* SchedulerImpl::NextAged(ClassState& one) {
+  if (one.Queued()) {
+    return one.on_time.Empty() ? one.late.Oldest() : one.on_time.Front();
+  }
+  // All wait at servers behind work of higher tiers. One of them is withdrawn
+  // and sent again with the highest priority.
+  for (const auto& [serial, request] : one.unstarted) {
+    if (request->sent_tier > 0 && one.policy.idempotent) {
+      return request;
+    }
+  }
+  return nullptr;
+}
+
 void SchedulerImpl::ServeAged(TimePoint now) {
   for (const std::size_t index : this->by_tier) {
     ClassState& one = this->classes[index];
-    if (!one.Waiting() || one.unserved_since + one.policy.max_wait > now ||
+    if (!one.Waiting() || one.policy.tier == 0 ||
+        one.unserved_since + one.policy.max_wait > now ||
         (one.higher_dispatches<kAgingPeriod&& this->NextTurn(one)> now)) {
       continue;
     }
-    Request* request =
-        one.on_time.Empty() ? one.late.Oldest() : one.on_time.Front();
+    one.higher_dispatches = 0;
+    one.last_turn = now;
+    Request* request = this->NextAged(one);
+    if (request == nullptr) {
+      continue;
+    }
     Choice choice = this->Choose(*request, 0, false);
     if (choice.server != kNoServer) {
-      one.higher_dispatches = 0;
-      one.last_turn = now;
+      one.unserved_since = now;
       choice.reason = "the class was not served for its longest wait";
+      if (!request->queued) {
+        this->CancelAttempt(*request, "sent again with a higher priority");
+      }
       this->Send(*request, choice, 0, now);
     }
   }
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -61,6 +61,7 @@
     state.pool = pools[i];
     state.on_time = ClassQueue(weights);
     state.late = ClassQueue(weights);
+    state.unstarted.clear();
     // Customers have new indices.
     state.lengths.ForgetCustomers();
     state.stats.class_name = state.policy.name;
@@ -111,6 +112,9 @@
     this->customers[request->customer].urgent_in_flight += tier == 0 ? 1 : 0;
     request->tier = tier;
     if (!request->queued) {
+      if (!request->first_token_seen) {
+        this->ClassOf(*request).unstarted.emplace(request->serial, request);
+      }
       continue;
     }
     request->queued = false;
@@ -251,7 +255,7 @@
   TimePoint wake = this->timers.empty() ? TimePoint::max()
                                         : this->timers.begin()->first.first;
   for (const ClassState& one : this->classes) {
-    if (one.Waiting()) {
+    if (one.policy.tier > 0 && one.Waiting()) {
       wake = std::min(wake, this->NextTurn(one));
     }
   }
--- a/src/routing/scheduler_impl.h
+++ b/src/routing/scheduler_impl.h
@@ -36,13 +36,17 @@
   ClassQueue late;
   SchedulerStats::ClassStats stats;
   LengthEstimator lengths;
+  // Requests that were dispatched and have no token yet, by arrival.
+  std::map<std::uint64_t, Request*> unstarted;
   // Aging: dispatches to higher tiers since the last turn, when the last turn
-  // was, and since when the class has waited without being served.
+  // was, and since when requests of the class have waited without a first
+  // token for any of them.
   int higher_dispatches = 0;
   TimePoint last_turn;
   TimePoint unserved_since;
 
-  bool Waiting() const { return !this->on_time.Empty() || !this->late.Empty(); }
+  bool Queued() const { return !this->on_time.Empty() || !this->late.Empty(); }
+  bool Waiting() const { return this->Queued() || !this->unstarted.empty(); }
 };
 
 struct CustomerState {
@@ -158,6 +162,8 @@
   bool ServeOne(ClassQueue& queue, TimePoint now);
   // Gives classes that were not served for too long their turn.
   void ServeAged(TimePoint now);
+  // The request that takes the turn of an aged class, or nullptr.
+  Request* NextAged(ClassState& one);
   TimePoint NextTurn(const ClassState& one) const;
 
   // attempts.cc
--- a/src/routing/server_table.cc
+++ b/src/routing/server_table.cc
@@ -10,6 +10,12 @@
 // arrived: both need time on the way.
 constexpr milliseconds kReportDelay(10);
 
+// Slots that lower tiers leave free, so that work of higher tiers which arrives
+// next need not preempt them: what was preempted is computed again.
+int Headroom(std::size_t tier, int slots) {
+  return tier < 2 ? 0 : (tier == 2 ? slots / 8 : slots / 4);
+}
+
 std::int16_t ToCount(int value) {
   return static_cast<std::int16_t>(std::clamp(value, 0, 30000));
 }
@@ -165,7 +171,8 @@
     // Every entry daemon reads the same report, so each takes its share of the
     // free slots only. The random rounding keeps the sum right on average.
     const float share =
-        static_cast<float>(std::max(0, server.state.slots - ahead)) /
+        static_cast<float>(std::max(
+            0, server.state.slots - Headroom(t, server.state.slots) - ahead)) /
         static_cast<float>(this->entry_count);
     server.grant[t] = static_cast<std::int16_t>(share + this->random.Unit());
   }
@@ -181,7 +188,8 @@
     ahead += std::max(0, server.reported[t] + own);
     sent += own;
     load.ahead[t] = static_cast<std::int16_t>(ahead);
-    load.room[t] = static_cast<std::int16_t>(server.grant[t] - sent);
+    load.room[t] = static_cast<std::int16_t>(std::min(
+        server.grant[t] - sent, load.slots - Headroom(t, load.slots) - ahead));
   }
 }
 
