Let only urgent work preempt

Cause: each tier was sent to slots that lower tiers held, which were then preempted and computed again. Change: tiers below the urgent one wait for a slot that is free of any work; late requests are refused when their expected time no longer fits.

--- a/src/routing/queues.cc
+++ b/src/routing/queues.cc
@@ -27,11 +27,11 @@
 
 TimePoint SchedulerImpl::LastUsefulStart(const Request& request) const {
   // Half of the expected time: a request that is shorter than expected must
-  // not be refused for a wrong guess.
-  return request.deadline -
-         this->ClassOf(request).lengths.ServiceTime(
-             request.customer, request.info.max_output_tokens) /
-             2;
+  // not be refused for a wrong guess. Late ones risk more waste than they can
+  // gain.
+  const Duration service = this->ClassOf(request).lengths.ServiceTime(
+      request.customer, request.info.max_output_tokens);
+  return request.deadline - (request.late ? service : service / 2);
 }
 
 void SchedulerImpl::Enqueue(Request& request, TimePoint now) {
--- a/src/routing/server_table.cc
+++ b/src/routing/server_table.cc
@@ -13,7 +13,10 @@
 // Slots that lower tiers leave free, so that work of higher tiers which arrives
 // next need not preempt them: what was preempted is computed again.
 int Headroom(std::size_t tier, int slots) {
-  return tier < 2 ? 0 : (tier == 2 ? slots / 8 : slots / 4);
+  if (tier < 2) {
+    return 0;
+  }
+  return tier == 2 ? slots / 8 : slots / 4;
 }
 
 std::int16_t ToCount(int value) {
@@ -163,17 +166,19 @@
       ++server.sent_since[request->sent_tier];
     }
   }
-  int ahead = 0;
+  int total = 0;
   for (std::size_t t = 0; t < kMaxTiers; ++t) {
     server.reported[t] = ToCount(count(server.state.running_by_tier, t) +
                                  count(server.state.queued_by_tier, t));
-    ahead += server.reported[t];
+    total += server.reported[t];
+  }
+  for (std::size_t t = 0; t < kMaxTiers; ++t) {
     // Every entry daemon reads the same report, so each takes its share of the
     // free slots only. The random rounding keeps the sum right on average.
-    const float share =
-        static_cast<float>(std::max(
-            0, server.state.slots - Headroom(t, server.state.slots) - ahead)) /
-        static_cast<float>(this->entry_count);
+    const int free = server.state.slots - Headroom(t, server.state.slots) -
+                     (t == 0 ? server.reported[0] : total);
+    const float share = static_cast<float>(std::max(0, free)) /
+                        static_cast<float>(this->entry_count);
     server.grant[t] = static_cast<std::int16_t>(share + this->random.Unit());
   }
 }
@@ -188,8 +193,15 @@
     ahead += std::max(0, server.reported[t] + own);
     sent += own;
     load.ahead[t] = static_cast<std::int16_t>(ahead);
-    load.room[t] = static_cast<std::int16_t>(std::min(
-        server.grant[t] - sent, load.slots - Headroom(t, load.slots) - ahead));
+  }
+  // Only urgent work preempts. Slots become free often enough for the tiers
+  // between, which wait for them in order.
+  for (std::size_t t = 0; t < kMaxTiers; ++t) {
+    const int used =
+        t == 0 ? server.sent_since[0] - server.finished_since[0] : sent;
+    load.room[t] = static_cast<std::int16_t>(
+        std::min(server.grant[t] - used, load.slots - Headroom(t, load.slots) -
+                                             (t == 0 ? load.ahead[0] : ahead)));
   }
 }
 
