--- a/benchmark/routing/report.cc
+++ b/benchmark/routing/report.cc
@@ -67,6 +67,9 @@
   into.urgent_shed += from.urgent_shed;
   into.urgent_shed_aged += from.urgent_shed_aged;
   into.urgent_preempted += from.urgent_preempted;
+  for (const auto& [cause, count] : from.waste) {
+    into.waste[cause] += count;
+  }
   for (const auto& [cause, count] : from.misses) {
     into.misses[cause] += count;
   }
@@ -122,6 +125,9 @@
     for (const auto& [cause, count] : row.run.misses) {
       fmt::print("      missed: {} {}\n", cause, count);
     }
+    for (const auto& [cause, count] : row.run.waste) {
+      fmt::print("      wasted tokens: {} {}\n", cause, count);
+    }
   }
 }
 
--- a/benchmark/routing/simulation.cc
+++ b/benchmark/routing/simulation.cc
@@ -408,11 +408,12 @@
   const EntryDaemon& entry = this->entries[static_cast<std::size_t>(index)];
   this->After(
       this->Delay(entry.domain, this->servers[attempt->server].spec.domain),
-      [this, attempt] {
+      [this, attempt, reason = action.reason] {
         if (attempt->at_server) {
           this->servers[attempt->server].Remove(*attempt);
         }
-        this->Waste(*attempt, attempt->generated);
+        this->Waste(*attempt, attempt->generated, reason);
+        this->Waste(*attempt, attempt->recomputed, "preempted");
       });
 }
 
@@ -605,9 +606,9 @@
                            one.first_token_target;
         const bool gap = (end - caller.first_token_at) / gaps <= one.gap_target;
         const bool whole = end - caller.submitted_at <= one.deadline;
-        this->Waste(*stored, whole && !caller.ended
-                                 ? stored->recomputed
-                                 : stored->recomputed + stored->generated);
+        this->Waste(*stored, stored->recomputed, "preempted");
+        this->Waste(*stored, whole && !caller.ended ? 0 : stored->generated,
+                    "late");
         this->Finish(caller, first && gap && whole,
                      !first ? "first token"
                      : gap  ? "deadline"
@@ -681,7 +682,7 @@
   EngineModel& server = this->servers[index];
   const std::vector<Attempt*> lost = server.Crash();
   for (Attempt* attempt : lost) {
-    this->Waste(*attempt, attempt->generated);
+    this->Waste(*attempt, attempt->generated, "server crashed");
     if (silently) {
       this->FallSilent(*attempt);
     } else if (attempt->open) {
@@ -748,9 +749,16 @@
   }
 }
 
-void Simulation::Waste(const Attempt& attempt, double tokens) {
-  this->result.classes[this->callers[attempt.request].class_index]
-      .wasted_tokens += tokens;
+void Simulation::Waste(const Attempt& attempt,
+                       int tokens,
+                       const std::string& cause) {
+  if (tokens == 0) {
+    return;
+  }
+  ClassResult& row =
+      this->result.classes[this->callers[attempt.request].class_index];
+  row.wasted_tokens += tokens;
+  this->result.waste[row.name + ": " + cause] += tokens;
 }
 
 void Simulation::Finish(Caller& caller, bool attained, const char* cause) {
--- a/benchmark/routing/simulation.h
+++ b/benchmark/routing/simulation.h
@@ -46,6 +46,7 @@
   long urgent_shed_aged = 0;
   long urgent_preempted = 0;
   std::map<std::string, long> misses;  // By class and cause.
+  std::map<std::string, long> waste;   // Tokens, by class and cause.
 };
 
 using SchedulerFactory =
@@ -142,7 +143,7 @@
   void Crash(std::size_t index, bool silently);
   void ScheduleFaults();
 
-  void Waste(const Attempt& attempt, double tokens);
+  void Waste(const Attempt& attempt, int tokens, const std::string& cause);
   void Finish(Caller& caller, bool attained, const char* cause);
 
   const Deployment& deployment;
