Start late requests only with twice their expected time left

Cause: most of the waste left was lower-tier work cut at its deadline, started late with the mean time left although lengths vary widely. Change: a late request needs twice the expected time until its deadline.

--- a/src/routing/queues.cc
+++ b/src/routing/queues.cc
@@ -31,7 +31,7 @@
   // gain.
   const Duration service = this->ClassOf(request).lengths.ServiceTime(
       request.customer, request.info.max_output_tokens);
-  return request.deadline - (request.late ? service : service / 2);
+  return request.deadline - (request.late ? 2 * service : service / 2);
 }
 
 void SchedulerImpl::Enqueue(Request& request, TimePoint now) {
