--- a/src/routing/server_table.cc
+++ b/src/routing/server_table.cc
@@ -13,7 +13,7 @@
 // Slots that lower tiers leave free, so that work of higher tiers which arrives
 // next need not preempt them: what was preempted is computed again.
 int Headroom(std::size_t tier, int slots) {
-  constexpr std::array<int, 4> kSixteenths = {0, 3, 4, 5};
+  constexpr std::array<int, 4> kSixteenths = {0, 2, 3, 4};
   return slots * kSixteenths[std::min<std::size_t>(tier, 3)] / 16;
 }
 
