--- a/benchmark/routing/report.cc
+++ b/benchmark/routing/report.cc
@@ -60,6 +60,7 @@
     a.goodput_tokens += b.goodput_tokens;
     a.wasted_tokens += b.wasted_tokens;
     a.duplicates += b.duplicates;
+    a.undeliverable += b.undeliverable;
     a.longest_wait = std::max(a.longest_wait, b.longest_wait);
     a.first_token_ms.insert(a.first_token_ms.end(), b.first_token_ms.begin(),
                             b.first_token_ms.end());
@@ -67,6 +68,9 @@
   into.urgent_shed += from.urgent_shed;
   into.urgent_shed_aged += from.urgent_shed_aged;
   into.urgent_preempted += from.urgent_preempted;
+  for (const auto& [cause, count] : from.waste) {
+    into.waste[cause] += count;
+  }
   for (const auto& [cause, count] : from.misses) {
     into.misses[cause] += count;
   }
@@ -122,6 +126,9 @@
     for (const auto& [cause, count] : row.run.misses) {
       fmt::print("      missed: {} {}\n", cause, count);
     }
+    for (const auto& [cause, count] : row.run.waste) {
+      fmt::print("      wasted tokens: {} {}\n", cause, count);
+    }
   }
 }
 
@@ -195,6 +202,9 @@
                         LongestWaitBound(policy, *policy.FindClass(one.name)))
                         .count());
       if (one.order) {
+        // With full knowledge the answers of silent connections are lost too.
+        fmt::print("{}{}/wasted_best_possible {} tokens\n", prefix, one.name,
+                   one.undeliverable);
         bounds.AtMost(prefix + one.name + "/duplicate_runs",
                       static_cast<double>(one.duplicates), "orders", 0);
         bounds.AtMost(prefix + one.name + "/wasted", one.wasted_tokens,
--- a/benchmark/routing/simulation.cc
+++ b/benchmark/routing/simulation.cc
@@ -28,8 +28,8 @@
 }
 
 // Server time of a request with a full batch.
-double WorkSeconds(double input, double output, int slots) {
-  return output * (Seconds(EngineModel::kBase) / slots +
+double WorkSeconds(double input, double output, const ServerSpec& spec) {
+  return output * (Seconds(spec.step_base) / spec.slots +
                    Seconds(EngineModel::kPerSequence)) +
          input * Seconds(EngineModel::kPerPrefillToken);
 }
@@ -128,8 +128,9 @@
     // The mean of a log-normal distribution exceeds its median.
     const double output = load.output_tokens *
                           std::exp(load.output_sigma * load.output_sigma / 2);
-    const double work =
-        WorkSeconds(load.input_tokens * 1.25, output, service ? 8 : 16);
+    const double work = WorkSeconds(load.input_tokens * 1.25, output,
+                                    service ? this->deployment.servers.back()
+                                            : this->deployment.servers.front());
     this->base_rate.push_back(load.work_share *
                               (service ? service_capacity : engine_capacity) /
                               work);
@@ -349,6 +350,7 @@
   if (this->scenario.silent && this->Uniform() < kSilentShare) {
     attempt.silent_at =
         static_cast<int>(this->Uniform() * caller.output_tokens);
+    ++this->result.classes[caller.class_index].undeliverable;
   }
   this->attempts.push_back(attempt);
   Attempt* stored = &this->attempts.back();
@@ -407,11 +409,12 @@
   const EntryDaemon& entry = this->entries[static_cast<std::size_t>(index)];
   this->After(
       this->Delay(entry.domain, this->servers[attempt->server].spec.domain),
-      [this, attempt] {
+      [this, attempt, reason = action.reason] {
         if (attempt->at_server) {
           this->servers[attempt->server].Remove(*attempt);
         }
-        this->Waste(*attempt, attempt->generated);
+        this->Waste(*attempt, attempt->generated, reason);
+        this->Waste(*attempt, attempt->recomputed, "preempted");
       });
 }
 
@@ -604,9 +607,9 @@
                            one.first_token_target;
         const bool gap = (end - caller.first_token_at) / gaps <= one.gap_target;
         const bool whole = end - caller.submitted_at <= one.deadline;
-        this->Waste(*stored, whole && !caller.ended
-                                 ? stored->recomputed
-                                 : stored->recomputed + stored->generated);
+        this->Waste(*stored, stored->recomputed, "preempted");
+        this->Waste(*stored, whole && !caller.ended ? 0 : stored->generated,
+                    "late");
         this->Finish(caller, first && gap && whole,
                      !first ? "first token"
                      : gap  ? "deadline"
@@ -680,7 +683,7 @@
   EngineModel& server = this->servers[index];
   const std::vector<Attempt*> lost = server.Crash();
   for (Attempt* attempt : lost) {
-    this->Waste(*attempt, attempt->generated);
+    this->Waste(*attempt, attempt->generated, "server crashed");
     if (silently) {
       this->FallSilent(*attempt);
     } else if (attempt->open) {
@@ -747,9 +750,16 @@
   }
 }
 
-void Simulation::Waste(const Attempt& attempt, double tokens) {
-  this->result.classes[this->callers[attempt.request].class_index]
-      .wasted_tokens += tokens;
+void Simulation::Waste(const Attempt& attempt,
+                       int tokens,
+                       const std::string& cause) {
+  if (tokens == 0) {
+    return;
+  }
+  ClassResult& row =
+      this->result.classes[this->callers[attempt.request].class_index];
+  row.wasted_tokens += tokens;
+  this->result.waste[row.name + ": " + cause] += tokens;
 }
 
 void Simulation::Finish(Caller& caller, bool attained, const char* cause) {
--- a/benchmark/routing/simulation.h
+++ b/benchmark/routing/simulation.h
@@ -32,6 +32,8 @@
   // Orders: answers produced that no caller received in time, and orders that
   // ran more than once.
   long duplicates = 0;
+  // Orders whose connection fell silent: their answer cannot be delivered.
+  long undeliverable = 0;
   // Longest time for which requests of the class waited at an entry daemon
   // without any of them starting on a server.
   Duration longest_wait{0};
@@ -46,6 +48,7 @@
   long urgent_shed_aged = 0;
   long urgent_preempted = 0;
   std::map<std::string, long> misses;  // By class and cause.
+  std::map<std::string, long> waste;   // Tokens, by class and cause.
 };
 
 using SchedulerFactory =
@@ -142,7 +145,7 @@
   void Crash(std::size_t index, bool silently);
   void ScheduleFaults();
 
-  void Waste(const Attempt& attempt, double tokens);
+  void Waste(const Attempt& attempt, int tokens, const std::string& cause);
   void Finish(Caller& caller, bool attained, const char* cause);
 
   const Deployment& deployment;
