--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -384,6 +384,14 @@
   std::thread thread;
 };
 
+// ---------------------------------------------------------------------------
+// Process set-up
+
+// Limits the memory that the C library keeps for each thread. Daemons call it
+// before they start threads: with one allocation arena for each of about 100
+// threads, a control replica with 96 followers held 195 MB instead of 43 MB.
+void LimitAllocatorArenas();
+
 // ---------------------------------------------------------------------------
 // Digests and identifiers
 
--- a/src/controld/main.cc
+++ b/src/controld/main.cc
@@ -137,5 +137,6 @@
       "  sycamorebend-control --settings=FILE [--check]\n"
       "The settings are described in docs/control.md.");
   absl::ParseCommandLine(argc, argv);
+  sycamorebend::LimitAllocatorArenas();
   return sycamorebend::Run();
 }
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -94,5 +94,6 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage("sycamorebend-entry --settings=FILE [--check]");
   absl::ParseCommandLine(argc, argv);
+  sycamorebend::LimitAllocatorArenas();
   return sycamorebend::entry::Run();
 }
