--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -5,6 +5,7 @@
 
 #include <stdlib.h>
 
+#include <atomic>
 #include <filesystem>
 #include <future>
 #include <map>
@@ -89,6 +90,33 @@
   bool time_went_back = false;
 };
 
+// Sends nothing while its switch is on.
+class SilenceableClient : public RpcClient {
+ public:
+  SilenceableClient(RpcClient& client, const std::atomic<bool>& silent)
+      : client(client), silent(silent) {}
+
+  void CallAsync(const std::string& address,
+                 const std::string& method,
+                 const Json::Value& params,
+                 Duration timeout,
+                 RpcCallback callback) override {
+    if (this->silent) {
+      // On another thread, as the interface promises.
+      std::thread([callback = std::move(callback)] {
+        callback(MakeError(ResultCode::kConnectFailed));
+      }).detach();
+      return;
+    }
+    this->client.CallAsync(address, method, params, timeout,
+                           std::move(callback));
+  }
+
+ private:
+  RpcClient& client;
+  const std::atomic<bool>& silent;
+};
+
 // One replica with its own HTTP server, RPC client and control thread.
 class Node : public HttpHandler, public RpcService {
  public:
@@ -112,7 +140,7 @@
     this->machine = std::make_unique<ListMachine>();
     this->control = std::make_unique<ControlThread>(this->clock);
     BOOST_OUTCOME_TRY(started,
-                      CreateReplicatedLog(options, *this->machine, *this->rpc,
+                      CreateReplicatedLog(options, *this->machine, this->gate,
                                           *this->control, this->clock));
     std::lock_guard lock(this->mutex);
     this->log = std::move(started);
@@ -173,6 +201,8 @@
 
   SystemClock clock;
   std::atomic<bool> cut = false;  // Received messages are refused.
+  // With `cut`: nothing is sent either.
+  std::atomic<bool> silent = false;
   std::unique_ptr<ListMachine> machine;
 
  private:
@@ -180,6 +210,7 @@
   std::unique_ptr<HttpServer> server;
   std::unique_ptr<HttpClient> client = HttpClient::Create(1);
   std::unique_ptr<RpcClient> rpc = RpcClient::Create(*this->client);
+  SilenceableClient gate{*this->rpc, this->silent};
   std::unique_ptr<ControlThread> control;
   mutable std::mutex mutex;
   std::shared_ptr<ReplicatedLogService> log;
