Test the replica on a full disk

The storage test showed that a full disk keeps old entries; nothing showed that the service reports storage_full, still answers reads and goes on when there is space.

--- a/tests/consensus/service_test.cc
+++ b/tests/consensus/service_test.cc
@@ -1,7 +1,11 @@
 #define BOOST_TEST_MODULE consensus_service
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <cerrno>
+
 #include "cluster.h"
+#include "consensus/service.h"
 
 namespace sycamorebend {
 
@@ -16,6 +20,14 @@
   }
 }
 
+class FullDisk : public internal::FileCalls {
+ public:
+  int Write(int file, std::string_view data) override {
+    return this->full ? ENOSPC : FileCalls::Write(file, data);
+  }
+  std::atomic<bool> full = false;
+};
+
 }  // namespace
 
 // Guards against replicas that disagree on the order, lose an accepted command
@@ -170,4 +182,60 @@
   BOOST_TEST((started.error().code == ResultCode::kSettingsInvalidValue));
 }
 
+// Guards against a full disk that ends the replica, loses earlier commands or
+// is not reported to the proposer.
+BOOST_AUTO_TEST_CASE(FullDiskRefusesProposalsUntilThereIsSpace) {
+  TemporaryDirectory directory;
+  FullDisk calls;
+  SystemClock clock;
+  ListMachine machine;
+  const auto client = HttpClient::Create(1);
+  const auto rpc = RpcClient::Create(*client);
+  ControlThread control(clock);
+  ReplicatedLogOptions options;
+  options.id = 1;
+  options.initial_replicas = {{1, "127.0.0.1:1"}};
+  options.timings.request_timeout = milliseconds(200);
+  internal::ServiceParts parts{
+      machine, control, clock,
+      internal::CreateRpcTransport(*rpc, "127.0.0.1:1", milliseconds(100)),
+      [&](std::function<void(std::uint64_t)> on_done) {
+        internal::FileStorageOptions storage;
+        storage.directory = directory.path.string();
+        storage.replica_id = 1;
+        storage.calls = &calls;
+        storage.on_done = std::move(on_done);
+        return internal::CreateFileStorage(std::move(storage));
+      }};
+  const auto log =
+      std::move(internal::StartService(options, std::move(parts)).value());
+  const auto propose = [&](const std::string& command) {
+    std::promise<Result<std::string>> answer;
+    log->Propose(command, [&answer](Result<std::string> result) {
+      answer.set_value(std::move(result));
+    });
+    return answer.get_future().get();
+  };
+  while (!propose("a")) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  calls.full = true;
+  // Accepted before the disk is known to be full; it may commit later.
+  BOOST_TEST((propose("b").error().code == ResultCode::kTransportTimeout));
+  BOOST_TEST((propose("c").error().code == ResultCode::kStorageFull));
+  BOOST_TEST(Node::Wait([&](auto callback) {
+               log->ReadBarrier(callback);
+             }).has_value());
+  calls.full = false;
+  Result<std::string> later = propose("d");
+  while (!later && later.error().code == ResultCode::kStorageFull) {
+    std::this_thread::sleep_for(milliseconds(5));
+    later = propose("d");
+  }
+  BOOST_TEST(later.has_value());
+  const std::vector<std::string> expected = {"a", "b", "d"};
+  BOOST_TEST(machine.Commands() == expected);
+  log->Stop();
+}
+
 }  // namespace sycamorebend
