Test the feed with real replicas while the leader dies

The feed was only tested against a log in memory. The test follows three replicas as processes, kills the leader, and checks that the entry daemon stays listed and gets the next change, and that a stopped one leaves the list after the lease that the new leader grants. Waiting a fixed time for the lease was ruled out; the expiry of the other daemon marks it instead.

--- a/tests/control/process_test.cc
+++ b/tests/control/process_test.cc
@@ -9,12 +9,15 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <functional>
 #include <thread>
 
+#include "sycamorebend/feed.h"
 #include "sycamorebend/rpc.h"
 #include "sycamorebend/settings.h"
 
@@ -212,6 +215,12 @@
   std::unique_ptr<Process> processes[kReplicas];
 };
 
+bool Lists(const SharedState& state, const std::string& entry_id) {
+  return std::any_of(
+      state.entries.begin(), state.entries.end(),
+      [&](const EntryInfo& entry) { return entry.entry_id == entry_id; });
+}
+
 std::string Change(const std::string& id, int expected) {
   return R"({"change_id":")" + id + R"(","operator":"alice",)" +
          R"("document":{"tiers":["urgent"]},"expected_version":)" +
@@ -289,6 +298,44 @@
   BOOST_TEST(this->Ctl({"status"}) == 0);
 }
 
+// Guards against an entry daemon that leaves the list, or misses a change, when
+// the leader dies; and against one that stays in the list after its own death.
+BOOST_FIXTURE_TEST_CASE(FeedSurvivesTheLeader, Cluster) {
+  const SystemClock clock;
+  std::atomic<bool> listed{false};
+  std::atomic<bool> lost{false};
+  const auto start = [&](const std::string& id) {
+    FeedFollowerOptions options;
+    options.self = {id, FreeAddress(), "a", "1", false};
+    options.replicas = this->addresses;
+    return FeedFollower::Start(
+        options, *this->rpc, clock,
+        [&](const std::shared_ptr<const SharedState>& state) {
+          const bool found = Lists(*state, "e1");
+          listed = listed || found;
+          lost = lost || (listed && !found);
+        });
+  };
+  const auto follower = start("e1");
+  const auto short_lived = start("e2");
+  BOOST_TEST(Eventually([&] {
+    const auto state = follower->Current();
+    return state != nullptr && Lists(*state, "e1") && Lists(*state, "e2");
+  }));
+  const std::size_t leader = this->AwaitLeader();
+  this->processes[leader]->Signal(SIGKILL);
+  this->processes[leader]->Wait();
+  BOOST_TEST(this->CallLeader("control.apply", Change("a", 0)).has_value());
+  BOOST_TEST(Eventually(
+      [&] { return follower->Current()->configuration_version == 1; }));
+  short_lived->Stop();
+  // Expiry takes the full lease that the new leader grants.
+  BOOST_TEST(Eventually([&] { return !Lists(*follower->Current(), "e2"); }));
+  BOOST_TEST(!lost);
+  BOOST_TEST((follower->ConfirmationAge() < seconds(8)));
+  follower->Stop();
+}
+
 // Guards against grants at two replicas: the leader changes between the order
 // and its resend.
 BOOST_FIXTURE_TEST_CASE(OrderIsGrantedOnceAcrossLeaders, Cluster) {
