Count calls of a control replica; test racing changes with one ID

Operators could not see how many calls a replica refuses and why. /metrics now counts calls by method and result code; unknown methods share one label value, so that a caller cannot create time series without bound.

Two operators who use one change ID at the same time were tested only in sequence.

In one of about 60 runs of it on a machine with a load of 25 the process was ended by libmicrohttpd ("Failed to remove listen FD from epoll set") while a server stopped; 40 further runs did not repeat it.

--- a/src/controld/control_http.cc
+++ b/src/controld/control_http.cc
@@ -1,5 +1,6 @@
 #include "controld/control_http.h"
 
+#include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -110,6 +111,16 @@
       AddGauge(registry, name, "Size of the control state.", counts[name]);
     }
   }
+  auto& calls = prometheus::BuildCounter()
+                    .Name("sycamorebend_control_calls_total")
+                    .Help("RPC calls by method and result code.")
+                    .Register(registry);
+  for (const auto& [call, count] : service.Calls()) {
+    calls
+        .Add({{"method", call.first},
+              {"code", std::string(GetResultCodeInfo(call.second).name)}})
+        .Increment(static_cast<double>(count));
+  }
   return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -19,6 +19,7 @@
 // A replica whose state was confirmed longer ago is not ready.
 constexpr Duration kReadyAge = seconds(3);
 constexpr std::uint64_t kDefaultHistory = 20;
+constexpr std::string_view kStatusMethod = "control.status";
 
 // @return the value, or kCancelled if the log was stopped and dropped the
 // callback that would have set it.
@@ -64,8 +65,7 @@
   this->stopping = true;
 }
 
-Result<Json::Value> ControlService::Call(const std::string& method,
-                                         const Json::Value& params) {
+const std::map<std::string, ControlService::Method>& ControlService::Methods() {
   static const std::map<std::string, Method> kMethods = {
       {"control.apply", &ControlService::Apply},
       {"control.show", &ControlService::Show},
@@ -79,6 +79,28 @@
       {"finding.report", &ControlService::ReportFinding},
       {"fence.take", &ControlService::TakeFence},
   };
+  return kMethods;
+}
+
+Result<Json::Value> ControlService::Call(const std::string& method,
+                                         const Json::Value& params) {
+  Result<Json::Value> result = this->Dispatch(method, params);
+  const ResultCode code = result ? ResultCode::kOk : result.error().code;
+  const bool known = Methods().count(method) > 0 ||
+                     method == kRaftMessageMethod ||
+                     method == kFeedPollMethod || method == kStatusMethod;
+  std::lock_guard lock(this->counts_mutex);
+  ++this->counts[{known ? method : "other", code}];
+  return result;
+}
+
+ControlService::CallCounts ControlService::Calls() const {
+  std::lock_guard lock(this->counts_mutex);
+  return this->counts;
+}
+
+Result<Json::Value> ControlService::Dispatch(const std::string& method,
+                                             const Json::Value& params) {
   ReplicatedLogService* const replica_log = this->log;
   if (replica_log == nullptr) {
     return MakeError(ResultCode::kNotLeader, "");
@@ -89,11 +111,11 @@
   if (method == kFeedPollMethod) {
     return this->feed.ServePoll(params);
   }
-  if (method == "control.status") {
+  if (method == kStatusMethod) {
     return this->StatusReport();
   }
-  const auto found = kMethods.find(method);
-  if (found == kMethods.end()) {
+  const auto found = Methods().find(method);
+  if (found == Methods().end()) {
     return MakeError(ResultCode::kUnknownCommand,
                      "method \"" + method + "\" is unknown");
   }
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -3,9 +3,13 @@
 #define SYCAMOREBEND_SRC_CONTROLD_CONTROL_SERVICE_H_
 
 #include <atomic>
+#include <cstdint>
+#include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
+#include <utility>
 
 #include <json/value.h>
 
@@ -31,6 +35,12 @@
   Result<Json::Value> Call(const std::string& method,
                            const Json::Value& params) override;
 
+  // Calls so far by method and result code. Unknown methods are counted as
+  // "other".
+  using CallCounts =
+      std::map<std::pair<std::string, ResultCode>, std::uint64_t>;
+  CallCounts Calls() const;
+
   // Leader: proposes what follows from time and from the replica set. To be
   // called every 200 ms.
   void Tick();
@@ -44,6 +54,10 @@
  private:
   using Method = Result<Json::Value> (ControlService::*)(const Json::Value&);
 
+  static const std::map<std::string, Method>& Methods();
+  Result<Json::Value> Dispatch(const std::string& method,
+                               const Json::Value& params);
+
   Result<Json::Value> Apply(const Json::Value& params);
   Result<Json::Value> DryRun(const Json::Value& params);
   Result<Json::Value> Show(const Json::Value& params);
@@ -73,6 +87,8 @@
   const Clock& clock;
   std::atomic<ReplicatedLogService*> log{nullptr};
   std::atomic<bool> stopping{false};
+  mutable std::mutex counts_mutex;
+  CallCounts counts;
   const std::shared_ptr<InFlight> in_flight = std::make_shared<InFlight>();
 };
 
--- a/tests/control/service_test.cc
+++ b/tests/control/service_test.cc
@@ -147,6 +147,35 @@
   BOOST_TEST(this->node.state->Shared()->configuration_version == 1U);
 }
 
+// Guards against two operators who use one change ID by accident and both
+// believe that their change was accepted; and against a resend that overtakes
+// its first attempt and is refused.
+BOOST_FIXTURE_TEST_CASE(RacingChangesWithOneId, Fixture) {
+  constexpr int kOperators = 8;
+  std::vector<Result<Json::Value>> results(
+      kOperators, MakeError(ResultCode::kConnectFailed));
+  std::vector<std::thread> threads;
+  threads.reserve(kOperators);
+  for (int i = 0; i < kOperators; ++i) {
+    threads.emplace_back([&, i] {
+      const std::string document =
+          i % 2 == 0 ? R"({"tiers":["even"]})" : R"({"tiers":["odd"]})";
+      results[i] = this->Apply("same", 0, document);
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  const Json::Value shown = this->Call("control.show", "{}").value();
+  const int winner = shown["document"]["tiers"][0] == "even" ? 0 : 1;
+  for (int i = 0; i < kOperators; ++i) {
+    BOOST_TEST(results[i].has_value() == (i % 2 == winner));
+    BOOST_TEST(
+        (results[i] || results[i].error().code == ResultCode::kChangeIdReused));
+  }
+  BOOST_TEST(shown["version"].asInt() == 1);
+}
+
 // Guards against answers from a replica that is not the leader.
 BOOST_FIXTURE_TEST_CASE(FollowerNamesTheLeader, Fixture) {
   this->node.log.Follow("127.0.0.1:9999");
@@ -223,6 +252,8 @@
 BOOST_FIXTURE_TEST_CASE(HealthAndMetrics, Fixture) {
   BOOST_TEST(this->Get("/healthz").status == 200);
   BOOST_TEST(this->Get("/readyz").status == 200);
+  (void)this->Refusal("control.history", R"({"limit":-1})");
+  (void)this->Refusal("x", "{}");
   this->node.log.age = seconds(4);
   BOOST_TEST(this->Get("/readyz").status == 503);
   BOOST_TEST(this->Get("/healthz").status == 200);
@@ -231,6 +262,9 @@
   const std::string metrics = this->Get("/metrics").body;
   BOOST_TEST(metrics.find("sycamorebend_control_leader 1") !=
              std::string::npos);
+  BOOST_TEST(metrics.find("calls_total{code=\"malformed_request\",method="
+                          "\"control.history\"} 1") != std::string::npos);
+  BOOST_TEST(metrics.find("method=\"other\"} 1") != std::string::npos);
   BOOST_TEST(metrics.find("sycamorebend_control_confirmation_age_seconds 4") !=
              std::string::npos);
 }
