Retry a completion that an engine refuses with 404 or 429

Cause: an engine that has unloaded the model since its last report answers with 404, and the caller got that answer although another engine has the model. Servers announce themselves again from time to time, which filled the log.

Change: 404 and 429 of an engine are failures of the attempt, like 5xx. A repeated announcement of the same incarnation is logged at debug severity.

--- a/src/entry/backend_api.cc
+++ b/src/entry/backend_api.cc
@@ -251,13 +251,19 @@
     const bool reports_here = std::find(targets.begin(), targets.end(),
                                         this->options.address) != targets.end();
     if (reports_here) {
+      const RegisteredServer* const known =
+          this->router.Registry().Find(announcement.server_id);
+      // Servers announce themselves again from time to time.
+      const bool is_new = known == nullptr ||
+                          known->state.incarnation != announcement.incarnation;
       const Status accepted =
           this->router.Registry().Announce(announcement, this->clock.Now());
       if (!accepted) {
         Reject(*exchange, accepted.error());
         return;
       }
-      LogEvent(Severity::kInfo, Event::kServerAnnounced,
+      LogEvent(is_new ? Severity::kInfo : Severity::kDebug,
+               Event::kServerAnnounced,
                {{"server_id", announcement.server_id},
                 {"incarnation", announcement.incarnation},
                 {"address", announcement.address},
--- a/src/entry/proxy_session.cc
+++ b/src/entry/proxy_session.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusTooManyRequests = 429;
 constexpr int kFirstServerErrorStatus = 500;
 // An event of this size is no token of a completion.
 constexpr std::size_t kMaxEventBytes = 1 << 20;
@@ -27,6 +29,13 @@
   return type && std::string_view(*type).substr(0, kType.size()) == kType;
 }
 
+// @return true if another engine may answer the request: an engine that has
+// unloaded the model since its last report answers with status 404.
+bool IsEngineFailure(int status) {
+  return status == kStatusNotFound || status == kStatusTooManyRequests ||
+         status >= kFirstServerErrorStatus;
+}
+
 // @return the number of generated tokens that a whole completion states.
 int CountCompletionTokens(const std::string& body) {
   const Result<Json::Value> parsed = ParseJson(body);
@@ -371,7 +380,7 @@
     return;
   }
   if (this->request.kind == ServerKind::kEngine &&
-      this->status >= kFirstServerErrorStatus) {
+      IsEngineFailure(this->status)) {
     this->FailAttempt(
         ResultCode::kServerError,
         fmt::format("the engine answered with HTTP status {}", this->status),
--- a/tests/entry/proxy_session_test.cc
+++ b/tests/entry/proxy_session_test.cc
@@ -143,6 +143,20 @@
   BOOST_TEST((host.results.at(1).code == ResultCode::kServerError));
 }
 
+// Guards against an answer of "model not loaded" that reaches the caller
+// although another engine has the model.
+BOOST_AUTO_TEST_CASE(EngineFailuresGoToTheScheduler) {
+  for (const int status : {404, 429, 500, 503}) {
+    Fixture fixture;
+    fixture.Dispatch(1, "10.0.0.1:1");
+    fixture.client.observer->OnHeaders(status, {});
+    fixture.client.observer->OnData("error");
+    fixture.Fail(ResultCode::kOk);
+    BOOST_TEST((fixture.host.results.at(0).code == ResultCode::kServerError));
+    BOOST_TEST(fixture.exchange->status == 0);
+  }
+}
+
 // Guards against a whole answer that is taken for a silent server: its first
 // byte comes with its last token.
 BOOST_AUTO_TEST_CASE(WholeAnswerHasUntilTheDeadline) {
