--- a/src/routing/dispatch.cc
+++ b/src/routing/dispatch.cc
@@ -15,7 +15,7 @@
 constexpr float kDomainPenalty = 0.02F;
 // Weight of a request of a lower tier that would have to be preempted,
 // relative to one that is ahead.
-constexpr float kPreemptionWeight = 8.0F;
+constexpr float kPreemptionWeight = 2.0F;
 // A server that holds the whole prompt may be more loaded by this part of its
 // slots. The bound keeps a popular prefix from overloading its holders.
 constexpr float kAffinityWeight = 0.3F;
