Hold late urgent requests at the entry daemon

Cause: when the urgent class itself exceeds the capacity, servers worked off one common backlog of several seconds, so that nearly every first token was late. Change: an urgent request whose first token would be late behind urgent work waits at the entry daemon until a server has less urgent work than slots or its last useful start; the condition for a refusal is unchanged. Ruled out: refusing at the first-token target, which the design does not allow before the deadline is out of reach.

--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -143,11 +143,35 @@
                    this->RetryAfter(wait));
       return;
     }
+    const ClassState& one = this->ClassOf(request);
+    if (now + wait > this->LastTimelyStart(request) &&
+        static_cast<int>(one.late.Size()) < one.policy.max_queue) {
+      // Behind this much urgent work its first token would be late, and it
+      // would make those after it late as well. It waits here instead, until a
+      // server has less urgent work than slots or its deadline comes close.
+      request.late = true;
+      this->Enqueue(request, now);
+      this->actions.emplace_back(QueueAction{
+          request.info.request_id, one.policy.name, "too much urgent work"});
+      return;
+    }
   }
   this->ProbeSlowServer(request, choice, now);
   this->Send(request, choice, 0, now);
 }
 
+bool SchedulerImpl::SendLastUrgent(Request& request, TimePoint now) {
+  Choice choice;
+  Duration wait{0};
+  choice.server = this->ShortestWait(request, wait);
+  if (choice.server == kNoServer || now + wait >= request.deadline) {
+    return false;
+  }
+  choice.reason = "deadline is close";
+  this->Send(request, choice, 0, now);
+  return true;
+}
+
 Duration SchedulerImpl::AllowedWait(const Request& request,
                                     TimePoint now) const {
   const ClassState& one = this->ClassOf(request);
--- a/src/routing/queues.cc
+++ b/src/routing/queues.cc
@@ -36,7 +36,7 @@
 
 void SchedulerImpl::Enqueue(Request& request, TimePoint now) {
   const TimePoint timely = this->LastTimelyStart(request);
-  request.late = timely <= now;
+  request.late = request.late || timely <= now;
   this->QueueOf(request).Push(request);
   ++this->queued_requests;
   const TimePoint useful = this->LastUsefulStart(request);
@@ -67,19 +67,23 @@
     const auto& pools = this->servers.At(server).pools;
     return std::find(pools.begin(), pools.end(), one.pool) != pools.end();
   };
-  // Requests that can still be in time go first, also before late ones of a
-  // higher tier: a late answer counts for nobody.
-  for (const bool late : {false, true}) {
+  const auto serve = [&](bool urgent, bool late) {
     for (const std::size_t index : this->by_tier) {
       ClassState& one = this->classes[index];
       ClassQueue& queue = late ? one.late : one.on_time;
-      if (queue.Empty() || !can_use(one)) {
+      if ((one.policy.tier == 0) != urgent || queue.Empty() || !can_use(one)) {
         continue;
       }
       while (this->ServeOne(queue, now)) {
       }
     }
-  }
+  };
+  // After the urgent tier, requests that can still be in time go before late
+  // ones of a higher tier: a late answer counts for nobody.
+  serve(true, false);
+  serve(true, true);
+  serve(false, false);
+  serve(false, true);
 }
 
 bool SchedulerImpl::ServeOne(ClassQueue& queue, TimePoint now) {
@@ -91,6 +95,12 @@
   if (choice.server == kNoServer) {
     return false;
   }
+  if (request->tier == 0 && request->late) {
+    const ServerLoad& load = this->servers.LoadAt(choice.server);
+    if (load.ahead[0] >= load.slots) {
+      return false;
+    }
+  }
   if (request->tier > 0) {
     this->ProbeSlowServer(*request, choice, now);
   }
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -226,6 +226,9 @@
       this->MoveToLate(request, now);
       return;
     }
+    if (request.tier == 0 && this->SendLastUrgent(request, now)) {
+      return;
+    }
     this->Refuse(request, ResultCode::kDeadlineUnreachable,
                  "no server became free in time",
                  this->RetryAfter(this->ClassOf(request).lengths.ServiceTime(
--- a/src/routing/scheduler_impl.h
+++ b/src/routing/scheduler_impl.h
@@ -117,6 +117,9 @@
   // Sends the request now or puts it into its queue, or refuses it.
   void Place(Request& request, TimePoint now);
   void PlaceUrgent(Request& request, TimePoint now);
+  // Sends an urgent request that was held back and whose deadline comes close.
+  // @return false if every server has too much urgent work.
+  bool SendLastUrgent(Request& request, TimePoint now);
   // How long an urgent request may have to wait before it is refused instead.
   Duration AllowedWait(const Request& request, TimePoint now) const;
   void RefuseNew(const RequestInfo& info, ResultCode code, Duration retry);
--- a/tests/routing/rules_test.cc
+++ b/tests/routing/rules_test.cc
@@ -111,6 +111,23 @@
   BOOST_TEST((refusal.retry_after >= seconds(5)));
 }
 
+// Guards against an urgent backlog that makes every later request late, and
+// against a request that is held although it could run, or refused unsent.
+BOOST_AUTO_TEST_CASE(LateUrgentRequestIsHeldAndThenSent) {
+  Server("s1", 1, {5});
+  Submit("r1", "urgent");
+  Submit("r2", "urgent");
+  BOOST_TEST(Action() == "queue r1; queue r2");
+  Server("s1", 1, {0, 1});
+  BOOST_TEST(Action() == "dispatch r1 s1 p0");
+  now += seconds(1);
+  Server("s1", 1, {1});
+  Step(seconds(54));
+  BOOST_TEST(Action().empty());
+  Step(seconds(1));
+  BOOST_TEST(Action() == "dispatch r2 s1 p0");
+}
+
 // Guards against urgent requests that are refused for lower-tier work (I1).
 BOOST_AUTO_TEST_CASE(UrgentIsNotRefusedForLowerTiers) {
   Policy policy = MakePolicy();
