--- a/tests/fakes/announcer.cc
+++ b/tests/fakes/announcer.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kTickPeriod = milliseconds(50);
+constexpr Duration kNamedLife = seconds(5);
 constexpr Duration kPostTimeout = seconds(1);
 constexpr int kStatusOk = 200;
 constexpr int kStatusEndOfSuccess = 300;
@@ -93,12 +94,18 @@
     // The configured addresses and the reported ones take turns, so that one
     // that is down does not stop the renewal.
     std::vector<std::string> seeds = this->options.entry_addresses;
-    seeds.insert(seeds.end(), this->report_to.begin(), this->report_to.end());
+    for (const auto& [address, named] : this->report_to) {
+      seeds.push_back(address);
+    }
     this->Announce(seeds[this->next_seed++ % seeds.size()]);
   }
   if (now >= this->next_report) {
     this->next_report = now + this->report_interval;
-    for (const std::string& address : this->report_to) {
+    for (auto item = this->report_to.begin(); item != this->report_to.end();) {
+      item = item->second + kNamedLife < now ? this->report_to.erase(item)
+                                             : std::next(item);
+    }
+    for (const auto& [address, named] : this->report_to) {
       if (this->targets[address].announced || this->leaving) {
         this->Report(address);
       } else {
@@ -131,29 +138,33 @@
   Target& target = this->targets[address];
   target.busy = false;
   target.announced = Succeeded(status);
-  if (!target.announced) {
-    return;
+  if (target.announced) {
+    this->ReadAnswer(address, body);
+    this->Report(address);
   }
+}
+
+void Announcer::ReadAnswer(const std::string& address,
+                           const std::string& body) {
   const auto answer = ParseJson(body);
   if (!answer || !answer.value().isObject()) {
     return;
   }
   const Json::Value& value = answer.value();
   if (value["report_interval_ms"].isInt()) {
-    this->report_interval = milliseconds(
-        std::max(kTickPeriod / milliseconds(1),
-                 std::int64_t{value["report_interval_ms"].asInt()}));
+    this->report_interval =
+        std::max(kTickPeriod,
+                 Duration(milliseconds(value["report_interval_ms"].asInt())));
   }
+  const TimePoint now = this->clock.Now();
   if (value["report_to"].isArray()) {
-    this->report_to.clear();
     for (const Json::Value& item : value["report_to"]) {
-      this->report_to.push_back(item.asString());
+      this->report_to[item.asString()] = now;
     }
   }
   if (this->report_to.empty()) {
-    this->report_to.push_back(address);
+    this->report_to[address] = now;
   }
-  this->Report(address);
 }
 
 void Announcer::Report(const std::string& address) {
@@ -184,6 +195,7 @@
   target.busy = false;
   if (Succeeded(status)) {
     target.next_cache_event = next_cache_event;
+    this->ReadAnswer(address, body);
   } else if (status != 0) {
     // The entry daemon does not know this server: it is announced again.
     target.announced = false;
--- a/tests/fakes/announcer.h
+++ b/tests/fakes/announcer.h
@@ -70,12 +70,16 @@
                   std::uint64_t next_cache_event,
                   int status,
                   const std::string& body);
+  void ReadAnswer(const std::string& address, const std::string& body);
   Json::Value Identity() const;
 
   const Clock& clock;
   const Options options;
   std::map<std::string, Target> targets;
-  std::vector<std::string> report_to;
+  // Addresses that an entry daemon named in its last answers, and when. The
+  // lists of different entry daemons differ while the fleet changes, so that
+  // an address is kept for a while after the last list that names it.
+  std::map<std::string, TimePoint> report_to;
   std::size_t next_seed = 0;
   TimePoint next_announcement;
   TimePoint next_report;
--- /dev/null
+++ b/tests/system/graceful_stop_test.cc
@@ -0,0 +1,142 @@
+#define BOOST_TEST_MODULE graceful_stop
+#include <csignal>
+
+#include <algorithm>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+
+#include "load/load_runner.h"
+#include "sycamorebend/settings.h"
+#include "system/test_fleet.h"
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr Duration kStopLimit = seconds(90);
+
+// Shorter times than the defaults, so that a drain takes a few seconds.
+FleetOptions ShortDrain() {
+  FleetOptions options;
+  options.entry_settings["configuration_lease_ms"] = 3000;
+  options.entry_settings["address_valid_ms"] = 1000;
+  options.engine_settings["token_delay_us"] = 5000;
+  return options;
+}
+
+// Streams and orders from callers that follow /v1/addresses.
+LoadOptions CallerLoad(Fleet& fleet, Duration duration) {
+  LoadOptions options;
+  // An entry daemon that the test does not stop.
+  options.addresses_from = fleet.Entry(2).address;
+  options.requests_per_second = 40;
+  options.duration = duration;
+  LoadClass chat;
+  chat.name = "chat";
+  chat.model = "chat-1";
+  chat.api_key = Fleet::ApiKey();
+  chat.minimum_tokens = 20;
+  chat.maximum_tokens = 200;
+  LoadClass order;
+  order.name = "order";
+  order.kind = LoadKind::kOrder;
+  order.labels = "kind=order";
+  order.api_key = Fleet::ApiKey();
+  options.classes = {chat, order};
+  return options;
+}
+
+std::vector<std::string> CallerAddresses(Fleet& fleet, std::size_t entry) {
+  HttpCall call;
+  call.url = "http://" + fleet.Entry(entry).address + "/v1/addresses";
+  const auto response = fleet.Client().Fetch(std::move(call));
+  std::vector<std::string> addresses;
+  if (response && response.value().status == 200) {
+    const Json::Value body = ParseJson(response.value().body).value();
+    for (const Json::Value& item : body["addresses"]) {
+      addresses.push_back(item.asString());
+    }
+  }
+  return addresses;
+}
+
+bool Names(const std::vector<std::string>& addresses,
+           const std::string& address) {
+  return std::find(addresses.begin(), addresses.end(), address) !=
+         addresses.end();
+}
+
+void CheckNothingLost(const LoadReport& report) {
+  const ClassReport total = report.Total();
+  BOOST_TEST(total.started > 100U);
+  BOOST_TEST(total.whole == total.started, report.ToTable());
+  BOOST_TEST(total.wrong == 0U);
+}
+
+}  // namespace
+
+// Guards against requests that a planned stop cuts: an entry daemon, an engine,
+// a service and a control replica are stopped under load.
+BOOST_AUTO_TEST_CASE(PlannedStopsCutNothing) {
+  FleetOptions options = ShortDrain();
+  options.services = 2;
+  TestFleet fleet(options);
+  LoadReport report;
+  std::thread load([&] { report = RunLoad(CallerLoad(fleet, seconds(20))); });
+  std::this_thread::sleep_for(seconds(2));
+  const std::size_t leader = fleet.WaitForLeader();
+  const std::vector<Daemon*> stopped = {&fleet.Entry(0), &fleet.Engine(0),
+                                        &fleet.Service(0),
+                                        &fleet.Replica(leader)};
+  for (Daemon* const daemon : stopped) {
+    daemon->process->Signal(SIGTERM);
+  }
+  for (Daemon* const daemon : stopped) {
+    BOOST_TEST(daemon->process->WaitForExit(kStopLimit) == 0, daemon->name);
+  }
+  load.join();
+  CheckNothingLost(report);
+}
+
+// Guards against a draining entry daemon that callers are still sent to, and
+// against one that refuses callers who hold an address list that names it.
+BOOST_AUTO_TEST_CASE(DrainingEntryServesUntilListsExpire) {
+  TestFleet fleet(ShortDrain());
+  const std::string drained = fleet.Entry(0).address;
+  BOOST_TEST_REQUIRE(
+      WaitFor([&] { return Names(CallerAddresses(fleet, 1), drained); }));
+  OpenCall open(fleet.Client(), fleet.ChatCall(drained, "open", 2000));
+  BOOST_TEST_REQUIRE(open.WaitForBytes(100));
+  fleet.Entry(0).process->Signal(SIGTERM);
+  // A caller with a list from before the drain.
+  const auto late = fleet.Client().Fetch(fleet.ChatCall(drained, "late", 10));
+  BOOST_TEST_REQUIRE(bool(late));
+  BOOST_TEST(DataLines(late.value().body) ==
+             DataLines(ExpectedChat("late", 10)));
+  for (const std::size_t entry : {1, 2}) {
+    BOOST_TEST(WaitFor(
+        [&] { return !Names(CallerAddresses(fleet, entry), drained); }));
+  }
+  BOOST_TEST_REQUIRE(open.WaitForEnd());
+  BOOST_TEST(DataLines(open.Body()) == DataLines(ExpectedChat("open", 2000)));
+  BOOST_TEST(fleet.Entry(0).process->WaitForExit(kStopLimit) == 0);
+}
+
+// Guards against a list that keeps naming a dead entry daemon.
+BOOST_AUTO_TEST_CASE(KilledEntryLeavesAddressList) {
+  TestFleet fleet(ShortDrain());
+  for (const int signal : {SIGKILL, SIGSTOP}) {
+    Daemon& entry = fleet.Entry(signal == SIGKILL ? 0 : 1);
+    entry.process->Signal(signal);
+    BOOST_TEST(WaitFor(
+        [&] { return !Names(CallerAddresses(fleet, 2), entry.address); }));
+  }
+  const auto response =
+      fleet.Client().Fetch(fleet.ChatCall(fleet.Entry(2).address, "alone", 10));
+  BOOST_TEST(DataLines(response.value().body) ==
+             DataLines(ExpectedChat("alone", 10)));
+  fleet.Entry(1).process->Signal(SIGCONT);
+}
+
+}  // namespace sycamorebend
