Drop sent bytes of a stream whose caller never catches up

Cause: the buffer of a streamed answer was emptied only when the caller had read all of it. A caller that stays a little behind left the whole stream in memory.

Change: what was sent is dropped when it is the larger part of the buffer.

Ruled out: erasing at each read, which moves the rest of the buffer every time.

--- a/src/http/server_exchange.cc
+++ b/src/http/server_exchange.cc
@@ -130,6 +130,13 @@
   if (this->phase != Phase::kStreaming || data.empty()) {
     return;
   }
+  // What was sent already is dropped when it is the larger part, because a
+  // caller that never catches up completely would otherwise leave all of a long
+  // stream in memory.
+  if (this->pending_offset > this->pending.size() / 2) {
+    this->pending.erase(0, this->pending_offset);
+    this->pending_offset = 0;
+  }
   this->pending.append(data);
   this->ResumeLocked();
 }
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <fstream>
 #include <future>
 #include <map>
 #include <mutex>
@@ -108,6 +109,56 @@
   BOOST_TEST(response.body.size() == 6000U);
 }
 
+// Guards against memory that grows with the length of a stream whose caller
+// never catches up with it completely.
+BOOST_FIXTURE_TEST_CASE(LongStreamTakesBoundedMemory, Fixture) {
+  const auto resident_pages = [] {
+    std::ifstream statm("/proc/self/statm");
+    long total = 0;
+    long resident = 0;
+    statm >> total >> resident;
+    return resident;
+  };
+  constexpr std::size_t kStreamBytes = 128 << 20;
+  // More than the socket buffers of a loopback connection take at once.
+  constexpr std::size_t kPendingBytes = 8 << 20;
+  constexpr long kPageBytes = 4096;
+  constexpr long kGrowthBytes = 64 << 20;
+  Capture capture;
+  handler.routes["/long"] = capture.AsRoute();
+  struct Counter : HttpObserver {
+    void OnHeaders(int /*status*/, const HttpHeaders& /*headers*/) override {}
+    void OnData(std::string_view data) override {
+      this->bytes += data.size();
+      // Slower than the writer, so that some bytes always wait.
+      std::this_thread::sleep_for(microseconds(50));
+    }
+    void OnDone(const HttpOutcome& /*outcome*/) override {
+      this->done.set_value();
+    }
+    std::size_t bytes = 0;
+    std::promise<void> done;
+  };
+  auto counter = std::make_shared<Counter>();
+  client->Start(MakeCall("/long"), counter);
+  const auto exchange = capture.arrived.get_future().get();
+  exchange->StartStream(200, {});
+  const long before = resident_pages();
+  const std::string piece(64 << 10, 'x');
+  for (std::size_t sent = 0; sent < kStreamBytes;) {
+    if (exchange->PendingBytes() < kPendingBytes) {
+      exchange->Write(piece);
+      sent += piece.size();
+    } else {
+      std::this_thread::yield();
+    }
+  }
+  BOOST_TEST((resident_pages() - before) * kPageBytes < kGrowthBytes);
+  exchange->FinishStream();
+  counter->done.get_future().get();
+  BOOST_TEST(counter->bytes == kStreamBytes);
+}
+
 // Guards against a truncated answer that looks whole.
 BOOST_FIXTURE_TEST_CASE(AbortedStreamIsAnError, Fixture) {
   handler.routes["/abort"] = [](std::shared_ptr<HttpExchange> exchange) {
