Show that orders are refused while a control replica stops

The leader that handles SIGTERM refuses order.begin with shutting_down, and the entry daemon passes that on instead of asking the next leader: IsWorthRetrying in src/entry/control_calls.cc does not know the code.

--- a/tests/system/graceful_stop_test.cc
+++ b/tests/system/graceful_stop_test.cc
@@ -2,6 +2,9 @@
 #include <csignal>
 
 #include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
 #include <thread>
 
 #include <boost/test/unit_test.hpp>
@@ -76,8 +79,9 @@
 
 }  // namespace
 
-// Guards against requests that a planned stop cuts: an entry daemon, an engine,
-// a service and a control replica are stopped under load.
+// Guards against requests that a planned stop cuts: an entry daemon, an engine
+// and a service are stopped under load. LeaderStopsDuringOrders covers control
+// replicas.
 BOOST_AUTO_TEST_CASE(PlannedStopsCutNothing) {
   FleetOptions options = ShortDrain();
   options.services = 2;
@@ -85,10 +89,8 @@
   LoadReport report;
   std::thread load([&] { report = RunLoad(CallerLoad(fleet, seconds(20))); });
   std::this_thread::sleep_for(seconds(2));
-  const std::size_t leader = fleet.WaitForLeader();
   const std::vector<Daemon*> stopped = {&fleet.Entry(0), &fleet.Engine(0),
-                                        &fleet.Service(0),
-                                        &fleet.Replica(leader)};
+                                        &fleet.Service(0)};
   for (Daemon* const daemon : stopped) {
     daemon->process->Signal(SIGTERM);
   }
@@ -99,6 +101,52 @@
   CheckNothingLost(report);
 }
 
+// Guards against requests that are refused because the control replica that was
+// asked is stopping, although another one takes over.
+BOOST_AUTO_TEST_CASE(LeaderStopsDuringOrders) {
+  constexpr std::size_t kCallers = 6;
+  FleetOptions options = ShortDrain();
+  options.engines = 1;
+  TestFleet fleet(options);
+  std::atomic<bool> stop{false};
+  std::mutex mutex;
+  std::map<std::string, int> failures;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (std::size_t caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&, caller] {
+      const std::string& address = fleet.Entry(caller % 3).address;
+      for (int n = 0; !stop; ++n) {
+        const std::string key =
+            std::to_string(caller) + "-" + std::to_string(n);
+        // One of the callers streams chat answers, the others place orders.
+        const auto response = fleet.Client().Fetch(
+            caller == 0 ? fleet.ChatCall(address, key, 10)
+                        : fleet.OrderCall(address, key, "body"));
+        if (!response || response.value().status != 200) {
+          std::lock_guard lock(mutex);
+          ++failures[response ? response.value().body
+                              : response.error().message];
+        }
+      }
+    });
+  }
+  for (int i = 0; i < 3; ++i) {
+    Daemon& leader = fleet.Replica(fleet.WaitForLeader());
+    leader.process->Signal(SIGTERM);
+    BOOST_TEST(leader.process->WaitForExit(kStopLimit) == 0);
+    fleet.Start(leader);
+    fleet.WaitReady(leader);
+  }
+  stop = true;
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  for (const auto& [answer, count] : failures) {
+    BOOST_ERROR(count << " times: " << answer);
+  }
+}
+
 // Guards against a draining entry daemon that callers are still sent to, and
 // against one that refuses callers who hold an address list that names it.
 BOOST_AUTO_TEST_CASE(DrainingEntryServesUntilListsExpire) {
