--- a/src/routing/queues.cc
+++ b/src/routing/queues.cc
@@ -27,16 +27,16 @@
 
 TimePoint SchedulerImpl::LastUsefulStart(const Request& request) const {
   // Half of the expected time: a request that is shorter than expected must
-  // not be refused for a wrong guess.
-  return request.deadline -
-         this->ClassOf(request).lengths.ServiceTime(
-             request.customer, request.info.max_output_tokens) /
-             2;
+  // not be refused for a wrong guess. Late ones risk more waste than they can
+  // gain.
+  const Duration service = this->ClassOf(request).lengths.ServiceTime(
+      request.customer, request.info.max_output_tokens);
+  return request.deadline - (request.late ? 2 * service : service / 2);
 }
 
 void SchedulerImpl::Enqueue(Request& request, TimePoint now) {
   const TimePoint timely = this->LastTimelyStart(request);
-  request.late = timely <= now;
+  request.late = request.late || timely <= now;
   this->QueueOf(request).Push(request);
   ++this->queued_requests;
   const TimePoint useful = this->LastUsefulStart(request);
@@ -67,19 +67,23 @@
     const auto& pools = this->servers.At(server).pools;
     return std::find(pools.begin(), pools.end(), one.pool) != pools.end();
   };
-  // Requests that can still be in time go first, also before late ones of a
-  // higher tier: a late answer counts for nobody.
-  for (const bool late : {false, true}) {
+  const auto serve = [&](bool urgent, bool late) {
     for (const std::size_t index : this->by_tier) {
       ClassState& one = this->classes[index];
       ClassQueue& queue = late ? one.late : one.on_time;
-      if (queue.Empty() || !can_use(one)) {
+      if ((one.policy.tier == 0) != urgent || queue.Empty() || !can_use(one)) {
         continue;
       }
       while (this->ServeOne(queue, now)) {
       }
     }
-  }
+  };
+  // After the urgent tier, requests that can still be in time go before late
+  // ones of a higher tier: a late answer counts for nobody.
+  serve(true, false);
+  serve(true, true);
+  serve(false, false);
+  serve(false, true);
 }
 
 bool SchedulerImpl::ServeOne(ClassQueue& queue, TimePoint now) {
@@ -91,6 +95,12 @@
   if (choice.server == kNoServer) {
     return false;
   }
+  if (request->tier == 0 && request->late) {
+    const ServerLoad& load = this->servers.LoadAt(choice.server);
+    if (load.ahead[0] >= load.slots) {
+      return false;
+    }
+  }
   if (request->tier > 0) {
     this->ProbeSlowServer(*request, choice, now);
   }
@@ -105,13 +115,14 @@
 
 Request* SchedulerImpl::NextAged(ClassState& one) {
   if (one.Queued()) {
-    return one.on_time.Empty() ? one.late.Oldest() : one.on_time.Front();
+    // A late request that is close to its deadline may not start in time.
+    return one.on_time.Empty() ? one.late.Newest() : one.on_time.Front();
   }
   // All wait at servers behind work of higher tiers. One of them is withdrawn
   // and sent again with the highest priority.
-  for (const auto& [serial, request] : one.unstarted) {
-    if (request->sent_tier > 0 && one.policy.idempotent) {
-      return request;
+  for (auto it = one.unstarted.rbegin(); it != one.unstarted.rend(); ++it) {
+    if (it->second->sent_tier > 0 && one.policy.idempotent) {
+      return it->second;
     }
   }
   return nullptr;
--- a/src/routing/server_table.cc
+++ b/src/routing/server_table.cc
@@ -13,7 +13,13 @@
 // Slots that lower tiers leave free, so that work of higher tiers which arrives
 // next need not preempt them: what was preempted is computed again.
 int Headroom(std::size_t tier, int slots) {
-  return tier < 2 ? 0 : (tier == 2 ? slots / 8 : slots / 4);
+  constexpr std::array<int, 4> kSixteenths = {0, 2, 3, 4};
+  return slots * kSixteenths[std::min<std::size_t>(tier, 3)] / 16;
+}
+
+// True for work that the aging rule put among the urgent requests.
+bool IsAged(const Request& request) {
+  return request.sent_tier == 0 && request.tier > 0;
 }
 
 std::int16_t ToCount(int value) {
@@ -163,17 +169,19 @@
       ++server.sent_since[request->sent_tier];
     }
   }
-  int ahead = 0;
+  int total = 0;
   for (std::size_t t = 0; t < kMaxTiers; ++t) {
     server.reported[t] = ToCount(count(server.state.running_by_tier, t) +
                                  count(server.state.queued_by_tier, t));
-    ahead += server.reported[t];
+    total += server.reported[t];
+  }
+  for (std::size_t t = 0; t < kMaxTiers; ++t) {
     // Every entry daemon reads the same report, so each takes its share of the
     // free slots only. The random rounding keeps the sum right on average.
-    const float share =
-        static_cast<float>(std::max(
-            0, server.state.slots - Headroom(t, server.state.slots) - ahead)) /
-        static_cast<float>(this->entry_count);
+    const int free = server.state.slots - Headroom(t, server.state.slots) -
+                     (t == 0 ? server.reported[0] : total);
+    const float share = static_cast<float>(std::max(0, free)) /
+                        static_cast<float>(this->entry_count);
     server.grant[t] = static_cast<std::int16_t>(share + this->random.Unit());
   }
 }
@@ -188,8 +196,15 @@
     ahead += std::max(0, server.reported[t] + own);
     sent += own;
     load.ahead[t] = static_cast<std::int16_t>(ahead);
-    load.room[t] = static_cast<std::int16_t>(std::min(
-        server.grant[t] - sent, load.slots - Headroom(t, load.slots) - ahead));
+  }
+  // Only urgent work preempts. Slots become free often enough for the tiers
+  // between, which wait for them in order.
+  for (std::size_t t = 0; t < kMaxTiers; ++t) {
+    const int used =
+        t == 0 ? server.sent_since[0] - server.finished_since[0] : sent;
+    load.room[t] = static_cast<std::int16_t>(
+        std::min(server.grant[t] - used, load.slots - Headroom(t, load.slots) -
+                                             (t == 0 ? load.ahead[0] : ahead)));
   }
 }
 
@@ -198,7 +213,7 @@
   server.own.push_back(&request);
   request.reflected = false;
   ++server.sent_since[request.sent_tier];
-  server.own_aged += request.sent_tier < request.tier ? 1 : 0;
+  server.own_aged += IsAged(request) ? 1 : 0;
   server.own_suspects += request.suspect ? 1 : 0;
   this->Refresh(request.server);
 }
@@ -210,7 +225,7 @@
     return;
   }
   server.own.erase(found);
-  server.own_aged -= request.sent_tier < request.tier ? 1 : 0;
+  server.own_aged -= IsAged(request) ? 1 : 0;
   server.own_suspects -= request.suspect ? 1 : 0;
   if (request.reflected) {
     ++server.finished_since[request.sent_tier];
--- a/tests/consensus/service_test.cc
+++ b/tests/consensus/service_test.cc
@@ -1,7 +1,11 @@
 #define BOOST_TEST_MODULE consensus_service
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <cerrno>
+
 #include "cluster.h"
+#include "consensus/service.h"
 
 namespace sycamorebend {
 
@@ -16,6 +20,14 @@
   }
 }
 
+class FullDisk : public internal::FileCalls {
+ public:
+  int Write(int file, std::string_view data) override {
+    return this->full ? ENOSPC : FileCalls::Write(file, data);
+  }
+  std::atomic<bool> full = false;
+};
+
 }  // namespace
 
 // Guards against replicas that disagree on the order, lose an accepted command
@@ -58,4 +70,172 @@
   }
 }
 
+// Guards against a replica whose disk was lost that cannot be replaced, a
+// learner that is promoted without the log, and a reused replica ID. The new
+// replica needs a snapshot in several chunks.
+BOOST_AUTO_TEST_CASE(LostReplicaIsReplaced) {
+  ReplicatedLogOptions options;
+  options.snapshot_entries = 50;
+  options.trailing_entries = 5;
+  Cluster cluster(3, options);
+  for (int i = 0; i < 60; ++i) {
+    cluster.Leader().Propose(std::string(20000, 'x')).value();
+  }
+  const ReplicaId leader_id = cluster.Leader().Log()->GetStatus().id;
+  const ReplicaId lost = leader_id % 3 + 1;
+  cluster.nodes[lost - 1]->Stop();
+
+  const std::size_t added = cluster.AddNode();
+  const std::string address = cluster.nodes[added]->Address();
+  Node& leader = cluster.Leader();
+  const auto change = [&](const auto& begin) {
+    Status status = Success();
+    do {
+      status = Node::Wait([&](auto callback) { begin(callback); });
+    } while (!status &&
+             (status.error().code == ResultCode::kReplicaNotCaughtUp ||
+              status.error().code == ResultCode::kMembershipChangeInProgress));
+    return status;
+  };
+  const Status reused = change([&](auto callback) {
+    leader.Log()->AddReplica(lost, address, callback);
+  });
+  BOOST_TEST((reused.error().code == ResultCode::kReplicaIdReused));
+  const auto require_change = [&](const auto& begin) {
+    const Status status = change(begin);
+    BOOST_TEST_REQUIRE(status.has_value(), static_cast<int>(status.error().code)
+                                               << " "
+                                               << status.error().message);
+  };
+  require_change(
+      [&](auto callback) { leader.Log()->AddReplica(4, address, callback); });
+  require_change(
+      [&](auto callback) { leader.Log()->PromoteReplica(4, callback); });
+  require_change(
+      [&](auto callback) { leader.Log()->RemoveReplica(lost, callback); });
+  BOOST_TEST(leader.Log()->GetStatus().replicas.size() == 3u);
+
+  leader.Propose("last").value();
+  WaitApplied(cluster, 61);
+  BOOST_TEST(cluster.nodes[added]->machine->Commands() ==
+             leader.machine->Commands());
+  BOOST_TEST(cluster.nodes[added]->Log()->GetStatus().snapshot_index > 0u);
+  // The replaced replica counts for the quorum.
+  leader.Stop();
+  BOOST_TEST(cluster.Leader().Propose("after").value() == "62");
+}
+
+// Guards against an isolated leader that goes on to answer, and against
+// confirmation ages that stay small without a quorum.
+BOOST_AUTO_TEST_CASE(IsolatedLeaderStopsAnswering) {
+  Cluster cluster(3);
+  Node& leader = cluster.Leader();
+  leader.Propose("x").value();
+  WaitApplied(cluster, 1);
+  for (const auto& node : cluster.nodes) {
+    while (node->Log()->ConfirmationAge() > seconds(1)) {
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  }
+  for (const auto& node : cluster.nodes) {
+    node->cut = true;
+  }
+  while (
+      Node::Wait([&](auto callback) { leader.Log()->ReadBarrier(callback); })) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  BOOST_TEST((leader.Propose("y").error().code == ResultCode::kNotLeader));
+  const Duration age = leader.Log()->ConfirmationAge();
+  std::this_thread::sleep_for(milliseconds(50));
+  BOOST_TEST((leader.Log()->ConfirmationAge() >= age + milliseconds(50)));
+  for (const auto& node : cluster.nodes) {
+    node->cut = false;
+  }
+  BOOST_TEST(cluster.Leader().Propose("z").value() == "2");
+}
+
+// Guards against params of another process that end the replica.
+BOOST_AUTO_TEST_CASE(MalformedMessagesAreRefused) {
+  Cluster cluster(1);
+  Node& node = cluster.Leader();
+  Json::Value params;
+  params["address"] = "127.0.0.1:1";
+  for (const char* const text : {"", "AAAA", "not base64", "CQ=="}) {
+    params["messages"] = Json::Value(Json::arrayValue);
+    params["messages"].append(text);
+    BOOST_TEST((node.Log()->HandleMessage(params).error().code ==
+                ResultCode::kProtocolError));
+  }
+  BOOST_TEST((node.Log()->HandleMessage(Json::Value("x")).error().code ==
+              ResultCode::kProtocolError));
+  BOOST_TEST(node.Propose("x").value() == "1");
+}
+
+// Guards against settings with which leases are not safe.
+BOOST_AUTO_TEST_CASE(UnsafeTimingsAreRefused) {
+  ReplicatedLogOptions options;
+  options.id = 1;
+  options.initial_replicas = {{1, "127.0.0.1:1"}};
+  options.timings.lease = options.timings.election_timeout_min;
+  Node node;
+  const Status started = node.Start(options);
+  BOOST_TEST((started.error().code == ResultCode::kSettingsInvalidValue));
+}
+
+// Guards against a full disk that ends the replica, loses earlier commands or
+// is not reported to the proposer.
+BOOST_AUTO_TEST_CASE(FullDiskRefusesProposalsUntilThereIsSpace) {
+  TemporaryDirectory directory;
+  FullDisk calls;
+  SystemClock clock;
+  ListMachine machine;
+  const auto client = HttpClient::Create(1);
+  const auto rpc = RpcClient::Create(*client);
+  ControlThread control(clock);
+  ReplicatedLogOptions options;
+  options.id = 1;
+  options.initial_replicas = {{1, "127.0.0.1:1"}};
+  options.timings.request_timeout = milliseconds(200);
+  internal::ServiceParts parts{
+      machine, control, clock,
+      internal::CreateRpcTransport(*rpc, "127.0.0.1:1", milliseconds(100)),
+      [&](std::function<void(std::uint64_t)> on_done) {
+        internal::FileStorageOptions storage;
+        storage.directory = directory.path.string();
+        storage.replica_id = 1;
+        storage.calls = &calls;
+        storage.on_done = std::move(on_done);
+        return internal::CreateFileStorage(std::move(storage));
+      }};
+  const auto log =
+      std::move(internal::StartService(options, std::move(parts)).value());
+  const auto propose = [&](const std::string& command) {
+    std::promise<Result<std::string>> answer;
+    log->Propose(command, [&answer](Result<std::string> result) {
+      answer.set_value(std::move(result));
+    });
+    return answer.get_future().get();
+  };
+  while (!propose("a")) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  calls.full = true;
+  // Accepted before the disk is known to be full; it may commit later.
+  BOOST_TEST((propose("b").error().code == ResultCode::kTransportTimeout));
+  BOOST_TEST((propose("c").error().code == ResultCode::kStorageFull));
+  BOOST_TEST(Node::Wait([&](auto callback) {
+               log->ReadBarrier(callback);
+             }).has_value());
+  calls.full = false;
+  Result<std::string> later = propose("d");
+  while (!later && later.error().code == ResultCode::kStorageFull) {
+    std::this_thread::sleep_for(milliseconds(5));
+    later = propose("d");
+  }
+  BOOST_TEST(later.has_value());
+  const std::vector<std::string> expected = {"a", "b", "d"};
+  BOOST_TEST(machine.Commands() == expected);
+  log->Stop();
+}
+
 }  // namespace sycamorebend
