Accept connections in the HTTP server itself

Cause: libmicrohttpd 0.9.75 ended a process with "Failed to remove listen FD from epoll set" in about one of 150 runs of control_service_test on a busy machine. MHD_quiesce_daemon and the worker threads both remove the listening socket from the poll sets; the second removal is fatal. A graceful stop of any daemon could end that way.

Change: the daemon runs without a listening socket; a listener thread accepts and passes connections to MHD_add_connection. MHD_quiesce_daemon is not called.

The new test stops 50 servers while callers connect. It did not reproduce the fault before the change, so the proof is that the call is gone.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -7,13 +6,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <cerrno>
 #include <charconv>
-#include <cstring>
 #include <set>
 #include <utility>
 
 #include "http/hangup_watcher.h"
+#include "http/listener.h"
 #include "http/server_exchange.h"
 #include "sycamorebend/http.h"
 
@@ -31,46 +29,6 @@
 // body, so that limit is larger by this than the one that is checked here. It
 // is memory of each connection, so it is not much larger.
 constexpr std::size_t kHeaderMemorySlack = 16 << 10;
-constexpr int kListenBacklog = 1024;
-
-struct BoundSocket {
-  int fd = -1;
-  std::string address;
-};
-
-Result<BoundSocket> BindListener(const std::string& address) {
-  const std::size_t colon = address.rfind(':');
-  sockaddr_in target{};
-  target.sin_family = AF_INET;
-  const std::string host = address.substr(0, colon);
-  unsigned port = 0;
-  if (colon == std::string::npos ||
-      inet_pton(AF_INET, host.c_str(), &target.sin_addr) != 1 ||
-      std::from_chars(address.data() + colon + 1,
-                      address.data() + address.size(), port)
-              .ec != std::errc()) {
-    return MakeError(
-        ResultCode::kListenFailed,
-        fmt::format("\"{}\" is not an IPv4 address and port", address));
-  }
-  target.sin_port = htons(static_cast<std::uint16_t>(port));
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  if (fd < 0 ||
-      bind(fd, reinterpret_cast<sockaddr*>(&target), sizeof(target)) != 0 ||
-      listen(fd, kListenBacklog) != 0) {
-    const std::string reason = std::strerror(errno);
-    if (fd >= 0) {
-      close(fd);
-    }
-    return MakeError(ResultCode::kListenFailed,
-                     fmt::format("cannot listen on {}: {}", address, reason));
-  }
-  socklen_t size = sizeof(target);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&target), &size);
-  return BoundSocket{fd, fmt::format("{}:{}", host, ntohs(target.sin_port))};
-}
 
 MHD_Result AppendHeader(void* context,
                         MHD_ValueKind /*kind*/,
@@ -89,16 +47,15 @@
   ~MicrohttpdServer() override { this->Stop(); }
 
   Status Listen() {
-    BOOST_OUTCOME_TRY(bound, BindListener(this->options.address));
-    this->bound_address = bound.address;
-    this->listen_fd = bound.fd;
-    const unsigned flags =
-        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+    BOOST_OUTCOME_TRY(this->listener.Bind(this->options.address));
+    const unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD |
+                           MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC |
+                           MHD_USE_NO_LISTEN_SOCKET;
     const auto idle_seconds = static_cast<unsigned>(
         std::chrono::ceil<seconds>(this->options.receive_timeout).count());
     this->daemon = MHD_start_daemon(
         flags, 0, nullptr, nullptr, &MicrohttpdServer::OnAccess, this,
-        MHD_OPTION_LISTEN_SOCKET, bound.fd, MHD_OPTION_THREAD_POOL_SIZE,
+        MHD_OPTION_THREAD_POOL_SIZE,
         static_cast<unsigned>(this->options.threads),
         MHD_OPTION_CONNECTION_LIMIT,
         static_cast<unsigned>(this->options.max_connections),
@@ -110,14 +67,20 @@
         MHD_OPTION_NOTIFY_CONNECTION, &MicrohttpdServer::OnConnection, this,
         MHD_OPTION_END);
     if (this->daemon == nullptr) {
-      close(bound.fd);
-      return MakeError(ResultCode::kListenFailed,
-                       "cannot start the HTTP server on " + bound.address);
+      return MakeError(
+          ResultCode::kListenFailed,
+          "cannot start the HTTP server on " + this->listener.Address());
     }
+    this->listener.Start([this](int fd, const sockaddr_in& peer) {
+      // On failure libmicrohttpd closes the socket.
+      MHD_add_connection(this->daemon, fd,
+                         reinterpret_cast<const sockaddr*>(&peer),
+                         sizeof(peer));
+    });
     return Success();
   }
 
-  std::string Address() const override { return this->bound_address; }
+  std::string Address() const override { return this->listener.Address(); }
 
   std::size_t OpenExchanges() const override {
     std::lock_guard lock(this->mutex);
@@ -126,13 +89,7 @@
 
   void StopAccepting() override {
     std::lock_guard lock(this->stop_mutex);
-    if (this->daemon != nullptr && !this->quiesced) {
-      this->quiesced = true;
-      MHD_quiesce_daemon(this->daemon);
-      // Refuses new connections. The descriptor stays open until the daemon
-      // ends, because libmicrohttpd's threads remove it from their poll sets.
-      shutdown(this->listen_fd, SHUT_RDWR);
-    }
+    this->listener.Stop();
   }
 
   void Stop() override {
@@ -153,7 +110,6 @@
     }
     left.clear();
     MHD_stop_daemon(this->daemon);
-    close(this->listen_fd);
     this->daemon = nullptr;
   }
 
@@ -343,11 +299,9 @@
   HttpHandler& handler;
   SystemClock clock;
   HangupWatcher watcher;
-  std::string bound_address;
-  int listen_fd = -1;
+  internal::Listener listener;
   std::mutex stop_mutex;
   MHD_Daemon* daemon = nullptr;
-  bool quiesced = false;
   mutable std::mutex mutex;
   bool stopping = false;
   std::set<ExchangeSlot> open;
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -280,6 +280,32 @@
   BOOST_TEST((response.error().code == ResultCode::kServerFirstByteTimeout));
 }
 
+// Guards against a stop that ends the process or hangs while callers connect.
+BOOST_AUTO_TEST_CASE(ServerStopsWhileCallersConnect) {
+  const auto client = HttpClient::Create(2);
+  for (int round = 0; round < 50; ++round) {
+    RoutingHandler handler;
+    handler.routes["/"] = [](std::shared_ptr<HttpExchange> exchange) {
+      exchange->Respond(200, {}, "whole");
+    };
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    auto server = std::move(HttpServer::Start(options, handler).value());
+    HttpCall call;
+    call.url = "http://" + server->Address() + "/";
+    call.fresh_connection = true;
+    std::thread caller([&] {
+      for (int i = 0; i < 20; ++i) {
+        const auto response = client->Fetch(call);
+        BOOST_TEST((!response || response.value().body == "whole"));
+      }
+    });
+    server->StopAccepting();
+    server->Stop();
+    caller.join();
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OccupiedAddressIsReported) {
   RoutingHandler handler;
   HttpServerOptions options;
