Retry control calls at another replica while one shuts down

Cause: a replica that handles SIGTERM refuses calls with 307 and has appended nothing, but entry daemons did not try the next replica. 15 to 178 orders were answered 307 with ran "unknown" in each leader stop (graceful_stop_test/LeaderStopsDuringOrders, listed as known red).

Change: 307 is retried like kNotLeader.

--- a/src/entry/control_calls.cc
+++ b/src/entry/control_calls.cc
@@ -16,6 +16,7 @@
 
 bool IsWorthRetrying(ResultCode code) {
   return code == ResultCode::kNotLeader || code == ResultCode::kNoQuorum ||
+         code == ResultCode::kShuttingDown ||
          code == ResultCode::kConnectFailed ||
          code == ResultCode::kTransportTimeout ||
          code == ResultCode::kProtocolError;
