Handle replies of followers in one place in the consensus core

OnAppendReply and OnSnapshotReply repeated the checks of term, role and follower and the renewal of the lease. TakeReply does both. Include guards of the module follow the form of the other modules.

--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -2,8 +2,8 @@
 // the time, and returns messages, writes and committed entries. It starts no
 // thread, reads no clock and does no I/O, so that the tests run the daemon's
 // code in virtual time.
-#ifndef SRC_CONSENSUS_CORE_H_
-#define SRC_CONSENSUS_CORE_H_
+#ifndef SYCAMOREBEND_SRC_CONSENSUS_CORE_H_
+#define SYCAMOREBEND_SRC_CONSENSUS_CORE_H_
 
 #include <cstdint>
 #include <deque>
@@ -213,7 +213,10 @@
                     std::uint64_t after_write,
                     TimePoint now);
   std::uint64_t InstallSnapshot(SnapshotPtr snapshot);
-  void NoteReply(const Message& message, Progress& progress);
+  // Renews the lease with a follower's reply.
+  // @return the follower's progress, or nullptr if the reply is not for this
+  // leader and term.
+  Progress* TakeReply(const Message& message, TimePoint now);
   void MaybeCommit();
   LogIndex AppendAsLeader(EntryKind kind,
                           std::string payload,
@@ -277,4 +280,4 @@
 
 }  // namespace sycamorebend::internal
 
-#endif  // SRC_CONSENSUS_CORE_H_
+#endif  // SYCAMOREBEND_SRC_CONSENSUS_CORE_H_
--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -241,26 +241,31 @@
   this->PromoteConfirmations();
 }
 
-void Core::NoteReply(const Message& message, Progress& progress) {
+Core::Progress* Core::TakeReply(const Message& message, TimePoint now) {
+  if (message.term > this->hard.term) {
+    this->BecomeFollower(message.term, 0, now);
+    return nullptr;
+  }
+  const auto found = this->followers.find(message.from);
+  if (this->role != Role::kLeader || message.term != this->hard.term ||
+      found == this->followers.end()) {
+    return nullptr;
+  }
+  Progress& progress = found->second;
   const TimePoint sent(Duration(message.leader_echo));
   progress.acknowledged = std::max(progress.acknowledged, sent);
   if (message.follower_echo != 0) {
     progress.follower_echo = message.follower_echo;
   }
+  return &progress;
 }
 
 void Core::OnAppendReply(const Message& message, TimePoint now) {
-  if (message.term > this->hard.term) {
-    this->BecomeFollower(message.term, 0, now);
-    return;
-  }
-  const auto found = this->followers.find(message.from);
-  if (this->role != Role::kLeader || message.term != this->hard.term ||
-      found == this->followers.end()) {
+  Progress* const found = this->TakeReply(message, now);
+  if (found == nullptr) {
     return;
   }
-  Progress& progress = found->second;
-  this->NoteReply(message, progress);
+  Progress& progress = *found;
   if (!message.granted) {
     LogIndex matching = std::min(progress.next - 1, message.hint);
     while (matching > progress.match &&
@@ -397,17 +402,11 @@
 }
 
 void Core::OnSnapshotReply(const Message& message, TimePoint now) {
-  if (message.term > this->hard.term) {
-    this->BecomeFollower(message.term, 0, now);
+  Progress* const found = this->TakeReply(message, now);
+  if (found == nullptr) {
     return;
   }
-  const auto found = this->followers.find(message.from);
-  if (this->role != Role::kLeader || message.term != this->hard.term ||
-      found == this->followers.end()) {
-    return;
-  }
-  Progress& progress = found->second;
-  this->NoteReply(message, progress);
+  Progress& progress = *found;
   if (progress.snapshot == nullptr ||
       message.index != progress.snapshot_index) {
     return;
--- a/src/consensus/encoding.h
+++ b/src/consensus/encoding.h
@@ -1,7 +1,7 @@
 // Binary form of entries, replica sets, snapshots and messages, used by files
 // and by the transport. Integers are little-endian.
-#ifndef SRC_CONSENSUS_ENCODING_H_
-#define SRC_CONSENSUS_ENCODING_H_
+#ifndef SYCAMOREBEND_SRC_CONSENSUS_ENCODING_H_
+#define SYCAMOREBEND_SRC_CONSENSUS_ENCODING_H_
 
 #include <cstdint>
 #include <string>
@@ -58,4 +58,4 @@
 
 }  // namespace sycamorebend::internal
 
-#endif  // SRC_CONSENSUS_ENCODING_H_
+#endif  // SYCAMOREBEND_SRC_CONSENSUS_ENCODING_H_
--- a/src/consensus/file_storage.h
+++ b/src/consensus/file_storage.h
@@ -5,8 +5,8 @@
 // A segment is a sequence of frames. A frame holds the records of one group
 // commit and is synced before the next one is written, so only the last frame
 // of the last segment can be incomplete after a crash.
-#ifndef SRC_CONSENSUS_FILE_STORAGE_H_
-#define SRC_CONSENSUS_FILE_STORAGE_H_
+#ifndef SYCAMOREBEND_SRC_CONSENSUS_FILE_STORAGE_H_
+#define SYCAMOREBEND_SRC_CONSENSUS_FILE_STORAGE_H_
 
 #include <cstdint>
 #include <functional>
@@ -50,4 +50,4 @@
 
 }  // namespace sycamorebend::internal
 
-#endif  // SRC_CONSENSUS_FILE_STORAGE_H_
+#endif  // SYCAMOREBEND_SRC_CONSENSUS_FILE_STORAGE_H_
--- a/src/consensus/service.h
+++ b/src/consensus/service.h
@@ -1,7 +1,7 @@
 // The threaded replica. Declared apart from its factory so that tests can hand
 // in their own storage and transport.
-#ifndef SRC_CONSENSUS_SERVICE_H_
-#define SRC_CONSENSUS_SERVICE_H_
+#ifndef SYCAMOREBEND_SRC_CONSENSUS_SERVICE_H_
+#define SYCAMOREBEND_SRC_CONSENSUS_SERVICE_H_
 
 #include <functional>
 #include <memory>
@@ -30,4 +30,4 @@
 
 }  // namespace sycamorebend::internal
 
-#endif  // SRC_CONSENSUS_SERVICE_H_
+#endif  // SYCAMOREBEND_SRC_CONSENSUS_SERVICE_H_
--- a/src/consensus/storage.h
+++ b/src/consensus/storage.h
@@ -1,6 +1,6 @@
 // Durable storage of a replica.
-#ifndef SRC_CONSENSUS_STORAGE_H_
-#define SRC_CONSENSUS_STORAGE_H_
+#ifndef SYCAMOREBEND_SRC_CONSENSUS_STORAGE_H_
+#define SYCAMOREBEND_SRC_CONSENSUS_STORAGE_H_
 
 #include <functional>
 #include <memory>
@@ -31,4 +31,4 @@
 
 }  // namespace sycamorebend::internal
 
-#endif  // SRC_CONSENSUS_STORAGE_H_
+#endif  // SYCAMOREBEND_SRC_CONSENSUS_STORAGE_H_
--- a/src/consensus/transport.h
+++ b/src/consensus/transport.h
@@ -1,7 +1,7 @@
 // Carries messages between replicas. Messages may be lost, repeated, delayed
 // and reordered.
-#ifndef SRC_CONSENSUS_TRANSPORT_H_
-#define SRC_CONSENSUS_TRANSPORT_H_
+#ifndef SYCAMOREBEND_SRC_CONSENSUS_TRANSPORT_H_
+#define SYCAMOREBEND_SRC_CONSENSUS_TRANSPORT_H_
 
 #include <memory>
 #include <string>
@@ -40,4 +40,4 @@
 
 }  // namespace sycamorebend::internal
 
-#endif  // SRC_CONSENSUS_TRANSPORT_H_
+#endif  // SYCAMOREBEND_SRC_CONSENSUS_TRANSPORT_H_
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -1,6 +1,6 @@
 // Values that the parts of the replicated log exchange.
-#ifndef SRC_CONSENSUS_TYPES_H_
-#define SRC_CONSENSUS_TYPES_H_
+#ifndef SYCAMOREBEND_SRC_CONSENSUS_TYPES_H_
+#define SYCAMOREBEND_SRC_CONSENSUS_TYPES_H_
 
 #include <cstdint>
 #include <memory>
@@ -125,4 +125,4 @@
 
 }  // namespace sycamorebend::internal
 
-#endif  // SRC_CONSENSUS_TYPES_H_
+#endif  // SYCAMOREBEND_SRC_CONSENSUS_TYPES_H_
