--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -3,6 +3,8 @@
 #ifndef SYCAMOREBEND_BASE_H_
 #define SYCAMOREBEND_BASE_H_
 
+#include <signal.h>
+
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
@@ -157,6 +159,7 @@
   kProcessStopped = 103,
   kSettingsRejected = 104,
   kListening = 105,
+  kSettingsReloaded = 106,
   // 2xx: caller input.
   kRequestRejected = 201,
   kCallerGone = 202,
@@ -243,6 +246,9 @@
               Event event,
               std::initializer_list<LogField> fields = {});
 
+// Lines go to this descriptor from now on; standard error at first.
+void SetLogDescriptor(int descriptor);
+
 // Lines below `severity` are dropped. The default is kInfo.
 void SetLogThreshold(Severity severity);
 
@@ -250,8 +256,10 @@
 // Time
 
 using Duration = std::chrono::nanoseconds;
-// A point on the monotonic clock of this process. Differences are meaningful;
-// absolute values are not, and they must not cross process boundaries.
+// A point on the monotonic clock of this VM, which counts the time during which
+// the VM is suspended. Differences are meaningful; absolute values are not, and
+// they must not cross process boundaries. std::chrono::steady_clock has another
+// origin after a suspension: waits take a duration, never a TimePoint.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
 using std::chrono::microseconds;
@@ -392,6 +400,11 @@
 // threads, a control replica with 96 followers held 195 MB instead of 43 MB.
 void LimitAllocatorArenas();
 
+// Blocks the signals that daemons await with sigwait: SIGTERM and SIGINT stop,
+// SIGHUP reads the settings again. To be called before any thread starts.
+// @return the blocked signals.
+sigset_t BlockProcessSignals();
+
 // ---------------------------------------------------------------------------
 // Digests and identifiers
 
--- a/include/sycamorebend/consensus.h
+++ b/include/sycamorebend/consensus.h
@@ -66,6 +66,8 @@
     LogIndex applied_index = 0;
     LogIndex last_index = 0;
     LogIndex snapshot_index = 0;
+    // The largest ID that a replica ever had; a new one needs a larger ID.
+    ReplicaId largest_id = 0;
     std::vector<ReplicaStatus> replicas;
   };
 
--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -30,6 +30,32 @@
   bool draining = false;
 };
 
+// One backend server that announces itself to the control replicas.
+struct ServerRecord {
+  std::string server_id;
+  // Grows with every start of a server under the same ID.
+  std::uint64_t incarnation = 0;
+  // Number of the announcement that this record reflects.
+  std::uint64_t sequence = 0;
+  std::string service;
+  std::string address;  // "IP:port".
+  std::string failure_domain;
+  int slots = 1;
+  // It gets no new work.
+  bool leaving = false;
+  // Nothing was heard of it for longer than the announcement lease. It may
+  // still serve: the path to the control replicas can be all that failed.
+  bool silent = false;
+};
+
+// @return true if both say the same, whatever their sequence.
+bool SameAnnouncement(const ServerRecord& a, const ServerRecord& b);
+
+// Members of a record as they stand in commands and in the shared state.
+Json::Value ServerRecordToJson(const ServerRecord& record);
+// @return the record, or kMalformedRequest naming the field.
+Result<ServerRecord> ServerRecordFromJson(const Json::Value& value);
+
 // Everything that entry daemons share, at one version.
 struct SharedState {
   // Identifies the deployment's control state. Versions of different epochs
@@ -42,6 +68,8 @@
   std::uint64_t configuration_version = 0;
   Json::Value configuration;
   std::vector<EntryInfo> entries;
+  // Backend servers that announced themselves to the control replicas.
+  std::vector<ServerRecord> servers;
   // IDs of backend servers that operators drain.
   std::set<std::string> drained_servers;
   // Fingerprints of requests that must not run.
--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -1,10 +1,15 @@
+#include <ctime>
+
 #include "sycamorebend/base.h"
 
 namespace sycamorebend {
 
 TimePoint SystemClock::Now() const {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  // CLOCK_MONOTONIC stands still while a VM is suspended, and a lease that is
+  // measured on it would outlive the suspension.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 std::int64_t SystemClock::WallTimeMs() const {
--- a/src/base/control_thread.cc
+++ b/src/base/control_thread.cc
@@ -113,10 +113,10 @@
         deadline = this->timers.NextDeadline();
       }
       std::unique_lock lock(this->mutex);
-      const TimePoint latest = this->clock.Now() + kLongestWait;
-      this->wake.wait_until(lock, std::min(deadline, latest), [this] {
-        return this->stopping || !this->tasks.empty();
-      });
+      const TimePoint now = this->clock.Now();
+      this->wake.wait_for(
+          lock, std::min(deadline, now + kLongestWait) - now,
+          [this] { return this->stopping || !this->tasks.empty(); });
       if (this->stopping) {
         return;
       }
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -13,6 +15,8 @@
 
 std::atomic<int> threshold{static_cast<int>(Severity::kInfo)};
 
+std::atomic<int> log_descriptor{STDERR_FILENO};
+
 constexpr EventInfo kEvents[] = {
     {Event::kProcessStarted, "process_started", "The process started."},
     {Event::kProcessStopping, "process_stopping",
@@ -21,6 +25,8 @@
     {Event::kSettingsRejected, "settings_rejected",
      "The settings file was refused."},
     {Event::kListening, "listening", "The process accepts connections."},
+    {Event::kSettingsReloaded, "settings_reloaded",
+     "The settings were read again."},
     {Event::kRequestRejected, "request_rejected",
      "A caller's request was refused because of its content."},
     {Event::kCallerGone, "caller_gone",
@@ -172,6 +178,10 @@
 LogField::LogField(std::string_view name, unsigned value)
     : LogField(name, static_cast<std::uint64_t>(value)) {}
 
+void SetLogDescriptor(int descriptor) {
+  log_descriptor.store(descriptor);
+}
+
 void SetLogThreshold(Severity severity) {
   threshold.store(static_cast<int>(severity));
 }
@@ -194,7 +204,9 @@
   line.push_back('}');
   line.push_back('\n');
   // One write for the whole line, so that lines of threads do not mix.
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  const ssize_t written =
+      ::write(log_descriptor.load(), line.data(), line.size());
+  static_cast<void>(written);  // There is no place to report it to.
 }
 
 }  // namespace sycamorebend
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -451,6 +451,7 @@
     return;
   }
   status.leader_address = leader == 0 ? "" : this->AddressOf(leader);
+  status.largest_id = this->core->Replicas().largest_id;
   status.replicas.clear();
   for (const Member& member : this->core->Replicas().members) {
     ReplicatedLog::ReplicaStatus replica;
--- a/src/control/configuration_history.cc
+++ b/src/control/configuration_history.cc
@@ -1,5 +1,7 @@
 #include "control/configuration_history.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "control/record_codec.h"
@@ -8,12 +10,14 @@
 namespace sycamorebend {
 namespace internal {
 
-void ConfigurationHistory::Add(const std::string& change_id,
+void ConfigurationHistory::Add(std::uint64_t new_version,
+                               const std::string& change_id,
                                const std::string& operator_name,
                                std::int64_t time_ms,
                                const Json::Value& document) {
   Change change;
-  change.version = ++this->version;
+  change.version = new_version;
+  this->version = new_version;
   change.change_id = change_id;
   change.operator_name = operator_name;
   change.time_ms = time_ms;
@@ -36,11 +40,14 @@
 
 const ConfigurationHistory::Change* ConfigurationHistory::Find(
     std::uint64_t wanted) const {
-  if (this->changes.empty() || wanted < this->changes.front().version ||
-      wanted > this->version) {
-    return nullptr;
-  }
-  return &this->changes[wanted - this->changes.front().version];
+  // Versions grow, but not always by one.
+  const auto found = std::lower_bound(
+      this->changes.begin(), this->changes.end(), wanted,
+      [](const Change& change, std::uint64_t version) {
+        return change.version < version;
+      });
+  return found == this->changes.end() || found->version != wanted ? nullptr
+                                                                  : &*found;
 }
 
 std::string ConfigurationHistory::DescribeConflict(
@@ -87,8 +94,9 @@
                     this->version));
   }
   Json::Value found = this->document;
-  for (std::uint64_t newer = this->version; newer > wanted; --newer) {
-    BOOST_OUTCOME_TRY(undo, ParseJson(this->Find(newer)->undo));
+  for (auto newer = this->changes.rbegin();
+       newer != this->changes.rend() && newer->version > wanted; ++newer) {
+    BOOST_OUTCOME_TRY(undo, ParseJson(newer->undo));
     BOOST_OUTCOME_TRY(older, PatchJson(std::move(found), undo));
     found = std::move(older);
   }
--- a/src/control/configuration_history.h
+++ b/src/control/configuration_history.h
@@ -20,8 +20,9 @@
  public:
   explicit ConfigurationHistory(const ControlLimits& limits) : limits(limits) {}
 
-  // Accepts `document` as the next version.
-  void Add(const std::string& change_id,
+  // Accepts `document` as `new_version`, which must be higher than Version().
+  void Add(std::uint64_t new_version,
+           const std::string& change_id,
            const std::string& operator_name,
            std::int64_t time_ms,
            const Json::Value& document);
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -11,6 +11,7 @@
 #include "control/finding_table.h"
 #include "control/order_table.h"
 #include "control/record_codec.h"
+#include "control/server_directory.h"
 #include "sycamorebend/control.h"
 #include "sycamorebend/settings.h"
 
@@ -25,6 +26,7 @@
 using internal::OrderTable;
 using internal::RecordReader;
 using internal::RecordWriter;
+using internal::ServerDirectory;
 
 constexpr int kSnapshotFormat = 1;
 
@@ -61,6 +63,7 @@
   OrderTable orders;
   FindingTable findings;
   std::map<std::string, EntryInfo> entries;
+  ServerDirectory servers;
   std::set<std::string> drained_servers;
   std::vector<std::string> replicas;
   std::uint64_t fence = 0;
@@ -84,6 +87,7 @@
     item["draining"] = entry.draining;
     entries.append(item);
   }
+  header["servers"] = tables.servers.Save();
   Json::Value& drained = header["drained"] = Json::Value(Json::arrayValue);
   for (const std::string& server : tables.drained_servers) {
     drained.append(server);
@@ -110,6 +114,7 @@
     entry.draining = item["draining"].asBool();
     tables.entries[entry.entry_id] = std::move(entry);
   }
+  tables.servers.Load(header["servers"]);
   for (const Json::Value& server : header["drained"]) {
     tables.drained_servers.insert(server.asString());
   }
@@ -295,6 +300,7 @@
     counts["crashes"] = count(kept.findings.Crashes());
     counts["quarantined"] = count(kept.findings.Quarantined().size());
     counts["entries"] = count(kept.entries.size());
+    counts["servers"] = count(kept.servers.Records().size());
     counts["fence"] = count(kept.fence);
     return counts;
   }
@@ -331,6 +337,9 @@
     for (const auto& [id, entry] : this->tables->entries) {
       state->entries.push_back(entry);
     }
+    for (const auto& [id, server] : this->tables->servers.Records()) {
+      state->servers.push_back(server);
+    }
     state->drained_servers = this->tables->drained_servers;
     state->quarantined = this->tables->findings.Quarantined();
     state->replicas = this->tables->replicas;
@@ -346,6 +355,11 @@
     }
     static const std::map<std::string, Handler> kHandlers = {
         {"config.apply", &TableControlState::ApplyConfiguration},
+        {"config.replace", &TableControlState::ReplaceConfiguration},
+        {"server.announce", &TableControlState::AnnounceServer},
+        {"server.leave", &TableControlState::RemoveServer},
+        {"server.silent", &TableControlState::RemoveServer},
+        {"server.expire", &TableControlState::RemoveServer},
         {"server.drain", &TableControlState::DrainServer},
         {"server.undrain", &TableControlState::DrainServer},
         {"entry.join", &TableControlState::JoinEntry},
@@ -400,7 +414,8 @@
       return MakeError(ResultCode::kVersionConflict,
                        history.DescribeConflict(expected));
     }
-    history.Add(change_id, operator_name, now_ms, document);
+    history.Add(history.Version() + 1, change_id, operator_name, now_ms,
+                document);
     this->visible_change = true;
     Json::Value answer;
     answer["version"] = Json::UInt64(history.Version());
@@ -410,6 +425,57 @@
     return answer;
   }
 
+  // The highest version wins. A version that is not higher than the one in
+  // force changes nothing and is no error: it is a repeated or late command.
+  Result<Json::Value> ReplaceConfiguration(const Json::Value& command,
+                                           std::int64_t now_ms) {
+    FieldReader reader(command);
+    const std::uint64_t version = reader.Unsigned("version");
+    const std::string operator_name = reader.Name("operator");
+    const Json::Value& document = command["document"];
+    if (!document.isObject()) {
+      reader.Reject("document", "an object");
+    }
+    BOOST_OUTCOME_TRY(reader.Finish());
+    ConfigurationHistory& history = this->tables->history;
+    const bool newer = version > history.Version();
+    if (newer) {
+      history.Add(version, fmt::format("version-{}", version), operator_name,
+                  now_ms, document);
+      this->visible_change = true;
+    }
+    Json::Value answer;
+    answer["version"] = Json::UInt64(history.Version());
+    answer["changed"] = newer;
+    answer["shared_version"] = this->NextSharedVersion();
+    return answer;
+  }
+
+  Result<Json::Value> AnnounceServer(const Json::Value& command,
+                                     std::int64_t now_ms) {
+    BOOST_OUTCOME_TRY(record, ServerRecordFromJson(command));
+    this->visible_change =
+        this->tables->servers.Announce(record, now_ms) || this->visible_change;
+    return this->SharedVersionAnswer();
+  }
+
+  // server.leave, server.silent and server.expire.
+  Result<Json::Value> RemoveServer(const Json::Value& command,
+                                   std::int64_t now_ms) {
+    FieldReader reader(command);
+    const std::string id = reader.Name("server_id");
+    const std::uint64_t incarnation = reader.Unsigned("incarnation");
+    BOOST_OUTCOME_TRY(reader.Finish());
+    const std::string type = command["type"].asString();
+    ServerDirectory& servers = this->tables->servers;
+    const bool changed =
+        type == "server.leave"    ? servers.Leave(id, incarnation, now_ms)
+        : type == "server.silent" ? servers.SetSilent(id, incarnation)
+                                  : servers.Expire(id, incarnation);
+    this->visible_change = changed || this->visible_change;
+    return this->SharedVersionAnswer();
+  }
+
   Result<Json::Value> DrainServer(const Json::Value& command,
                                   std::int64_t now_ms) {
     FieldReader reader(command);
--- a/src/entry/control_calls.cc
+++ b/src/control/leader_calls.cc
@@ -1,17 +1,14 @@
-#include "entry/control_calls.h"
+#include "control/leader_calls.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "sycamorebend/settings.h"
 
-namespace sycamorebend::entry {
+namespace sycamorebend {
 
 namespace {
 
-// A leader answers after one synced write at a majority; a longer silence
-// means that another replica should be asked.
-constexpr Duration kTryTimeout = seconds(1);
 constexpr Duration kRetryDelay = milliseconds(50);
 
 bool IsWorthRetrying(ResultCode code) {
@@ -62,8 +59,13 @@
 LeaderCalls::LeaderCalls(ReplicaList replicas,
                          RpcClient& rpc,
                          TimerService& timers,
-                         const Clock& clock)
-    : replicas(std::move(replicas)), rpc(rpc), timers(timers), clock(clock) {}
+                         const Clock& clock,
+                         Duration try_timeout)
+    : replicas(std::move(replicas)),
+      rpc(rpc),
+      timers(timers),
+      clock(clock),
+      try_timeout(try_timeout) {}
 
 void LeaderCalls::Call(const std::string& method,
                        const Json::Value& params,
@@ -82,7 +84,7 @@
   }
   const Duration left = pending->deadline - this->clock.Now();
   const Duration timeout =
-      std::clamp<Duration>(left, milliseconds(1), kTryTimeout);
+      std::clamp<Duration>(left, milliseconds(1), this->try_timeout);
   this->rpc.CallAsync(address, pending->method, pending->params, timeout,
                       [self = this->shared_from_this(), pending,
                        address](Result<Json::Value> result) {
@@ -140,4 +142,4 @@
   ++this->next_replica;
 }
 
-}  // namespace sycamorebend::entry
+}  // namespace sycamorebend
--- a/src/entry/control_calls.h
+++ b/src/control/leader_calls.h
@@ -1,6 +1,6 @@
 // Calls to the control replicas.
-#ifndef SYCAMOREBEND_SRC_ENTRY_CONTROL_CALLS_H_
-#define SYCAMOREBEND_SRC_ENTRY_CONTROL_CALLS_H_
+#ifndef SYCAMOREBEND_SRC_CONTROL_LEADER_CALLS_H_
+#define SYCAMOREBEND_SRC_CONTROL_LEADER_CALLS_H_
 
 #include <functional>
 #include <memory>
@@ -11,7 +11,7 @@
 #include "sycamorebend/base.h"
 #include "sycamorebend/rpc.h"
 
-namespace sycamorebend::entry {
+namespace sycamorebend {
 
 // Runs calls at the leader.
 class ControlCalls {
@@ -38,12 +38,18 @@
  public:
   using ReplicaList = std::function<std::vector<std::string>()>;
 
+  // A leader answers after one synced write at a majority; a longer silence
+  // means that another replica should be asked.
+  static constexpr Duration kTryTimeout = seconds(1);
+
   // @param replicas returns the known addresses; called from any thread.
   // @param rpc, timers and clock must outlive the calls.
+  // @param try_timeout longest time for the answer of one replica.
   LeaderCalls(ReplicaList replicas,
               RpcClient& rpc,
               TimerService& timers,
-              const Clock& clock);
+              const Clock& clock,
+              Duration try_timeout = kTryTimeout);
 
   void Call(const std::string& method,
             const Json::Value& params,
@@ -65,6 +71,7 @@
   RpcClient& rpc;
   TimerService& timers;
   const Clock& clock;
+  const Duration try_timeout;
   std::mutex mutex;
   // The replica that answered last, or a hint. Empty if none is known.
   std::string preferred;
@@ -74,6 +81,6 @@
 // @return the first "IP:port" in `text`, or an empty string.
 std::string FindAddress(const std::string& text);
 
-}  // namespace sycamorebend::entry
+}  // namespace sycamorebend
 
-#endif  // SYCAMOREBEND_SRC_ENTRY_CONTROL_CALLS_H_
+#endif  // SYCAMOREBEND_SRC_CONTROL_LEADER_CALLS_H_
--- /dev/null
+++ b/src/control/server_directory.cc
@@ -0,0 +1,193 @@
+#include "control/server_directory.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "control/field_reader.h"
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr std::uint64_t kMaxSlots = 1U << 20U;
+
+}  // namespace
+
+bool SameAnnouncement(const ServerRecord& a, const ServerRecord& b) {
+  return a.server_id == b.server_id && a.incarnation == b.incarnation &&
+         a.service == b.service && a.address == b.address &&
+         a.failure_domain == b.failure_domain && a.slots == b.slots &&
+         a.leaving == b.leaving && a.silent == b.silent;
+}
+
+Json::Value ServerRecordToJson(const ServerRecord& record) {
+  Json::Value value;
+  value["server_id"] = record.server_id;
+  value["incarnation"] = Json::UInt64(record.incarnation);
+  value["sequence"] = Json::UInt64(record.sequence);
+  value["service"] = record.service;
+  value["address"] = record.address;
+  value["failure_domain"] = record.failure_domain;
+  value["slots"] = record.slots;
+  value["leaving"] = record.leaving;
+  value["silent"] = record.silent;
+  return value;
+}
+
+Result<ServerRecord> ServerRecordFromJson(const Json::Value& value) {
+  internal::FieldReader reader(value);
+  ServerRecord record;
+  record.server_id = reader.Name("server_id");
+  record.incarnation = reader.Unsigned("incarnation");
+  record.sequence = reader.Unsigned("sequence");
+  record.service = reader.Name("service");
+  record.address = reader.Name("address");
+  record.failure_domain = reader.OptionalString("failure_domain");
+  const std::uint64_t slots = reader.Unsigned("slots");
+  record.leaving = reader.OptionalBool("leaving");
+  record.silent = reader.OptionalBool("silent");
+  if (slots == 0 || slots > kMaxSlots) {
+    reader.Reject("slots", "a number from 1 to 1048576");
+  }
+  record.slots = static_cast<int>(slots);
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return record;
+}
+
+namespace internal {
+
+namespace {
+
+// An announcement that a partition held up can arrive this long after its
+// sender has left.
+constexpr std::int64_t kDepartureMemoryMs = 10LL * 60 * 1000;
+
+}  // namespace
+
+bool ServerDirectory::Announce(const ServerRecord& record,
+                               std::int64_t now_ms) {
+  this->ForgetDepartures(now_ms);
+  const auto left = this->departed.find(record.server_id);
+  if (left != this->departed.end() &&
+      left->second.incarnation >= record.incarnation) {
+    return false;
+  }
+  const auto known = this->records.find(record.server_id);
+  if (known != this->records.end() &&
+      (known->second.incarnation > record.incarnation ||
+       (known->second.incarnation == record.incarnation &&
+        known->second.sequence >= record.sequence))) {
+    return false;
+  }
+  if (this->AddressTaken(record)) {
+    return false;
+  }
+  this->RemoveOthersAt(record);
+  const bool changed = known == this->records.end() ||
+                       !SameAnnouncement(known->second, record);
+  this->records[record.server_id] = record;
+  return changed;
+}
+
+bool ServerDirectory::Leave(const std::string& server_id,
+                            std::uint64_t incarnation,
+                            std::int64_t now_ms) {
+  const auto known = this->records.find(server_id);
+  if (incarnation == 0 && known != this->records.end()) {
+    incarnation = known->second.incarnation;
+  }
+  Departure& departure = this->departed[server_id];
+  departure.incarnation = std::max(departure.incarnation, incarnation);
+  departure.time_ms = now_ms;
+  if (known == this->records.end() ||
+      known->second.incarnation > incarnation) {
+    return false;
+  }
+  this->records.erase(known);
+  return true;
+}
+
+bool ServerDirectory::SetSilent(const std::string& server_id,
+                                std::uint64_t incarnation) {
+  const auto known = this->records.find(server_id);
+  if (known == this->records.end() || known->second.silent ||
+      known->second.incarnation != incarnation) {
+    return false;
+  }
+  known->second.silent = true;
+  return true;
+}
+
+bool ServerDirectory::Expire(const std::string& server_id,
+                             std::uint64_t incarnation) {
+  const auto known = this->records.find(server_id);
+  if (known == this->records.end() ||
+      known->second.incarnation != incarnation) {
+    return false;
+  }
+  this->records.erase(known);
+  return true;
+}
+
+bool ServerDirectory::AddressTaken(const ServerRecord& record) const {
+  for (const auto& [id, other] : this->records) {
+    if (id != record.server_id && other.address == record.address &&
+        other.incarnation > record.incarnation) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void ServerDirectory::RemoveOthersAt(const ServerRecord& record) {
+  for (auto other = this->records.begin(); other != this->records.end();) {
+    const bool replaced = other->first != record.server_id &&
+                          other->second.address == record.address;
+    other = replaced ? this->records.erase(other) : std::next(other);
+  }
+}
+
+void ServerDirectory::ForgetDepartures(std::int64_t now_ms) {
+  for (auto left = this->departed.begin(); left != this->departed.end();) {
+    left = now_ms - left->second.time_ms > kDepartureMemoryMs
+               ? this->departed.erase(left)
+               : std::next(left);
+  }
+}
+
+Json::Value ServerDirectory::Save() const {
+  Json::Value saved;
+  saved["records"] = Json::Value(Json::arrayValue);
+  for (const auto& [id, record] : this->records) {
+    saved["records"].append(ServerRecordToJson(record));
+  }
+  saved["departed"] = Json::Value(Json::arrayValue);
+  for (const auto& [id, left] : this->departed) {
+    Json::Value item;
+    item["server_id"] = id;
+    item["incarnation"] = Json::UInt64(left.incarnation);
+    item["time_ms"] = Json::Int64(left.time_ms);
+    saved["departed"].append(item);
+  }
+  return saved;
+}
+
+void ServerDirectory::Load(const Json::Value& saved) {
+  for (const Json::Value& item : saved["records"]) {
+    const Result<ServerRecord> record = ServerRecordFromJson(item);
+    if (record) {
+      this->records[record.value().server_id] = record.value();
+    } else {
+      LogEvent(Severity::kError, Event::kReportRejected,
+               {{"reason", record.error().message},
+                {"source", "snapshot of the control state"}});
+    }
+  }
+  for (const Json::Value& item : saved["departed"]) {
+    this->departed[item["server_id"].asString()] = {
+        item["incarnation"].asUInt64(), item["time_ms"].asInt64()};
+  }
+}
+
+}  // namespace internal
+}  // namespace sycamorebend
--- a/src/control/shared_state.cc
+++ b/src/control/shared_state.cc
@@ -37,6 +37,22 @@
   return Success();
 }
 
+Status ReadServers(const Json::Value& servers, SharedState& state) {
+  if (!servers.isObject()) {
+    return MakeError(ResultCode::kProtocolError,
+                     "\"servers\" must be an object");
+  }
+  for (const std::string& id : servers.getMemberNames()) {
+    Result<ServerRecord> record = ServerRecordFromJson(servers[id]);
+    if (!record) {
+      return MakeError(ResultCode::kProtocolError,
+                       "server " + id + ": " + record.error().message);
+    }
+    state.servers.push_back(std::move(record.value()));
+  }
+  return Success();
+}
+
 }  // namespace
 
 Json::Value SharedStateToJson(const SharedState& state) {
@@ -54,6 +70,10 @@
     item["incarnation"] = entry.incarnation;
     item["draining"] = entry.draining;
   }
+  Json::Value& servers = value["servers"] = Json::Value(Json::objectValue);
+  for (const ServerRecord& server : state.servers) {
+    servers[server.server_id] = ServerRecordToJson(server);
+  }
   value["drained_servers"] = ToArray(state.drained_servers);
   value["quarantined"] = ToArray(state.quarantined);
   value["replicas"] = ToArray(state.replicas);
@@ -77,6 +97,10 @@
   state.drained_servers.insert(drained.begin(), drained.end());
   state.quarantined.insert(quarantined.begin(), quarantined.end());
   BOOST_OUTCOME_TRY(ReadEntries(value["entries"], state));
+  // Absent in the state of an earlier release.
+  if (value.isMember("servers")) {
+    BOOST_OUTCOME_TRY(ReadServers(value["servers"], state));
+  }
   return state;
 }
 
--- /dev/null
+++ b/src/controld/control_process.cc
@@ -0,0 +1,67 @@
+#include "controld/control_process.h"
+
+#include <ctime>
+#include <utility>
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr Duration kAdvancePeriod = milliseconds(100);
+
+void Reload(const std::function<Result<ControlSettings>()>& load,
+            ControlDaemon& daemon) {
+  Result<ControlSettings> settings = load();
+  if (!settings) {
+    // The settings in force stay.
+    LogEvent(Severity::kError, Event::kSettingsRejected,
+             {{"message", settings.error().message}});
+    return;
+  }
+  SetLogThreshold(settings.value().log_threshold);
+  daemon.SetSeeds(std::move(settings.value().seeds));
+  LogEvent(Severity::kInfo, Event::kSettingsReloaded);
+}
+
+// Waits for a stop signal while the daemon does what is due.
+// @return the signal; 0 if the replica was expelled.
+Result<int> WaitForStop(const std::function<Result<ControlSettings>()>& load,
+                        ControlDaemon& daemon,
+                        const sigset_t& signals) {
+  while (!daemon.Expelled()) {
+    const timespec pause{0, kAdvancePeriod.count()};
+    const int signal_number = sigtimedwait(&signals, nullptr, &pause);
+    if (signal_number == SIGHUP) {
+      Reload(load, daemon);
+    } else if (signal_number > 0) {
+      return signal_number;
+    }
+    BOOST_OUTCOME_TRY(daemon.Advance());
+  }
+  return 0;
+}
+
+}  // namespace
+
+Status RunControl(const std::function<Result<ControlSettings>()>& load,
+                  const ExtensionFactory& extend,
+                  const sigset_t& signals) {
+  for (;;) {
+    BOOST_OUTCOME_TRY(settings, load());
+    SetLogThreshold(settings.log_threshold);
+    BOOST_OUTCOME_TRY(daemon, ControlDaemon::Start(settings));
+    BOOST_OUTCOME_TRY(extension, extend(*daemon));
+    BOOST_OUTCOME_TRY(signal_number, WaitForStop(load, *daemon, signals));
+    LogEvent(Severity::kInfo, Event::kProcessStopping,
+             {{"signal", signal_number}, {"expelled", daemon->Expelled()}});
+    daemon->Stop();
+    extension.reset();
+    if (!daemon->Expelled()) {
+      LogEvent(Severity::kInfo, Event::kProcessStopped);
+      return Success();
+    }
+    BOOST_OUTCOME_TRY(EraseReplica(settings.log.data_directory));
+  }
+}
+
+}  // namespace sycamorebend
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -19,6 +19,8 @@
 // A replica whose state was confirmed longer ago is not ready.
 constexpr Duration kReadyAge = seconds(3);
 constexpr std::uint64_t kDefaultHistory = 20;
+// Ticks are due every 200 ms.
+constexpr Duration kLongestTickGap = seconds(1);
 constexpr std::string_view kStatusMethod = "control.status";
 
 // @return the value, or kCancelled if the log was stopped and dropped the
@@ -57,7 +59,9 @@
                                const Clock& clock)
     : state(state), feed(feed), clock(clock) {}
 
-void ControlService::SetLog(ReplicatedLogService& new_log) {
+void ControlService::SetLog(ReplicatedLogService& new_log,
+                            ReplicaSetGoal goal) {
+  this->manager = std::make_unique<ReplicaManager>(goal, new_log, this->clock);
   this->log = &new_log;
 }
 
@@ -70,6 +74,11 @@
       {"control.apply", &ControlService::Apply},
       {"control.show", &ControlService::Show},
       {"control.history", &ControlService::History},
+      {"config.replace", &ControlService::Replace},
+      {"server.heartbeat", &ControlService::Heartbeat},
+      {"server.leave", &ControlService::Leave},
+      {kReplicaJoinMethod, &ControlService::JoinReplica},
+      {kReplicaMemberMethod, &ControlService::CheckMember},
       {"control.drain", &ControlService::Drain},
       {"control.undrain", &ControlService::Undrain},
       {"control.replica", &ControlService::ChangeReplicas},
@@ -205,6 +214,64 @@
   return answer;
 }
 
+Result<Json::Value> ControlService::Replace(const Json::Value& params) {
+  Result<Json::Value> answer = this->Propose("config.replace", params);
+  if (answer && answer.value()["changed"].asBool()) {
+    LogEvent(Severity::kInfo, Event::kConfigurationAccepted,
+             {{"version", answer.value()["version"].asUInt64()},
+              {"operator", params["operator"].asString()}});
+  }
+  return answer;
+}
+
+Result<Json::Value> ControlService::Heartbeat(const Json::Value& params) {
+  BOOST_OUTCOME_TRY(record, ServerRecordFromJson(params));
+  const ReplicatedLog::LogStatus status = this->log.load()->GetStatus();
+  if (!status.is_leader) {
+    return MakeError(ResultCode::kNotLeader, status.leader_address);
+  }
+  bool news = false;
+  {
+    std::lock_guard lock(this->liveness_mutex);
+    news = this->liveness.Note(record, *this->state.Shared(),
+                               this->clock.Now());
+  }
+  if (!news) {
+    return Json::Value(Json::objectValue);
+  }
+  Result<Json::Value> answer = this->Propose("server.announce", params);
+  if (answer) {
+    LogEvent(Severity::kInfo, Event::kServerAnnounced,
+             {{"server_id", record.server_id},
+              {"incarnation", record.incarnation},
+              {"service", record.service},
+              {"address", record.address},
+              {"leaving", record.leaving}});
+  } else {
+    // The next announcement must be proposed again.
+    std::lock_guard lock(this->liveness_mutex);
+    this->liveness.Forget(record.server_id);
+  }
+  return answer;
+}
+
+Result<Json::Value> ControlService::Leave(const Json::Value& params) {
+  Result<Json::Value> answer = this->Propose("server.leave", params);
+  if (answer) {
+    LogEvent(Severity::kInfo, Event::kServerLeft,
+             {{"server_id", params["server_id"].asString()}});
+  }
+  return answer;
+}
+
+Result<Json::Value> ControlService::JoinReplica(const Json::Value& params) {
+  return this->manager->Join(params);
+}
+
+Result<Json::Value> ControlService::CheckMember(const Json::Value& params) {
+  return this->manager->Member(params);
+}
+
 Result<Json::Value> ControlService::Drain(const Json::Value& params) {
   return this->Propose("server.drain", params);
 }
@@ -293,11 +360,13 @@
   if (!status.is_leader) {
     return;
   }
+  this->manager->Tick();
   const std::shared_ptr<const SharedState> shared = this->state.Shared();
+  this->ProposeLapses(status, *shared);
   if (shared->epoch.empty()) {
     Json::Value command;
     command["epoch"] = RandomId();
-    this->ProposeOnce("cluster.init", command);
+    this->ProposeOnce("cluster.init", "cluster.init", command);
   }
   std::vector<std::string> addresses;
   for (const ReplicatedLog::ReplicaStatus& replica : status.replicas) {
@@ -309,29 +378,60 @@
     for (const std::string& address : addresses) {
       command["addresses"].append(address);
     }
-    this->ProposeOnce("replicas.set", command);
+    this->ProposeOnce("replicas.set", "replicas.set", command);
   }
   if (this->state.NeedsTick(this->clock.WallTimeMs())) {
-    this->ProposeOnce("clock.tick", Json::Value(Json::objectValue));
+    this->ProposeOnce("clock.tick", "clock.tick",
+                      Json::Value(Json::objectValue));
   }
 }
 
-void ControlService::ProposeOnce(const std::string& type, Json::Value command) {
+void ControlService::ProposeOnce(const std::string& key,
+                                 const std::string& type,
+                                 Json::Value command) {
   {
     std::lock_guard lock(this->in_flight->mutex);
-    if (!this->in_flight->types.insert(type).second) {
+    if (!this->in_flight->keys.insert(key).second) {
       return;
     }
   }
   command["type"] = type;
   this->log.load()->Propose(
       WriteJson(command),
-      [flags = this->in_flight, type](Result<std::string> /*answer*/) {
+      [flags = this->in_flight, key](Result<std::string> /*answer*/) {
         std::lock_guard lock(flags->mutex);
-        flags->types.erase(type);
+        flags->keys.erase(key);
       });
 }
 
+void ControlService::ProposeLapses(const ReplicatedLog::LogStatus& status,
+                                   const SharedState& shared) {
+  const TimePoint now = this->clock.Now();
+  std::vector<ServerLiveness::Lapse> lapses;
+  {
+    std::lock_guard lock(this->liveness_mutex);
+    // After a pause of this process the announcements sent meanwhile are not
+    // here yet, as after an election.
+    const bool paused = now - this->last_tick > kLongestTickGap;
+    this->last_tick = now;
+    if (this->liveness_term != status.term || paused) {
+      this->liveness_term = status.term;
+      this->liveness.Reset(now);
+    }
+    lapses = this->liveness.FindLapses(shared, now);
+  }
+  for (const ServerLiveness::Lapse& lapse : lapses) {
+    Json::Value command;
+    command["server_id"] = lapse.server_id;
+    command["incarnation"] = Json::UInt64(lapse.incarnation);
+    LogEvent(Severity::kWarning, Event::kServerLeaseExpired,
+             {{"server_id", lapse.server_id}, {"removed", lapse.expired}});
+    this->ProposeOnce(
+        lapse.server_id,
+        lapse.expired ? "server.expire" : "server.silent", command);
+  }
+}
+
 bool ControlService::Ready() const {
   const ReplicatedLogService* const replica_log = this->log;
   return replica_log != nullptr && !this->stopping &&
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -14,6 +14,8 @@
 #include <json/value.h>
 
 #include "sycamorebend/consensus.h"
+#include "controld/replica_manager.h"
+#include "controld/server_liveness.h"
 #include "sycamorebend/control.h"
 #include "sycamorebend/feed.h"
 #include "sycamorebend/rpc.h"
@@ -26,7 +28,8 @@
   ControlService(ControlState& state, FeedSource& feed, const Clock& clock);
 
   // Takes the log. Calls are refused before that.
-  void SetLog(ReplicatedLogService& new_log);
+  // @param goal what the replica set shall look like.
+  void SetLog(ReplicatedLogService& new_log, ReplicaSetGoal goal = {});
 
   // Refuses further changes with kShuttingDown; messages between replicas are
   // still accepted, so that leadership can be handed over.
@@ -62,6 +65,14 @@
   Result<Json::Value> DryRun(const Json::Value& params);
   Result<Json::Value> Show(const Json::Value& params);
   Result<Json::Value> History(const Json::Value& params);
+  // config.replace: the highest version wins. The caller has checked the
+  // document.
+  Result<Json::Value> Replace(const Json::Value& params);
+  // server.heartbeat: proposes an announcement if it says something new.
+  Result<Json::Value> Heartbeat(const Json::Value& params);
+  Result<Json::Value> Leave(const Json::Value& params);
+  Result<Json::Value> JoinReplica(const Json::Value& params);
+  Result<Json::Value> CheckMember(const Json::Value& params);
   Result<Json::Value> Drain(const Json::Value& params);
   Result<Json::Value> Undrain(const Json::Value& params);
   Result<Json::Value> ChangeReplicas(const Json::Value& params);
@@ -75,11 +86,17 @@
   Result<Json::Value> Propose(const std::string& type, Json::Value params);
   // Waits until this replica's state is current.
   Status Barrier();
-  void ProposeOnce(const std::string& type, Json::Value command);
+  // Proposes a command unless one with the same `key` is under way.
+  void ProposeOnce(const std::string& key,
+                   const std::string& type,
+                   Json::Value command);
+  // Leader: marks and removes backend servers whose leases have ended.
+  void ProposeLapses(const ReplicatedLog::LogStatus& status,
+                     const SharedState& shared);
 
   struct InFlight {
     std::mutex mutex;
-    std::set<std::string> types;
+    std::set<std::string> keys;
   };
 
   ControlState& state;
@@ -87,6 +104,11 @@
   const Clock& clock;
   std::atomic<ReplicatedLogService*> log{nullptr};
   std::atomic<bool> stopping{false};
+  std::unique_ptr<ReplicaManager> manager;
+  std::mutex liveness_mutex;
+  ServerLiveness liveness{ServerLeases()};
+  Term liveness_term = 0;
+  TimePoint last_tick;
   mutable std::mutex counts_mutex;
   CallCounts counts;
   const std::shared_ptr<InFlight> in_flight = std::make_shared<InFlight>();
--- a/src/controld/control_settings.cc
+++ b/src/controld/control_settings.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kLongestTime{60000};
 constexpr std::int64_t kMaxId = std::numeric_limits<std::int64_t>::max();
 constexpr std::int64_t kMaxFollowers = 500;
+constexpr std::int64_t kMaxTolerated = 4;
+constexpr std::int64_t kDefaultTolerated = 1;
 
 milliseconds Milliseconds(Duration duration) {
   return std::chrono::duration_cast<milliseconds>(duration);
@@ -58,16 +60,40 @@
   }
 }
 
+// @return `address` with the port of `other`.
+std::string WithPortOf(const std::string& address, const std::string& other) {
+  return address.substr(0, address.find(':')) + other.substr(other.find(':'));
+}
+
+void ReadSeeds(SettingsObject& root, ControlSettings& settings) {
+  for (const std::string& seed : root.GetAddressList("seeds")) {
+    settings.seeds.push_back(WithPortOf(seed, settings.log.address));
+  }
+  settings.bootstrap = root.GetBool("bootstrap", false);
+  // A majority must be left after the losses.
+  settings.voters =
+      2 * static_cast<int>(root.GetInteger("tolerated_losses", 0,
+                                           kMaxTolerated, kDefaultTolerated)) +
+      1;
+  if (settings.seeds.empty()) {
+    root.Reject("seeds", "at least one address");
+  }
+}
+
 }  // namespace
 
 Result<ControlSettings> ReadControlSettings(SettingsObject root) {
   ControlSettings settings;
-  settings.log.id = root.GetInteger("id", 1, kMaxId);
   settings.log.address = root.GetAddress("address");
   settings.failure_domain = root.GetString("failure_domain");
   settings.log.data_directory = root.GetString("data_directory");
-  settings.log.join = root.GetBool("join", false);
-  ReadReplicas(root, settings.log);
+  if (root.Has("seeds")) {
+    ReadSeeds(root, settings);
+  } else {
+    settings.log.id = root.GetInteger("id", 1, kMaxId);
+    settings.log.join = root.GetBool("join", false);
+    ReadReplicas(root, settings.log);
+  }
   ReadTimings(root, settings.log.timings);
   settings.feed.entry_lease =
       root.GetMilliseconds("entry_lease_ms", milliseconds(1000), kLongestTime,
--- a/src/controld/control_settings.h
+++ b/src/controld/control_settings.h
@@ -13,6 +13,14 @@
 struct ControlSettings {
   ReplicatedLogOptions log;
   FeedSourceOptions feed;
+  // Addresses of control replicas that this one contacts. If there are any, the
+  // replica set looks after itself: `log.id`, `log.join` and
+  // `log.initial_replicas` are not used.
+  std::vector<std::string> seeds;
+  // The deployment starts for the first time: the seeds found the replica set.
+  bool bootstrap = false;
+  // Voters that the replica set shall have; with seeds only.
+  int voters = 0;
   std::string failure_domain;
   Severity log_threshold = Severity::kInfo;
 };
--- /dev/null
+++ b/src/controld/replica_identity.cc
@@ -0,0 +1,148 @@
+#include "controld/replica_identity.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <system_error>
+
+#include <fmt/format.h>
+
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr const char* kIdentityFile = "identity";
+constexpr const char* kTemporaryFile = "identity.tmp";
+constexpr int kFileMode = 0644;
+
+Error StorageError(const std::string& action, const fs::path& path) {
+  return MakeError(ResultCode::kStorageFailed,
+                   fmt::format("cannot {} {}: {}", action, path.string(),
+                               std::generic_category().message(errno)));
+}
+
+// Opens `path`, runs `use` with the descriptor and closes it.
+template <typename Use>
+bool WithFile(const fs::path& path, int flags, Use use) {
+  const int file = ::open(path.c_str(), flags | O_CLOEXEC, kFileMode);
+  if (file < 0) {
+    return false;
+  }
+  const bool used = use(file);
+  const int error = errno;
+  ::close(file);
+  errno = error;
+  return used;
+}
+
+std::string Encode(const ReplicaIdentity& identity) {
+  Json::Value value;
+  value["id"] = Json::UInt64(identity.id);
+  value["founders"] = Json::Value(Json::arrayValue);
+  for (const ReplicaAddress& founder : identity.founders) {
+    Json::Value item;
+    item["id"] = Json::UInt64(founder.id);
+    item["address"] = founder.address;
+    value["founders"].append(item);
+  }
+  return WriteJson(value);
+}
+
+}  // namespace
+
+std::optional<ReplicaIdentity> FounderIdentity(std::vector<std::string> seeds,
+                                               const std::string& own_address) {
+  std::sort(seeds.begin(), seeds.end());
+  seeds.erase(std::unique(seeds.begin(), seeds.end()), seeds.end());
+  ReplicaIdentity identity;
+  for (const std::string& seed : seeds) {
+    identity.founders.push_back({identity.founders.size() + 1, seed});
+    if (seed == own_address) {
+      identity.id = identity.founders.back().id;
+    }
+  }
+  if (identity.id == 0) {
+    return std::nullopt;
+  }
+  return identity;
+}
+
+Result<std::optional<ReplicaIdentity>> LoadIdentity(
+    const std::string& directory) {
+  const fs::path path = fs::path(directory) / kIdentityFile;
+  std::ifstream file(path);
+  if (!file) {
+    return std::optional<ReplicaIdentity>();
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  const Result<Json::Value> value = ParseJson(text.str());
+  if (!value || !value.value()["id"].isUInt64() ||
+      value.value()["id"].asUInt64() == 0 ||
+      !value.value()["founders"].isArray()) {
+    return MakeError(ResultCode::kLogCorrupt,
+                     path.string() + " does not hold a replica's identity");
+  }
+  ReplicaIdentity identity;
+  identity.id = value.value()["id"].asUInt64();
+  for (const Json::Value& item : value.value()["founders"]) {
+    identity.founders.push_back(
+        {item["id"].asUInt64(), item["address"].asString()});
+  }
+  return std::optional<ReplicaIdentity>(std::move(identity));
+}
+
+Status StoreIdentity(const std::string& directory,
+                     const ReplicaIdentity& identity) {
+  std::error_code error;
+  fs::create_directories(directory, error);
+  const fs::path path = fs::path(directory) / kIdentityFile;
+  const fs::path temporary = fs::path(directory) / kTemporaryFile;
+  const std::string text = Encode(identity);
+  const bool written =
+      WithFile(temporary, O_WRONLY | O_CREAT | O_TRUNC, [&](int file) {
+        const ssize_t size = ::write(file, text.data(), text.size());
+        return size == static_cast<ssize_t>(text.size()) && ::fsync(file) == 0;
+      });
+  if (!written) {
+    return StorageError("write", temporary);
+  }
+  if (::rename(temporary.c_str(), path.c_str()) != 0) {
+    return StorageError("rename", temporary);
+  }
+  const bool synced = WithFile(directory, O_RDONLY | O_DIRECTORY,
+                               [](int file) { return ::fsync(file) == 0; });
+  if (!synced) {
+    return StorageError("sync", directory);
+  }
+  return Success();
+}
+
+Status EraseReplica(const std::string& directory) {
+  // The identity goes last: an erasure that is interrupted starts again.
+  std::error_code error;
+  const fs::path identity = fs::path(directory) / kIdentityFile;
+  for (const auto& item : fs::directory_iterator(directory, error)) {
+    if (item.path() != identity) {
+      fs::remove_all(item.path(), error);
+    }
+  }
+  fs::remove(identity, error);
+  if (fs::exists(identity)) {
+    return StorageError("remove", identity);
+  }
+  const bool synced = WithFile(directory, O_RDONLY | O_DIRECTORY,
+                               [](int file) { return ::fsync(file) == 0; });
+  return synced ? Status(Success()) : StorageError("sync", directory);
+}
+
+}  // namespace sycamorebend
--- /dev/null
+++ b/src/controld/replica_manager.cc
@@ -0,0 +1,183 @@
+#include "controld/replica_manager.h"
+
+#include <algorithm>
+#include <future>
+#include <memory>
+#include <utility>
+
+#include "control/field_reader.h"
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend {
+
+namespace {
+
+using ReplicaStatus = ReplicatedLog::ReplicaStatus;
+using LogStatus = ReplicatedLog::LogStatus;
+
+// Entries that a learner may lack when it is promoted.
+constexpr LogIndex kPromotionLag = 64;
+
+const ReplicaStatus* FindReplica(const LogStatus& status, ReplicaId id) {
+  const auto found = std::find_if(
+      status.replicas.begin(), status.replicas.end(),
+      [id](const ReplicaStatus& replica) { return replica.id == id; });
+  return found == status.replicas.end() ? nullptr : &*found;
+}
+
+Error NotLeader(const LogStatus& status) {
+  return {ResultCode::kNotLeader, status.leader_address};
+}
+
+// Runs a change of the replica set and waits for its outcome.
+template <typename Start>
+Status RunChange(Start start) {
+  auto promise = std::make_shared<std::promise<Status>>();
+  std::future<Status> future = promise->get_future();
+  start([promise](Status result) { promise->set_value(std::move(result)); });
+  try {
+    return future.get();
+  } catch (const std::future_error&) {
+    return MakeError(ResultCode::kCancelled, "this replica is stopping");
+  }
+}
+
+}  // namespace
+
+void ReplicaPlanner::NoteReachable(const LogStatus& status, TimePoint now) {
+  std::map<ReplicaId, TimePoint> seen;
+  for (const ReplicaStatus& replica : status.replicas) {
+    const auto known = this->last_reachable.find(replica.id);
+    seen[replica.id] = replica.reachable || known == this->last_reachable.end()
+                           ? now
+                           : known->second;
+  }
+  this->last_reachable = std::move(seen);
+}
+
+Duration ReplicaPlanner::Unreachable(ReplicaId id, TimePoint now) const {
+  const auto seen = this->last_reachable.find(id);
+  return seen == this->last_reachable.end() ? Duration{0} : now - seen->second;
+}
+
+std::optional<ReplicaChange> ReplicaPlanner::Plan(const LogStatus& status,
+                                                  TimePoint now) {
+  this->NoteReachable(status, now);
+  int voters = 0;
+  const ReplicaStatus* learner = nullptr;
+  const ReplicaStatus* surplus = nullptr;
+  const ReplicaStatus* lost = nullptr;
+  for (const ReplicaStatus& replica : status.replicas) {
+    const Duration unreachable = this->Unreachable(replica.id, now);
+    if (!replica.voter) {
+      if (unreachable > this->goal.forget_after) {
+        return ReplicaChange{ReplicaChange::Kind::kRemove, replica.id};
+      }
+      if (replica.reachable && replica.match_index > 0 &&
+          replica.match_index + kPromotionLag >= status.commit_index) {
+        learner = learner == nullptr ? &replica : learner;
+      }
+      continue;
+    }
+    ++voters;
+    if (replica.id == status.id) {
+      continue;
+    }
+    surplus = &replica;
+    if (unreachable >= this->goal.replace_after) {
+      lost = &replica;
+    }
+  }
+  if (voters > this->goal.voters && surplus != nullptr) {
+    const ReplicaStatus* leaving = lost != nullptr ? lost : surplus;
+    return ReplicaChange{ReplicaChange::Kind::kRemove, leaving->id};
+  }
+  if (learner != nullptr && (voters < this->goal.voters || lost != nullptr)) {
+    return ReplicaChange{ReplicaChange::Kind::kPromote, learner->id};
+  }
+  return std::nullopt;
+}
+
+ReplicaManager::ReplicaManager(ReplicaSetGoal goal,
+                               ReplicatedLog& log,
+                               const Clock& clock)
+    : goal(goal), log(log), clock(clock), planner(goal) {}
+
+Status ReplicaManager::Remove(ReplicaId id) {
+  return RunChange([&](ReplicatedLog::ReadCallback done) {
+    this->log.RemoveReplica(id, std::move(done));
+  });
+}
+
+Result<Json::Value> ReplicaManager::Join(const Json::Value& params) {
+  internal::FieldReader reader(params);
+  const std::string address = reader.Name("address");
+  if (!IsAddress(address)) {
+    reader.Reject("address", "\"IP:port\" with an IPv4 address");
+  }
+  BOOST_OUTCOME_TRY(reader.Finish());
+  std::lock_guard lock(this->join_mutex);
+  const LogStatus status = this->log.GetStatus();
+  if (!status.is_leader) {
+    return NotLeader(status);
+  }
+  for (const ReplicaStatus& replica : status.replicas) {
+    if (replica.address == address && replica.id != status.id) {
+      BOOST_OUTCOME_TRY(this->Remove(replica.id));
+    }
+  }
+  const ReplicaId id = this->log.GetStatus().largest_id + 1;
+  BOOST_OUTCOME_TRY(RunChange([&](ReplicatedLog::ReadCallback done) {
+    this->log.AddReplica(id, address, std::move(done));
+  }));
+  Json::Value answer;
+  answer["id"] = Json::UInt64(id);
+  return answer;
+}
+
+Result<Json::Value> ReplicaManager::Member(const Json::Value& params) {
+  internal::FieldReader reader(params);
+  const ReplicaId id = reader.Unsigned("id");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  // A leader that was replaced without noticing must not expel anyone.
+  BOOST_OUTCOME_TRY(RunChange([&](ReplicatedLog::ReadCallback done) {
+    this->log.ReadBarrier(std::move(done));
+  }));
+  Json::Value answer;
+  answer["member"] = FindReplica(this->log.GetStatus(), id) != nullptr;
+  return answer;
+}
+
+void ReplicaManager::Tick() {
+  const LogStatus status = this->log.GetStatus();
+  if (this->goal.voters == 0 || !status.is_leader) {
+    return;
+  }
+  const std::optional<ReplicaChange> change =
+      this->planner.Plan(status, this->clock.Now());
+  if (!change) {
+    return;
+  }
+  {
+    std::lock_guard lock(this->progress->mutex);
+    if (std::exchange(this->progress->changing, true)) {
+      return;
+    }
+  }
+  const auto done = [progress = this->progress](const Status& result) {
+    if (!result) {
+      LogEvent(Severity::kInfo, Event::kRpcFailed,
+               {{"method", "replica set change"},
+                {"message", result.error().message}});
+    }
+    std::lock_guard lock(progress->mutex);
+    progress->changing = false;
+  };
+  if (change->kind == ReplicaChange::Kind::kPromote) {
+    this->log.PromoteReplica(change->id, done);
+  } else {
+    this->log.RemoveReplica(change->id, done);
+  }
+}
+
+}  // namespace sycamorebend
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -10,7 +10,7 @@
 
 #include "entry/backend_api.h"
 #include "entry/caller_api.h"
-#include "entry/control_calls.h"
+#include "control/leader_calls.h"
 #include "entry/order_session.h"
 #include "entry/rpc_api.h"
 #include "entry/settings.h"
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -32,14 +32,6 @@
   return exit_code;
 }
 
-sigset_t StopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
-
 DaemonParts RealParts() {
   DaemonParts parts;
   parts.make_scheduler = &Scheduler::Create;
@@ -68,8 +60,7 @@
     return kExitOk;
   }
   // Blocked before any thread starts, so that only this thread takes them.
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  const sigset_t signals = BlockProcessSignals();
   signal(SIGPIPE, SIG_IGN);
   LogEvent(Severity::kInfo, Event::kProcessStarted,
            {{"entry_id", settings.value().entry_id}});
@@ -79,7 +70,9 @@
     return Fail(kExitListen, daemon.error());
   }
   int received = 0;
-  sigwait(&signals, &received);
+  do {
+    sigwait(&signals, &received);
+  } while (received == SIGHUP);
   daemon.value()->BeginDrain();
   const bool cut = WaitForDrain(*daemon.value(), signals);
   daemon.value()->Stop();
--- a/src/entry/order_ledger.h
+++ b/src/entry/order_ledger.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "entry/control_calls.h"
+#include "control/leader_calls.h"
 #include "sycamorebend/base.h"
 #include "sycamorebend/http.h"
 
--- a/src/entry/proxy_session.cc
+++ b/src/entry/proxy_session.cc
@@ -115,7 +115,7 @@
   this->attempt_open = true;
   this->resumed = true;
   // The part of an event that the lost connection delivered comes again.
-  this->splitter = SseSplitter();
+  this->splitter = net::SseSplitter();
   this->StartCall(BuildResumeCall(this->request, this->serving, this->last_id,
                                   this->clock.Now()));
 }
@@ -136,7 +136,7 @@
   this->serving = action;
   this->attempt_open = true;
   this->resumed = false;
-  this->splitter = SseSplitter();
+  this->splitter = net::SseSplitter();
   this->preamble.clear();
   this->last_id = 0;
   this->reported_tokens = 0;
@@ -287,7 +287,7 @@
   }
 }
 
-bool ProxySession::HandleEvent(const SseEvent& event) {
+bool ProxySession::HandleEvent(const net::SseEvent& event) {
   if (event.id) {
     if (*event.id <= this->last_id) {
       return true;
--- a/src/entry/proxy_session.h
+++ b/src/entry/proxy_session.h
@@ -9,7 +9,7 @@
 
 #include "entry/session.h"
 #include "entry/settings.h"
-#include "entry/sse_splitter.h"
+#include "net/sse_splitter.h"
 #include "sycamorebend/http.h"
 
 namespace sycamorebend::entry {
@@ -56,7 +56,7 @@
   // Ends the current connection; `tell_server` also ends the work behind it.
   void EndCall(bool tell_server);
   // @return false if the stream cannot go on.
-  bool HandleEvent(const SseEvent& event);
+  bool HandleEvent(const net::SseEvent& event);
   void StartStream();
   void ReportProgress(TimePoint now);
   void GiveUpSlowCaller();
@@ -91,7 +91,7 @@
   bool streaming = false;
   // The next event with an ID must follow last_id directly.
   bool resumed = false;
-  SseSplitter splitter;
+  net::SseSplitter splitter;
   // Comments that came before the first event with data.
   std::string preamble;
   std::string body;
--- /dev/null
+++ b/src/gateway/balancer.cc
@@ -0,0 +1,345 @@
+#include "gateway/balancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+// Prompt tokens that a model engine reads in a millisecond, between the tokens
+// of other requests. Engines of the deployments served so far read 41 to 52.
+constexpr double kPrefillTokensPerMs = 40;
+// Delay that each running request adds to a new one's first byte.
+constexpr double kRunningMs = 1.0;
+// Delay that each request adds that waits at a full server.
+constexpr double kWaitingMs = 25;
+// Time to the first byte of an idle server.
+constexpr double kBaseMs = 20;
+// A server in another failure domain must be this much faster.
+constexpr double kDomainPenaltyMs = 2;
+// Scores that differ by less are equal: gateways that know the same must not
+// all choose the same server.
+constexpr double kNoiseMs = 4;
+// A load report says nothing about the load this long after it was made.
+constexpr Duration kLoadAge = seconds(2);
+// A part that was sent longer ago has probably been evicted.
+constexpr Duration kPartAge = seconds(30);
+// Parts remembered for one server.
+constexpr std::size_t kMaxParts = 4096;
+// Probability that the home of a prompt has it, if this gateway did not send
+// it there itself.
+constexpr double kHomeHitRate = 0.7;
+
+// Weight of one sample in the averages of slowness and errors.
+constexpr double kSampleWeight = 0.25;
+// Time in which a server's slowness is half forgotten, so that it is tried
+// again.
+constexpr Duration kSlownessHalfLife = seconds(4);
+constexpr double kMaxSlowness = 20;
+// A server is left for this long after a failed connection; doubled with each
+// further failure in a row.
+constexpr Duration kAvoidFirst = milliseconds(500);
+constexpr int kMaxDoublings = 4;
+// A server that refused a request as full is left for this long.
+constexpr Duration kFullPause = milliseconds(150);
+// Share of errors that costs a server as much as kErrorMs.
+constexpr double kErrorMs = 400;
+// The usual share of errors is no reason to leave a server.
+constexpr double kUsualErrors = 0.2;
+
+double ToMs(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+Duration FromMs(double ms) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
+// @return a number that orders the servers for a prompt part, equal at every
+// gateway.
+std::uint64_t HomeRank(std::uint64_t part, const std::string& server_id) {
+  return StableHash64(fmt::format("{:x}/{}", part, server_id));
+}
+
+// The part that tells sessions or subjects apart: the last one that other
+// requests share.
+std::uint64_t HomePart(const Generation& generation) {
+  const std::size_t count = generation.prompt.size();
+  return generation.prompt[count > 1 ? count - 2 : 0].id;
+}
+
+}  // namespace
+
+std::string ServerKey(const ServerRecord& record) {
+  return fmt::format("{}@{}#{}", record.server_id, record.address,
+                     record.incarnation);
+}
+
+Balancer::Balancer(BalancerOptions options)
+    : options(std::move(options)), random(this->options.seed) {}
+
+std::vector<std::string> Balancer::SetServers(
+    const std::vector<ServerRecord>& records) {
+  std::set<std::string> present;
+  this->by_service.clear();
+  for (const ServerRecord& record : records) {
+    const std::string key = ServerKey(record);
+    present.insert(key);
+    std::unique_ptr<Server>& server = this->servers[key];
+    if (server == nullptr) {
+      server = std::make_unique<Server>();
+    }
+    server->record = record;
+    this->by_service[record.service].push_back(key);
+  }
+  std::vector<std::string> gone;
+  for (auto one = this->servers.begin(); one != this->servers.end();) {
+    if (present.count(one->first) > 0) {
+      ++one;
+      continue;
+    }
+    gone.push_back(one->first);
+    one = this->servers.erase(one);
+  }
+  return gone;
+}
+
+Balancer::Server* Balancer::Find(const std::string& key) {
+  const auto found = this->servers.find(key);
+  return found == this->servers.end() ? nullptr : found->second.get();
+}
+
+int Balancer::CountUsable(const std::string& service) const {
+  const auto found = this->by_service.find(service);
+  if (found == this->by_service.end()) {
+    return 0;
+  }
+  return static_cast<int>(std::count_if(
+      found->second.begin(), found->second.end(), [&](const std::string& key) {
+        const auto server = this->servers.find(key);
+        return server != this->servers.end() &&
+               !server->second->record.leaving;
+      }));
+}
+
+int Balancer::UncachedTokens(const Server& server,
+                             const Generation& generation,
+                             bool home,
+                             TimePoint now) const {
+  double cached = 0;
+  bool known = true;
+  for (std::size_t i = 0; i < generation.prompt.size(); ++i) {
+    const PromptPart& part = generation.prompt[i];
+    const auto sent = server.parts.find(part.id);
+    known = known && sent != server.parts.end() &&
+            now - sent->second < kPartAge;
+    if (known) {
+      cached += part.tokens;
+    } else if (home && i + 1 < generation.prompt.size()) {
+      cached += kHomeHitRate * part.tokens;
+    } else {
+      break;
+    }
+  }
+  return std::max(0, generation.input_tokens - static_cast<int>(cached));
+}
+
+double Balancer::Slowness(const Server& server, TimePoint now) const {
+  const double age =
+      ToMs(now - server.slowness_at) / ToMs(kSlownessHalfLife);
+  return 1 + (server.slowness - 1) * std::exp2(-std::max(0.0, age));
+}
+
+double Balancer::ExpectedMs(const Server& server,
+                            int uncached,
+                            TimePoint now) const {
+  double running = server.outstanding;
+  double waiting = 0;
+  if (server.load && now - server.load_at < kLoadAge) {
+    // Own work since the report counts besides what it says.
+    const int since = server.outstanding - server.outstanding_at_load;
+    running = std::max<double>(running, server.load->running + since);
+    waiting = server.load->waiting;
+  }
+  const int slots = std::max(1, server.record.slots);
+  waiting = std::max(waiting, running + 1 - slots);
+  const double prefill = (server.pending_tokens + uncached) /
+                         kPrefillTokensPerMs;
+  return (kBaseMs + prefill + kRunningMs * running + kWaitingMs * waiting) *
+         this->Slowness(server, now);
+}
+
+std::optional<Choice> Balancer::Choose(const Demand& demand, TimePoint now) {
+  const auto members = this->by_service.find(demand.service);
+  if (members == this->by_service.end()) {
+    return std::nullopt;
+  }
+  const Generation* const generation =
+      demand.generation != nullptr && !demand.generation->prompt.empty()
+          ? demand.generation
+          : nullptr;
+  const std::string* home = nullptr;
+  if (generation != nullptr) {
+    std::uint64_t best_rank = 0;
+    for (const std::string& key : members->second) {
+      const Server& server = *this->servers.at(key);
+      const std::uint64_t rank =
+          HomeRank(HomePart(*generation), server.record.server_id);
+      if (!server.record.leaving && !server.record.silent &&
+          (home == nullptr || rank > best_rank)) {
+        home = &key;
+        best_rank = rank;
+      }
+    }
+  }
+  const Server* best = nullptr;
+  Choice choice;
+  double best_score = 0;
+  bool best_avoided = false;
+  for (const std::string& key : members->second) {
+    const Server& server = *this->servers.at(key);
+    if (server.record.leaving ||
+        std::find(demand.excluded.begin(), demand.excluded.end(), key) !=
+            demand.excluded.end()) {
+      continue;
+    }
+    // A server that fell silent is used only if no other is left.
+    const bool avoided = now < server.avoid_until || server.record.silent;
+    const int uncached =
+        generation == nullptr
+            ? 0
+            : this->UncachedTokens(server, *generation, &key == home, now);
+    const double expected = this->ExpectedMs(server, uncached, now);
+    const double score =
+        expected + kNoiseMs * this->random.Unit() +
+        kErrorMs * std::max(0.0, server.error_rate - kUsualErrors) +
+        (server.record.failure_domain == this->options.failure_domain
+             ? 0
+             : kDomainPenaltyMs);
+    const bool better =
+        best == nullptr || (best_avoided && !avoided) ||
+        (best_avoided == avoided && score < best_score);
+    if (better) {
+      best = &server;
+      best_score = score;
+      best_avoided = avoided;
+      choice.server_key = key;
+      choice.uncached_tokens = uncached;
+      choice.expected = FromMs(expected);
+      choice.reason = avoided         ? "no other server is usable"
+                      : &key == home  ? "home of the prompt"
+                                      : "lowest expected delay";
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  choice.server_id = best->record.server_id;
+  choice.address = best->record.address;
+  return choice;
+}
+
+void Balancer::NoteParts(Server& server,
+                         const Generation& generation,
+                         TimePoint now) {
+  for (const PromptPart& part : generation.prompt) {
+    server.parts[part.id] = now;
+  }
+  if (server.parts.size() <= kMaxParts) {
+    return;
+  }
+  for (auto one = server.parts.begin(); one != server.parts.end();) {
+    one = now - one->second > kPartAge / 2 ? server.parts.erase(one)
+                                           : std::next(one);
+  }
+}
+
+void Balancer::OnSent(const Choice& choice,
+                      const Demand& demand,
+                      TimePoint now) {
+  Server* const server = this->Find(choice.server_key);
+  if (server == nullptr) {
+    return;
+  }
+  ++server->outstanding;
+  server->pending_tokens += choice.uncached_tokens;
+  if (demand.generation != nullptr) {
+    this->NoteParts(*server, *demand.generation, now);
+  }
+}
+
+void Balancer::OnFirstByte(const Choice& choice,
+                           Duration elapsed,
+                           TimePoint now) {
+  Server* const server = this->Find(choice.server_key);
+  if (server == nullptr) {
+    return;
+  }
+  server->pending_tokens =
+      std::max(0.0, server->pending_tokens - choice.uncached_tokens);
+  const double ratio = std::clamp(
+      ToMs(elapsed) / std::max(kBaseMs, ToMs(choice.expected)), 0.5,
+      kMaxSlowness);
+  const double before = this->Slowness(*server, now);
+  server->slowness =
+      std::max(1.0, before + kSampleWeight * (ratio - before));
+  server->slowness_at = now;
+}
+
+void Balancer::Avoid(Server& server, Duration duration, TimePoint now) {
+  server.avoid_until = std::max(server.avoid_until, now + duration);
+}
+
+void Balancer::OnDone(const Choice& choice,
+                      SendOutcome outcome,
+                      bool first_byte_seen,
+                      TimePoint now) {
+  Server* const server = this->Find(choice.server_key);
+  if (server == nullptr) {
+    return;
+  }
+  server->outstanding = std::max(0, server->outstanding - 1);
+  if (!first_byte_seen) {
+    server->pending_tokens =
+        std::max(0.0, server->pending_tokens - choice.uncached_tokens);
+  }
+  const bool unreachable = outcome == SendOutcome::kConnectFailed ||
+                           outcome == SendOutcome::kConnectionLost;
+  const bool error = unreachable || outcome == SendOutcome::kServerError;
+  if (outcome != SendOutcome::kCancelled && outcome != SendOutcome::kRefused) {
+    server->error_rate +=
+        kSampleWeight * ((error ? 1.0 : 0.0) - server->error_rate);
+  }
+  if (outcome == SendOutcome::kAnswered) {
+    server->failures_in_a_row = 0;
+  } else if (outcome == SendOutcome::kConnectFailed) {
+    server->failures_in_a_row =
+        std::min(server->failures_in_a_row + 1, kMaxDoublings + 1);
+    this->Avoid(*server, kAvoidFirst * (1 << (server->failures_in_a_row - 1)),
+                now);
+  } else if (outcome == SendOutcome::kRefused) {
+    this->Avoid(*server, kFullPause, now);
+  } else if (outcome == SendOutcome::kStalled) {
+    server->slowness = std::min(kMaxSlowness, this->Slowness(*server, now) * 2);
+    server->slowness_at = now;
+  }
+}
+
+void Balancer::OnLoad(const std::string& server_key,
+                      const LoadReport& report,
+                      TimePoint now) {
+  Server* const server = this->Find(server_key);
+  if (server != nullptr) {
+    server->load = report;
+    server->load_at = now;
+    server->outstanding_at_load = server->outstanding;
+  }
+}
+
+}  // namespace sycamorebend::gateway
--- /dev/null
+++ b/src/gateway/balancer.h
@@ -0,0 +1,127 @@
+// Chooses the backend server for a request, from what this gateway sent and
+// saw. No threads, no I/O; times go in.
+#ifndef SYCAMOREBEND_SRC_GATEWAY_BALANCER_H_
+#define SYCAMOREBEND_SRC_GATEWAY_BALANCER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "gateway/wire_format.h"
+#include "routing/random.h"
+#include "sycamorebend/base.h"
+#include "sycamorebend/control.h"
+
+namespace sycamorebend::gateway {
+
+// Identifies one incarnation of a server.
+std::string ServerKey(const ServerRecord& record);
+
+// What a request needs.
+struct Demand {
+  std::string service;
+  const Generation* generation = nullptr;
+  // Servers that failed this request.
+  std::vector<std::string> excluded;
+};
+
+struct Choice {
+  std::string server_key;
+  std::string server_id;
+  std::string address;
+  std::string reason;
+  // Expected time until the first byte.
+  Duration expected{0};
+  // Prompt tokens that the server has to read.
+  int uncached_tokens = 0;
+};
+
+// What became of one sending.
+enum class SendOutcome {
+  kAnswered = 0,
+  kRefused = 1,       // The server said that it did not run the request.
+  kServerError = 2,   // An answer with a 5xx status.
+  kConnectFailed = 3,
+  kConnectionLost = 4,
+  kStalled = 5,       // No byte for too long.
+  kCancelled = 6,     // The caller left, or its time was up.
+};
+
+struct BalancerOptions {
+  std::string failure_domain;
+  std::uint64_t seed = 1;
+};
+
+class Balancer {
+ public:
+  explicit Balancer(BalancerOptions options);
+
+  // Replaces the servers; what was learnt of those that stay is kept.
+  // @return keys of servers that are gone.
+  std::vector<std::string> SetServers(const std::vector<ServerRecord>& servers);
+  // Gateways that share the servers, this one included.
+  void SetGatewayCount(int count) { this->gateway_count = count; }
+
+  // @return nothing if no server of the service may be used.
+  std::optional<Choice> Choose(const Demand& demand, TimePoint now);
+
+  // Records a sending; must be followed by OnDone with the same choice.
+  void OnSent(const Choice& choice, const Demand& demand, TimePoint now);
+  void OnFirstByte(const Choice& choice, Duration elapsed, TimePoint now);
+  void OnDone(const Choice& choice,
+              SendOutcome outcome,
+              bool first_byte_seen,
+              TimePoint now);
+  void OnLoad(const std::string& server_key,
+              const LoadReport& report,
+              TimePoint now);
+
+  // @return servers of `service` that get new work.
+  int CountUsable(const std::string& service) const;
+
+ private:
+  struct Server {
+    ServerRecord record;
+    // Own requests at the server, and prompt tokens of those that have no
+    // first byte yet.
+    int outstanding = 0;
+    double pending_tokens = 0;
+    std::optional<LoadReport> load;
+    TimePoint load_at;
+    int outstanding_at_load = 0;
+    // Time to the first byte relative to what was expected; 1 is usual.
+    double slowness = 1;
+    TimePoint slowness_at;
+    int failures_in_a_row = 0;
+    double error_rate = 0;
+    TimePoint avoid_until;
+    // When each part of a prompt was last sent here.
+    std::unordered_map<std::uint64_t, TimePoint> parts;
+  };
+
+  Server* Find(const std::string& key);
+  int UncachedTokens(const Server& server,
+                     const Generation& generation,
+                     bool home,
+                     TimePoint now) const;
+  double Slowness(const Server& server, TimePoint now) const;
+  // Expected time to the first byte, in ms.
+  double ExpectedMs(const Server& server, int uncached, TimePoint now) const;
+  void NoteParts(Server& server, const Generation& generation, TimePoint now);
+  void Avoid(Server& server, Duration duration, TimePoint now);
+
+  const BalancerOptions options;
+  internal::Random random;
+  int gateway_count = 1;
+  std::map<std::string, std::vector<std::string>> by_service;
+  std::unordered_map<std::string, std::unique_ptr<Server>> servers;
+};
+
+}  // namespace sycamorebend::gateway
+
+#endif  // SYCAMOREBEND_SRC_GATEWAY_BALANCER_H_
--- /dev/null
+++ b/src/gateway/caller_connection.cc
@@ -0,0 +1,315 @@
+#include "gateway/caller_connection.h"
+
+#include <strings.h>
+
+#include <utility>
+#include <vector>
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+constexpr Duration kSweepPeriod = milliseconds(500);
+// Requests that a caller may send ahead while one is answered; more is left in
+// the kernel.
+constexpr std::size_t kMaxPendingBytes = 64 << 10;
+
+bool ExpectsContinue(const net::MessageHead& head) {
+  const auto value = FindHeader(head.headers, "Expect");
+  return value && strcasecmp(value->c_str(), "100-continue") == 0;
+}
+
+}  // namespace
+
+CallerExchange::CallerExchange(std::shared_ptr<CallerConnection> connection,
+                               net::MessageHead head,
+                               std::string body,
+                               TimePoint received_at)
+    : connection(std::move(connection)),
+      head(std::move(head)),
+      body(std::move(body)),
+      received_at(received_at) {}
+
+void CallerExchange::Respond(int status,
+                             const HttpHeaders& headers,
+                             std::string_view body) {
+  if (this->connection == nullptr) {
+    return;
+  }
+  const auto self = this->connection;
+  const bool close = !self->keep_alive || self->server->closing;
+  std::string text =
+      net::FormatAnswerHead(status, headers, net::BodyFraming::kLength,
+                            body.size(), close);
+  if (this->head.method != "HEAD") {
+    text.append(body);
+  }
+  self->socket->Write(text);
+  self->EndAnswer(close);
+}
+
+void CallerExchange::Start(int status, const HttpHeaders& headers) {
+  this->started = true;
+  if (this->connection == nullptr) {
+    return;
+  }
+  this->framing = this->head.http_1_0 ? net::BodyFraming::kUntilClose
+                                      : net::BodyFraming::kChunked;
+  const bool close =
+      !this->connection->keep_alive || this->connection->server->closing;
+  this->connection->keep_alive = !close;
+  this->connection->socket->Write(
+      net::FormatAnswerHead(status, headers, this->framing, 0, close));
+}
+
+void CallerExchange::Write(std::string_view data) {
+  if (this->connection == nullptr || data.empty()) {
+    return;
+  }
+  if (this->framing == net::BodyFraming::kChunked) {
+    std::string chunk;
+    net::AppendChunk(chunk, data);
+    this->connection->socket->Write(chunk);
+  } else {
+    this->connection->socket->Write(data);
+  }
+}
+
+void CallerExchange::Finish() {
+  if (this->connection == nullptr) {
+    return;
+  }
+  const auto self = this->connection;
+  if (this->framing == net::BodyFraming::kChunked) {
+    self->socket->Write(net::kLastChunk);
+  }
+  self->EndAnswer(!self->keep_alive ||
+                  this->framing == net::BodyFraming::kUntilClose);
+}
+
+void CallerExchange::Abort() {
+  this->gone = nullptr;
+  if (this->connection != nullptr) {
+    this->connection->Close();
+  }
+}
+
+std::size_t CallerExchange::UnsentBytes() const {
+  return this->connection == nullptr ? 0
+                                     : this->connection->socket->UnsentBytes();
+}
+
+CallerServer::CallerServer(net::EventLoop& loop, CallerHandler& handler)
+    : loop(loop), handler(handler) {}
+
+Result<std::unique_ptr<CallerServer>> CallerServer::Start(
+    net::EventLoop& loop,
+    const std::string& address,
+    CallerHandler& handler) {
+  std::unique_ptr<CallerServer> server(new CallerServer(loop, handler));
+  CallerServer* const raw = server.get();
+  BOOST_OUTCOME_TRY(listener,
+                    net::TcpListener::Start(
+                        loop, address, [raw](int fd) { raw->Accept(fd); }));
+  server->listener = std::move(listener);
+  server->sweep_timer =
+      loop.SubscribePeriodic(kSweepPeriod, [raw] { raw->Sweep(); });
+  return server;
+}
+
+CallerServer::~CallerServer() {
+  this->loop.Cancel(this->sweep_timer);
+  const std::vector<std::shared_ptr<CallerConnection>> open(
+      this->connections.begin(), this->connections.end());
+  for (const auto& connection : open) {
+    connection->Close();
+  }
+}
+
+std::string CallerServer::Address() const {
+  return this->listener == nullptr ? std::string() : this->listener->Address();
+}
+
+void CallerServer::Accept(int fd) {
+  const auto connection = std::make_shared<CallerConnection>(
+      *this, net::TcpConnection::Adopt(this->loop, fd, net::TcpOptions()));
+  this->connections.insert(connection);
+}
+
+void CallerServer::StopAccepting() {
+  this->closing = true;
+  this->listener.reset();
+}
+
+void CallerServer::CloseIdle() {
+  const std::vector<std::shared_ptr<CallerConnection>> open(
+      this->connections.begin(), this->connections.end());
+  for (const auto& connection : open) {
+    if (connection->Idle()) {
+      connection->Close();
+    }
+  }
+}
+
+void CallerServer::Sweep() {
+  const TimePoint now = this->loop.Now();
+  const std::vector<std::shared_ptr<CallerConnection>> open(
+      this->connections.begin(), this->connections.end());
+  for (const auto& connection : open) {
+    if (connection->exchange != nullptr) {
+      continue;
+    }
+    const Duration quiet = now - connection->since;
+    if (connection->Idle()) {
+      if (quiet > this->limits.idle_timeout) {
+        connection->Close();
+      }
+    } else if (quiet > this->limits.header_timeout &&
+               (!connection->reading || quiet > this->limits.idle_timeout)) {
+      connection->Refuse(kRequestTimeout);
+    }
+  }
+}
+
+CallerConnection::CallerConnection(CallerServer& server,
+                                   std::shared_ptr<net::TcpConnection> socket)
+    : server(&server),
+      socket(std::move(socket)),
+      reader(net::HttpReader::Kind::kRequest,
+             *this,
+             server.limits.header_bytes),
+      since(server.loop.Now()) {
+  this->socket->SetObserver(this);
+}
+
+bool CallerConnection::Idle() const {
+  return this->exchange == nullptr && !this->reader.InMessage() &&
+         this->pending.empty();
+}
+
+void CallerConnection::OnData(std::string_view data) {
+  if (this->Idle()) {
+    this->since = this->server->loop.Now();
+  }
+  this->pending.append(data);
+  if (this->exchange != nullptr) {
+    if (this->pending.size() > kMaxPendingBytes) {
+      this->socket->SetReading(false);
+    }
+    return;
+  }
+  this->ReadNext();
+}
+
+void CallerConnection::ReadNext() {
+  const auto self = this->shared_from_this();
+  while (this->server != nullptr && this->exchange == nullptr &&
+         !this->pending.empty()) {
+    const std::size_t used = this->reader.Read(this->pending);
+    this->pending.erase(0, used);
+    if (this->reader.Failed()) {
+      const int malformed =
+          this->reader.HeadTooLarge() ? kHeadTooLarge : kBadRequest;
+      this->Refuse(this->refusal != 0 ? this->refusal : malformed);
+      return;
+    }
+  }
+}
+
+bool CallerConnection::OnHead(net::MessageHead received) {
+  this->head = std::move(received);
+  this->head_at = this->server->loop.Now();
+  this->reading = true;
+  this->body.clear();
+  if (this->head.content_length.value_or(0) > this->server->limits.body_bytes) {
+    this->refusal = kBodyTooLarge;
+    return false;
+  }
+  if (ExpectsContinue(this->head)) {
+    this->socket->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  return true;
+}
+
+void CallerConnection::OnBody(std::string_view data) {
+  if (this->body.size() + data.size() > this->server->limits.body_bytes) {
+    this->refusal = kBodyTooLarge;
+    return;
+  }
+  this->body.append(data);
+}
+
+void CallerConnection::OnMessageEnd() {
+  this->reading = false;
+  if (this->refusal != 0) {
+    this->Refuse(this->refusal);
+    return;
+  }
+  this->keep_alive = this->head.keep_alive;
+  this->exchange = std::make_shared<CallerExchange>(
+      this->shared_from_this(), std::move(this->head), std::move(this->body),
+      this->head_at);
+  this->head = net::MessageHead();
+  this->body = std::string();
+  this->server->handler.Handle(this->exchange);
+}
+
+void CallerConnection::Refuse(int status) {
+  if (this->server == nullptr) {
+    return;
+  }
+  this->socket->Write(net::FormatAnswerHead(
+      status, {}, net::BodyFraming::kLength, 0, true));
+  this->Close();
+}
+
+void CallerConnection::EndAnswer(bool close) {
+  this->exchange->connection = nullptr;
+  this->exchange->gone = nullptr;
+  this->exchange = nullptr;
+  this->since = this->server->loop.Now();
+  if (close) {
+    this->Close();
+    return;
+  }
+  this->socket->SetReading(true);
+  if (!this->pending.empty()) {
+    // Not from within: the handler may answer at once, many times in a row.
+    this->server->loop.Post([self = this->shared_from_this()] {
+      if (self->server != nullptr) {
+        self->ReadNext();
+      }
+    });
+  }
+}
+
+void CallerConnection::Close() {
+  if (this->server == nullptr) {
+    return;
+  }
+  const auto self = this->shared_from_this();
+  CallerServer* const owner = std::exchange(this->server, nullptr);
+  owner->connections.erase(self);
+  this->socket->SetObserver(nullptr);
+  // Bytes that the kernel has not taken yet still go out.
+  this->socket->CloseAfterFlush();
+  const auto open = std::exchange(this->exchange, nullptr);
+  if (open != nullptr) {
+    open->connection = nullptr;
+    const auto callback = std::exchange(open->gone, nullptr);
+    if (callback) {
+      callback();
+    }
+  }
+}
+
+void CallerConnection::OnEnd(net::ConnectionEnd /*end*/) {
+  // A caller that closes its side does not wait for the answer.
+  this->Close();
+}
+
+}  // namespace sycamorebend::gateway
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,246 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr int kFeedThreads = 1;
+constexpr Duration kRetryAfter = milliseconds(500);
+
+// Phases of a graceful stop, counted from the signal. Callers that learnt the
+// addresses just before still come for as long as they keep them.
+constexpr Duration kAcceptFor = milliseconds(2800);
+// Requests that are still open this long before the end are cut.
+constexpr Duration kStopMargin = milliseconds(400);
+constexpr Duration kStopCheck = milliseconds(50);
+// Part of the shared retry slack that is given out, so that a gateway whose
+// view of the others is old does not exceed it.
+constexpr double kRetrySlackPart = 0.8;
+
+}  // namespace
+
+Gateway::Gateway(const GatewaySettings& settings,
+                 const WireFormat& format,
+                 net::EventLoop& loop,
+                 const Clock& clock)
+    : settings(settings),
+      format(format),
+      loop(loop),
+      clock(clock),
+      balancer({settings.failure_domain,
+                StableHash64(settings.entry_id + RandomId())}),
+      pool(loop, format),
+      context{loop, format, this->balancer, this->pool, this->budgets,
+              this->metrics},
+      admin_handler(*this) {
+  this->SetRetryLimits(1);
+}
+
+Gateway::~Gateway() {
+  if (this->follower != nullptr) {
+    this->follower->Stop();
+  }
+  this->callers.reset();
+  this->admin.reset();
+}
+
+Result<std::unique_ptr<Gateway>> Gateway::Start(const GatewaySettings& settings,
+                                                const WireFormat& format,
+                                                net::EventLoop& loop,
+                                                const Clock& clock) {
+  std::unique_ptr<Gateway> gateway(new Gateway(settings, format, loop, clock));
+  BOOST_OUTCOME_TRY(gateway->Listen());
+  gateway->Follow();
+  return gateway;
+}
+
+Status Gateway::Listen() {
+  BOOST_OUTCOME_TRY(
+      started_callers,
+      CallerServer::Start(this->loop, this->settings.caller_address, *this));
+  this->callers = std::move(started_callers);
+  BOOST_OUTCOME_TRY(started_admin,
+                    CallerServer::Start(this->loop, this->settings.admin_address,
+                                        this->admin_handler));
+  this->admin = std::move(started_admin);
+  LogEvent(Severity::kInfo, Event::kListening,
+           {{"address", this->callers->Address()},
+            {"admin_address", this->admin->Address()}});
+  return Success();
+}
+
+void Gateway::Follow() {
+  this->http_client = HttpClient::Create(kFeedThreads);
+  this->rpc = RpcClient::Create(*this->http_client);
+  FeedFollowerOptions options;
+  options.self.entry_id = this->settings.entry_id;
+  options.self.address = this->callers->Address();
+  options.self.failure_domain = this->settings.failure_domain;
+  options.self.incarnation = RandomId();
+  options.replicas = this->settings.replicas;
+  this->follower = FeedFollower::Start(
+      std::move(options), *this->rpc, this->clock,
+      [this](std::shared_ptr<const SharedState> state) {
+        this->loop.Post([this, state = std::move(state)] {
+          this->OnShared(state);
+        });
+      });
+}
+
+void Gateway::OnShared(const std::shared_ptr<const SharedState>& state) {
+  for (const std::string& key : this->balancer.SetServers(state->servers)) {
+    this->pool.Forget(key);
+  }
+  this->balancer.SetGatewayCount(static_cast<int>(state->entries.size()));
+  this->SetRetryLimits(state->entries.size());
+  this->TakeConfiguration(*state);
+}
+
+void Gateway::TakeConfiguration(const SharedState& state) {
+  if (state.configuration.isNull() ||
+      (this->table != nullptr &&
+       this->table->version == state.configuration_version)) {
+    return;
+  }
+  Result<RouteTable> read = this->format.ReadConfiguration(state.configuration);
+  if (!read) {
+    // The control replicas check a configuration before they accept it, so
+    // this is a newer release's. The last one stays in force.
+    LogEvent(Severity::kError, Event::kConfigurationUnconfirmed,
+             {{"version", state.configuration_version},
+              {"message", read.error().message}});
+    return;
+  }
+  read.value().version = state.configuration_version;
+  this->table = std::make_shared<const RouteTable>(std::move(read.value()));
+  this->callers->SetLimits(this->table->limits);
+  LogEvent(Severity::kInfo, Event::kConfigurationInForce,
+           {{"version", this->table->version},
+            {"routes", static_cast<std::uint64_t>(this->table->routes.size())}});
+}
+
+void Gateway::SetRetryLimits(std::size_t gateways) {
+  internal::RetryLimits limits;
+  limits.ratio = this->settings.retry_ratio;
+  limits.floor = 0;
+  limits.slack = static_cast<int>(
+      kRetrySlackPart * this->settings.retry_slack /
+      static_cast<double>(std::max<std::size_t>(1, gateways)));
+  this->budgets.SetLimits(limits);
+}
+
+void Gateway::Reject(CallerExchange& exchange,
+                     const CallerFields& fields,
+                     int status,
+                     const std::string& reason) {
+  LogEvent(Severity::kWarning, Event::kRequestRejected,
+           {{"request_id", fields.request_id},
+            {"target", exchange.Head().target},
+            {"status", status},
+            {"reason", reason}});
+  this->metrics.Count("sycamorebend_gateway_rejected_total",
+                      "Requests that were not forwarded, by status.",
+                      {{"status", std::to_string(status)}});
+  HttpHeaders headers;
+  if (status == kUnavailable) {
+    headers.push_back(
+        {"Retry-After",
+         fmt::format("{:.3f}", std::chrono::duration<double>(kRetryAfter)
+                                   .count())});
+  }
+  exchange.Respond(status, headers, {});
+}
+
+void Gateway::Handle(std::shared_ptr<CallerExchange> exchange) {
+  Result<CallerFields> read = this->format.ReadCaller(exchange->Head());
+  if (!read) {
+    this->Reject(*exchange, {}, kBadRequest, read.error().message);
+    return;
+  }
+  ForwardJob job;
+  job.fields = std::move(read.value());
+  if (this->refusing) {
+    this->Reject(*exchange, job.fields, kUnavailable,
+                 "this gateway is stopping");
+    return;
+  }
+  if (this->table == nullptr) {
+    this->Reject(*exchange, job.fields, kUnavailable,
+                 "there is no configuration yet");
+    return;
+  }
+  job.table = this->table;
+  job.route = this->table->Find(job.fields.host, exchange->Head().Path());
+  if (job.route == nullptr) {
+    this->Reject(*exchange, job.fields, kNotFound, "no route matches");
+    return;
+  }
+  job.tenant = this->table->FindTenant(job.fields.api_key);
+  if (job.tenant == nullptr && !job.route->open &&
+      !this->table->tenants.empty()) {
+    this->Reject(*exchange, job.fields, kUnauthorized,
+                 job.fields.api_key.empty() ? "there is no API key"
+                                            : "the API key is unknown");
+    return;
+  }
+  job.exchange = std::move(exchange);
+  Forwarder::Start(this->context, std::move(job));
+}
+
+void Gateway::AdminHandler::Handle(std::shared_ptr<CallerExchange> exchange) {
+  const std::string_view path = exchange->Head().Path();
+  if (path == "/metrics") {
+    exchange->Respond(kOk, {{"Content-Type", kMetricsContentType}},
+                      this->gateway.metrics.Text());
+    return;
+  }
+  if (path != "/readyz") {
+    exchange->Respond(kNotFound, {}, {});
+    return;
+  }
+  const bool ready =
+      this->gateway.table != nullptr && !this->gateway.stopping;
+  exchange->Respond(ready ? kOk : kUnavailable,
+                    {{"Content-Type", "text/plain"}},
+                    ready ? "ready\n" : "not ready\n");
+}
+
+void Gateway::BeginStop() {
+  if (std::exchange(this->stopping, true)) {
+    return;
+  }
+  this->stop_began = this->loop.Now();
+  LogEvent(Severity::kInfo, Event::kProcessStopping,
+           {{"open_requests", this->context.open_requests}});
+  this->follower->SetDraining();
+  this->loop.SubscribePeriodic(kStopCheck, [this] { this->AdvanceStop(); });
+}
+
+void Gateway::AdvanceStop() {
+  const Duration elapsed = this->loop.Now() - this->stop_began;
+  if (elapsed < kAcceptFor) {
+    return;
+  }
+  if (!std::exchange(this->refusing, true)) {
+    this->callers->StopAccepting();
+  }
+  this->callers->CloseIdle();
+  const bool over = elapsed > this->settings.stop_grace - kStopMargin;
+  if (this->context.open_requests == 0 || over) {
+    LogEvent(Severity::kInfo, Event::kProcessStopped,
+             {{"open_requests", this->context.open_requests}});
+    this->loop.Stop();
+  }
+}
+
+}  // namespace sycamorebend::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,92 @@
+// A gateway: forwards callers' requests by route to backend servers that
+// announced themselves to the control replicas.
+#ifndef SYCAMOREBEND_SRC_GATEWAY_GATEWAY_H_
+#define SYCAMOREBEND_SRC_GATEWAY_GATEWAY_H_
+
+#include <memory>
+#include <string>
+
+#include "gateway/balancer.h"
+#include "gateway/caller_connection.h"
+#include "gateway/forwarder.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/server_pool.h"
+#include "gateway/wire_format.h"
+#include "net/event_loop.h"
+#include "sycamorebend/feed.h"
+#include "sycamorebend/metrics.h"
+#include "sycamorebend/rpc.h"
+
+namespace sycamorebend::gateway {
+
+// All methods are called on the loop's thread, except Start and Stop, which the
+// owner calls before and after the loop runs.
+class Gateway : public CallerHandler {
+ public:
+  // The references must outlive the gateway.
+  // @return the gateway, or kListenFailed.
+  static Result<std::unique_ptr<Gateway>> Start(const GatewaySettings& settings,
+                                                const WireFormat& format,
+                                                net::EventLoop& loop,
+                                                const Clock& clock);
+  ~Gateway() override;
+
+  void Handle(std::shared_ptr<CallerExchange> exchange) override;
+
+  // Begins a graceful stop. The loop is stopped when it is complete.
+  void BeginStop();
+
+  std::string CallerAddress() const { return this->callers->Address(); }
+  std::string AdminAddress() const { return this->admin->Address(); }
+
+ private:
+  class AdminHandler : public CallerHandler {
+   public:
+    explicit AdminHandler(Gateway& gateway) : gateway(gateway) {}
+    void Handle(std::shared_ptr<CallerExchange> exchange) override;
+
+   private:
+    Gateway& gateway;
+  };
+
+  Gateway(const GatewaySettings& settings,
+          const WireFormat& format,
+          net::EventLoop& loop,
+          const Clock& clock);
+
+  Status Listen();
+  void Follow();
+  void OnShared(const std::shared_ptr<const SharedState>& state);
+  void TakeConfiguration(const SharedState& state);
+  void SetRetryLimits(std::size_t gateways);
+  // Answers a request that is not forwarded.
+  void Reject(CallerExchange& exchange,
+              const CallerFields& fields,
+              int status,
+              const std::string& reason);
+  void AdvanceStop();
+
+  const GatewaySettings settings;
+  const WireFormat& format;
+  net::EventLoop& loop;
+  const Clock& clock;
+  Metrics metrics;
+  Balancer balancer;
+  ServerPool pool;
+  RetryBudgets budgets;
+  ForwardContext context;
+  AdminHandler admin_handler;
+  std::unique_ptr<CallerServer> callers;
+  std::unique_ptr<CallerServer> admin;
+  std::shared_ptr<const RouteTable> table;
+  std::unique_ptr<HttpClient> http_client;
+  std::unique_ptr<RpcClient> rpc;
+  std::unique_ptr<FeedFollower> follower;
+  bool stopping = false;
+  bool refusing = false;
+  TimePoint stop_began;
+};
+
+}  // namespace sycamorebend::gateway
+
+#endif  // SYCAMOREBEND_SRC_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/src/net/http_reader.cc
@@ -0,0 +1,189 @@
+#include "net/http_reader.h"
+
+#include <utility>
+
+namespace sycamorebend::net {
+
+namespace {
+
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+// Return values of on_headers_complete.
+constexpr int kHasBody = 0;
+constexpr int kSkipBody = 1;
+constexpr int kRefuse = -1;
+
+}  // namespace
+
+std::string_view MessageHead::Path() const {
+  return std::string_view(this->target).substr(0, this->target.find('?'));
+}
+
+struct HttpReader::Callbacks {
+  static HttpReader& Of(http_parser* parser) {
+    return *static_cast<HttpReader*>(parser->data);
+  }
+
+  static int OnBegin(http_parser* parser) {
+    Of(parser).Start();
+    return 0;
+  }
+
+  static int OnTarget(http_parser* parser, const char* at, size_t size) {
+    Of(parser).head.target.append(at, size);
+    return 0;
+  }
+
+  static int OnField(http_parser* parser, const char* at, size_t size) {
+    HttpReader& reader = Of(parser);
+    if (reader.value_begun) {
+      reader.FinishHeader();
+    }
+    reader.field.append(at, size);
+    return 0;
+  }
+
+  static int OnValue(http_parser* parser, const char* at, size_t size) {
+    HttpReader& reader = Of(parser);
+    reader.value_begun = true;
+    reader.value.append(at, size);
+    return 0;
+  }
+
+  static int OnHeadersComplete(http_parser* parser) {
+    return Of(parser).HeadersComplete();
+  }
+
+  static int OnBody(http_parser* parser, const char* at, size_t size) {
+    Of(parser).sink.OnBody({at, size});
+    return 0;
+  }
+
+  static int OnComplete(http_parser* parser) {
+    // The caller must see where the message ends.
+    http_parser_pause(parser, 1);
+    return 0;
+  }
+
+  static const http_parser_settings& Settings() {
+    static const http_parser_settings kSettings = [] {
+      http_parser_settings settings;
+      http_parser_settings_init(&settings);
+      settings.on_message_begin = &OnBegin;
+      settings.on_url = &OnTarget;
+      settings.on_header_field = &OnField;
+      settings.on_header_value = &OnValue;
+      settings.on_headers_complete = &OnHeadersComplete;
+      settings.on_body = &OnBody;
+      settings.on_message_complete = &OnComplete;
+      return settings;
+    }();
+    return kSettings;
+  }
+};
+
+HttpReader::HttpReader(Kind kind, MessageSink& sink, std::size_t max_head_bytes)
+    : kind(kind), sink(sink), max_head_bytes(max_head_bytes) {
+  http_parser_init(&this->parser,
+                   kind == Kind::kRequest ? HTTP_REQUEST : HTTP_RESPONSE);
+  this->parser.data = this;
+}
+
+void HttpReader::Start() {
+  this->head = MessageHead();
+  this->field.clear();
+  this->value.clear();
+  this->value_begun = false;
+  this->in_message = true;
+  this->in_body = false;
+  this->informational = false;
+  this->head_bytes = 0;
+}
+
+void HttpReader::FinishHeader() {
+  this->head.headers.push_back({std::move(this->field), std::move(this->value)});
+  this->field.clear();
+  this->value.clear();
+  this->value_begun = false;
+}
+
+int HttpReader::HeadersComplete() {
+  if (this->value_begun || !this->field.empty()) {
+    this->FinishHeader();
+  }
+  this->in_body = true;
+  if (this->parser.upgrade != 0) {
+    return kRefuse;
+  }
+  const bool request = this->kind == Kind::kRequest;
+  if (request) {
+    this->head.method =
+        http_method_str(static_cast<http_method>(this->parser.method));
+  } else {
+    this->head.status = static_cast<int>(this->parser.status_code);
+    this->informational = this->head.status < kFirstFinalStatus;
+    if (this->informational) {
+      return kSkipBody;
+    }
+  }
+  this->head.keep_alive = http_should_keep_alive(&this->parser) != 0;
+  this->head.http_1_0 =
+      this->parser.http_major == 1 && this->parser.http_minor == 0;
+  this->head.chunked = (this->parser.flags & F_CHUNKED) != 0;
+  if ((this->parser.flags & F_CONTENTLENGTH) != 0) {
+    this->head.content_length = this->parser.content_length;
+  }
+  const bool bodyless = this->no_body || this->head.status == kNoContent ||
+                        this->head.status == kNotModified;
+  this->head.until_close = !request && !bodyless && !this->head.chunked &&
+                           !this->head.content_length;
+  if (!this->sink.OnHead(std::move(this->head))) {
+    return kRefuse;
+  }
+  return !request && this->no_body ? kSkipBody : kHasBody;
+}
+
+std::size_t HttpReader::Read(std::string_view data) {
+  std::size_t used = 0;
+  while (used < data.size() && !this->failed) {
+    const std::string_view rest = data.substr(used);
+    const std::size_t size = http_parser_execute(
+        &this->parser, &Callbacks::Settings(), rest.data(), rest.size());
+    used += size;
+    if (!this->in_body) {
+      this->head_bytes += size;
+      this->head_too_large = this->head_bytes > this->max_head_bytes;
+    }
+    const auto error = HTTP_PARSER_ERRNO(&this->parser);
+    if (error == HPE_PAUSED) {
+      http_parser_pause(&this->parser, 0);
+      this->in_message = false;
+      if (!this->informational) {
+        this->sink.OnMessageEnd();
+        return used;
+      }
+    } else if (error != HPE_OK || this->head_too_large) {
+      this->head_too_large =
+          this->head_too_large || error == HPE_HEADER_OVERFLOW;
+      this->failed = true;
+    }
+  }
+  return used;
+}
+
+void HttpReader::End() {
+  if (this->failed || !this->in_message) {
+    return;
+  }
+  http_parser_execute(&this->parser, &Callbacks::Settings(), nullptr, 0);
+  const auto error = HTTP_PARSER_ERRNO(&this->parser);
+  if (error == HPE_PAUSED) {
+    this->in_message = false;
+    this->sink.OnMessageEnd();
+  } else {
+    this->failed = true;
+  }
+}
+
+}  // namespace sycamorebend::net
--- /dev/null
+++ b/src/net/http_reader.h
@@ -0,0 +1,94 @@
+// Incremental reader of HTTP/1 messages, over http_parser.
+#ifndef SYCAMOREBEND_SRC_NET_HTTP_READER_H_
+#define SYCAMOREBEND_SRC_NET_HTTP_READER_H_
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "sycamorebend/http.h"
+
+namespace sycamorebend::net {
+
+// Start line and headers of a request or an answer.
+struct MessageHead {
+  std::string method;  // Requests.
+  std::string target;  // Requests: path and query as received.
+  int status = 0;      // Answers.
+  HttpHeaders headers;
+  bool keep_alive = true;
+  bool http_1_0 = false;
+  // Absent for chunked messages and those that end with the connection.
+  std::optional<std::uint64_t> content_length;
+  bool chunked = false;
+  // The answer ends with its connection.
+  bool until_close = false;
+
+  // @return the target without its query.
+  std::string_view Path() const;
+};
+
+// Receives the parts of messages.
+class MessageSink {
+ public:
+  virtual ~MessageSink() = default;
+  // @return false to refuse the message: the reader fails.
+  virtual bool OnHead(MessageHead head) = 0;
+  virtual void OnBody(std::string_view data) = 0;
+  virtual void OnMessageEnd() = 0;
+};
+
+class HttpReader {
+ public:
+  enum class Kind { kRequest, kAnswer };
+
+  // @param max_head_bytes longest start line and headers.
+  HttpReader(Kind kind, MessageSink& sink, std::size_t max_head_bytes);
+  HttpReader(const HttpReader&) = delete;
+  HttpReader& operator=(const HttpReader&) = delete;
+
+  // Reads up to the end of one message.
+  // @return the number of bytes used; the rest belongs to the next message.
+  std::size_t Read(std::string_view data);
+  // The connection ended. An answer without a length ends with it.
+  void End();
+
+  // The next answer is one to a HEAD request: it has no body.
+  void ExpectNoBody(bool expected) { this->no_body = expected; }
+
+  bool Failed() const { return this->failed; }
+  bool HeadTooLarge() const { return this->head_too_large; }
+  // @return true between the first byte of a message and its end.
+  bool InMessage() const { return this->in_message; }
+
+ private:
+  struct Callbacks;
+
+  void Start();
+  void FinishHeader();
+  int HeadersComplete();
+
+  const Kind kind;
+  MessageSink& sink;
+  const std::size_t max_head_bytes;
+  http_parser parser{};
+  MessageHead head;
+  std::string field;
+  std::string value;
+  bool value_begun = false;
+  bool in_message = false;
+  bool in_body = false;
+  bool informational = false;
+  bool no_body = false;
+  bool failed = false;
+  bool head_too_large = false;
+  std::size_t head_bytes = 0;
+};
+
+}  // namespace sycamorebend::net
+
+#endif  // SYCAMOREBEND_SRC_NET_HTTP_READER_H_
--- /dev/null
+++ b/src/net/http_writer.h
@@ -0,0 +1,43 @@
+// Text of HTTP/1.1 messages.
+#ifndef SYCAMOREBEND_SRC_NET_HTTP_WRITER_H_
+#define SYCAMOREBEND_SRC_NET_HTTP_WRITER_H_
+
+#include <string>
+#include <string_view>
+
+#include "sycamorebend/http.h"
+
+namespace sycamorebend::net {
+
+// @return true for headers that concern one connection only and must not be
+// forwarded: Connection, Keep-Alive, Transfer-Encoding and the like.
+bool IsConnectionHeader(std::string_view name);
+
+// @return the headers that may be forwarded: neither connection headers, nor
+// those that the Connection header names, nor Content-Length.
+HttpHeaders ForwardableHeaders(const HttpHeaders& headers);
+
+// @return a request head with `Content-Length: body_size`, which is left out
+// for an empty body of GET, HEAD and DELETE.
+std::string FormatRequestHead(const std::string& method,
+                              const std::string& target,
+                              const HttpHeaders& headers,
+                              std::size_t body_size);
+
+// How the end of an answer's body is told.
+enum class BodyFraming { kLength, kChunked, kUntilClose };
+
+// @param body_size used with kLength.
+std::string FormatAnswerHead(int status,
+                             const HttpHeaders& headers,
+                             BodyFraming framing,
+                             std::size_t body_size,
+                             bool close);
+
+// Appends one chunk of a chunked body.
+void AppendChunk(std::string& out, std::string_view data);
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+}  // namespace sycamorebend::net
+
+#endif  // SYCAMOREBEND_SRC_NET_HTTP_WRITER_H_
--- a/src/entry/sse_splitter.cc
+++ b/src/net/sse_splitter.cc
@@ -1,8 +1,8 @@
-#include "entry/sse_splitter.h"
+#include "net/sse_splitter.h"
 
 #include <charconv>
 
-namespace sycamorebend::entry {
+namespace sycamorebend::net {
 
 namespace {
 
@@ -89,4 +89,4 @@
   }
 }
 
-}  // namespace sycamorebend::entry
+}  // namespace sycamorebend::net
--- a/src/entry/sse_splitter.h
+++ b/src/net/sse_splitter.h
@@ -1,6 +1,6 @@
 // Splits a server-sent event stream into whole events.
-#ifndef SYCAMOREBEND_SRC_ENTRY_SSE_SPLITTER_H_
-#define SYCAMOREBEND_SRC_ENTRY_SSE_SPLITTER_H_
+#ifndef SYCAMOREBEND_SRC_NET_SSE_SPLITTER_H_
+#define SYCAMOREBEND_SRC_NET_SSE_SPLITTER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace sycamorebend::entry {
+namespace sycamorebend::net {
 
 // One event. The views are valid until the next call of the splitter.
 struct SseEvent {
@@ -42,6 +42,6 @@
   std::size_t line_begin = 0;
 };
 
-}  // namespace sycamorebend::entry
+}  // namespace sycamorebend::net
 
-#endif  // SYCAMOREBEND_SRC_ENTRY_SSE_SPLITTER_H_
+#endif  // SYCAMOREBEND_SRC_NET_SSE_SPLITTER_H_
--- /dev/null
+++ b/src/net/tcp_connection.cc
@@ -0,0 +1,228 @@
+#include "net/tcp_connection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdlib>
+
+#include "net/socket_address.h"
+
+namespace sycamorebend::net {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 64 << 10;
+// Sent bytes are dropped from the buffer when they exceed this.
+constexpr std::size_t kCompactBytes = 64 << 10;
+constexpr int kProbeCount = 2;
+
+void SetOption(int fd, int level, int name, int value) {
+  // An option that the kernel lacks leaves the time-outs of the requests.
+  setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+void SetOptions(int fd, const TcpOptions& options) {
+  const auto interval = static_cast<int>(std::max<std::int64_t>(
+      1, std::chrono::duration_cast<seconds>(options.probe_interval).count()));
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(ToMilliseconds(options.unacknowledged_timeout)));
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, interval);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, interval);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+}
+
+bool WouldBlock() {
+  return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+}
+
+}  // namespace
+
+TcpConnection::TcpConnection(EventLoop& loop, int fd, bool connected)
+    : loop(loop), fd(fd), connected(connected) {}
+
+TcpConnection::~TcpConnection() {
+  this->Close();
+}
+
+std::shared_ptr<TcpConnection> TcpConnection::Adopt(EventLoop& loop,
+                                                    int fd,
+                                                    const TcpOptions& options) {
+  SetOptions(fd, options);
+  std::shared_ptr<TcpConnection> connection(new TcpConnection(loop, fd, true));
+  connection->UpdateWatch();
+  return connection;
+}
+
+std::shared_ptr<TcpConnection> TcpConnection::Connect(
+    EventLoop& loop,
+    const std::string& address,
+    const TcpOptions& options) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  std::shared_ptr<TcpConnection> connection(new TcpConnection(loop, fd, false));
+  sockaddr_in peer{};
+  bool started = fd >= 0 && ParseAddress(address, peer);
+  if (started) {
+    SetOptions(fd, options);
+    started =
+        connect(fd, reinterpret_cast<sockaddr*>(&peer), sizeof(peer)) == 0 ||
+        errno == EINPROGRESS;
+  }
+  if (!started) {
+    loop.Post([connection] { connection->End(ConnectionEnd::kConnectFailed); });
+    return connection;
+  }
+  connection->UpdateWatch();
+  return connection;
+}
+
+void TcpConnection::SetObserver(ConnectionObserver* new_observer) {
+  this->observer = new_observer;
+}
+
+void TcpConnection::UpdateWatch() {
+  if (this->fd < 0) {
+    return;
+  }
+  const bool write = !this->connected || this->UnsentBytes() > 0;
+  const bool read = this->connected && this->reading && !this->ended;
+  this->loop.Watch(this->fd, *this, read, write);
+}
+
+void TcpConnection::SetReading(bool on) {
+  this->reading = on;
+  this->UpdateWatch();
+}
+
+void TcpConnection::Close() {
+  if (this->fd < 0) {
+    return;
+  }
+  this->loop.Unwatch(this->fd);
+  ::close(this->fd);
+  this->fd = -1;
+  // Released by the loop: this may be the last reference.
+  if (this->closing_self != nullptr) {
+    this->loop.Post([self = std::move(this->closing_self)] {});
+  }
+}
+
+void TcpConnection::CloseAfterFlush() {
+  if (this->fd < 0 || !this->connected || this->UnsentBytes() == 0) {
+    this->Close();
+    return;
+  }
+  this->closing_self = this->shared_from_this();
+  this->reading = false;
+  this->UpdateWatch();
+}
+
+void TcpConnection::End(ConnectionEnd end) {
+  if (this->ended) {
+    return;
+  }
+  this->ended = true;
+  const auto self = this->shared_from_this();
+  if (end == ConnectionEnd::kEndOfStream) {
+    this->UpdateWatch();
+  } else {
+    this->Close();
+  }
+  if (this->observer != nullptr) {
+    this->observer->OnEnd(end);
+  }
+}
+
+void TcpConnection::OnReadable() {
+  const auto self = this->shared_from_this();
+  static thread_local char buffer[kReadBytes];
+  const ssize_t size = ::recv(this->fd, buffer, sizeof(buffer), 0);
+  if (size > 0) {
+    if (this->observer != nullptr) {
+      this->observer->OnData({buffer, static_cast<std::size_t>(size)});
+    }
+  } else if (size == 0) {
+    this->End(ConnectionEnd::kEndOfStream);
+  } else if (!WouldBlock()) {
+    this->End(ConnectionEnd::kReset);
+  }
+}
+
+void TcpConnection::FinishConnect() {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(this->fd, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0) {
+    this->End(ConnectionEnd::kConnectFailed);
+    return;
+  }
+  this->connected = true;
+  if (this->observer != nullptr) {
+    this->observer->OnConnected();
+  }
+}
+
+void TcpConnection::OnWritable() {
+  const auto self = this->shared_from_this();
+  if (!this->connected) {
+    this->FinishConnect();
+    if (!this->connected || this->fd < 0) {
+      return;
+    }
+  }
+  this->Flush();
+}
+
+void TcpConnection::Write(std::string_view data) {
+  if (this->fd < 0) {
+    return;
+  }
+  this->out.append(data);
+  if (this->connected && this->out_sent + data.size() == this->out.size()) {
+    const auto self = this->shared_from_this();
+    this->Flush();
+  }
+}
+
+void TcpConnection::Flush() {
+  while (this->UnsentBytes() > 0) {
+    const ssize_t size =
+        ::send(this->fd, this->out.data() + this->out_sent, this->UnsentBytes(),
+               MSG_NOSIGNAL);
+    if (size < 0) {
+      if (!WouldBlock()) {
+        // The caller of Write must not be called back from within.
+        this->out.clear();
+        this->out_sent = 0;
+        this->loop.Post([self = this->shared_from_this()] {
+          self->End(ConnectionEnd::kReset);
+        });
+        return;
+      }
+      break;
+    }
+    this->any_sent = true;
+    this->out_sent += static_cast<std::size_t>(size);
+  }
+  const bool drained = this->UnsentBytes() == 0;
+  if (drained || this->out_sent > kCompactBytes) {
+    this->out.erase(0, this->out_sent);
+    this->out_sent = 0;
+  }
+  if (drained && this->closing_self != nullptr) {
+    this->Close();
+    return;
+  }
+  this->UpdateWatch();
+  if (drained && this->observer != nullptr) {
+    this->observer->OnDrained();
+  }
+}
+
+}  // namespace sycamorebend::net
--- /dev/null
+++ b/src/net/tcp_connection.h
@@ -0,0 +1,100 @@
+// A non-blocking TCP connection on an event loop.
+#ifndef SYCAMOREBEND_SRC_NET_TCP_CONNECTION_H_
+#define SYCAMOREBEND_SRC_NET_TCP_CONNECTION_H_
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/event_loop.h"
+#include "sycamorebend/base.h"
+
+namespace sycamorebend::net {
+
+// How a connection ended.
+enum class ConnectionEnd {
+  kEndOfStream = 0,    // The peer closed its sending side.
+  kReset = 1,          // Reset, or an error of the socket.
+  kConnectFailed = 2,  // Never established.
+};
+
+// Receives what happens on one connection. May close or release the connection
+// in any call.
+class ConnectionObserver {
+ public:
+  virtual ~ConnectionObserver() = default;
+  virtual void OnConnected() {}
+  virtual void OnData(std::string_view data) = 0;
+  // The last call. The connection is closed unless it ended by kEndOfStream.
+  virtual void OnEnd(ConnectionEnd end) = 0;
+  // Everything written was passed to the socket.
+  virtual void OnDrained() {}
+};
+
+struct TcpOptions {
+  // A peer that acknowledges nothing for this long is taken for lost.
+  Duration unacknowledged_timeout = seconds(4);
+  // Silence after which the kernel probes the peer, and the pause between
+  // probes; two unanswered probes end the connection.
+  Duration probe_interval = seconds(1);
+};
+
+class TcpConnection : public FdHandler,
+                      public std::enable_shared_from_this<TcpConnection> {
+ public:
+  // Takes an accepted socket.
+  static std::shared_ptr<TcpConnection> Adopt(EventLoop& loop,
+                                              int fd,
+                                              const TcpOptions& options);
+  // Connects to "IP:port". Failure is reported by OnEnd(kConnectFailed), never
+  // before this function returns.
+  static std::shared_ptr<TcpConnection> Connect(EventLoop& loop,
+                                                const std::string& address,
+                                                const TcpOptions& options);
+  ~TcpConnection() override;
+
+  // @param new_observer nullptr drops all further calls.
+  void SetObserver(ConnectionObserver* new_observer);
+
+  void Write(std::string_view data);
+  // Stops or continues to read.
+  void SetReading(bool on);
+  void Close();
+  // Closes once everything written was passed to the socket. The connection
+  // keeps itself alive until then.
+  void CloseAfterFlush();
+
+  bool Connected() const { return this->connected; }
+  bool Closed() const { return this->fd < 0; }
+  std::size_t UnsentBytes() const { return this->out.size() - this->out_sent; }
+  // @return true once any byte was handed to the kernel.
+  bool AnySent() const { return this->any_sent; }
+
+  void OnReadable() override;
+  void OnWritable() override;
+
+ private:
+  TcpConnection(EventLoop& loop, int fd, bool connected);
+
+  void FinishConnect();
+  void Flush();
+  void End(ConnectionEnd end);
+  void UpdateWatch();
+
+  EventLoop& loop;
+  int fd;
+  bool connected;
+  bool reading = true;
+  bool ended = false;
+  bool any_sent = false;
+  // Set while the connection flushes before it closes.
+  std::shared_ptr<TcpConnection> closing_self;
+  ConnectionObserver* observer = nullptr;
+  std::string out;
+  std::size_t out_sent = 0;
+};
+
+}  // namespace sycamorebend::net
+
+#endif  // SYCAMOREBEND_SRC_NET_TCP_CONNECTION_H_
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -6,9 +6,6 @@
 
 namespace {
 
-constexpr int kPercentOfRequests = 10;
-constexpr int kFloorPerSecond = 3;
-
 std::int64_t ToSeconds(TimePoint now) {
   return std::chrono::duration_cast<seconds>(now.time_since_epoch()).count();
 }
@@ -38,8 +35,8 @@
       retries += bucket.retries;
     }
   }
-  const int limit =
-      std::max(kFloorPerSecond * kSeconds, requests * kPercentOfRequests / 100);
+  const int share = static_cast<int>(this->limits.ratio * requests);
+  const int limit = this->limits.slack + std::max(this->limits.floor, share);
   if (retries >= limit) {
     return false;
   }
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -10,9 +10,20 @@
 
 namespace sycamorebend::internal {
 
+// Retries that are allowed in 10 s: `slack` and the larger of `floor` and
+// `ratio` of the requests.
+struct RetryLimits {
+  double ratio = 0.1;
+  int floor = 30;
+  int slack = 0;
+};
+
 // Counts requests and retries over the last 10 s, in buckets of 1 s.
 class RetryBudget {
  public:
+  explicit RetryBudget(RetryLimits limits = {}) : limits(limits) {}
+
+  void SetLimits(RetryLimits new_limits) { this->limits = new_limits; }
   void CountRequest(TimePoint now);
   // @return true and counts the retry if the budget allows it.
   bool TryRetry(TimePoint now);
@@ -27,6 +38,7 @@
 
   Bucket& Current(TimePoint now);
 
+  RetryLimits limits;
   std::array<Bucket, kSeconds> buckets;
 };
 
--- a/tests/entry/control_calls_test.cc
+++ b/tests/control/leader_calls_test.cc
@@ -1,8 +1,8 @@
-#include "entry/control_calls.h"
+#include "control/leader_calls.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace sycamorebend::entry {
+namespace sycamorebend {
 
 namespace {
 
@@ -104,4 +104,4 @@
   BOOST_TEST(FindAddress("") == "");
 }
 
-}  // namespace sycamorebend::entry
+}  // namespace sycamorebend
--- a/tests/entry/sse_splitter_test.cc
+++ b/tests/net/sse_splitter_test.cc
@@ -1,11 +1,11 @@
-#include "entry/sse_splitter.h"
+#include "net/sse_splitter.h"
 
 #include <random>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
 
-namespace sycamorebend::entry {
+namespace sycamorebend::net {
 
 namespace {
 
@@ -101,4 +101,4 @@
   }
 }
 
-}  // namespace sycamorebend::entry
+}  // namespace sycamorebend::net
