Keep short-pause streams apart from long prompts

Change: Lanes gives each kind of route a part of the engines, by the load that this gateway sees, when the chunk model says that pauses would be late. Ruled out: a lane by request size (splits a class).

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -22,6 +22,9 @@
 constexpr double kBaseMs = 20;
 // A server in another failure domain must be this much faster.
 constexpr double kDomainPenaltyMs = 2;
+// An engine that is meant for the other kind of prompts must be this much
+// faster: about what a late stream costs its caller.
+constexpr double kOtherLaneMs = 300;
 // Scores that differ by less are equal: gateways that know the same must not
 // all choose the same server.
 constexpr double kNoiseMs = 4;
@@ -87,7 +90,9 @@
 std::vector<std::string> Balancer::SetServers(
     const std::vector<ServerRecord>& records) {
   std::set<std::string> present;
-  this->by_service.clear();
+  for (auto& [service, pool] : this->pools) {
+    pool.keys.clear();
+  }
   for (const ServerRecord& record : records) {
     const std::string key = ServerKey(record);
     present.insert(key);
@@ -96,7 +101,13 @@
       server = std::make_unique<Server>();
     }
     server->record = record;
-    this->by_service[record.service].push_back(key);
+    this->pools[record.service].keys.push_back(key);
+  }
+  for (auto& [service, pool] : this->pools) {
+    std::sort(pool.keys.begin(), pool.keys.end(),
+              [](const std::string& a, const std::string& b) {
+                return StableHash64(a) < StableHash64(b);
+              });
   }
   std::vector<std::string> gone;
   for (auto one = this->servers.begin(); one != this->servers.end();) {
@@ -110,18 +121,26 @@
   return gone;
 }
 
+void Balancer::SetServices(
+    const std::map<std::string, ServiceLimits>& services) {
+  for (const auto& [name, limits] : services) {
+    this->pools[name].lanes.SetEventTokens(limits.event_tokens);
+  }
+}
+
 Balancer::Server* Balancer::Find(const std::string& key) {
   const auto found = this->servers.find(key);
   return found == this->servers.end() ? nullptr : found->second.get();
 }
 
 int Balancer::CountUsable(const std::string& service) const {
-  const auto found = this->by_service.find(service);
-  if (found == this->by_service.end()) {
+  const auto found = this->pools.find(service);
+  if (found == this->pools.end()) {
     return 0;
   }
+  const std::vector<std::string>& keys = found->second.keys;
   return static_cast<int>(std::count_if(
-      found->second.begin(), found->second.end(), [&](const std::string& key) {
+      keys.begin(), keys.end(), [&](const std::string& key) {
         const auto server = this->servers.find(key);
         return server != this->servers.end() &&
                !server->second->record.leaving;
@@ -175,34 +194,63 @@
          this->Slowness(server, now);
 }
 
-std::optional<Choice> Balancer::Choose(const Demand& demand, TimePoint now) {
-  const auto members = this->by_service.find(demand.service);
-  if (members == this->by_service.end()) {
-    return std::nullopt;
+Balancer::Placement Balancer::Place(Pool& pool,
+                                    const Demand& demand,
+                                    TimePoint now) {
+  Placement placement;
+  placement.lane_end = pool.keys.size();
+  if (demand.generation == nullptr || demand.generation->prompt.empty()) {
+    return placement;
+  }
+  placement.generation = demand.generation;
+  const int slots =
+      pool.keys.empty()
+          ? 1
+          : std::max(1, this->servers.at(pool.keys.front())->record.slots);
+  const std::size_t boundary = pool.lanes.ShortPromptEngines(
+      pool.keys.size(), slots, this->gateway_count, now);
+  const bool is_long =
+      pool.lanes.KindOf(demand.route) == Lanes::Kind::kLongPrompt;
+  if (boundary > 0) {
+    (is_long ? placement.lane_begin : placement.lane_end) = boundary;
   }
-  const Generation* const generation =
-      demand.generation != nullptr && !demand.generation->prompt.empty()
-          ? demand.generation
-          : nullptr;
-  const std::string* home = nullptr;
-  if (generation != nullptr) {
-    std::uint64_t best_rank = 0;
-    for (const std::string& key : members->second) {
-      const Server& server = *this->servers.at(key);
-      const std::uint64_t rank =
-          HomeRank(HomePart(*generation), server.record.server_id);
-      if (!server.record.leaving && !server.record.silent &&
-          (home == nullptr || rank > best_rank)) {
-        home = &key;
-        best_rank = rank;
-      }
+  std::uint64_t best_rank = 0;
+  for (std::size_t i = placement.lane_begin; i < placement.lane_end; ++i) {
+    const Server& server = *this->servers.at(pool.keys[i]);
+    const std::uint64_t rank =
+        HomeRank(HomePart(*demand.generation), server.record.server_id);
+    if (!server.record.leaving && !server.record.silent &&
+        (!placement.has_home || rank > best_rank)) {
+      placement.home = i;
+      placement.has_home = true;
+      best_rank = rank;
     }
   }
+  return placement;
+}
+
+double Balancer::Score(const Server& server, double expected_ms, bool in_lane) {
+  const bool other_domain =
+      server.record.failure_domain != this->options.failure_domain;
+  return expected_ms + kNoiseMs * this->random.Unit() +
+         kErrorMs * std::max(0.0, server.error_rate - kUsualErrors) +
+         (other_domain ? kDomainPenaltyMs : 0) +
+         (in_lane ? 0 : kOtherLaneMs);
+}
+
+std::optional<Choice> Balancer::Choose(const Demand& demand, TimePoint now) {
+  const auto found = this->pools.find(demand.service);
+  if (found == this->pools.end()) {
+    return std::nullopt;
+  }
+  Pool& pool = found->second;
+  const Placement placement = this->Place(pool, demand, now);
   const Server* best = nullptr;
   Choice choice;
   double best_score = 0;
   bool best_avoided = false;
-  for (const std::string& key : members->second) {
+  for (std::size_t i = 0; i < pool.keys.size(); ++i) {
+    const std::string& key = pool.keys[i];
     const Server& server = *this->servers.at(key);
     if (server.record.leaving ||
         std::find(demand.excluded.begin(), demand.excluded.end(), key) !=
@@ -211,17 +259,14 @@
     }
     // A server that fell silent is used only if no other is left.
     const bool avoided = now < server.avoid_until || server.record.silent;
+    const bool in_lane = i >= placement.lane_begin && i < placement.lane_end;
+    const bool home = placement.has_home && i == placement.home;
     const int uncached =
-        generation == nullptr
+        placement.generation == nullptr
             ? 0
-            : this->UncachedTokens(server, *generation, &key == home, now);
+            : this->UncachedTokens(server, *placement.generation, home, now);
     const double expected = this->ExpectedMs(server, uncached, now);
-    const double score =
-        expected + kNoiseMs * this->random.Unit() +
-        kErrorMs * std::max(0.0, server.error_rate - kUsualErrors) +
-        (server.record.failure_domain == this->options.failure_domain
-             ? 0
-             : kDomainPenaltyMs);
+    const double score = this->Score(server, expected, in_lane);
     const bool better =
         best == nullptr || (best_avoided && !avoided) ||
         (best_avoided == avoided && score < best_score);
@@ -232,9 +277,10 @@
       choice.server_key = key;
       choice.uncached_tokens = uncached;
       choice.expected = FromMs(expected);
-      choice.reason = avoided         ? "no other server is usable"
-                      : &key == home  ? "home of the prompt"
-                                      : "lowest expected delay";
+      choice.reason = avoided    ? "no other server is usable"
+                      : !in_lane ? "the engines meant for it are too busy"
+                      : home     ? "home of the prompt"
+                                 : "lowest expected delay";
     }
   }
   if (best == nullptr) {
@@ -263,6 +309,10 @@
 void Balancer::OnSent(const Choice& choice,
                       const Demand& demand,
                       TimePoint now) {
+  if (demand.generation != nullptr) {
+    this->pools[demand.service].lanes.OnSent(
+        demand.route, demand.gap_target, choice.uncached_tokens, now);
+  }
   Server* const server = this->Find(choice.server_key);
   if (server == nullptr) {
     return;
@@ -297,9 +347,13 @@
 }
 
 void Balancer::OnDone(const Choice& choice,
+                      const Demand& demand,
                       SendOutcome outcome,
                       bool first_byte_seen,
                       TimePoint now) {
+  if (demand.generation != nullptr) {
+    this->pools[demand.service].lanes.OnDone(demand.route, now);
+  }
   Server* const server = this->Find(choice.server_key);
   if (server == nullptr) {
     return;
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/lanes.h"
 #include "gateway/wire_format.h"
 #include "routing/random.h"
 #include "sycamorebend/base.h"
@@ -25,6 +26,9 @@
 // What a request needs.
 struct Demand {
   std::string service;
+  std::string route;
+  // Longest pause between the events of its stream that is in time.
+  Duration gap_target{0};
   const Generation* generation = nullptr;
   // Servers that failed this request.
   std::vector<std::string> excluded;
@@ -64,6 +68,7 @@
   // Replaces the servers; what was learnt of those that stay is kept.
   // @return keys of servers that are gone.
   std::vector<std::string> SetServers(const std::vector<ServerRecord>& servers);
+  void SetServices(const std::map<std::string, ServiceLimits>& services);
   // Gateways that share the servers, this one included.
   void SetGatewayCount(int count) { this->gateway_count = count; }
 
@@ -74,6 +79,7 @@
   void OnSent(const Choice& choice, const Demand& demand, TimePoint now);
   void OnFirstByte(const Choice& choice, Duration elapsed, TimePoint now);
   void OnDone(const Choice& choice,
+              const Demand& demand,
               SendOutcome outcome,
               bool first_byte_seen,
               TimePoint now);
@@ -104,7 +110,29 @@
     std::unordered_map<std::uint64_t, TimePoint> parts;
   };
 
+  // The servers of one service.
+  struct Pool {
+    // Keys, in an order that is the same at every gateway.
+    std::vector<std::string> keys;
+    Lanes lanes;
+  };
+  // What Choose knows of a request's place among the servers.
+  struct Placement {
+    const Generation* generation = nullptr;
+    // Servers [lane_begin, lane_end) of the pool are meant for the request.
+    std::size_t lane_begin = 0;
+    std::size_t lane_end = 0;
+    // The server on which every gateway places the request's prompt, if it can.
+    std::size_t home = 0;
+    bool has_home = false;
+  };
+
   Server* Find(const std::string& key);
+  Placement Place(Pool& pool, const Demand& demand, TimePoint now);
+  // Lower is better.
+  double Score(const Server& server,
+               double expected_ms,
+               bool in_lane);
   int UncachedTokens(const Server& server,
                      const Generation& generation,
                      bool home,
@@ -118,7 +146,7 @@
   const BalancerOptions options;
   internal::Random random;
   int gateway_count = 1;
-  std::map<std::string, std::vector<std::string>> by_service;
+  std::map<std::string, Pool> pools;
   std::unordered_map<std::string, std::unique_ptr<Server>> servers;
 };
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -89,6 +89,8 @@
       std::min(route.timeout,
                this->job.fields.deadline.value_or(kDefaultDeadline));
   this->demand.service = this->service;
+  this->demand.route = route.name;
+  this->demand.gap_target = route.gap_target;
   this->demand.generation = this->job.fields.generation
                                 ? &*this->job.fields.generation
                                 : nullptr;
@@ -202,8 +204,8 @@
     return;
   }
   this->call.reset();
-  this->context.balancer.OnDone(this->choice, outcome, this->first_byte_seen,
-                                this->context.loop.Now());
+  this->context.balancer.OnDone(this->choice, this->demand, outcome,
+                                this->first_byte_seen, this->context.loop.Now());
 }
 
 void Forwarder::OnConnected(bool /*reused*/) {
@@ -264,6 +266,10 @@
     this->first_byte_seen = true;
     this->context.balancer.OnFirstByte(this->choice, now - this->sent_at, now);
   }
+  if (this->job.exchange->Started()) {
+    this->longest_gap = std::max(this->longest_gap, now - this->last_event_at);
+  }
+  this->last_event_at = now;
   this->StartStream();
   this->job.exchange->Write(out);
   if (this->job.exchange->UnsentBytes() > kMaxUnsentBytes) {
@@ -464,6 +470,7 @@
              this->events > 0
                  ? ToMilliseconds(this->first_event_at - this->started_at)
                  : std::int64_t{-1}},
+            {"longest_gap_ms", ToMilliseconds(this->longest_gap)},
             {"duration_ms", ToMilliseconds(now - this->started_at)}});
   this->context.metrics.Count(
       "sycamorebend_gateway_requests_total", "Requests by route and status.",
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -127,6 +127,8 @@
   std::optional<std::int64_t> last_event;
   int events = 0;
   TimePoint first_event_at;
+  TimePoint last_event_at;
+  Duration longest_gap{0};
 };
 
 }  // namespace sycamorebend::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -124,6 +124,7 @@
   read.value().version = state.configuration_version;
   this->table = std::make_shared<const RouteTable>(std::move(read.value()));
   this->callers->SetLimits(this->table->limits);
+  this->balancer.SetServices(this->table->services);
   LogEvent(Severity::kInfo, Event::kConfigurationInForce,
            {{"version", this->table->version},
             {"routes", static_cast<std::uint64_t>(this->table->routes.size())}});
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -62,6 +62,8 @@
   bool engine = false;
   // Tokens that one engine's memory holds; 0 if it is none.
   std::int64_t cache_tokens = 0;
+  // Tokens in one event of an engine's stream.
+  int event_tokens = 1;
 };
 
 struct CallerLimits {
