Share the load of all gateways; place prompts at two homes

Cause: a gateway knew only its own work at an engine, an eighth of the whole, and sent prompts to whichever engine looked idle; each then read the shared parts again, which made all engines busier. Change: gateways tell each other what they have at each server (LoadExchange, UDP, msgpack). A prompt has two homes by rendezvous hashing; reading a part again weighs more than the wait of one request. Waiting is estimated by the service time that the service shows.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -16,8 +16,6 @@
 constexpr double kPrefillTokensPerMs = 40;
 // Delay that each running request adds to a new one's first byte.
 constexpr double kRunningMs = 1.0;
-// Delay that each request adds that waits at a full server.
-constexpr double kWaitingMs = 25;
 // Time to the first byte of an idle server.
 constexpr double kBaseMs = 20;
 // A server in another failure domain must be this much faster.
@@ -36,10 +34,16 @@
 constexpr std::size_t kMaxParts = 4096;
 // Probability that the home of a prompt has it, if this gateway did not send
 // it there itself.
-constexpr double kHomeHitRate = 0.7;
+constexpr double kHomeHitRate = 0.8;
+constexpr double kSecondHitRate = 0.3;
+// Reading a prompt again delays all later requests of the engine, besides the
+// request itself; one millisecond of it weighs this much more than one of
+// waiting.
+constexpr double kWorkWeight = 2;
 
 // Weight of one sample in the averages of slowness and errors.
 constexpr double kSampleWeight = 0.25;
+constexpr double kServiceWeight = 0.05;
 // Time in which a server's slowness is half forgotten, so that it is tried
 // again.
 constexpr Duration kSlownessHalfLife = seconds(4);
@@ -99,6 +103,7 @@
     std::unique_ptr<Server>& server = this->servers[key];
     if (server == nullptr) {
       server = std::make_unique<Server>();
+      server->code = ServerCode(key);
     }
     server->record = record;
     this->pools[record.service].keys.push_back(key);
@@ -149,7 +154,7 @@
 
 int Balancer::UncachedTokens(const Server& server,
                              const Generation& generation,
-                             bool home,
+                             double hit_rate,
                              TimePoint now) const {
   double cached = 0;
   bool known = true;
@@ -160,8 +165,8 @@
             now - sent->second < kPartAge;
     if (known) {
       cached += part.tokens;
-    } else if (home && i + 1 < generation.prompt.size()) {
-      cached += kHomeHitRate * part.tokens;
+    } else if (hit_rate > 0 && i + 1 < generation.prompt.size()) {
+      cached += hit_rate * part.tokens;
     } else {
       break;
     }
@@ -175,25 +180,38 @@
   return 1 + (server.slowness - 1) * std::exp2(-std::max(0.0, age));
 }
 
-double Balancer::ExpectedMs(const Server& server,
+double Balancer::ExpectedMs(const Pool& pool,
+                            const Server& server,
                             int uncached,
                             TimePoint now) const {
-  double running = server.outstanding;
-  double waiting = 0;
+  const LoadShare others = this->peers.Total(server.code, now);
+  double running = server.outstanding + others.outstanding;
   if (server.load && now - server.load_at < kLoadAge) {
     // Own work since the report counts besides what it says.
     const int since = server.outstanding - server.outstanding_at_load;
-    running = std::max<double>(running, server.load->running + since);
-    waiting = server.load->waiting;
+    running = std::max<double>(
+        running, server.load->running + server.load->waiting + since);
   }
   const int slots = std::max(1, server.record.slots);
-  waiting = std::max(waiting, running + 1 - slots);
-  const double prefill = (server.pending_tokens + uncached) /
-                         kPrefillTokensPerMs;
-  return (kBaseMs + prefill + kRunningMs * running + kWaitingMs * waiting) *
+  const double waiting = std::max(0.0, running + 1 - slots);
+  const double tokens =
+      server.pending_tokens + others.pending_tokens + uncached;
+  return (kBaseMs + tokens / kPrefillTokensPerMs + kRunningMs * running +
+          pool.service_ms / slots * waiting) *
          this->Slowness(server, now);
 }
 
+std::vector<LoadShare> Balancer::OwnLoad() const {
+  std::vector<LoadShare> shares;
+  for (const auto& [key, server] : this->servers) {
+    if (server->outstanding > 0) {
+      shares.push_back({server->code, server->outstanding,
+                        static_cast<int>(server->pending_tokens)});
+    }
+  }
+  return shares;
+}
+
 Balancer::Placement Balancer::Place(Pool& pool,
                                     const Demand& demand,
                                     TimePoint now) {
@@ -214,25 +232,40 @@
   if (boundary > 0) {
     (is_long ? placement.lane_begin : placement.lane_end) = boundary;
   }
+  this->FindHomes(pool, placement);
+  return placement;
+}
+
+void Balancer::FindHomes(const Pool& pool, Placement& placement) const {
+  const std::uint64_t part = HomePart(*placement.generation);
   std::uint64_t best_rank = 0;
+  std::uint64_t second_rank = 0;
   for (std::size_t i = placement.lane_begin; i < placement.lane_end; ++i) {
-    const Server& server = *this->servers.at(pool.keys[i]);
-    const std::uint64_t rank =
-        HomeRank(HomePart(*demand.generation), server.record.server_id);
-    if (!server.record.leaving && !server.record.silent &&
-        (!placement.has_home || rank > best_rank)) {
+    const ServerRecord& record = this->servers.at(pool.keys[i])->record;
+    if (record.leaving || record.silent) {
+      continue;
+    }
+    const std::uint64_t rank = HomeRank(part, record.server_id);
+    if (!placement.home || rank > best_rank) {
+      placement.second_home = placement.home;
+      second_rank = best_rank;
       placement.home = i;
-      placement.has_home = true;
       best_rank = rank;
+    } else if (!placement.second_home || rank > second_rank) {
+      placement.second_home = i;
+      second_rank = rank;
     }
   }
-  return placement;
 }
 
-double Balancer::Score(const Server& server, double expected_ms, bool in_lane) {
+double Balancer::Score(const Server& server,
+                       double expected_ms,
+                       int uncached,
+                       bool in_lane) {
   const bool other_domain =
       server.record.failure_domain != this->options.failure_domain;
-  return expected_ms + kNoiseMs * this->random.Unit() +
+  return expected_ms + kWorkWeight * uncached / kPrefillTokensPerMs +
+         kNoiseMs * this->random.Unit() +
          kErrorMs * std::max(0.0, server.error_rate - kUsualErrors) +
          (other_domain ? kDomainPenaltyMs : 0) +
          (in_lane ? 0 : kOtherLaneMs);
@@ -260,13 +293,16 @@
     // A server that fell silent is used only if no other is left.
     const bool avoided = now < server.avoid_until || server.record.silent;
     const bool in_lane = i >= placement.lane_begin && i < placement.lane_end;
-    const bool home = placement.has_home && i == placement.home;
-    const int uncached =
-        placement.generation == nullptr
-            ? 0
-            : this->UncachedTokens(server, *placement.generation, home, now);
-    const double expected = this->ExpectedMs(server, uncached, now);
-    const double score = this->Score(server, expected, in_lane);
+    const bool home = placement.home == i;
+    const double hit_rate = home                           ? kHomeHitRate
+                            : placement.second_home == i ? kSecondHitRate
+                                                         : 0;
+    const int uncached = placement.generation == nullptr
+                             ? 0
+                             : this->UncachedTokens(
+                                   server, *placement.generation, hit_rate, now);
+    const double expected = this->ExpectedMs(pool, server, uncached, now);
+    const double score = this->Score(server, expected, uncached, in_lane);
     const bool better =
         best == nullptr || (best_avoided && !avoided) ||
         (best_avoided == avoided && score < best_score);
@@ -350,9 +386,14 @@
                       const Demand& demand,
                       SendOutcome outcome,
                       bool first_byte_seen,
+                      Duration elapsed,
                       TimePoint now) {
+  Pool& pool = this->pools[demand.service];
   if (demand.generation != nullptr) {
-    this->pools[demand.service].lanes.OnDone(demand.route, now);
+    pool.lanes.OnDone(demand.route, now);
+  }
+  if (outcome == SendOutcome::kAnswered) {
+    pool.service_ms += kServiceWeight * (ToMs(elapsed) - pool.service_ms);
   }
   Server* const server = this->Find(choice.server_key);
   if (server == nullptr) {
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "gateway/lanes.h"
+#include "gateway/load_exchange.h"
 #include "gateway/wire_format.h"
 #include "routing/random.h"
 #include "sycamorebend/base.h"
@@ -82,17 +83,25 @@
               const Demand& demand,
               SendOutcome outcome,
               bool first_byte_seen,
+              Duration elapsed,
               TimePoint now);
   void OnLoad(const std::string& server_key,
               const LoadReport& report,
               TimePoint now);
 
+  // What this gateway has at the servers, for the others.
+  std::vector<LoadShare> OwnLoad() const;
+  void OnPeerLoad(const LoadMessage& message, TimePoint now) {
+    this->peers.Take(message, now);
+  }
+
   // @return servers of `service` that get new work.
   int CountUsable(const std::string& service) const;
 
  private:
   struct Server {
     ServerRecord record;
+    std::uint32_t code = 0;
     // Own requests at the server, and prompt tokens of those that have no
     // first byte yet.
     int outstanding = 0;
@@ -112,6 +121,8 @@
 
   // The servers of one service.
   struct Pool {
+    // Usual time that a request occupies a server, in ms.
+    double service_ms = 50;
     // Keys, in an order that is the same at every gateway.
     std::vector<std::string> keys;
     Lanes lanes;
@@ -122,9 +133,10 @@
     // Servers [lane_begin, lane_end) of the pool are meant for the request.
     std::size_t lane_begin = 0;
     std::size_t lane_end = 0;
-    // The server on which every gateway places the request's prompt, if it can.
-    std::size_t home = 0;
-    bool has_home = false;
+    // The servers on which every gateway places the request's prompt, if it
+    // can: the first choice and the second.
+    std::optional<std::size_t> home;
+    std::optional<std::size_t> second_home;
   };
 
   Server* Find(const std::string& key);
@@ -132,14 +144,22 @@
   // Lower is better.
   double Score(const Server& server,
                double expected_ms,
+               int uncached,
                bool in_lane);
+  // @param hit_rate probability that the server has a part of which this
+  // gateway does not know.
   int UncachedTokens(const Server& server,
                      const Generation& generation,
-                     bool home,
+                     double hit_rate,
                      TimePoint now) const;
+  // Finds the homes of the request's prompt among the servers of its lane.
+  void FindHomes(const Pool& pool, Placement& placement) const;
   double Slowness(const Server& server, TimePoint now) const;
-  // Expected time to the first byte, in ms.
-  double ExpectedMs(const Server& server, int uncached, TimePoint now) const;
+  // Expected time to the first byte, in ms, from the load of all gateways.
+  double ExpectedMs(const Pool& pool,
+                    const Server& server,
+                    int uncached,
+                    TimePoint now) const;
   void NoteParts(Server& server, const Generation& generation, TimePoint now);
   void Avoid(Server& server, Duration duration, TimePoint now);
 
@@ -147,6 +167,7 @@
   internal::Random random;
   int gateway_count = 1;
   std::map<std::string, Pool> pools;
+  PeerLoads peers;
   std::unordered_map<std::string, std::unique_ptr<Server>> servers;
 };
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -204,8 +204,10 @@
     return;
   }
   this->call.reset();
+  const TimePoint now = this->context.loop.Now();
   this->context.balancer.OnDone(this->choice, this->demand, outcome,
-                                this->first_byte_seen, this->context.loop.Now());
+                                this->first_byte_seen, now - this->sent_at,
+                                now);
 }
 
 void Forwarder::OnConnected(bool /*reused*/) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -73,6 +73,15 @@
                     CallerServer::Start(this->loop, this->settings.admin_address,
                                         this->admin_handler));
   this->admin = std::move(started_admin);
+  BOOST_OUTCOME_TRY(
+      started_exchange,
+      LoadExchange::Start(
+          this->loop, this->settings.exchange_address,
+          [this] { return this->balancer.OwnLoad(); },
+          [this](const LoadMessage& message) {
+            this->balancer.OnPeerLoad(message, this->loop.Now());
+          }));
+  this->exchange = std::move(started_exchange);
   LogEvent(Severity::kInfo, Event::kListening,
            {{"address", this->callers->Address()},
             {"admin_address", this->admin->Address()}});
@@ -103,6 +112,11 @@
   }
   this->balancer.SetGatewayCount(static_cast<int>(state->entries.size()));
   this->SetRetryLimits(state->entries.size());
+  std::vector<std::string> ips;
+  for (const EntryInfo& entry : state->entries) {
+    ips.push_back(entry.address.substr(0, entry.address.find(':')));
+  }
+  this->exchange->SetPeers(std::move(ips));
   this->TakeConfiguration(*state);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,7 @@
   AdminHandler admin_handler;
   std::unique_ptr<CallerServer> callers;
   std::unique_ptr<CallerServer> admin;
+  std::unique_ptr<LoadExchange> exchange;
   std::shared_ptr<const RouteTable> table;
   std::unique_ptr<HttpClient> http_client;
   std::unique_ptr<RpcClient> rpc;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -17,6 +17,8 @@
   std::string caller_address;
   // Where /readyz and /metrics are served.
   std::string admin_address;
+  // Where gateways tell each other their load, by UDP; the same port at all.
+  std::string exchange_address;
   // Control replicas to contact first; their RPC addresses.
   std::vector<std::string> replicas;
   // Longest time between the signal to stop and the end of the process.
