Leave a margin for slow chunks when streams are kept apart

Change: the model reads 40 tokens a ms, and pauses count as late from 0.8 of the limit on. Ruled out: learning the chunk from observed pauses; each start would be late until it is learnt.

--- a/src/gateway/lanes.cc
+++ b/src/gateway/lanes.cc
@@ -19,6 +19,9 @@
 // bursts of single requests find room.
 constexpr double kSlotUse = 0.6;
 constexpr double kPrefillUse = 0.5;
+// Part of the pause that is in time which chunks may take up: attention over
+// long contexts makes some chunks slower than the model says.
+constexpr double kGapUse = 0.8;
 // A change of the share smaller than this part of an engine is noise.
 constexpr double kHysteresis = 0.7;
 
@@ -93,7 +96,9 @@
   for (const auto& [name, load] : this->routes) {
     any_long = any_long || this->Long(load);
     any_harmed =
-        any_harmed || (!this->Long(load) && load.gap_target < slowest_event);
+        any_harmed ||
+        (!this->Long(load) && load.gap_target.count() * kGapUse <
+                               static_cast<double>(slowest_event.count()));
   }
   return any_long && any_harmed;
 }
--- a/src/gateway/lanes.h
+++ b/src/gateway/lanes.h
@@ -27,7 +27,7 @@
 
 // What an engine reads in a millisecond and in one chunk.
 struct PrefillModel {
-  double tokens_per_ms = 45;
+  double tokens_per_ms = 40;
   int chunk_tokens = 2048;
 };
 
