Order requests at engines by the tenant's priority, then the route's

Change: RouteTable::Urgency ranks (tenant, route) pairs into the ten values that servers tell apart.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -149,10 +149,9 @@
   fields.deadline = this->deadline - now;
   if (this->job.tenant != nullptr) {
     fields.tenant = this->job.tenant->name;
-    fields.priority = this->job.tenant->priority;
   }
-  if (this->demand.generation != nullptr && !fields.priority) {
-    fields.priority = route.priority;
+  if (this->demand.generation != nullptr) {
+    fields.priority = this->job.table->Urgency(route, this->job.tenant);
   }
   fields.resume_after = this->last_event;
 
@@ -178,6 +177,8 @@
             {"reason", found.reason},
             {"expected_ms", ToMilliseconds(found.expected)},
             {"uncached_tokens", found.uncached_tokens},
+            {"tenant", fields.tenant.value_or(std::string())},
+            {"priority", fields.priority.value_or(-1)},
             {"left_ms", ToMilliseconds(fields.deadline)}});
   this->call = this->context.pool.Start(request, *this);
   if (route.Repeatable() && this->attempts < route.max_attempts) {
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -3,6 +3,9 @@
 #include <strings.h>
 
 #include <array>
+#include <iterator>
+#include <set>
+#include <utility>
 
 namespace sycamorebend::gateway {
 
@@ -53,6 +56,23 @@
   return best;
 }
 
+int RouteTable::Urgency(const Route& route, const Tenant* tenant) const {
+  std::set<std::pair<int, int>> ranks;
+  for (const Route& other : this->routes) {
+    ranks.emplace(0, other.priority);
+    for (const Tenant& one : this->tenants) {
+      ranks.emplace(one.priority, other.priority);
+    }
+  }
+  const std::pair<int, int> own(tenant == nullptr ? 0 : tenant->priority,
+                                route.priority);
+  const auto index =
+      static_cast<int>(std::distance(ranks.begin(), ranks.find(own)));
+  const auto count = static_cast<int>(ranks.size());
+  // With more ranks than urgencies, neighbours share one.
+  return count <= kUrgencies ? index : index * kUrgencies / count;
+}
+
 const Tenant* RouteTable::FindTenant(std::string_view key) const {
   const auto found = this->keys.find(key);
   return found == this->keys.end() ? nullptr : &this->tenants[found->second];
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -75,10 +75,14 @@
 
 struct Tenant {
   std::string name;
-  // Takes precedence over the route's priority.
-  std::optional<int> priority;
+  // Takes precedence over the route's priority, which orders the requests of
+  // tenants with the same one. 0 is the most urgent.
+  int priority = 0;
 };
 
+// Urgencies that backend servers tell apart: 0 is the most urgent.
+inline constexpr int kUrgencies = 10;
+
 struct RouteTable {
   std::uint64_t version = 0;
   std::vector<Route> routes;
@@ -91,6 +95,9 @@
   // @return the route of the host with the longest prefix of `path`, or
   // nullptr. The host is compared without its port and without regard to case.
   const Route* Find(std::string_view host, std::string_view path) const;
+  // @return the urgency at a backend server of a request: by the tenant's
+  // priority, then by the route's, among all that the table has.
+  int Urgency(const Route& route, const Tenant* tenant) const;
   // @return nullptr for an unknown key.
   const Tenant* FindTenant(std::string_view key) const;
 };
