--- a/src/control/configuration_history.cc
+++ b/src/control/configuration_history.cc
@@ -41,11 +41,11 @@
 const ConfigurationHistory::Change* ConfigurationHistory::Find(
     std::uint64_t wanted) const {
   // Versions grow, but not always by one.
-  const auto found = std::lower_bound(
-      this->changes.begin(), this->changes.end(), wanted,
-      [](const Change& change, std::uint64_t version) {
-        return change.version < version;
-      });
+  const auto found =
+      std::lower_bound(this->changes.begin(), this->changes.end(), wanted,
+                       [](const Change& change, std::uint64_t version) {
+                         return change.version < version;
+                       });
   return found == this->changes.end() || found->version != wanted ? nullptr
                                                                   : &*found;
 }
--- a/src/control/server_directory.cc
+++ b/src/control/server_directory.cc
@@ -83,8 +83,8 @@
     return false;
   }
   this->RemoveOthersAt(record);
-  const bool changed = known == this->records.end() ||
-                       !SameAnnouncement(known->second, record);
+  const bool changed =
+      known == this->records.end() || !SameAnnouncement(known->second, record);
   this->records[record.server_id] = record;
   return changed;
 }
@@ -99,8 +99,7 @@
   Departure& departure = this->departed[server_id];
   departure.incarnation = std::max(departure.incarnation, incarnation);
   departure.time_ms = now_ms;
-  if (known == this->records.end() ||
-      known->second.incarnation > incarnation) {
+  if (known == this->records.end() || known->second.incarnation > incarnation) {
     return false;
   }
   this->records.erase(known);
--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -55,8 +55,8 @@
   std::unique_ptr<ControlDaemon> daemon(new ControlDaemon(settings));
   BOOST_OUTCOME_TRY(daemon->Listen());
   if (settings.seeds.empty()) {
-    BOOST_OUTCOME_TRY(daemon->StartLog(
-        {settings.log.id, settings.log.initial_replicas}));
+    BOOST_OUTCOME_TRY(
+        daemon->StartLog({settings.log.id, settings.log.initial_replicas}));
     return daemon;
   }
   const std::string& directory = settings.log.data_directory;
@@ -171,19 +171,19 @@
   this->next_question = now + kQuestionInterval;
   Json::Value params;
   params["address"] = this->settings.log.address;
-  this->leader_calls->Call(
-      kReplicaJoinMethod, params, now + seconds(2),
-      [inbox = this->inbox](Result<Json::Value> answer) {
-        std::lock_guard lock(inbox->mutex);
-        inbox->asking = false;
-        if (answer) {
-          inbox->granted_id = answer.value()["id"].asUInt64();
-        } else {
-          LogEvent(Severity::kInfo, Event::kRpcFailed,
-                   {{"method", kReplicaJoinMethod},
-                    {"message", answer.error().message}});
-        }
-      });
+  this->leader_calls->Call(kReplicaJoinMethod, params, now + seconds(2),
+                           [inbox = this->inbox](Result<Json::Value> answer) {
+                             std::lock_guard lock(inbox->mutex);
+                             inbox->asking = false;
+                             if (answer) {
+                               inbox->granted_id =
+                                   answer.value()["id"].asUInt64();
+                             } else {
+                               LogEvent(Severity::kInfo, Event::kRpcFailed,
+                                        {{"method", kReplicaJoinMethod},
+                                         {"message", answer.error().message}});
+                             }
+                           });
 }
 
 void ControlDaemon::CheckMembership() {
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -233,8 +233,8 @@
   bool news = false;
   {
     std::lock_guard lock(this->liveness_mutex);
-    news = this->liveness.Note(record, *this->state.Shared(),
-                               this->clock.Now());
+    news =
+        this->liveness.Note(record, *this->state.Shared(), this->clock.Now());
   }
   if (!news) {
     return Json::Value(Json::objectValue);
@@ -426,9 +426,9 @@
     command["incarnation"] = Json::UInt64(lapse.incarnation);
     LogEvent(Severity::kWarning, Event::kServerLeaseExpired,
              {{"server_id", lapse.server_id}, {"removed", lapse.expired}});
-    this->ProposeOnce(
-        lapse.server_id,
-        lapse.expired ? "server.expire" : "server.silent", command);
+    this->ProposeOnce(lapse.server_id,
+                      lapse.expired ? "server.expire" : "server.silent",
+                      command);
   }
 }
 
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -13,9 +13,9 @@
 
 #include <json/value.h>
 
-#include "sycamorebend/consensus.h"
 #include "controld/replica_manager.h"
 #include "controld/server_liveness.h"
+#include "sycamorebend/consensus.h"
 #include "sycamorebend/control.h"
 #include "sycamorebend/feed.h"
 #include "sycamorebend/rpc.h"
--- a/src/controld/control_settings.cc
+++ b/src/controld/control_settings.cc
@@ -72,8 +72,8 @@
   settings.bootstrap = root.GetBool("bootstrap", false);
   // A majority must be left after the losses.
   settings.voters =
-      2 * static_cast<int>(root.GetInteger("tolerated_losses", 0,
-                                           kMaxTolerated, kDefaultTolerated)) +
+      2 * static_cast<int>(root.GetInteger("tolerated_losses", 0, kMaxTolerated,
+                                           kDefaultTolerated)) +
       1;
   if (settings.seeds.empty()) {
     root.Reject("seeds", "at least one address");
--- a/src/controld/main.cc
+++ b/src/controld/main.cc
@@ -21,7 +21,6 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-
 int Fail(const Error& error) {
   LogEvent(
       Severity::kError, Event::kSettingsRejected,
--- a/src/controld/server_liveness.cc
+++ b/src/controld/server_liveness.cc
@@ -22,11 +22,11 @@
     return false;
   }
   last = {announced.incarnation, announced.sequence, now};
-  const auto known = std::find_if(state.servers.begin(), state.servers.end(),
-                                  [&](const ServerRecord& record) {
-                                    return record.server_id ==
-                                           announced.server_id;
-                                  });
+  const auto known =
+      std::find_if(state.servers.begin(), state.servers.end(),
+                   [&](const ServerRecord& record) {
+                     return record.server_id == announced.server_id;
+                   });
   return known == state.servers.end() || !SameAnnouncement(*known, announced);
 }
 
--- a/src/entry/daemon.h
+++ b/src/entry/daemon.h
@@ -8,9 +8,9 @@
 #include <mutex>
 #include <string>
 
+#include "control/leader_calls.h"
 #include "entry/backend_api.h"
 #include "entry/caller_api.h"
-#include "control/leader_calls.h"
 #include "entry/order_session.h"
 #include "entry/rpc_api.h"
 #include "entry/settings.h"
--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -144,11 +144,10 @@
     return 0;
   }
   const std::vector<std::string>& keys = found->second.keys;
-  return static_cast<int>(std::count_if(
-      keys.begin(), keys.end(), [&](const std::string& key) {
+  return static_cast<int>(
+      std::count_if(keys.begin(), keys.end(), [&](const std::string& key) {
         const auto server = this->servers.find(key);
-        return server != this->servers.end() &&
-               !server->second->record.leaving;
+        return server != this->servers.end() && !server->second->record.leaving;
       }));
 }
 
@@ -161,8 +160,8 @@
   for (std::size_t i = 0; i < generation.prompt.size(); ++i) {
     const PromptPart& part = generation.prompt[i];
     const auto sent = server.parts.find(part.id);
-    known = known && sent != server.parts.end() &&
-            now - sent->second < kPartAge;
+    known =
+        known && sent != server.parts.end() && now - sent->second < kPartAge;
     if (known) {
       cached += part.tokens;
     } else if (hit_rate > 0 && i + 1 < generation.prompt.size()) {
@@ -175,8 +174,7 @@
 }
 
 double Balancer::Slowness(const Server& server, TimePoint now) const {
-  const double age =
-      ToMs(now - server.slowness_at) / ToMs(kSlownessHalfLife);
+  const double age = ToMs(now - server.slowness_at) / ToMs(kSlownessHalfLife);
   return 1 + (server.slowness - 1) * std::exp2(-std::max(0.0, age));
 }
 
@@ -267,8 +265,7 @@
   return expected_ms + kWorkWeight * uncached / kPrefillTokensPerMs +
          kNoiseMs * this->random.Unit() +
          kErrorMs * std::max(0.0, server.error_rate - kUsualErrors) +
-         (other_domain ? kDomainPenaltyMs : 0) +
-         (in_lane ? 0 : kOtherLaneMs);
+         (other_domain ? kDomainPenaltyMs : 0) + (in_lane ? 0 : kOtherLaneMs);
 }
 
 std::optional<Choice> Balancer::Choose(const Demand& demand, TimePoint now) {
@@ -294,18 +291,18 @@
     const bool avoided = now < server.avoid_until || server.record.silent;
     const bool in_lane = i >= placement.lane_begin && i < placement.lane_end;
     const bool home = placement.home == i;
-    const double hit_rate = home                           ? kHomeHitRate
+    const double hit_rate = home                         ? kHomeHitRate
                             : placement.second_home == i ? kSecondHitRate
                                                          : 0;
-    const int uncached = placement.generation == nullptr
-                             ? 0
-                             : this->UncachedTokens(
-                                   server, *placement.generation, hit_rate, now);
+    const int uncached =
+        placement.generation == nullptr
+            ? 0
+            : this->UncachedTokens(server, *placement.generation, hit_rate,
+                                   now);
     const double expected = this->ExpectedMs(pool, server, uncached, now);
     const double score = this->Score(server, expected, uncached, in_lane);
-    const bool better =
-        best == nullptr || (best_avoided && !avoided) ||
-        (best_avoided == avoided && score < best_score);
+    const bool better = best == nullptr || (best_avoided && !avoided) ||
+                        (best_avoided == avoided && score < best_score);
     if (better) {
       best = &server;
       best_score = score;
@@ -346,8 +343,8 @@
                       const Demand& demand,
                       TimePoint now) {
   if (demand.generation != nullptr) {
-    this->pools[demand.service].lanes.OnSent(
-        demand.route, demand.gap_target, choice.uncached_tokens, now);
+    this->pools[demand.service].lanes.OnSent(demand.route, demand.gap_target,
+                                             choice.uncached_tokens, now);
   }
   Server* const server = this->Find(choice.server_key);
   if (server == nullptr) {
@@ -369,12 +366,11 @@
   }
   server->pending_tokens =
       std::max(0.0, server->pending_tokens - choice.uncached_tokens);
-  const double ratio = std::clamp(
-      ToMs(elapsed) / std::max(kBaseMs, ToMs(choice.expected)), 0.5,
-      kMaxSlowness);
+  const double ratio =
+      std::clamp(ToMs(elapsed) / std::max(kBaseMs, ToMs(choice.expected)), 0.5,
+                 kMaxSlowness);
   const double before = this->Slowness(*server, now);
-  server->slowness =
-      std::max(1.0, before + kSampleWeight * (ratio - before));
+  server->slowness = std::max(1.0, before + kSampleWeight * (ratio - before));
   server->slowness_at = now;
 }
 
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -49,12 +49,12 @@
 // What became of one sending.
 enum class SendOutcome {
   kAnswered = 0,
-  kRefused = 1,       // The server said that it did not run the request.
-  kServerError = 2,   // An answer with a 5xx status.
+  kRefused = 1,      // The server said that it did not run the request.
+  kServerError = 2,  // An answer with a 5xx status.
   kConnectFailed = 3,
   kConnectionLost = 4,
-  kStalled = 5,       // No byte for too long.
-  kCancelled = 6,     // The caller left, or its time was up.
+  kStalled = 5,    // No byte for too long.
+  kCancelled = 6,  // The caller left, or its time was up.
 };
 
 struct BalancerOptions {
--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -42,9 +42,8 @@
   }
   const auto self = this->connection;
   const bool close = !self->keep_alive || self->server->closing;
-  std::string text =
-      net::FormatAnswerHead(status, headers, net::BodyFraming::kLength,
-                            body.size(), close);
+  std::string text = net::FormatAnswerHead(
+      status, headers, net::BodyFraming::kLength, body.size(), close);
   if (this->head.method != "HEAD") {
     text.append(body);
   }
@@ -112,9 +111,9 @@
     CallerHandler& handler) {
   std::unique_ptr<CallerServer> server(new CallerServer(loop, handler));
   CallerServer* const raw = server.get();
-  BOOST_OUTCOME_TRY(listener,
-                    net::TcpListener::Start(
-                        loop, address, [raw](int fd) { raw->Accept(fd); }));
+  BOOST_OUTCOME_TRY(
+      listener, net::TcpListener::Start(loop, address,
+                                        [raw](int fd) { raw->Accept(fd); }));
   server->listener = std::move(listener);
   server->sweep_timer =
       loop.SubscribePeriodic(kSweepPeriod, [raw] { raw->Sweep(); });
@@ -262,8 +261,8 @@
   if (this->server == nullptr) {
     return;
   }
-  this->socket->Write(net::FormatAnswerHead(
-      status, {}, net::BodyFraming::kLength, 0, true));
+  this->socket->Write(
+      net::FormatAnswerHead(status, {}, net::BodyFraming::kLength, 0, true));
   this->Close();
 }
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -68,8 +68,7 @@
 }
 
 void Forwarder::Start(ForwardContext& context, ForwardJob job) {
-  std::shared_ptr<Forwarder> forwarder(
-      new Forwarder(context, std::move(job)));
+  std::shared_ptr<Forwarder> forwarder(new Forwarder(context, std::move(job)));
   forwarder->self = forwarder;
   forwarder->Begin();
 }
@@ -91,9 +90,8 @@
   this->demand.service = this->service;
   this->demand.route = route.name;
   this->demand.gap_target = route.gap_target;
-  this->demand.generation = this->job.fields.generation
-                                ? &*this->job.fields.generation
-                                : nullptr;
+  this->demand.generation =
+      this->job.fields.generation ? &*this->job.fields.generation : nullptr;
   this->last_event = this->job.fields.resume_after;
   this->context.budgets.Of(this->service).CountRequest(this->started_at);
   const std::weak_ptr<Forwarder> weak = this->weak_from_this();
@@ -160,38 +158,39 @@
   request.server_key = found.server_key;
   request.address = found.address;
   request.request_id = this->request_id;
-  request.head = net::FormatRequestHead(
-      head.method, head.target, this->context.format.ServerHeaders(head, fields),
-      this->job.exchange->Body().size());
+  request.head =
+      net::FormatRequestHead(head.method, head.target,
+                             this->context.format.ServerHeaders(head, fields),
+                             this->job.exchange->Body().size());
   request.body = this->job.exchange->Body();
   request.no_answer_body = head.method == "HEAD";
-  LogEvent(Severity::kInfo,
-           this->attempts == 1 ? Event::kRequestDispatched
-                               : Event::kRequestRetried,
-           {{"request_id", this->request_id},
-            {"attempt", this->attempts},
-            {"route", route.name},
-            {"service", this->service},
-            {"server_id", found.server_id},
-            {"address", found.address},
-            {"reason", found.reason},
-            {"expected_ms", ToMilliseconds(found.expected)},
-            {"uncached_tokens", found.uncached_tokens},
-            {"tenant", fields.tenant.value_or(std::string())},
-            {"priority", fields.priority.value_or(-1)},
-            {"left_ms", ToMilliseconds(fields.deadline)}});
+  LogEvent(
+      Severity::kInfo,
+      this->attempts == 1 ? Event::kRequestDispatched : Event::kRequestRetried,
+      {{"request_id", this->request_id},
+       {"attempt", this->attempts},
+       {"route", route.name},
+       {"service", this->service},
+       {"server_id", found.server_id},
+       {"address", found.address},
+       {"reason", found.reason},
+       {"expected_ms", ToMilliseconds(found.expected)},
+       {"uncached_tokens", found.uncached_tokens},
+       {"tenant", fields.tenant.value_or(std::string())},
+       {"priority", fields.priority.value_or(-1)},
+       {"left_ms", ToMilliseconds(fields.deadline)}});
   this->call = this->context.pool.Start(request, *this);
   if (route.Repeatable() && this->attempts < route.max_attempts) {
-    this->SetAttemptTimer(std::max(kShortestFirstByte,
-                                   Scale(route.target, kFirstByteFactor)));
+    this->SetAttemptTimer(
+        std::max(kShortestFirstByte, Scale(route.target, kFirstByteFactor)));
   }
 }
 
 void Forwarder::SetAttemptTimer(Duration wait) {
   this->context.loop.Cancel(std::exchange(this->attempt_timer, 0));
   const std::weak_ptr<Forwarder> weak = this->weak_from_this();
-  this->attempt_timer = this->context.loop.SubscribeOnce(
-      this->context.loop.Now() + wait, [weak] {
+  this->attempt_timer =
+      this->context.loop.SubscribeOnce(this->context.loop.Now() + wait, [weak] {
         if (const auto forwarder = weak.lock()) {
           forwarder->attempt_timer = 0;
           forwarder->OnAttemptTimeout();
@@ -345,8 +344,8 @@
 
 void Forwarder::HandleRefusal() {
   this->EndCall(SendOutcome::kRefused);
-  this->may_have_run = this->attempts > 1 && this->may_have_run &&
-                       this->job.route->Repeatable();
+  this->may_have_run =
+      this->attempts > 1 && this->may_have_run && this->job.route->Repeatable();
   this->demand.excluded.push_back(this->choice.server_key);
   if (this->attempts < this->job.route->max_attempts && this->TakeRetry()) {
     this->Dispatch();
@@ -384,8 +383,9 @@
 
 bool Forwarder::MayRepeat() {
   return this->job.route->Repeatable() &&
-         this->attempts < this->job.route->max_attempts &&
-         this->deadline - this->context.loop.Now() > kShortestAttempt;
+         this->attempts<this->job.route->max_attempts&& this->deadline -
+                        this->context.loop.Now()>
+             kShortestAttempt;
 }
 
 bool Forwarder::TakeRetry() {
@@ -445,8 +445,8 @@
   if (retry_after > Duration{0}) {
     headers.push_back(
         {"Retry-After",
-         fmt::format("{:.3f}", std::chrono::duration<double>(retry_after)
-                                   .count())});
+         fmt::format("{:.3f}",
+                     std::chrono::duration<double>(retry_after).count())});
   }
   this->job.exchange->Respond(status, headers, {});
   this->Finish(status, reason);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,12 +10,9 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr int kFeedThreads = 1;
-constexpr Duration kRetryAfter = milliseconds(500);
 
 // Phases of a graceful stop, counted from the signal. Callers that learnt the
 // addresses just before still come for as long as they keep them.
@@ -40,8 +37,9 @@
       balancer({settings.failure_domain,
                 StableHash64(settings.entry_id + RandomId())}),
       pool(loop, format),
-      context{loop, format, this->balancer, this->pool, this->budgets,
-              this->metrics},
+      context{loop,       format,        this->balancer,
+              this->pool, this->budgets, this->metrics},
+      handler(this->context),
       admin_handler(*this) {
   this->SetRetryLimits(1);
 }
@@ -67,20 +65,20 @@
 Status Gateway::Listen() {
   BOOST_OUTCOME_TRY(
       started_callers,
-      CallerServer::Start(this->loop, this->settings.caller_address, *this));
+      CallerServer::Start(this->loop, this->settings.caller_address,
+                          this->handler));
   this->callers = std::move(started_callers);
-  BOOST_OUTCOME_TRY(started_admin,
-                    CallerServer::Start(this->loop, this->settings.admin_address,
-                                        this->admin_handler));
+  BOOST_OUTCOME_TRY(started_admin, CallerServer::Start(
+                                       this->loop, this->settings.admin_address,
+                                       this->admin_handler));
   this->admin = std::move(started_admin);
-  BOOST_OUTCOME_TRY(
-      started_exchange,
-      LoadExchange::Start(
-          this->loop, this->settings.exchange_address,
-          [this] { return this->balancer.OwnLoad(); },
-          [this](const LoadMessage& message) {
-            this->balancer.OnPeerLoad(message, this->loop.Now());
-          }));
+  BOOST_OUTCOME_TRY(started_exchange,
+                    LoadExchange::Start(
+                        this->loop, this->settings.exchange_address,
+                        [this] { return this->balancer.OwnLoad(); },
+                        [this](const LoadMessage& message) {
+                          this->balancer.OnPeerLoad(message, this->loop.Now());
+                        }));
   this->exchange = std::move(started_exchange);
   LogEvent(Severity::kInfo, Event::kListening,
            {{"address", this->callers->Address()},
@@ -97,13 +95,13 @@
   options.self.failure_domain = this->settings.failure_domain;
   options.self.incarnation = RandomId();
   options.replicas = this->settings.replicas;
-  this->follower = FeedFollower::Start(
-      std::move(options), *this->rpc, this->clock,
-      [this](std::shared_ptr<const SharedState> state) {
-        this->loop.Post([this, state = std::move(state)] {
-          this->OnShared(state);
-        });
-      });
+  this->follower =
+      FeedFollower::Start(std::move(options), *this->rpc, this->clock,
+                          [this](std::shared_ptr<const SharedState> state) {
+                            this->loop.Post([this, state = std::move(state)] {
+                              this->OnShared(state);
+                            });
+                          });
 }
 
 void Gateway::OnShared(const std::shared_ptr<const SharedState>& state) {
@@ -122,8 +120,8 @@
 
 void Gateway::TakeConfiguration(const SharedState& state) {
   if (state.configuration.isNull() ||
-      (this->table != nullptr &&
-       this->table->version == state.configuration_version)) {
+      (this->handler.Table() != nullptr &&
+       this->handler.Table()->version == state.configuration_version)) {
     return;
   }
   Result<RouteTable> read = this->format.ReadConfiguration(state.configuration);
@@ -136,82 +134,26 @@
     return;
   }
   read.value().version = state.configuration_version;
-  this->table = std::make_shared<const RouteTable>(std::move(read.value()));
-  this->callers->SetLimits(this->table->limits);
-  this->balancer.SetServices(this->table->services);
+  const auto table =
+      std::make_shared<const RouteTable>(std::move(read.value()));
+  this->handler.SetTable(table);
+  this->callers->SetLimits(table->limits);
+  this->balancer.SetServices(table->services);
   LogEvent(Severity::kInfo, Event::kConfigurationInForce,
-           {{"version", this->table->version},
-            {"routes", static_cast<std::uint64_t>(this->table->routes.size())}});
+           {{"version", table->version},
+            {"routes", static_cast<std::uint64_t>(table->routes.size())}});
 }
 
 void Gateway::SetRetryLimits(std::size_t gateways) {
   internal::RetryLimits limits;
   limits.ratio = this->settings.retry_ratio;
   limits.floor = 0;
-  limits.slack = static_cast<int>(
-      kRetrySlackPart * this->settings.retry_slack /
-      static_cast<double>(std::max<std::size_t>(1, gateways)));
+  limits.slack =
+      static_cast<int>(kRetrySlackPart * this->settings.retry_slack /
+                       static_cast<double>(std::max<std::size_t>(1, gateways)));
   this->budgets.SetLimits(limits);
 }
 
-void Gateway::Reject(CallerExchange& exchange,
-                     const CallerFields& fields,
-                     int status,
-                     const std::string& reason) {
-  LogEvent(Severity::kWarning, Event::kRequestRejected,
-           {{"request_id", fields.request_id},
-            {"target", exchange.Head().target},
-            {"status", status},
-            {"reason", reason}});
-  this->metrics.Count("sycamorebend_gateway_rejected_total",
-                      "Requests that were not forwarded, by status.",
-                      {{"status", std::to_string(status)}});
-  HttpHeaders headers;
-  if (status == kUnavailable) {
-    headers.push_back(
-        {"Retry-After",
-         fmt::format("{:.3f}", std::chrono::duration<double>(kRetryAfter)
-                                   .count())});
-  }
-  exchange.Respond(status, headers, {});
-}
-
-void Gateway::Handle(std::shared_ptr<CallerExchange> exchange) {
-  Result<CallerFields> read = this->format.ReadCaller(exchange->Head());
-  if (!read) {
-    this->Reject(*exchange, {}, kBadRequest, read.error().message);
-    return;
-  }
-  ForwardJob job;
-  job.fields = std::move(read.value());
-  if (this->refusing) {
-    this->Reject(*exchange, job.fields, kUnavailable,
-                 "this gateway is stopping");
-    return;
-  }
-  if (this->table == nullptr) {
-    this->Reject(*exchange, job.fields, kUnavailable,
-                 "there is no configuration yet");
-    return;
-  }
-  job.table = this->table;
-  job.route = this->table->Find(job.fields.host, exchange->Head().Path());
-  if (job.route == nullptr) {
-    this->Reject(*exchange, job.fields, kNotFound, "no route matches");
-    return;
-  }
-  job.tenant = this->table->FindTenant(job.fields.api_key);
-  if (job.tenant == nullptr && !job.route->open &&
-      !this->table->tenants.empty()) {
-    this->Reject(*exchange, job.fields, kUnauthorized,
-                 job.fields.api_key.empty() ? "there is no API key"
-                                            : "the API key is unknown");
-    return;
-  }
-  job.exchange = std::move(exchange);
-  Forwarder::Start(this->context, std::move(job));
-}
-
 void Gateway::AdminHandler::Handle(std::shared_ptr<CallerExchange> exchange) {
   const std::string_view path = exchange->Head().Path();
   if (path == "/metrics") {
@@ -224,7 +166,7 @@
     return;
   }
   const bool ready =
-      this->gateway.table != nullptr && !this->gateway.stopping;
+      this->gateway.handler.Table() != nullptr && !this->gateway.stopping;
   exchange->Respond(ready ? kOk : kUnavailable,
                     {{"Content-Type", "text/plain"}},
                     ready ? "ready\n" : "not ready\n");
@@ -247,6 +189,7 @@
     return;
   }
   if (!std::exchange(this->refusing, true)) {
+    this->handler.RefuseNew();
     this->callers->StopAccepting();
   }
   this->callers->CloseIdle();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include "gateway/caller_connection.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/route_handler.h"
 #include "gateway/server_pool.h"
 #include "gateway/wire_format.h"
 #include "net/event_loop.h"
@@ -21,7 +22,7 @@
 
 // All methods are called on the loop's thread, except Start and Stop, which the
 // owner calls before and after the loop runs.
-class Gateway : public CallerHandler {
+class Gateway {
  public:
   // The references must outlive the gateway.
   // @return the gateway, or kListenFailed.
@@ -29,9 +30,7 @@
                                                 const WireFormat& format,
                                                 net::EventLoop& loop,
                                                 const Clock& clock);
-  ~Gateway() override;
-
-  void Handle(std::shared_ptr<CallerExchange> exchange) override;
+  ~Gateway();
 
   // Begins a graceful stop. The loop is stopped when it is complete.
   void BeginStop();
@@ -59,11 +58,6 @@
   void OnShared(const std::shared_ptr<const SharedState>& state);
   void TakeConfiguration(const SharedState& state);
   void SetRetryLimits(std::size_t gateways);
-  // Answers a request that is not forwarded.
-  void Reject(CallerExchange& exchange,
-              const CallerFields& fields,
-              int status,
-              const std::string& reason);
   void AdvanceStop();
 
   const GatewaySettings settings;
@@ -75,11 +69,11 @@
   ServerPool pool;
   RetryBudgets budgets;
   ForwardContext context;
+  RouteHandler handler;
   AdminHandler admin_handler;
   std::unique_ptr<CallerServer> callers;
   std::unique_ptr<CallerServer> admin;
   std::unique_ptr<LoadExchange> exchange;
-  std::shared_ptr<const RouteTable> table;
   std::unique_ptr<HttpClient> http_client;
   std::unique_ptr<RpcClient> rpc;
   std::unique_ptr<FeedFollower> follower;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -29,10 +29,10 @@
   }
   settings.stop_grace = root.GetMilliseconds("stop_grace_ms", kShortestGrace,
                                              kLongestGrace, kDefaultGrace);
-  settings.retry_ratio = root.GetNumber("retry_ratio", 0, kMaxRetryRatio,
-                                        settings.retry_ratio);
-  settings.retry_slack = static_cast<int>(root.GetInteger(
-      "retry_slack", 0, kMaxRetrySlack, settings.retry_slack));
+  settings.retry_ratio =
+      root.GetNumber("retry_ratio", 0, kMaxRetryRatio, settings.retry_ratio);
+  settings.retry_slack = static_cast<int>(
+      root.GetInteger("retry_slack", 0, kMaxRetrySlack, settings.retry_slack));
   const std::vector<std::string> severities = {"debug", "info", "warning",
                                                "error"};
   const std::string severity =
--- a/src/gateway/lanes.cc
+++ b/src/gateway/lanes.cc
@@ -32,9 +32,9 @@
 }  // namespace
 
 void DecayingSum::Add(double amount, TimePoint now) {
-  this->value = this->value * std::exp(-SecondsBetween(this->at, now) /
-                                       kAverageSeconds) +
-                amount;
+  this->value =
+      this->value * std::exp(-SecondsBetween(this->at, now) / kAverageSeconds) +
+      amount;
   this->at = now;
 }
 
@@ -95,10 +95,9 @@
   bool any_harmed = false;
   for (const auto& [name, load] : this->routes) {
     any_long = any_long || this->Long(load);
-    any_harmed =
-        any_harmed ||
-        (!this->Long(load) && load.gap_target.count() * kGapUse <
-                               static_cast<double>(slowest_event.count()));
+    any_harmed = any_harmed || (!this->Long(load) &&
+                                load.gap_target.count() * kGapUse <
+                                    static_cast<double>(slowest_event.count()));
   }
   return any_long && any_harmed;
 }
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -99,17 +99,15 @@
     const std::string& address,
     ShareSource source,
     MessageSink sink) {
-  std::unique_ptr<LoadExchange> exchange(new LoadExchange(
-      loop, address, std::move(source), std::move(sink)));
+  std::unique_ptr<LoadExchange> exchange(
+      new LoadExchange(loop, address, std::move(source), std::move(sink)));
   LoadExchange* const raw = exchange.get();
-  BOOST_OUTCOME_TRY(socket,
-                    net::DatagramSocket::Bind(
-                        loop, address, [raw](std::string_view data) {
-                          raw->Receive(data);
-                        }));
+  BOOST_OUTCOME_TRY(socket, net::DatagramSocket::Bind(
+                                loop, address, [raw](std::string_view data) {
+                                  raw->Receive(data);
+                                }));
   exchange->socket = std::move(socket);
-  exchange->timer =
-      loop.SubscribePeriodic(kRound, [raw] { raw->SendRound(); });
+  exchange->timer = loop.SubscribePeriodic(kRound, [raw] { raw->SendRound(); });
   return exchange;
 }
 
--- /dev/null
+++ b/src/gateway/route_handler.cc
@@ -0,0 +1,78 @@
+#include "gateway/route_handler.h"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// When callers may come back to a gateway that cannot serve yet or any more.
+constexpr Duration kRetryAfter = milliseconds(500);
+
+}  // namespace
+
+void RouteHandler::Reject(CallerExchange& exchange,
+                          const CallerFields& fields,
+                          int status,
+                          const std::string& reason) {
+  LogEvent(Severity::kWarning, Event::kRequestRejected,
+           {{"request_id", fields.request_id},
+            {"target", exchange.Head().target},
+            {"status", status},
+            {"reason", reason}});
+  this->context.metrics.Count("sycamorebend_gateway_rejected_total",
+                              "Requests that were not forwarded, by status.",
+                              {{"status", std::to_string(status)}});
+  HttpHeaders headers;
+  if (status == kUnavailable) {
+    headers.push_back(
+        {"Retry-After",
+         fmt::format("{:.3f}",
+                     std::chrono::duration<double>(kRetryAfter).count())});
+  }
+  exchange.Respond(status, headers, {});
+}
+
+void RouteHandler::Handle(std::shared_ptr<CallerExchange> exchange) {
+  Result<CallerFields> read = this->context.format.ReadCaller(exchange->Head());
+  if (!read) {
+    this->Reject(*exchange, {}, kBadRequest, read.error().message);
+    return;
+  }
+  ForwardJob job;
+  job.fields = std::move(read.value());
+  if (this->refusing) {
+    this->Reject(*exchange, job.fields, kUnavailable,
+                 "this gateway is stopping");
+    return;
+  }
+  if (this->table == nullptr) {
+    this->Reject(*exchange, job.fields, kUnavailable,
+                 "there is no configuration yet");
+    return;
+  }
+  job.table = this->table;
+  job.route = this->table->Find(job.fields.host, exchange->Head().Path());
+  if (job.route == nullptr) {
+    this->Reject(*exchange, job.fields, kNotFound, "no route matches");
+    return;
+  }
+  job.tenant = this->table->FindTenant(job.fields.api_key);
+  if (job.tenant == nullptr && !job.route->open &&
+      !this->table->tenants.empty()) {
+    this->Reject(*exchange, job.fields, kUnauthorized,
+                 job.fields.api_key.empty() ? "there is no API key"
+                                            : "the API key is unknown");
+    return;
+  }
+  job.exchange = std::move(exchange);
+  Forwarder::Start(this->context, std::move(job));
+}
+
+}  // namespace sycamorebend::gateway
--- a/src/gateway/server_pool.cc
+++ b/src/gateway/server_pool.cc
@@ -32,8 +32,8 @@
 ServerPool::ServerPool(net::EventLoop& loop, const WireFormat& format)
     : loop(loop),
       format(format),
-      sweep_timer(loop.SubscribePeriodic(kSweepPeriod,
-                                         [this] { this->Sweep(); })) {}
+      sweep_timer(
+          loop.SubscribePeriodic(kSweepPeriod, [this] { this->Sweep(); })) {}
 
 ServerPool::~ServerPool() {
   this->loop.Cancel(this->sweep_timer);
@@ -88,10 +88,10 @@
     return;
   }
   auto& list = found->second;
-  list.erase(std::remove_if(
-                 list.begin(), list.end(),
-                 [&](const auto& one) { return one.get() == &connection; }),
-             list.end());
+  list.erase(
+      std::remove_if(list.begin(), list.end(),
+                     [&](const auto& one) { return one.get() == &connection; }),
+      list.end());
 }
 
 void ServerPool::Forget(const std::string& server_key) {
@@ -126,9 +126,8 @@
                                    const std::string& address)
     : pool(&pool),
       server_key(std::move(server_key)),
-      socket(net::TcpConnection::Connect(pool.loop,
-                                         address,
-                                         net::TcpOptions())),
+      socket(
+          net::TcpConnection::Connect(pool.loop, address, net::TcpOptions())),
       reader(net::HttpReader::Kind::kAnswer, *this, kMaxAnswerHeadBytes) {
   this->socket->SetObserver(this);
 }
@@ -236,13 +235,13 @@
   }
   const AnswerFields fields = this->pool->format.ReadAnswer(head);
   this->skipping = fields.request_id && *fields.request_id != this->request_id;
-  this->reusable = this->reusable && !this->skipping && head.keep_alive &&
-                   !head.until_close;
+  this->reusable =
+      this->reusable && !this->skipping && head.keep_alive && !head.until_close;
   if (this->skipping) {
     return true;
   }
-  this->keep_alive = fields.keep_alive.value_or(kDefaultKeepAlive) -
-                     kKeepAliveMargin;
+  this->keep_alive =
+      fields.keep_alive.value_or(kDefaultKeepAlive) - kKeepAliveMargin;
   this->observer->OnAnswerHead(head, fields);
   return true;
 }
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -19,8 +19,8 @@
 
 // How a call to a server failed.
 enum class CallFailure {
-  kConnect = 0,  // No connection; nothing was sent.
-  kReset = 1,    // The connection ended before the answer was whole.
+  kConnect = 0,    // No connection; nothing was sent.
+  kReset = 1,      // The connection ended before the answer was whole.
   kMalformed = 2,  // The answer is not HTTP, or not the server's.
 };
 
--- a/src/net/datagram_socket.h
+++ b/src/net/datagram_socket.h
@@ -18,10 +18,8 @@
 
   // @param address "IP:port".
   // @return the socket, or kListenFailed.
-  static Result<std::unique_ptr<DatagramSocket>> Bind(
-      EventLoop& loop,
-      const std::string& address,
-      ReceiveCallback on_receive);
+  static Result<std::unique_ptr<DatagramSocket>>
+  Bind(EventLoop& loop, const std::string& address, ReceiveCallback on_receive);
   ~DatagramSocket() override;
 
   // Sends one datagram; it may be lost.
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -32,7 +32,7 @@
 
   static int OnTarget(http_parser* parser, const char* at, size_t size) {
     Of(parser).head.target.append(at, size);
-    return 0;
+    return Of(parser).CountHead(size);
   }
 
   static int OnField(http_parser* parser, const char* at, size_t size) {
@@ -41,14 +41,14 @@
       reader.FinishHeader();
     }
     reader.field.append(at, size);
-    return 0;
+    return reader.CountHead(size);
   }
 
   static int OnValue(http_parser* parser, const char* at, size_t size) {
     HttpReader& reader = Of(parser);
     reader.value_begun = true;
     reader.value.append(at, size);
-    return 0;
+    return reader.CountHead(size);
   }
 
   static int OnHeadersComplete(http_parser* parser) {
@@ -96,13 +96,19 @@
   this->value.clear();
   this->value_begun = false;
   this->in_message = true;
-  this->in_body = false;
   this->informational = false;
   this->head_bytes = 0;
 }
 
+int HttpReader::CountHead(std::size_t size) {
+  this->head_bytes += size;
+  this->head_too_large = this->head_bytes > this->max_head_bytes;
+  return this->head_too_large ? kRefuse : 0;
+}
+
 void HttpReader::FinishHeader() {
-  this->head.headers.push_back({std::move(this->field), std::move(this->value)});
+  this->head.headers.push_back(
+      {std::move(this->field), std::move(this->value)});
   this->field.clear();
   this->value.clear();
   this->value_begun = false;
@@ -112,7 +118,6 @@
   if (this->value_begun || !this->field.empty()) {
     this->FinishHeader();
   }
-  this->in_body = true;
   if (this->parser.upgrade != 0) {
     return kRefuse;
   }
@@ -151,10 +156,6 @@
     const std::size_t size = http_parser_execute(
         &this->parser, &Callbacks::Settings(), rest.data(), rest.size());
     used += size;
-    if (!this->in_body) {
-      this->head_bytes += size;
-      this->head_too_large = this->head_bytes > this->max_head_bytes;
-    }
     const auto error = HTTP_PARSER_ERRNO(&this->parser);
     if (error == HPE_PAUSED) {
       http_parser_pause(&this->parser, 0);
@@ -163,7 +164,7 @@
         this->sink.OnMessageEnd();
         return used;
       }
-    } else if (error != HPE_OK || this->head_too_large) {
+    } else if (error != HPE_OK) {
       this->head_too_large =
           this->head_too_large || error == HPE_HEADER_OVERFLOW;
       this->failed = true;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -69,6 +69,8 @@
   struct Callbacks;
 
   void Start();
+  // @return what stops the parser if the head is too large.
+  int CountHead(std::size_t size);
   void FinishHeader();
   int HeadersComplete();
 
@@ -81,7 +83,6 @@
   std::string value;
   bool value_begun = false;
   bool in_message = false;
-  bool in_body = false;
   bool informational = false;
   bool no_body = false;
   bool failed = false;
--- a/src/net/http_writer.cc
+++ b/src/net/http_writer.cc
@@ -14,8 +14,7 @@
 namespace {
 
 bool Same(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         strncasecmp(a.data(), b.data(), a.size()) == 0;
+  return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
 std::string_view Trim(std::string_view text) {
@@ -53,12 +52,11 @@
 
 bool IsConnectionHeader(std::string_view name) {
   constexpr std::array<std::string_view, 9> kNames = {
-      "Connection",       "Keep-Alive", "Proxy-Authenticate",
-      "Proxy-Connection", "TE",         "Trailer",
-      "Transfer-Encoding", "Upgrade",   "Expect"};
-  return std::any_of(kNames.begin(), kNames.end(), [name](auto known) {
-    return Same(known, name);
-  });
+      "Connection",        "Keep-Alive", "Proxy-Authenticate",
+      "Proxy-Connection",  "TE",         "Trailer",
+      "Transfer-Encoding", "Upgrade",    "Expect"};
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [name](auto known) { return Same(known, name); });
 }
 
 HttpHeaders ForwardableHeaders(const HttpHeaders& headers) {
@@ -66,10 +64,9 @@
   HttpHeaders kept;
   kept.reserve(headers.size());
   for (const HttpHeader& header : headers) {
-    const bool named =
-        std::any_of(listed.begin(), listed.end(), [&](const std::string& name) {
-          return Same(name, header.name);
-        });
+    const bool named = std::any_of(
+        listed.begin(), listed.end(),
+        [&](const std::string& name) { return Same(name, header.name); });
     if (!named && !IsConnectionHeader(header.name) &&
         !Same(header.name, "Content-Length")) {
       kept.push_back(header);
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -192,9 +192,8 @@
 
 void TcpConnection::Flush() {
   while (this->UnsentBytes() > 0) {
-    const ssize_t size =
-        ::send(this->fd, this->out.data() + this->out_sent, this->UnsentBytes(),
-               MSG_NOSIGNAL);
+    const ssize_t size = ::send(this->fd, this->out.data() + this->out_sent,
+                                this->UnsentBytes(), MSG_NOSIGNAL);
     if (size < 0) {
       if (!WouldBlock()) {
         // The caller of Write must not be called back from within.
--- a/src/net/tcp_listener.cc
+++ b/src/net/tcp_listener.cc
@@ -43,8 +43,8 @@
   }
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
-  return inet_pton(AF_INET, text.substr(0, colon).c_str(),
-                   &address.sin_addr) == 1;
+  return inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) ==
+         1;
 }
 
 std::string FormatAddress(const sockaddr_in& address) {
--- /dev/null
+++ b/tests/gateway/gateway_fixture.cc
@@ -0,0 +1,124 @@
+#include "gateway_fixture.h"
+
+#include <future>
+
+#include <boost/test/unit_test.hpp>
+
+#include "net/http_writer.h"
+
+namespace sycamorebend::gateway {
+
+Result<CallerFields> TestFormat::ReadCaller(
+    const net::MessageHead& head) const {
+  CallerFields fields;
+  fields.host = FindHeader(head.headers, "Host").value_or("");
+  fields.request_id = FindHeader(head.headers, "Request-Id").value_or("");
+  fields.api_key = FindHeader(head.headers, "Key").value_or("");
+  const auto deadline = FindHeader(head.headers, "Deadline");
+  if (deadline) {
+    fields.deadline = milliseconds(std::stoi(*deadline));
+  }
+  return fields;
+}
+
+HttpHeaders TestFormat::ServerHeaders(const net::MessageHead& head,
+                                      const SendFields& fields) const {
+  HttpHeaders headers = net::ForwardableHeaders(head.headers);
+  headers.push_back({"Left", std::to_string(ToMilliseconds(fields.deadline))});
+  if (fields.resume_after) {
+    headers.push_back({"Resume-After", std::to_string(*fields.resume_after)});
+  }
+  return headers;
+}
+
+AnswerFields TestFormat::ReadAnswer(const net::MessageHead& head) const {
+  AnswerFields fields;
+  fields.request_id = FindHeader(head.headers, "Request-Id");
+  fields.authentic = FindHeader(head.headers, "Signed").has_value();
+  fields.not_executed = FindHeader(head.headers, "Not-Run").has_value();
+  return fields;
+}
+
+Result<RouteTable> TestFormat::ReadConfiguration(
+    const Json::Value& /*document*/) const {
+  return RouteTable();
+}
+
+GatewayFixture::GatewayFixture() {
+  auto started = CallerServer::Start(*this->loop, "127.0.0.1:0", this->handler);
+  BOOST_REQUIRE(started);
+  this->callers = std::move(started.value());
+  internal::RetryLimits limits;
+  limits.slack = 100;
+  this->budgets.SetLimits(limits);
+  this->thread = std::thread([this] { this->loop->Run(); });
+  this->SetTable();
+}
+
+GatewayFixture::~GatewayFixture() {
+  this->loop->Stop();
+  this->thread.join();
+  this->callers.reset();
+}
+
+void GatewayFixture::OnLoop(const std::function<void()>& task) {
+  std::promise<void> done;
+  this->loop->Post([&] {
+    task();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+int GatewayFixture::OpenRequests() {
+  int open = 0;
+  this->OnLoop([&] { open = this->context.open_requests; });
+  return open;
+}
+
+void GatewayFixture::AddServer(const ScriptedServer& server) {
+  this->addresses.push_back(server.Address());
+  this->SetServers(this->addresses);
+}
+
+void GatewayFixture::SetServers(const std::vector<std::string>& list) {
+  std::vector<ServerRecord> records;
+  for (const std::string& address : list) {
+    ServerRecord record;
+    record.server_id = "at-" + address;
+    record.incarnation = 1;
+    record.service = "app";
+    record.address = address;
+    record.failure_domain = "a";
+    record.slots = 8;
+    records.push_back(std::move(record));
+  }
+  this->OnLoop([&] { this->balancer.SetServers(records); });
+}
+
+void GatewayFixture::SetTable(const std::function<void(RouteTable&)>& change) {
+  auto table = std::make_shared<RouteTable>();
+  const auto add = [&](const std::string& name, RouteKind kind, int attempts) {
+    Route route;
+    route.name = name;
+    route.host = "shop.example";
+    route.path_prefix = "/" + name + "/";
+    route.kind = kind;
+    route.services = {{"app", 1}};
+    route.timeout = seconds(5);
+    route.max_attempts = attempts;
+    route.open = true;
+    table->routes.push_back(std::move(route));
+  };
+  add("safe", RouteKind::kIdempotent, 2);
+  add("once", RouteKind::kNonIdempotent, 2);
+  add("stream", RouteKind::kStream, 2);
+  table->routes.back().resumable = true;
+  add("live", RouteKind::kStream, 1);
+  if (change) {
+    change(*table);
+  }
+  this->OnLoop([&] { this->handler.SetTable(table); });
+}
+
+}  // namespace sycamorebend::gateway
--- /dev/null
+++ b/tests/gateway/gateway_fixture.h
@@ -0,0 +1,62 @@
+// A gateway's data path without control replicas: servers and routes are set
+// by the test.
+#ifndef SYCAMOREBEND_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+#define SYCAMOREBEND_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "gateway/route_handler.h"
+#include "raw_caller.h"
+#include "scripted_server.h"
+
+namespace sycamorebend::gateway {
+
+// A format with short header names; the product's interface, no platform's.
+class TestFormat : public WireFormat {
+ public:
+  Result<CallerFields> ReadCaller(const net::MessageHead& head) const override;
+  HttpHeaders ServerHeaders(const net::MessageHead& head,
+                            const SendFields& fields) const override;
+  AnswerFields ReadAnswer(const net::MessageHead& head) const override;
+  Result<RouteTable> ReadConfiguration(
+      const Json::Value& document) const override;
+};
+
+class GatewayFixture {
+ public:
+  GatewayFixture();
+  ~GatewayFixture();
+
+  // Adds a server to service "app" and sets the routes: /safe/ (idempotent),
+  // /once/ (not), /stream/ (resumable) and /live/ (a stream that is not).
+  void AddServer(const ScriptedServer& server);
+  void SetServers(const std::vector<std::string>& addresses);
+  // Changes the route table before it is set.
+  void SetTable(const std::function<void(RouteTable&)>& change = {});
+  std::string Address() const { return this->callers->Address(); }
+  // Runs `task` on the loop's thread and waits for it.
+  void OnLoop(const std::function<void()>& task);
+
+  int OpenRequests();
+
+  SystemClock clock;
+  TestFormat format;
+  std::unique_ptr<net::EventLoop> loop = net::EventLoop::Create(clock);
+  Metrics metrics;
+  Balancer balancer{{"a", 1}};
+  ServerPool pool{*loop, format};
+  RetryBudgets budgets;
+  ForwardContext context{*loop, format, balancer, pool, budgets, metrics};
+  RouteHandler handler{context};
+  std::unique_ptr<CallerServer> callers;
+  std::vector<std::string> addresses;
+  std::thread thread;
+};
+
+}  // namespace sycamorebend::gateway
+
+#endif  // SYCAMOREBEND_TESTS_GATEWAY_GATEWAY_FIXTURE_H_
--- /dev/null
+++ b/tests/gateway/raw_caller.h
@@ -0,0 +1,38 @@
+// A caller that sends bytes as they are.
+#ifndef SYCAMOREBEND_TESTS_GATEWAY_RAW_CALLER_H_
+#define SYCAMOREBEND_TESTS_GATEWAY_RAW_CALLER_H_
+
+#include <memory>
+#include <string>
+
+#include "scripted_server.h"
+
+namespace sycamorebend::gateway {
+
+class RawCaller {
+ public:
+  explicit RawCaller(const std::string& address);
+
+  void Send(const std::string& text) { this->socket->Send(text); }
+  // Reads until `text` has arrived, the connection ends or `ms` have passed.
+  // @return everything that arrived since the last call.
+  std::string ReadUntil(const std::string& text, int ms = 5000);
+  // @return what is left until the connection ends.
+  std::string ReadToEnd(int ms = 5000);
+  void Close() { this->socket->Close(); }
+
+ private:
+  int fd = -1;
+  std::unique_ptr<Socket> socket;
+  std::string buffer;
+};
+
+// @return a GET request, or a POST if it has a body.
+std::string Request(const std::string& id,
+                    const std::string& path,
+                    const std::string& body = {},
+                    const std::string& more_headers = {});
+
+}  // namespace sycamorebend::gateway
+
+#endif  // SYCAMOREBEND_TESTS_GATEWAY_RAW_CALLER_H_
--- /dev/null
+++ b/tests/gateway/route_table_test.cc
@@ -0,0 +1,73 @@
+#include "gateway/route_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+Route MakeRoute(const std::string& name,
+                const std::string& prefix,
+                int priority = 0) {
+  Route route;
+  route.name = name;
+  route.host = "Shop.example";
+  route.path_prefix = prefix;
+  route.priority = priority;
+  route.services = {{"a", 1}};
+  return route;
+}
+
+}  // namespace
+
+// Guards against routes that shadow more specific ones, and against hosts that
+// are compared byte by byte.
+BOOST_AUTO_TEST_CASE(LongestPrefixOfTheHostWins) {
+  RouteTable table;
+  table.routes = {MakeRoute("all", "/"), MakeRoute("parts", "/parts/")};
+  BOOST_TEST(table.Find("shop.EXAMPLE:8080", "/parts/7")->name == "parts");
+  BOOST_TEST(table.Find("shop.example", "/partsx")->name == "all");
+  BOOST_TEST(table.Find("other.example", "/parts/7") == nullptr);
+}
+
+// Guards against a service that gets no requests, or all, of a split.
+BOOST_AUTO_TEST_CASE(SplitFollowsWeights) {
+  Route route = MakeRoute("split", "/");
+  route.services = {{"a", 90}, {"none", 0}, {"b", 10}};
+  int b = 0;
+  for (std::uint64_t point = 0; point < 100; ++point) {
+    const std::string& service = route.PickService(point);
+    BOOST_TEST(service != "none");
+    b += service == "b" ? 1 : 0;
+  }
+  BOOST_TEST(b == 10);
+}
+
+// Guards against engines that see all requests of one tenant as equal and
+// preempt the urgent ones among them.
+BOOST_AUTO_TEST_CASE(TenantComesBeforeRouteInUrgency) {
+  RouteTable table;
+  table.routes = {MakeRoute("urgent", "/u/", 0), MakeRoute("later", "/l/", 1)};
+  table.tenants = {{"large", 0}, {"small", 1}};
+  const auto urgency = [&](int route, int tenant) {
+    return table.Urgency(table.routes[route], &table.tenants[tenant]);
+  };
+  BOOST_TEST(urgency(0, 0) < urgency(1, 0));
+  BOOST_TEST(urgency(1, 0) < urgency(0, 1));
+  BOOST_TEST(urgency(0, 1) < urgency(1, 1));
+  BOOST_TEST(urgency(1, 1) < kUrgencies);
+}
+
+// Guards against urgencies that servers do not know.
+BOOST_AUTO_TEST_CASE(ManyRanksShareTenUrgencies) {
+  RouteTable table;
+  for (int i = 0; i < 7; ++i) {
+    table.routes.push_back(MakeRoute("r", "/" + std::to_string(i) + "/", i));
+    table.tenants.push_back({"t", i});
+  }
+  BOOST_TEST(table.Urgency(table.routes.front(), &table.tenants.front()) == 0);
+  BOOST_TEST(table.Urgency(table.routes.back(), &table.tenants.back()) ==
+             kUrgencies - 1);
+}
+
+}  // namespace sycamorebend::gateway
--- /dev/null
+++ b/tests/gateway/scripted_server.cc
@@ -0,0 +1,170 @@
+#include "scripted_server.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fmt/format.h>
+
+#include "net/socket_address.h"
+#include "sycamorebend/http.h"
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+constexpr int kReadBytes = 65536;
+
+}  // namespace
+
+void Socket::Send(const std::string& text) {
+  ::send(this->fd, text.data(), text.size(), MSG_NOSIGNAL);
+}
+
+std::string Socket::Receive() {
+  std::string buffer(kReadBytes, '\0');
+  const ssize_t size = ::recv(this->fd, buffer.data(), buffer.size(), 0);
+  buffer.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+  return buffer;
+}
+
+bool Socket::PeerCloses(int ms) {
+  pollfd wanted{this->fd, POLLIN, 0};
+  while (poll(&wanted, 1, ms) > 0) {
+    if (this->Receive().empty()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void Socket::Close() {
+  if (this->fd >= 0) {
+    ::close(this->fd);
+    this->fd = -1;
+  }
+}
+
+void Socket::Reset() {
+  const linger now{1, 0};
+  setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  this->Close();
+}
+
+std::string ReceivedRequest::Header(const std::string& name) const {
+  const std::string wanted = "\r\n" + name + ": ";
+  const std::size_t at = this->head.find(wanted);
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t begin = at + wanted.size();
+  return this->head.substr(begin, this->head.find("\r\n", begin) - begin);
+}
+
+ScriptedServer::ScriptedServer(Script script) : script(std::move(script)) {
+  this->listening = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in local{};
+  local.sin_family = AF_INET;
+  local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* const generic = reinterpret_cast<sockaddr*>(&local);
+  socklen_t size = sizeof(local);
+  bind(this->listening, generic, size);
+  listen(this->listening, 64);
+  getsockname(this->listening, generic, &size);
+  this->address = net::FormatAddress(local);
+  this->acceptor = std::thread([this] { this->Accept(); });
+}
+
+ScriptedServer::~ScriptedServer() {
+  this->stopping = true;
+  shutdown(this->listening, SHUT_RDWR);
+  this->acceptor.join();
+  ::close(this->listening);
+  for (std::thread& thread : this->threads) {
+    thread.join();
+  }
+}
+
+std::vector<ReceivedRequest> ScriptedServer::Requests() const {
+  std::lock_guard lock(this->mutex);
+  return this->requests;
+}
+
+void ScriptedServer::Accept() {
+  for (;;) {
+    const int fd = accept(this->listening, nullptr, nullptr);
+    if (fd < 0) {
+      return;
+    }
+    ++this->connections;
+    this->threads.emplace_back([this, fd] { this->Serve(fd); });
+  }
+}
+
+void ScriptedServer::Serve(int fd) {
+  Socket socket(fd);
+  std::string buffer;
+  for (int earlier = 0; !this->stopping; ++earlier) {
+    std::size_t end = 0;
+    while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
+      pollfd wanted{fd, POLLIN, 0};
+      if (poll(&wanted, 1, 100) == 0) {
+        if (this->stopping) {
+          return;
+        }
+        continue;
+      }
+      const std::string data = socket.Receive();
+      if (data.empty()) {
+        return;
+      }
+      buffer += data;
+    }
+    ReceivedRequest request;
+    request.head = buffer.substr(0, end + 4);
+    request.earlier = earlier;
+    buffer.erase(0, end + 4);
+    const std::string length = request.Header("Content-Length");
+    const std::size_t size = length.empty() ? 0 : std::stoul(length);
+    while (buffer.size() < size) {
+      buffer += socket.Receive();
+    }
+    request.body = buffer.substr(0, size);
+    buffer.erase(0, size);
+    {
+      std::lock_guard lock(this->mutex);
+      this->requests.push_back(request);
+    }
+    if (!this->script(request, socket)) {
+      return;
+    }
+  }
+}
+
+std::string Answer(const ReceivedRequest& request,
+                   int status,
+                   const std::string& body,
+                   const std::string& more_headers) {
+  return fmt::format(
+      "HTTP/1.1 {} Status\r\nRequest-Id: {}\r\n{}Content-Length: "
+      "{}\r\n\r\n{}",
+      status, request.Header("Request-Id"), more_headers, body.size(), body);
+}
+
+std::string StreamHead(const ReceivedRequest& request) {
+  return fmt::format(
+      "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nSigned: yes\r\nContent-Type: "
+      "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+      request.Header("Request-Id"));
+}
+
+std::string Chunk(const std::string& data) {
+  return fmt::format("{:x}\r\n{}\r\n", data.size(), data);
+}
+
+std::string EventChunk(int id, const std::string& data) {
+  return Chunk(fmt::format("id: {}\ndata: {}\n\n", id, data));
+}
+
+}  // namespace sycamorebend::gateway
--- /dev/null
+++ b/tests/gateway/scripted_server.h
@@ -0,0 +1,86 @@
+// A backend server that answers each request by a script.
+#ifndef SYCAMOREBEND_TESTS_GATEWAY_SCRIPTED_SERVER_H_
+#define SYCAMOREBEND_TESTS_GATEWAY_SCRIPTED_SERVER_H_
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sycamorebend::gateway {
+
+// A socket that closes at the end.
+class Socket {
+ public:
+  explicit Socket(int fd) : fd(fd) {}
+  ~Socket() { this->Close(); }
+  Socket(const Socket&) = delete;
+  Socket& operator=(const Socket&) = delete;
+
+  void Send(const std::string& text);
+  // @return what arrives, up to one read; empty at the end of the connection.
+  std::string Receive();
+  // @return true if the peer closes within `ms`.
+  bool PeerCloses(int ms);
+  void Close();
+  // Closes with a reset instead of an orderly end.
+  void Reset();
+
+ private:
+  int fd;
+};
+
+// One request as the server received it.
+struct ReceivedRequest {
+  std::string head;
+  std::string body;
+  // Number of requests on its connection before it.
+  int earlier = 0;
+
+  // @return the value of a header, or an empty string.
+  std::string Header(const std::string& name) const;
+};
+
+class ScriptedServer {
+ public:
+  // Answers on the socket. Returns false to close the connection.
+  using Script = std::function<bool(const ReceivedRequest&, Socket&)>;
+
+  explicit ScriptedServer(Script script);
+  ~ScriptedServer();
+
+  std::string Address() const { return this->address; }
+  std::vector<ReceivedRequest> Requests() const;
+  int Connections() const { return this->connections; }
+
+ private:
+  void Accept();
+  void Serve(int fd);
+
+  const Script script;
+  std::string address;
+  int listening = -1;
+  std::atomic<bool> stopping{false};
+  std::atomic<int> connections{0};
+  mutable std::mutex mutex;
+  std::vector<ReceivedRequest> requests;
+  std::vector<std::thread> threads;
+  std::thread acceptor;
+};
+
+// @return a whole answer of a server to `request`.
+std::string Answer(const ReceivedRequest& request,
+                   int status,
+                   const std::string& body,
+                   const std::string& more_headers = "Signed: yes\r\n");
+
+// @return the head of a stream, and one event of it as a chunk.
+std::string StreamHead(const ReceivedRequest& request);
+std::string EventChunk(int id, const std::string& data);
+std::string Chunk(const std::string& data);
+
+}  // namespace sycamorebend::gateway
+
+#endif  // SYCAMOREBEND_TESTS_GATEWAY_SCRIPTED_SERVER_H_
