--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <unordered_set>
 
-#include "gateway/route_table.h"
+#include "gateway/routes.h"
 #include "net/event_loop.h"
 #include "net/http_reader.h"
 #include "net/http_writer.h"
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -10,7 +10,7 @@
 
 #include "gateway/balancer.h"
 #include "gateway/caller_connection.h"
-#include "gateway/route_table.h"
+#include "gateway/routes.h"
 #include "gateway/server_pool.h"
 #include "gateway/wire_format.h"
 #include "net/event_loop.h"
--- a/src/gateway/route_handler.h
+++ b/src/gateway/route_handler.h
@@ -7,7 +7,7 @@
 
 #include "gateway/caller_connection.h"
 #include "gateway/forwarder.h"
-#include "gateway/route_table.h"
+#include "gateway/routes.h"
 
 namespace sycamorebend::gateway {
 
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -12,7 +12,7 @@
 
 #include <json/value.h>
 
-#include "gateway/route_table.h"
+#include "gateway/routes.h"
 #include "net/http_reader.h"
 #include "sycamorebend/base.h"
 #include "sycamorebend/http.h"
--- /dev/null
+++ b/tests/control/server_directory_test.cc
@@ -0,0 +1,87 @@
+#include "control/server_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace sycamorebend::internal {
+
+namespace {
+
+constexpr std::int64_t kNow = 1000000;
+
+ServerRecord Record(const std::string& id,
+                    std::uint64_t incarnation,
+                    std::uint64_t sequence,
+                    bool leaving = false) {
+  ServerRecord record;
+  record.server_id = id;
+  record.incarnation = incarnation;
+  record.sequence = sequence;
+  record.service = "app";
+  record.address = "10.0.0.1:80";
+  record.leaving = leaving;
+  return record;
+}
+
+}  // namespace
+
+// Guards against a server that looks live again because an older announcement
+// arrived late.
+BOOST_AUTO_TEST_CASE(LateAnnouncementChangesNothing) {
+  ServerDirectory directory;
+  BOOST_TEST(directory.Announce(Record("s", 5, 3, true), kNow));
+  BOOST_TEST(!directory.Announce(Record("s", 5, 2), kNow));
+  BOOST_TEST(!directory.Announce(Record("s", 4, 9), kNow));
+  BOOST_TEST(directory.Records().at("s").leaving);
+  BOOST_TEST(directory.Announce(Record("s", 6, 1), kNow));
+  BOOST_TEST(!directory.Records().at("s").leaving);
+}
+
+// Guards against a server that left and is revived by a delayed announcement.
+BOOST_AUTO_TEST_CASE(DepartedServerStaysAway) {
+  ServerDirectory directory;
+  directory.Announce(Record("s", 5, 3), kNow);
+  BOOST_TEST(directory.Leave("s", 0, kNow));
+  BOOST_TEST(!directory.Announce(Record("s", 5, 9), kNow));
+  BOOST_TEST(directory.Records().empty());
+  BOOST_TEST(directory.Announce(Record("s", 6, 1), kNow));
+  // A departure of the former incarnation arrives late.
+  BOOST_TEST(!directory.Leave("s", 5, kNow));
+  BOOST_TEST(directory.Records().size() == 1U);
+}
+
+// Guards against two servers at one address.
+BOOST_AUTO_TEST_CASE(LaterStartHoldsAnAddress) {
+  ServerDirectory directory;
+  directory.Announce(Record("old", 5, 3), kNow);
+  BOOST_TEST(directory.Announce(Record("new", 8, 1), kNow));
+  BOOST_TEST(directory.Records().count("old") == 0U);
+  BOOST_TEST(!directory.Announce(Record("old", 5, 4), kNow));
+  BOOST_TEST(directory.Records().count("new") == 1U);
+}
+
+// Guards against departures that are forgotten by a restart.
+BOOST_AUTO_TEST_CASE(SavedDirectoryIsEqual) {
+  ServerDirectory directory;
+  directory.Announce(Record("gone", 5, 3), kNow);
+  directory.Leave("gone", 5, kNow);
+  directory.Announce(Record("s", 6, 1), kNow);
+  directory.SetSilent("s", 6);
+  ServerDirectory loaded;
+  loaded.Load(directory.Save());
+  BOOST_TEST(loaded.Records().at("s").silent);
+  BOOST_TEST(!loaded.Announce(Record("gone", 5, 4), kNow));
+}
+
+// Guards against a silent server that is not used again after it spoke.
+BOOST_AUTO_TEST_CASE(SilentServerSpeaksAgain) {
+  ServerDirectory directory;
+  directory.Announce(Record("s", 5, 3), kNow);
+  BOOST_TEST(directory.SetSilent("s", 5));
+  BOOST_TEST(!directory.SetSilent("s", 5));
+  BOOST_TEST(directory.Announce(Record("s", 5, 4), kNow));
+  BOOST_TEST(!directory.Records().at("s").silent);
+  BOOST_TEST(!directory.Expire("s", 4));
+  BOOST_TEST(directory.Expire("s", 5));
+}
+
+}  // namespace sycamorebend::internal
--- a/tests/gateway/route_table_test.cc
+++ b/tests/gateway/routes_test.cc
@@ -1,4 +1,4 @@
-#include "gateway/route_table.h"
+#include "gateway/routes.h"
 
 #include <boost/test/unit_test.hpp>
 
--- /dev/null
+++ b/tests/platform/configuration_format_test.cc
@@ -0,0 +1,96 @@
+#include "platform/configuration_format.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend::platform {
+
+namespace {
+
+Json::Value Document() {
+  return ParseJson(R"({"version": 7,
+    "route_table": [
+      {"name": "r1", "hostname": "h.example", "path_prefix": "/a/",
+       "route_type": "streaming", "timeout_ms": 15000,
+       "target_latency_ms": 600, "target_itl_ms": 250, "priority": 0,
+       "backend": "llm", "max_attempts": 2, "public": false,
+       "stream_resume": true},
+      {"name": "r2", "hostname": "h.example", "path_prefix": "/b/",
+       "route_type": "idempotent", "timeout_ms": 1500, "priority": 2,
+       "traffic_split": [{"backend": "llm", "weight": 9},
+                         {"backend": "app", "weight": 1}],
+       "max_attempts": 1, "public": true}],
+    "backends": [
+      {"name": "llm", "max_connections": 620,
+       "engine_type": {"stride": 4, "kv_capacity": 216189.0}},
+      {"name": "app", "max_connections": 110}],
+    "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+               "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "priority": 1}]})")
+      .value();
+}
+
+// @return the error of the document after `change`.
+template <typename Change>
+std::string ErrorAfter(Change change) {
+  Json::Value document = Document();
+  change(document);
+  const auto read = ReadConfiguration(document);
+  return read ? std::string() : read.error().message;
+}
+
+}  // namespace
+
+// Guards against fields that are read as something else than they hold.
+BOOST_AUTO_TEST_CASE(DocumentIsReadWhole) {
+  const auto read = ReadConfiguration(Document());
+  BOOST_REQUIRE(read);
+  const gateway::RouteTable& table = read.value();
+  BOOST_TEST(table.version == 7U);
+  const gateway::Route& stream = table.routes[0];
+  BOOST_TEST((stream.kind == gateway::RouteKind::kStream));
+  BOOST_TEST(ToMilliseconds(stream.target) == 600);
+  BOOST_TEST(ToMilliseconds(stream.gap_target) == 250);
+  BOOST_TEST(stream.Repeatable());
+  BOOST_TEST(table.routes[1].services[1].weight == 1);
+  BOOST_TEST(table.routes[1].open);
+  BOOST_TEST(table.services.at("llm").event_tokens == 4);
+  BOOST_TEST(table.FindTenant("k2")->name == "t");
+  BOOST_TEST(table.FindTenant("k3") == nullptr);
+  BOOST_TEST(ToMilliseconds(table.limits.idle_timeout) == 15000);
+}
+
+// Guards against invalid documents that are acknowledged.
+BOOST_AUTO_TEST_CASE(InvalidDocumentsAreRefused) {
+  BOOST_TEST(ErrorAfter([](Json::Value& document) {
+               document["route_table"][0]["backend"] = "none";
+             }).find("none") != std::string::npos);
+  BOOST_TEST(!ErrorAfter([](Json::Value& document) {
+                document["route_table"][1]["path_prefix"] = "/a/";
+              }).empty());
+  BOOST_TEST(!ErrorAfter([](Json::Value& document) {
+                for (Json::Value& part :
+                     document["route_table"][1]["traffic_split"]) {
+                  part["weight"] = 0;
+                }
+              }).empty());
+  BOOST_TEST(!ErrorAfter([](Json::Value& document) {
+                document["route_table"][0]["timeout_ms"] = 0;
+              }).empty());
+  BOOST_TEST(!ErrorAfter([](Json::Value& document) {
+                Json::Value other = document["tenants"][0];
+                other["name"] = "u";
+                document["tenants"].append(other);
+              }).empty());
+  for (const char* key : {"version", "route_table", "backends"}) {
+    BOOST_TEST(!ErrorAfter([key](Json::Value& document) {
+                  document.removeMember(key);
+                }).empty());
+  }
+  BOOST_TEST(!ErrorAfter([](Json::Value& document) {
+                document = Json::Value(Json::arrayValue);
+              }).empty());
+}
+
+}  // namespace sycamorebend::platform
--- /dev/null
+++ b/tests/platform/control_api_test.cc
@@ -0,0 +1,157 @@
+#include "platform/control_api.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend::platform {
+
+namespace {
+
+// Keeps the answer.
+class FakeExchange : public HttpExchange {
+ public:
+  explicit FakeExchange(HttpRequest request) : request(std::move(request)) {}
+
+  const HttpRequest& Request() const override { return this->request; }
+  void Respond(int new_status,
+               HttpHeaders /*headers*/,
+               std::string new_body) override {
+    this->status = new_status;
+    this->body = std::move(new_body);
+  }
+  void StartStream(int, HttpHeaders) override {}
+  void Write(std::string_view) override {}
+  void FinishStream() override {}
+  void AbortStream() override {}
+  void OnCallerGone(std::function<void()>) override {}
+  std::size_t PendingBytes() const override { return 0; }
+
+  HttpRequest request;
+  int status = 0;
+  std::string body;
+};
+
+// Answers calls to the leader.
+class FakeLeader : public ControlCalls {
+ public:
+  void Call(const std::string& method,
+            const Json::Value& params,
+            TimePoint /*deadline*/,
+            RpcCallback callback) override {
+    this->calls.emplace_back(method, params);
+    callback(this->answer);
+  }
+
+  std::vector<std::pair<std::string, Json::Value>> calls;
+  Result<Json::Value> answer = Json::Value(Json::objectValue);
+};
+
+struct Fixture {
+  std::shared_ptr<FakeExchange> Send(const std::string& method,
+                                     const std::string& path,
+                                     const std::string& body = {}) {
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    auto exchange = std::make_shared<FakeExchange>(std::move(request));
+    this->api.Handle(exchange);
+    return exchange;
+  }
+
+  FakeLeader leader;
+  ManualClock clock;
+  std::shared_ptr<SharedState> state = std::make_shared<SharedState>();
+  ControlApi api{leader, clock, [this] { return this->state; }, seconds(2)};
+};
+
+constexpr const char* kBeat =
+    R"({"backend":"llm","address":"10.0.0.9:8080","zone":"a","version":"v1",
+        "slots":8,"state":"draining","warmup_left_ms":0,"sequence":4,
+        "born":1700000000000})";
+
+}  // namespace
+
+// Guards against an acknowledged heartbeat that says something else.
+BOOST_FIXTURE_TEST_CASE(HeartbeatIsAnAnnouncement, Fixture) {
+  BOOST_TEST(
+      this->Send("POST", "/api/instances/i-7/heartbeat", kBeat)->status == 200);
+  BOOST_REQUIRE(this->leader.calls.size() == 1U);
+  const auto record = ServerRecordFromJson(this->leader.calls[0].second);
+  BOOST_REQUIRE(record);
+  BOOST_TEST(this->leader.calls[0].first == "server.heartbeat");
+  BOOST_TEST(record.value().server_id == "i-7");
+  BOOST_TEST(record.value().incarnation == 1700000000000U);
+  BOOST_TEST(record.value().sequence == 4U);
+  BOOST_TEST(record.value().leaving);
+}
+
+// Guards against servers made of what another writer sent.
+BOOST_FIXTURE_TEST_CASE(MalformedHeartbeatNamesNoServer, Fixture) {
+  Json::Value beat = ParseJson(kBeat).value();
+  for (const std::string& key : beat.getMemberNames()) {
+    if (key == "version" || key == "warmup_left_ms") {
+      continue;
+    }
+    Json::Value broken = beat;
+    broken[key] = Json::Value(Json::arrayValue);
+    BOOST_TEST(
+        this->Send("POST", "/api/instances/i-7/heartbeat", WriteJson(broken))
+            ->status == 400);
+    broken.removeMember(key);
+    BOOST_TEST(
+        this->Send("POST", "/api/instances/i-7/heartbeat", WriteJson(broken))
+            ->status == 400);
+  }
+  beat["state"] = "resting";
+  BOOST_TEST(this->Send("POST", "/api/instances/i-7/heartbeat", WriteJson(beat))
+                 ->status == 400);
+  BOOST_TEST(
+      this->Send("POST", "/api/instances/i-7/heartbeat", "\xff{")->status ==
+      400);
+  BOOST_TEST(this->leader.calls.empty());
+}
+
+// Guards against an acknowledgement without a committed change.
+BOOST_FIXTURE_TEST_CASE(UnclearOutcomeIsNoAcknowledgement, Fixture) {
+  this->leader.answer = MakeError(ResultCode::kNoQuorum);
+  BOOST_TEST(this->Send("POST", "/api/instances/i-7/deregister")->status ==
+             503);
+  BOOST_TEST(this->Send("GET", "/api/config/fetch")->status == 503);
+}
+
+// Guards against invalid configurations that reach the leader.
+BOOST_FIXTURE_TEST_CASE(InvalidConfigurationIsRefused, Fixture) {
+  BOOST_TEST(
+      this->Send("POST", "/api/config/replace", "{\"version\": 3")->status ==
+      400);
+  BOOST_TEST(
+      this->Send("POST", "/api/config/replace", "{\"version\": 3}")->status ==
+      400);
+  BOOST_TEST(this->leader.calls.empty());
+}
+
+// Guards against a read that differs from what was sent.
+BOOST_FIXTURE_TEST_CASE(ConfigurationIsReadBackAsSent, Fixture) {
+  const std::string sent =
+      R"({"version":3,"route_table":[],"backends":[],"extra":{"x":[1.5,null]}})";
+  BOOST_TEST(this->Send("POST", "/api/config/replace", sent)->status == 200);
+  Json::Value shown;
+  shown["document"] = this->leader.calls[0].second["document"];
+  this->leader.answer = shown;
+  const auto exchange = this->Send("GET", "/api/config/fetch");
+  BOOST_TEST(exchange->status == 200);
+  BOOST_TEST((ParseJson(exchange->body).value() == ParseJson(sent).value()));
+}
+
+// Guards against addresses of gateways that stop.
+BOOST_FIXTURE_TEST_CASE(AddressesAreThoseOfServingGateways, Fixture) {
+  BOOST_TEST(this->Send("GET", "/api/resolve")->status == 503);
+  this->state->entries = {{"e1", "10.0.0.1:80", "a", "x", false},
+                          {"e2", "10.0.0.2:80", "a", "x", true}};
+  const auto exchange = this->Send("GET", "/api/resolve");
+  BOOST_TEST(exchange->body == R"({"addresses":["10.0.0.1:80"],"ttl_s":2.0})");
+}
+
+}  // namespace sycamorebend::platform
--- /dev/null
+++ b/tests/platform/http_format_test.cc
@@ -0,0 +1,100 @@
+#include "platform/http_format.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace sycamorebend::platform {
+
+namespace {
+
+net::MessageHead Caller() {
+  net::MessageHead head;
+  head.method = "POST";
+  head.target = "/a/x";
+  head.headers = {{"Host", "h.example"},
+                  {"X-Sycamorebend-Request-Id", "9c41"},
+                  {"x-sycamorebend-deadline-ms", "5000"},
+                  {"Authorization", "bearer key1"},
+                  {"X-Sycamorebend-Model", "m"},
+                  {"X-Sycamorebend-Token-Usage", "1460,80"},
+                  {"X-Sycamorebend-Prefix-Hash", "5c1e07a2:800,e4402b7d:250"},
+                  {"X-Sycamorebend-Length-Hint", "40"},
+                  {"X-Sycamorebend-Tenant", "forged"},
+                  {"X-Sycamorebend-Retain", "forged"},
+                  {"Kv-From", "forged"},
+                  {"Last-Event-Id", "12"},
+                  {"Connection", "keep-alive"}};
+  return head;
+}
+
+}  // namespace
+
+// Guards against fields that are read as something else than they hold.
+BOOST_AUTO_TEST_CASE(CallerFieldsAreRead) {
+  const auto read = HttpFormat().ReadCaller(Caller());
+  BOOST_REQUIRE(read);
+  const gateway::CallerFields& fields = read.value();
+  BOOST_TEST(fields.request_id == "9c41");
+  BOOST_TEST(ToMilliseconds(*fields.deadline) == 5000);
+  BOOST_TEST(fields.api_key == "key1");
+  BOOST_TEST(*fields.resume_after == 12);
+  BOOST_TEST(fields.generation->input_tokens == 1460);
+  BOOST_TEST(fields.generation->max_output_tokens == 80);
+  BOOST_TEST(*fields.generation->expected_output_tokens == 40);
+  BOOST_REQUIRE(fields.generation->prompt.size() == 2U);
+  BOOST_TEST(fields.generation->prompt[1].id == 0xe4402b7dU);
+  BOOST_TEST(fields.generation->prompt[1].tokens == 250);
+}
+
+// Guards against keys that reach a server and against headers of callers that
+// only the system may set.
+BOOST_AUTO_TEST_CASE(ServerHeadersAreTheSystemsOwn) {
+  gateway::SendFields fields;
+  fields.server_id = "i-7";
+  fields.deadline = milliseconds(4200);
+  fields.tenant = "t";
+  fields.priority = 3;
+  fields.resume_after = 15;
+  const HttpHeaders headers = HttpFormat().ServerHeaders(Caller(), fields);
+  BOOST_TEST(!FindHeader(headers, "Authorization"));
+  BOOST_TEST(!FindHeader(headers, "X-Sycamorebend-Retain"));
+  BOOST_TEST(!FindHeader(headers, "Kv-From"));
+  BOOST_TEST(!FindHeader(headers, "Connection"));
+  BOOST_TEST(*FindHeader(headers, "X-Sycamorebend-Tenant") == "t");
+  BOOST_TEST(*FindHeader(headers, "X-Sycamorebend-Request-Priority") == "3");
+  BOOST_TEST(*FindHeader(headers, "X-Sycamorebend-Deadline-Ms") == "4200");
+  BOOST_TEST(*FindHeader(headers, "X-Sycamorebend-Expect-Instance") == "i-7");
+  BOOST_TEST(*FindHeader(headers, "Last-Event-Id") == "15");
+  BOOST_TEST(*FindHeader(headers, "X-Sycamorebend-Model") == "m");
+  BOOST_TEST(*FindHeader(headers, "Host") == "h.example");
+}
+
+// Guards against promises that a server did not make.
+BOOST_AUTO_TEST_CASE(AnswerFieldsAreRead) {
+  net::MessageHead head;
+  head.headers = {{"X-Sycamorebend-Request-Id", "9c41"},
+                  {"X-Sycamorebend-Instance-Load", "3,1,8"},
+                  {"Keep-Alive", "max=5, timeout=7"}};
+  const gateway::AnswerFields fields = HttpFormat().ReadAnswer(head);
+  BOOST_TEST(!fields.authentic);
+  BOOST_TEST(!fields.not_executed);
+  BOOST_TEST(fields.load->waiting == 1);
+  BOOST_TEST(fields.load->slots == 8);
+  BOOST_TEST(ToMilliseconds(*fields.keep_alive) == 7000);
+}
+
+// Guards against malformed headers that end the process or a request.
+BOOST_AUTO_TEST_CASE(MalformedHeadersAreBounded) {
+  net::MessageHead head;
+  head.headers = {{"X-Sycamorebend-Token-Usage", ",,x"},
+                  {"X-Sycamorebend-Prefix-Hash", "zz,:,a:,:5,,"},
+                  {"X-Sycamorebend-Instance-Load", "3,"},
+                  {"Keep-Alive", "timeout="}};
+  const auto read = HttpFormat().ReadCaller(head);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().generation->prompt.empty());
+  BOOST_TEST(!HttpFormat().ReadAnswer(head).load);
+  head.headers = {{"X-Sycamorebend-Deadline-Ms", "soon"}};
+  BOOST_TEST(!HttpFormat().ReadCaller(head));
+}
+
+}  // namespace sycamorebend::platform
