Compare a few engines of a large fleet; let the urgent kind go first

Cause: on the grown fleet 72 gateways chose the engine that all had last heard to be idle: expected 250 ms, seen 1176 ms (p50, long prompts, burst). Each gateway computed the lanes from its own ten requests a second. When engines are short, the kind that was behind inflated its own need.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -1,7 +1,10 @@
 #include "gateway/balancer.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <functional>
+#include <numeric>
 #include <set>
 #include <utility>
 
@@ -23,6 +26,8 @@
 // An engine that is meant for the other kind of prompts must be this much
 // faster: about what a late stream costs its caller.
 constexpr double kOtherLaneMs = 300;
+// A need of fewer engines than this is not worth a message.
+constexpr double kLeastNeed = 0.001;
 // Scores that differ by less are equal: gateways that know the same must not
 // all choose the same server.
 constexpr double kNoiseMs = 4;
@@ -32,10 +37,13 @@
 constexpr Duration kPartAge = seconds(30);
 // Parts remembered for one server.
 constexpr std::size_t kMaxParts = 4096;
-// Probability that the home of a prompt has it, if this gateway did not send
+// Probability that each home of a prompt has it, if this gateway did not send
 // it there itself.
-constexpr double kHomeHitRate = 0.8;
-constexpr double kSecondHitRate = 0.3;
+constexpr std::array<double, 3> kHomeHitRates = {0.8, 0.3, 0.1};
+// A pool of at most this many servers is compared as a whole; of a larger one
+// the homes of the prompt and some at random.
+constexpr std::size_t kSmallPool = 32;
+constexpr int kRandomCandidates = 3;
 // Reading a prompt again delays all later requests of the engine, besides the
 // request itself; one millisecond of it weighs this much more than one of
 // waiting.
@@ -199,15 +207,25 @@
          this->Slowness(server, now);
 }
 
-std::vector<LoadShare> Balancer::OwnLoad() const {
-  std::vector<LoadShare> shares;
+void Balancer::ReportLoad(LoadMessage& message, TimePoint now) {
   for (const auto& [key, server] : this->servers) {
     if (server->outstanding > 0) {
-      shares.push_back({server->code, server->outstanding,
-                        static_cast<int>(server->pending_tokens)});
+      message.shares.push_back({server->code, server->outstanding,
+                                static_cast<int>(server->pending_tokens)});
     }
   }
-  return shares;
+  for (auto& [service, pool] : this->pools) {
+    const LaneNeed need = pool.lanes.OwnNeed(this->SlotsOf(pool), now);
+    if (need.short_prompts + need.long_prompts > kLeastNeed) {
+      message.needs.push_back({ServerCode(service), need});
+    }
+  }
+}
+
+int Balancer::SlotsOf(const Pool& pool) const {
+  return pool.keys.empty()
+             ? 1
+             : std::max(1, this->servers.at(pool.keys.front())->record.slots);
 }
 
 Balancer::Placement Balancer::Place(Pool& pool,
@@ -219,12 +237,12 @@
     return placement;
   }
   placement.generation = demand.generation;
-  const int slots =
-      pool.keys.empty()
-          ? 1
-          : std::max(1, this->servers.at(pool.keys.front())->record.slots);
-  const std::size_t boundary = pool.lanes.ShortPromptEngines(
-      pool.keys.size(), slots, this->gateway_count, now);
+  LaneNeed need = this->peers.TotalNeed(ServerCode(demand.service), now);
+  const LaneNeed own = pool.lanes.OwnNeed(this->SlotsOf(pool), now);
+  need.short_prompts += own.short_prompts;
+  need.long_prompts += own.long_prompts;
+  const std::size_t boundary =
+      pool.lanes.ShortPromptEngines(pool.keys.size(), need);
   const bool is_long =
       pool.lanes.KindOf(demand.route) == Lanes::Kind::kLongPrompt;
   if (boundary > 0) {
@@ -236,24 +254,38 @@
 
 void Balancer::FindHomes(const Pool& pool, Placement& placement) const {
   const std::uint64_t part = HomePart(*placement.generation);
-  std::uint64_t best_rank = 0;
-  std::uint64_t second_rank = 0;
+  std::vector<std::pair<std::uint64_t, std::size_t>> ranks;
   for (std::size_t i = placement.lane_begin; i < placement.lane_end; ++i) {
     const ServerRecord& record = this->servers.at(pool.keys[i])->record;
-    if (record.leaving || record.silent) {
-      continue;
-    }
-    const std::uint64_t rank = HomeRank(part, record.server_id);
-    if (!placement.home || rank > best_rank) {
-      placement.second_home = placement.home;
-      second_rank = best_rank;
-      placement.home = i;
-      best_rank = rank;
-    } else if (!placement.second_home || rank > second_rank) {
-      placement.second_home = i;
-      second_rank = rank;
+    if (!record.leaving && !record.silent) {
+      ranks.emplace_back(HomeRank(part, record.server_id), i);
     }
   }
+  const std::size_t count = std::min(kHomeHitRates.size(), ranks.size());
+  std::partial_sort(ranks.begin(), ranks.begin() + count, ranks.end(),
+                    std::greater<>());
+  for (std::size_t i = 0; i < count; ++i) {
+    placement.homes.push_back(ranks[i].second);
+  }
+}
+
+std::vector<std::size_t> Balancer::Sample(const Pool& pool,
+                                          const Placement& placement) {
+  const std::size_t size = pool.keys.size();
+  std::vector<std::size_t> sample;
+  if (size <= kSmallPool) {
+    sample.resize(size);
+    std::iota(sample.begin(), sample.end(), std::size_t{0});
+    return sample;
+  }
+  sample = placement.homes;
+  const std::size_t lane = placement.lane_end - placement.lane_begin;
+  for (int i = 0; i < kRandomCandidates && lane > 0; ++i) {
+    sample.push_back(placement.lane_begin + this->random.Next() % lane);
+  }
+  // One of the other kind, in case that all engines of this one are busy.
+  sample.push_back(this->random.Next() % size);
+  return sample;
 }
 
 double Balancer::Score(const Server& server,
@@ -268,60 +300,88 @@
          (other_domain ? kDomainPenaltyMs : 0) + (in_lane ? 0 : kOtherLaneMs);
 }
 
-std::optional<Choice> Balancer::Choose(const Demand& demand, TimePoint now) {
-  const auto found = this->pools.find(demand.service);
-  if (found == this->pools.end()) {
-    return std::nullopt;
-  }
-  Pool& pool = found->second;
-  const Placement placement = this->Place(pool, demand, now);
-  const Server* best = nullptr;
-  Choice choice;
-  double best_score = 0;
-  bool best_avoided = false;
-  for (std::size_t i = 0; i < pool.keys.size(); ++i) {
-    const std::string& key = pool.keys[i];
-    const Server& server = *this->servers.at(key);
-    if (server.record.leaving ||
+Balancer::Candidate Balancer::Evaluate(const Pool& pool,
+                                       const Placement& placement,
+                                       std::size_t index,
+                                       TimePoint now) {
+  const std::string& key = pool.keys[index];
+  const Server& server = *this->servers.at(key);
+  const bool in_lane =
+      index >= placement.lane_begin && index < placement.lane_end;
+  const auto home =
+      std::find(placement.homes.begin(), placement.homes.end(), index);
+  const double hit_rate = home == placement.homes.end()
+                              ? 0
+                              : kHomeHitRates[static_cast<std::size_t>(
+                                    home - placement.homes.begin())];
+  const int uncached =
+      placement.generation == nullptr
+          ? 0
+          : this->UncachedTokens(server, *placement.generation, hit_rate, now);
+  const double expected = this->ExpectedMs(pool, server, uncached, now);
+  const LoadShare others = this->peers.Total(server.code, now);
+  Candidate candidate;
+  candidate.index = index;
+  // A server that fell silent is used only if no other is left.
+  candidate.avoided = now < server.avoid_until || server.record.silent;
+  candidate.score = this->Score(server, expected, uncached, in_lane);
+  Choice& choice = candidate.choice;
+  choice.server_key = key;
+  choice.server_id = server.record.server_id;
+  choice.address = server.record.address;
+  choice.uncached_tokens = uncached;
+  choice.expected = FromMs(expected);
+  choice.running = server.outstanding + others.outstanding;
+  choice.pending_tokens =
+      static_cast<int>(server.pending_tokens) + others.pending_tokens;
+  choice.slowness = this->Slowness(server, now);
+  choice.reason = candidate.avoided               ? "no other server is usable"
+                  : !in_lane                      ? "other engines are busy"
+                  : home != placement.homes.end() ? "home of the prompt"
+                                                  : "lowest expected delay";
+  return candidate;
+}
+
+std::optional<Balancer::Candidate> Balancer::Best(
+    const Pool& pool,
+    const Placement& placement,
+    const std::vector<std::size_t>& indices,
+    const Demand& demand,
+    TimePoint now) {
+  std::optional<Candidate> best;
+  for (const std::size_t index : indices) {
+    const std::string& key = pool.keys[index];
+    if (this->servers.at(key)->record.leaving ||
         std::find(demand.excluded.begin(), demand.excluded.end(), key) !=
             demand.excluded.end()) {
       continue;
     }
-    // A server that fell silent is used only if no other is left.
-    const bool avoided = now < server.avoid_until || server.record.silent;
-    const bool in_lane = i >= placement.lane_begin && i < placement.lane_end;
-    const bool home = placement.home == i;
-    const double hit_rate = home                         ? kHomeHitRate
-                            : placement.second_home == i ? kSecondHitRate
-                                                         : 0;
-    const int uncached =
-        placement.generation == nullptr
-            ? 0
-            : this->UncachedTokens(server, *placement.generation, hit_rate,
-                                   now);
-    const double expected = this->ExpectedMs(pool, server, uncached, now);
-    const double score = this->Score(server, expected, uncached, in_lane);
-    const bool better = best == nullptr || (best_avoided && !avoided) ||
-                        (best_avoided == avoided && score < best_score);
+    Candidate candidate = this->Evaluate(pool, placement, index, now);
+    const bool better =
+        !best || (best->avoided && !candidate.avoided) ||
+        (best->avoided == candidate.avoided && candidate.score < best->score);
     if (better) {
-      best = &server;
-      best_score = score;
-      best_avoided = avoided;
-      choice.server_key = key;
-      choice.uncached_tokens = uncached;
-      choice.expected = FromMs(expected);
-      choice.reason = avoided    ? "no other server is usable"
-                      : !in_lane ? "the engines meant for it are too busy"
-                      : home     ? "home of the prompt"
-                                 : "lowest expected delay";
+      best = std::move(candidate);
     }
   }
-  if (best == nullptr) {
+  return best;
+}
+
+std::optional<Choice> Balancer::Choose(const Demand& demand, TimePoint now) {
+  const auto found = this->pools.find(demand.service);
+  if (found == this->pools.end()) {
     return std::nullopt;
   }
-  choice.server_id = best->record.server_id;
-  choice.address = best->record.address;
-  return choice;
+  Pool& pool = found->second;
+  const Placement placement = this->Place(pool, demand, now);
+  std::optional<Candidate> best =
+      this->Best(pool, placement, this->Sample(pool, placement), demand, now);
+  if (!best || best->avoided) {
+    std::vector<std::size_t> all(pool.keys.size());
+    std::iota(all.begin(), all.end(), std::size_t{0});
+    best = this->Best(pool, placement, all, demand, now);
+  }
+  return best ? std::optional<Choice>(std::move(best->choice)) : std::nullopt;
 }
 
 void Balancer::NoteParts(Server& server,
@@ -343,8 +403,9 @@
                       const Demand& demand,
                       TimePoint now) {
   if (demand.generation != nullptr) {
-    this->pools[demand.service].lanes.OnSent(demand.route, demand.gap_target,
-                                             choice.uncached_tokens, now);
+    this->pools[demand.service].lanes.OnSent(
+        demand.route,
+        {demand.gap_target, demand.priority, choice.uncached_tokens}, now);
   }
   Server* const server = this->Find(choice.server_key);
   if (server == nullptr) {
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -30,6 +30,7 @@
   std::string route;
   // Longest pause between the events of its stream that is in time.
   Duration gap_target{0};
+  int priority = 0;  // Of its route; 0 is the most urgent.
   const Generation* generation = nullptr;
   // Servers that failed this request.
   std::vector<std::string> excluded;
@@ -44,6 +45,10 @@
   Duration expected{0};
   // Prompt tokens that the server has to read.
   int uncached_tokens = 0;
+  // What all gateways together have at the server, as far as known.
+  int running = 0;
+  int pending_tokens = 0;
+  double slowness = 1;
 };
 
 // What became of one sending.
@@ -68,10 +73,8 @@
 
   // Replaces the servers; what was learnt of those that stay is kept.
   // @return keys of servers that are gone.
-  std::vector<std::string> SetServers(const std::vector<ServerRecord>& servers);
+  std::vector<std::string> SetServers(const std::vector<ServerRecord>& records);
   void SetServices(const std::map<std::string, ServiceLimits>& services);
-  // Gateways that share the servers, this one included.
-  void SetGatewayCount(int count) { this->gateway_count = count; }
 
   // @return nothing if no server of the service may be used.
   std::optional<Choice> Choose(const Demand& demand, TimePoint now);
@@ -90,7 +93,7 @@
               TimePoint now);
 
   // What this gateway has at the servers, for the others.
-  std::vector<LoadShare> OwnLoad() const;
+  void ReportLoad(LoadMessage& message, TimePoint now);
   void OnPeerLoad(const LoadMessage& message, TimePoint now) {
     this->peers.Take(message, now);
   }
@@ -133,13 +136,14 @@
     // Servers [lane_begin, lane_end) of the pool are meant for the request.
     std::size_t lane_begin = 0;
     std::size_t lane_end = 0;
-    // The servers on which every gateway places the request's prompt, if it
-    // can: the first choice and the second.
-    std::optional<std::size_t> home;
-    std::optional<std::size_t> second_home;
+    // The servers on which every gateway places the request's prompt if it can,
+    // the best first.
+    std::vector<std::size_t> homes;
   };
 
   Server* Find(const std::string& key);
+  // @return requests that one server of the pool runs.
+  int SlotsOf(const Pool& pool) const;
   Placement Place(Pool& pool, const Demand& demand, TimePoint now);
   // Lower is better.
   double Score(const Server& server,
@@ -152,6 +156,27 @@
                      const Generation& generation,
                      double hit_rate,
                      TimePoint now) const;
+  // One server as the request sees it.
+  struct Candidate {
+    std::size_t index = 0;
+    bool avoided = false;
+    double score = 0;  // Lower is better.
+    Choice choice;
+  };
+  // @return the servers to compare: all of a small pool, otherwise the homes
+  // and a few at random. Gateways that know the same must not all choose the
+  // one that was idle when they last heard of it.
+  std::vector<std::size_t> Sample(const Pool& pool, const Placement& placement);
+  // @return the best of `indices`, or nothing if none may be used.
+  std::optional<Candidate> Best(const Pool& pool,
+                                const Placement& placement,
+                                const std::vector<std::size_t>& indices,
+                                const Demand& demand,
+                                TimePoint now);
+  Candidate Evaluate(const Pool& pool,
+                     const Placement& placement,
+                     std::size_t index,
+                     TimePoint now);
   // Finds the homes of the request's prompt among the servers of its lane.
   void FindHomes(const Pool& pool, Placement& placement) const;
   double Slowness(const Server& server, TimePoint now) const;
@@ -165,7 +190,6 @@
 
   const BalancerOptions options;
   internal::Random random;
-  int gateway_count = 1;
   std::map<std::string, Pool> pools;
   PeerLoads peers;
   std::unordered_map<std::string, std::unique_ptr<Server>> servers;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -116,7 +116,7 @@
 
   void OnData(std::string_view data) override;
   void OnEnd(net::ConnectionEnd end) override;
-  bool OnHead(net::MessageHead head) override;
+  bool OnHead(net::MessageHead received) override;
   void OnBody(std::string_view data) override;
   void OnMessageEnd() override;
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -90,6 +90,7 @@
   this->demand.service = this->service;
   this->demand.route = route.name;
   this->demand.gap_target = route.gap_target;
+  this->demand.priority = route.priority;
   this->demand.generation =
       this->job.fields.generation ? &*this->job.fields.generation : nullptr;
   this->last_event = this->job.fields.resume_after;
@@ -176,6 +177,9 @@
        {"reason", found.reason},
        {"expected_ms", ToMilliseconds(found.expected)},
        {"uncached_tokens", found.uncached_tokens},
+       {"running", found.running},
+       {"pending_tokens", found.pending_tokens},
+       {"slowness", found.slowness},
        {"tenant", fields.tenant.value_or(std::string())},
        {"priority", fields.priority.value_or(-1)},
        {"left_ms", ToMilliseconds(fields.deadline)}});
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -72,7 +72,7 @@
   void Begin();
   // Sends the request to the best server, or answers the caller.
   void Dispatch();
-  void Send(const Choice& choice);
+  void Send(const Choice& found);
   // Ends the call in progress, if there is one.
   void EndCall(SendOutcome outcome);
   void SetAttemptTimer(Duration wait);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -75,7 +75,9 @@
   BOOST_OUTCOME_TRY(started_exchange,
                     LoadExchange::Start(
                         this->loop, this->settings.exchange_address,
-                        [this] { return this->balancer.OwnLoad(); },
+                        [this](LoadMessage& message) {
+                          this->balancer.ReportLoad(message, this->loop.Now());
+                        },
                         [this](const LoadMessage& message) {
                           this->balancer.OnPeerLoad(message, this->loop.Now());
                         }));
@@ -108,7 +110,6 @@
   for (const std::string& key : this->balancer.SetServers(state->servers)) {
     this->pool.Forget(key);
   }
-  this->balancer.SetGatewayCount(static_cast<int>(state->entries.size()));
   this->SetRetryLimits(state->entries.size());
   std::vector<std::string> ips;
   for (const EntryInfo& entry : state->entries) {
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -52,7 +52,7 @@
   });
   loop->Run();
   ended = true;
-  pthread_kill(waiter.native_handle(), SIGTERM);
+  pthread_kill(waiter.native_handle(), SIGINT);
   waiter.join();
   return Success();
 }
--- a/src/gateway/lanes.cc
+++ b/src/gateway/lanes.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace sycamorebend::gateway {
 
@@ -22,6 +23,9 @@
 // Part of the pause that is in time which chunks may take up: attention over
 // long contexts makes some chunks slower than the model says.
 constexpr double kGapUse = 0.8;
+// Largest part of the engines that the more urgent kind gets before the other
+// when there are too few for both.
+constexpr double kUrgentShare = 0.6;
 // A change of the share smaller than this part of an engine is noise.
 constexpr double kHysteresis = 0.7;
 
@@ -29,6 +33,11 @@
   return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
 
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 }  // namespace
 
 void DecayingSum::Add(double amount, TimePoint now) {
@@ -50,21 +59,21 @@
 }
 
 void Lanes::OnSent(const std::string& route,
-                   Duration gap_target,
-                   int uncached_tokens,
+                   const LaneRequest& request,
                    TimePoint now) {
   const auto [known, added] = this->routes.try_emplace(route);
   RouteLoad& load = known->second;
   if (added) {
-    load.uncached_tokens = uncached_tokens;
+    load.uncached_tokens = request.uncached_tokens;
     load.at = now;
   }
   this->Advance(load, now);
-  load.gap_target = gap_target;
+  load.gap_target = request.gap_target;
+  load.priority = request.priority;
   ++load.outstanding;
   load.uncached_tokens +=
-      kTokensWeight * (uncached_tokens - load.uncached_tokens);
-  load.tokens.Add(uncached_tokens, now);
+      kTokensWeight * (request.uncached_tokens - load.uncached_tokens);
+  load.tokens.Add(request.uncached_tokens, now);
 }
 
 void Lanes::OnDone(const std::string& route, TimePoint now) {
@@ -95,35 +104,58 @@
   bool any_harmed = false;
   for (const auto& [name, load] : this->routes) {
     any_long = any_long || this->Long(load);
-    any_harmed = any_harmed || (!this->Long(load) &&
-                                load.gap_target.count() * kGapUse <
-                                    static_cast<double>(slowest_event.count()));
+    any_harmed =
+        any_harmed ||
+        (!this->Long(load) && Scaled(load.gap_target, kGapUse) < slowest_event);
   }
   return any_long && any_harmed;
 }
 
-std::size_t Lanes::ShortPromptEngines(std::size_t engines,
-                                      int slots,
-                                      int gateways,
-                                      TimePoint now) {
-  if (engines < 2 || !this->Apart()) {
-    return 0;
-  }
-  double need_short = 0;
-  double need_long = 0;
+LaneNeed Lanes::OwnNeed(int slots, TimePoint now) {
+  LaneNeed in_use;
+  LaneNeed prefill;
   for (auto& [name, load] : this->routes) {
     this->Advance(load, now);
-    const double in_use = load.busy.PerSecond(now) / (slots * kSlotUse);
-    const double prefill = load.tokens.PerSecond(now) /
-                           (this->model.tokens_per_ms * 1000 * kPrefillUse);
-    (this->Long(load) ? need_long : need_short) +=
-        gateways * (in_use + prefill);
+    const bool is_long = this->Long(load);
+    (is_long ? in_use.long_prompts : in_use.short_prompts) +=
+        load.busy.PerSecond(now) / (slots * kSlotUse);
+    (is_long ? prefill.long_prompts : prefill.short_prompts) +=
+        load.tokens.PerSecond(now) /
+        (this->model.tokens_per_ms * 1000 * kPrefillUse);
+  }
+  return {std::max(in_use.short_prompts, prefill.short_prompts),
+          std::max(in_use.long_prompts, prefill.long_prompts)};
+}
+
+double Lanes::IdealShare(double engines, const LaneNeed& need) const {
+  const double total = need.short_prompts + need.long_prompts;
+  if (total <= engines) {
+    return need.short_prompts / total;
   }
-  if (need_short + need_long <= 0) {
+  // Not all can be in time: the more urgent kind first.
+  int short_priority = std::numeric_limits<int>::max();
+  int long_priority = std::numeric_limits<int>::max();
+  for (const auto& [name, load] : this->routes) {
+    int& priority = this->Long(load) ? long_priority : short_priority;
+    priority = std::min(priority, load.priority);
+  }
+  if (short_priority < long_priority) {
+    return std::min(need.short_prompts / engines, kUrgentShare);
+  }
+  if (long_priority < short_priority) {
+    return 1 - std::min(need.long_prompts / engines, kUrgentShare);
+  }
+  return need.short_prompts / total;
+}
+
+std::size_t Lanes::ShortPromptEngines(std::size_t engines,
+                                      const LaneNeed& need) {
+  if (engines < 2 || need.short_prompts + need.long_prompts <= 0 ||
+      !this->Apart()) {
     return 0;
   }
-  const double ideal = need_short / (need_short + need_long);
   const auto count = static_cast<double>(engines);
+  const double ideal = this->IdealShare(count, need);
   if (this->share == 0 || std::abs(ideal - this->share) * count > kHysteresis) {
     this->share = ideal;
   }
--- a/src/gateway/lanes.h
+++ b/src/gateway/lanes.h
@@ -31,6 +31,20 @@
   int chunk_tokens = 2048;
 };
 
+// Engines that each kind of route needs, as seen by one gateway or by all.
+struct LaneNeed {
+  double short_prompts = 0;
+  double long_prompts = 0;
+};
+
+// What a request brings to its lane.
+struct LaneRequest {
+  // Longest pause between the events of its stream that is in time.
+  Duration gap_target{0};
+  int priority = 0;  // Of its route; 0 is the most urgent.
+  int uncached_tokens = 0;
+};
+
 // The routes of one service and the part of its engines that each kind gets.
 class Lanes {
  public:
@@ -41,8 +55,7 @@
   void SetEventTokens(int tokens) { this->event_tokens = tokens; }
 
   void OnSent(const std::string& route,
-              Duration gap_target,
-              int uncached_tokens,
+              const LaneRequest& request,
               TimePoint now);
   void OnDone(const std::string& route, TimePoint now);
 
@@ -51,18 +64,21 @@
   // @return true if long prompts make pauses of other streams late.
   bool Apart() const;
 
-  // @param engines engines of the service; @param slots requests that one runs.
-  // @param gateways gateways that share them and see the same traffic.
+  // @param slots requests that one engine runs.
+  // @return what the requests of this gateway need.
+  LaneNeed OwnNeed(int slots, TimePoint now);
+
+  // @param engines engines of the service.
+  // @param need what all gateways need. They hear of each other, so that their
+  // answers hardly differ.
   // @return the number of engines for short prompts, of those in a fixed order
   // the first; 0 if all engines serve all.
-  std::size_t ShortPromptEngines(std::size_t engines,
-                                 int slots,
-                                 int gateways,
-                                 TimePoint now);
+  std::size_t ShortPromptEngines(std::size_t engines, const LaneNeed& need);
 
  private:
   struct RouteLoad {
     Duration gap_target{0};
+    int priority = 0;
     double uncached_tokens = 0;  // Of a usual request.
     int outstanding = 0;
     // Time integral of `outstanding`: requests at the engines, on average.
@@ -73,8 +89,10 @@
 
   void Advance(RouteLoad& load, TimePoint now);
   bool Long(const RouteLoad& load) const;
+  // @return the part of the engines that short prompts shall have.
+  double IdealShare(double engines, const LaneNeed& need) const;
 
-  const PrefillModel model;
+  const PrefillModel model{};
   int event_tokens = 1;
   std::map<std::string, RouteLoad> routes;
   double share = 0;  // Of the engines, for short prompts; 0 before the first.
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -14,11 +14,14 @@
 // Pause between two rounds of messages to a few gateways; it grows with their
 // number, so that the messages that each receives in a second do not.
 constexpr Duration kRound = milliseconds(50);
-constexpr std::size_t kFewPeers = 8;
+constexpr std::size_t kFewPeers = 36;
 
 using EncodedShare = std::tuple<std::uint32_t, int, int>;
-using EncodedMessage =
-    std::tuple<std::string, std::uint64_t, std::vector<EncodedShare>>;
+using EncodedNeed = std::tuple<std::uint32_t, double, double>;
+using EncodedMessage = std::tuple<std::string,
+                                  std::uint64_t,
+                                  std::vector<EncodedShare>,
+                                  std::vector<EncodedNeed>>;
 
 }  // namespace
 
@@ -27,11 +30,15 @@
 }
 
 std::string EncodeLoadMessage(const LoadMessage& message) {
-  EncodedMessage encoded(message.sender, message.sequence, {});
+  EncodedMessage encoded(message.sender, message.sequence, {}, {});
   for (const LoadShare& share : message.shares) {
     std::get<2>(encoded).emplace_back(share.server, share.outstanding,
                                       share.pending_tokens);
   }
+  for (const NeedShare& share : message.needs) {
+    std::get<3>(encoded).emplace_back(share.service, share.need.short_prompts,
+                                      share.need.long_prompts);
+  }
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, encoded);
   return {buffer.data(), buffer.size()};
@@ -48,6 +55,10 @@
       message.shares.push_back(
           {server, std::max(0, outstanding), std::max(0, tokens)});
     }
+    for (const auto& [service, short_need, long_need] : std::get<3>(encoded)) {
+      message.needs.push_back(
+          {service, {std::max(0.0, short_need), std::max(0.0, long_need)}});
+    }
   } catch (const std::exception& error) {
     return MakeError(ResultCode::kProtocolError, error.what());
   }
@@ -65,6 +76,10 @@
   for (const LoadShare& share : message.shares) {
     peer.shares[share.server] = share;
   }
+  peer.needs.clear();
+  for (const NeedShare& share : message.needs) {
+    peer.needs[share.service] = share.need;
+  }
   for (auto one = this->peers.begin(); one != this->peers.end();) {
     one = now - one->second.at > kMaxAge ? this->peers.erase(one)
                                          : std::next(one);
@@ -84,9 +99,21 @@
   return total;
 }
 
+LaneNeed PeerLoads::TotalNeed(std::uint32_t service, TimePoint now) const {
+  LaneNeed total;
+  for (const auto& [sender, peer] : this->peers) {
+    const auto need = peer.needs.find(service);
+    if (need != peer.needs.end() && now - peer.at <= kMaxAge) {
+      total.short_prompts += need->second.short_prompts;
+      total.long_prompts += need->second.long_prompts;
+    }
+  }
+  return total;
+}
+
 LoadExchange::LoadExchange(net::EventLoop& loop,
                            std::string address,
-                           ShareSource source,
+                           LoadSource source,
                            MessageSink sink)
     : loop(loop),
       address(std::move(address)),
@@ -97,7 +124,7 @@
 Result<std::unique_ptr<LoadExchange>> LoadExchange::Start(
     net::EventLoop& loop,
     const std::string& address,
-    ShareSource source,
+    LoadSource source,
     MessageSink sink) {
   std::unique_ptr<LoadExchange> exchange(
       new LoadExchange(loop, address, std::move(source), std::move(sink)));
@@ -142,7 +169,10 @@
     return;
   }
   this->next_round = now + kRound * (this->peers.size() / kFewPeers);
-  LoadMessage message{this->sender, ++this->sequence, this->source()};
+  LoadMessage message;
+  message.sender = this->sender;
+  message.sequence = ++this->sequence;
+  this->source(message);
   // One message says that nothing is left; silence says the same afterwards.
   if (message.shares.empty() && std::exchange(this->said_idle, true)) {
     return;
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "gateway/lanes.h"
 #include "net/datagram_socket.h"
 #include "net/event_loop.h"
 #include "sycamorebend/base.h"
@@ -29,11 +30,18 @@
 
 std::uint32_t ServerCode(const std::string& server_key);
 
+// Engines of one service that one gateway needs for each kind of prompt.
+struct NeedShare {
+  std::uint32_t service = 0;  // ServerCode of the service's name.
+  LaneNeed need;
+};
+
 // One message of a gateway.
 struct LoadMessage {
   std::string sender;  // Differs after a restart.
   std::uint64_t sequence = 0;
   std::vector<LoadShare> shares;
+  std::vector<NeedShare> needs;
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
@@ -47,12 +55,15 @@
   void Take(const LoadMessage& message, TimePoint now);
   // @return the sum of what the other gateways have at the server.
   LoadShare Total(std::uint32_t server, TimePoint now) const;
+  // @return what the other gateways need of the service.
+  LaneNeed TotalNeed(std::uint32_t service, TimePoint now) const;
 
  private:
   struct Peer {
     std::uint64_t sequence = 0;
     TimePoint at;
     std::unordered_map<std::uint32_t, LoadShare> shares;
+    std::unordered_map<std::uint32_t, LaneNeed> needs;
   };
 
   std::map<std::string, Peer> peers;
@@ -61,14 +72,15 @@
 // Sends this gateway's load to the others and receives theirs.
 class LoadExchange {
  public:
-  using ShareSource = std::function<std::vector<LoadShare>()>;
+  // Fills in all but the sender and the sequence.
+  using LoadSource = std::function<void(LoadMessage&)>;
   using MessageSink = std::function<void(const LoadMessage&)>;
 
   // @param address "IP:port" for the datagrams; the others use the same port.
   // @return the exchange, or kListenFailed.
   static Result<std::unique_ptr<LoadExchange>> Start(net::EventLoop& loop,
                                                      const std::string& address,
-                                                     ShareSource source,
+                                                     LoadSource source,
                                                      MessageSink sink);
   ~LoadExchange();
 
@@ -78,7 +90,7 @@
  private:
   LoadExchange(net::EventLoop& loop,
                std::string address,
-               ShareSource source,
+               LoadSource source,
                MessageSink sink);
 
   void Receive(std::string_view data);
@@ -87,7 +99,7 @@
   net::EventLoop& loop;
   const std::string address;
   const std::string sender;
-  const ShareSource source;
+  const LoadSource source;
   const MessageSink sink;
   std::unique_ptr<net::DatagramSocket> socket;
   std::vector<std::string> peers;
--- a/src/gateway/server_pool.cc
+++ b/src/gateway/server_pool.cc
@@ -67,7 +67,7 @@
   }
   const TimePoint now = this->loop.Now();
   while (!found->second.empty()) {
-    const auto connection = std::move(found->second.back());
+    auto connection = std::move(found->second.back());
     found->second.pop_back();
     if (now - connection->idle_since < connection->keep_alive) {
       return connection;
--- a/src/net/event_loop.cc
+++ b/src/net/event_loop.cc
@@ -16,6 +16,9 @@
 // forward by a suspension of the VM is noticed without a timer.
 constexpr Duration kLongestWait = seconds(1);
 
+constexpr unsigned kLoopFlags = static_cast<unsigned>(EVBACKEND_EPOLL) |
+                                static_cast<unsigned>(EVFLAG_NOENV);
+
 // libev expects waits in seconds.
 double ToSeconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -24,9 +27,7 @@
 class LibevLoop : public EventLoop {
  public:
   explicit LibevLoop(const Clock& clock)
-      : clock(clock),
-        timers(clock),
-        loop(ev_loop_new(EVBACKEND_EPOLL | EVFLAG_NOENV)) {
+      : clock(clock), timers(clock), loop(ev_loop_new(kLoopFlags)) {
     ev_async_init(&this->wake, &LibevLoop::OnWake);
     this->wake.data = this;
     ev_async_start(this->loop, &this->wake);
--- a/tests/gateway/balancer_test.cc
+++ b/tests/gateway/balancer_test.cc
@@ -91,7 +91,7 @@
 BOOST_FIXTURE_TEST_CASE(LoadOfOtherGatewaysCounts, Fixture) {
   const Demand demand = this->Ask(5);
   const auto home = this->balancer.Choose(demand, this->now);
-  LoadMessage message{"other", 1, {}};
+  LoadMessage message{"other", 1, {}, {}};
   message.shares.push_back({ServerCode(home->server_key), 30, 200000});
   this->balancer.OnPeerLoad(message, this->now);
   BOOST_TEST(this->balancer.Choose(demand, this->now)->server_key !=
@@ -176,7 +176,9 @@
   const auto gone = this->balancer.SetServers(this->records);
   BOOST_REQUIRE(gone.size() == 1U);
   BOOST_TEST(gone.front() == choice.server_key);
-  BOOST_TEST(this->balancer.OwnLoad().empty());
+  LoadMessage message;
+  this->balancer.ReportLoad(message, this->now);
+  BOOST_TEST(message.shares.empty());
 }
 
 }  // namespace sycamorebend::gateway
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -34,7 +34,7 @@
   // Adds a server to service "app" and sets the routes: /safe/ (idempotent),
   // /once/ (not), /stream/ (resumable) and /live/ (a stream that is not).
   void AddServer(const ScriptedServer& server);
-  void SetServers(const std::vector<std::string>& addresses);
+  void SetServers(const std::vector<std::string>& list);
   // Changes the route table before it is set.
   void SetTable(const std::function<void(RouteTable&)>& change = {});
   std::string Address() const { return this->callers->Address(); }
--- a/tests/gateway/lanes_test.cc
+++ b/tests/gateway/lanes_test.cc
@@ -22,11 +22,12 @@
       short_due += short_per_s * kStepMs / 1000.0;
       long_due += long_per_s * kStepMs / 1000.0;
       for (; short_due >= 1; --short_due) {
-        this->lanes.OnSent("short", milliseconds(200), 600, this->now);
+        this->lanes.OnSent("short", {milliseconds(200), 0, 600}, this->now);
         ends.emplace(this->now + seconds(2), "short");
       }
       for (; long_due >= 1; --long_due) {
-        this->lanes.OnSent("long", milliseconds(300), long_tokens, this->now);
+        this->lanes.OnSent("long", {milliseconds(300), 1, long_tokens},
+                           this->now);
         ends.emplace(this->now + milliseconds(500), "long");
       }
       while (!ends.empty() && ends.begin()->first <= this->now) {
@@ -36,9 +37,9 @@
     }
   }
 
-  std::size_t Engines(int gateways = 1) {
-    return this->lanes.ShortPromptEngines(kEngines, kSlots, gateways,
-                                          this->now);
+  std::size_t Engines(std::size_t engines = kEngines) {
+    return this->lanes.ShortPromptEngines(
+        engines, this->lanes.OwnNeed(kSlots, this->now));
   }
 
   Lanes lanes;
@@ -71,6 +72,16 @@
   BOOST_TEST(load.Engines() > during_long + 1);
 }
 
+// Pattern: more of both kinds than all engines can serve in time. Guards
+// against urgent questions that wait while engines read less urgent prompts.
+BOOST_AUTO_TEST_CASE(UrgentKindIsServedFirstWhenEnginesAreShort) {
+  Load load;
+  load.lanes.SetEventTokens(5);
+  load.Run(140, 300, 6000, 8);
+  BOOST_TEST(load.Engines() >= 10U);
+  BOOST_TEST(load.Engines() <= 12U);
+}
+
 // Pattern: one token in an event. Guards against engines that are divided
 // although no pause would be late.
 BOOST_AUTO_TEST_CASE(EnginesAreSharedWhenPausesAreInTime) {
@@ -94,8 +105,8 @@
   load.lanes.SetEventTokens(5);
   load.Run(1, 200, 8000, 8);
   BOOST_TEST(load.Engines() >= 1U);
-  BOOST_TEST(load.lanes.ShortPromptEngines(2, kSlots, 1, load.now) == 1U);
-  BOOST_TEST(load.lanes.ShortPromptEngines(1, kSlots, 1, load.now) == 0U);
+  BOOST_TEST(load.Engines(2) == 1U);
+  BOOST_TEST(load.Engines(1) == 0U);
 }
 
 }  // namespace sycamorebend::gateway
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -13,7 +13,10 @@
 LoadMessage Message(const std::string& sender,
                     std::uint64_t sequence,
                     int outstanding) {
-  return {sender, sequence, {{kServer, outstanding, outstanding * 100}}};
+  return {sender,
+          sequence,
+          {{kServer, outstanding, outstanding * 100}},
+          {{kServer, {0.5, 1.5}}}};
 }
 
 }  // namespace
@@ -57,6 +60,7 @@
   peers.Take(Message("two", 1, 2), now);
   BOOST_TEST(peers.Total(kServer, now).outstanding == 6);
   BOOST_TEST(peers.Total(kServer, now).pending_tokens == 600);
+  BOOST_TEST(peers.TotalNeed(kServer, now).long_prompts == 3);
   BOOST_TEST(peers.Total(kServer + 1, now).outstanding == 0);
 }
 
