Turn prompts away that no engine can begin in time

Cause: in the cold burst of the grown fleet long prompts arrive faster than engines read them. All waited about a second, so nearly all were late, and callers left after 2.4 s with their prompts half read. Change: a generation whose first event is expected after 1.6 times its target is refused at once with the time to come back, spread over the part that callers wait; long prompts stay out of the engines of short streams unless the others are more than 1.2 s behind. Ruled out: holding such requests here; they would be late all the same.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -26,6 +26,8 @@
 // An engine that is meant for the other kind of prompts must be this much
 // faster: about what a late stream costs its caller.
 constexpr double kOtherLaneMs = 300;
+// The same for a long prompt: it makes many short streams late.
+constexpr double kLongPromptMs = 1200;
 // A need of fewer engines than this is not worth a message.
 constexpr double kLeastNeed = 0.001;
 // Scores that differ by less are equal: gateways that know the same must not
@@ -245,6 +247,7 @@
       pool.lanes.ShortPromptEngines(pool.keys.size(), need);
   const bool is_long =
       pool.lanes.KindOf(demand.route) == Lanes::Kind::kLongPrompt;
+  placement.is_long = is_long;
   if (boundary > 0) {
     (is_long ? placement.lane_begin : placement.lane_end) = boundary;
   }
@@ -291,13 +294,17 @@
 double Balancer::Score(const Server& server,
                        double expected_ms,
                        int uncached,
-                       bool in_lane) {
+                       bool in_lane,
+                       bool is_long) {
   const bool other_domain =
       server.record.failure_domain != this->options.failure_domain;
   return expected_ms + kWorkWeight * uncached / kPrefillTokensPerMs +
          kNoiseMs * this->random.Unit() +
          kErrorMs * std::max(0.0, server.error_rate - kUsualErrors) +
-         (other_domain ? kDomainPenaltyMs : 0) + (in_lane ? 0 : kOtherLaneMs);
+         (other_domain ? kDomainPenaltyMs : 0) +
+         (in_lane   ? 0
+          : is_long ? kLongPromptMs
+                    : kOtherLaneMs);
 }
 
 Balancer::Candidate Balancer::Evaluate(const Pool& pool,
@@ -324,7 +331,8 @@
   candidate.index = index;
   // A server that fell silent is used only if no other is left.
   candidate.avoided = now < server.avoid_until || server.record.silent;
-  candidate.score = this->Score(server, expected, uncached, in_lane);
+  candidate.score =
+      this->Score(server, expected, uncached, in_lane, placement.is_long);
   Choice& choice = candidate.choice;
   choice.server_key = key;
   choice.server_id = server.record.server_id;
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -133,6 +133,7 @@
   // What Choose knows of a request's place among the servers.
   struct Placement {
     const Generation* generation = nullptr;
+    bool is_long = false;
     // Servers [lane_begin, lane_end) of the pool are meant for the request.
     std::size_t lane_begin = 0;
     std::size_t lane_end = 0;
@@ -149,7 +150,8 @@
   double Score(const Server& server,
                double expected_ms,
                int uncached,
-               bool in_lane);
+               bool in_lane,
+               bool is_long);
   // @param hit_rate probability that the server has a part of which this
   // gateway does not know.
   int UncachedTokens(const Server& server,
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -35,6 +35,17 @@
 constexpr Duration kRetryAfterRefusal = milliseconds(300);
 constexpr Duration kRetryAfterNoServer = milliseconds(500);
 
+// A generation whose first event is expected later than this multiple of the
+// route's target is turned away: it would be late, and would make those behind
+// it late as well. The estimate is on the high side when engines are busy.
+constexpr double kHopelessFactor = 1.6;
+// When such a caller may come back, as a part of the time that it has left.
+// Callers wait for a third of it at the most.
+constexpr double kEarliestReturn = 0.2;
+constexpr double kLatestReturn = 0.32;
+constexpr int kReturnSteps = 1000;
+constexpr Duration kLongestReturn = milliseconds(2500);
+
 // Silence after which a request that may be repeated is sent to another
 // server, as a multiple of the route's target, and the shortest such time.
 constexpr double kFirstByteFactor = 2.0;
@@ -127,9 +138,33 @@
     }
     return;
   }
+  if (this->IsHopeless(*found)) {
+    this->Answer(kUnavailable, "no engine can begin it in time",
+                 this->ComeBackLater());
+    return;
+  }
   this->Send(*found);
 }
 
+bool Forwarder::IsHopeless(const Choice& found) const {
+  // What has run, or was refused elsewhere, is not turned away: its caller has
+  // waited, and no more load comes from it.
+  return this->demand.generation != nullptr && this->attempts == 0 &&
+         found.running > 0 && !this->last_event &&
+         found.expected > Scale(this->job.route->target, kHopelessFactor);
+}
+
+Duration Forwarder::ComeBackLater() const {
+  const Duration left = this->deadline - this->context.loop.Now();
+  // Spread by the request, so that callers do not come back together.
+  const double part =
+      kEarliestReturn +
+      (kLatestReturn - kEarliestReturn) *
+          static_cast<double>(StableHash64(this->request_id) % kReturnSteps) /
+          kReturnSteps;
+  return std::min(kLongestReturn, Scale(left, part));
+}
+
 void Forwarder::Send(const Choice& found) {
   const TimePoint now = this->context.loop.Now();
   const Route& route = *this->job.route;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -70,6 +70,10 @@
   Forwarder(ForwardContext& context, ForwardJob job);
 
   void Begin();
+  // @return true if the request would be late wherever it is sent.
+  bool IsHopeless(const Choice& found) const;
+  // @return when its caller may come back.
+  Duration ComeBackLater() const;
   // Sends the request to the best server, or answers the caller.
   void Dispatch();
   void Send(const Choice& found);
