--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -139,6 +139,16 @@
     return;
   }
   if (this->IsHopeless(*found)) {
+    LogEvent(Severity::kInfo, Event::kRequestRefused,
+             {{"request_id", this->request_id},
+              {"route", this->job.route->name},
+              {"best_server_id", found->server_id},
+              {"expected_ms", ToMilliseconds(found->expected)},
+              {"target_ms", ToMilliseconds(this->job.route->target)},
+              {"uncached_tokens", found->uncached_tokens},
+              {"running", found->running},
+              {"pending_tokens", found->pending_tokens},
+              {"slowness", found->slowness}});
     this->Answer(kUnavailable, "no engine can begin it in time",
                  this->ComeBackLater());
     return;
--- a/tests/gateway/balancer_test.cc
+++ b/tests/gateway/balancer_test.cc
@@ -98,6 +98,34 @@
              home->server_key);
 }
 
+// Pattern: 72 gateways with the same view of 112 engines, one of which looks
+// idle. Guards against all of them choosing it until they hear of each other.
+BOOST_AUTO_TEST_CASE(GatewaysDoNotAllChooseTheIdleEngine) {
+  std::vector<ServerRecord> records;
+  for (int i = 1; i <= 112; ++i) {
+    records.push_back(MakeServer(i));
+  }
+  const TimePoint now{seconds(100)};
+  LoadMessage message{"other", 1, {}, {}};
+  for (std::size_t i = 1; i < records.size(); ++i) {
+    message.shares.push_back({ServerCode(ServerKey(records[i])), 4, 4000});
+  }
+  int idle = 0;
+  for (std::uint64_t gateway = 1; gateway <= 72; ++gateway) {
+    Balancer balancer({"a", gateway});
+    balancer.SetServers(records);
+    balancer.OnPeerLoad(message, now);
+    Generation generation;
+    generation.input_tokens = 8000;
+    generation.prompt = {{1, 2000}, {gateway, 4000}, {1000 + gateway, 2000}};
+    Demand demand;
+    demand.service = "engines";
+    demand.generation = &generation;
+    idle += balancer.Choose(demand, now)->server_id == "s1" ? 1 : 0;
+  }
+  BOOST_TEST(idle < 12);
+}
+
 // Pattern: an engine crashes. Guards against gateways that keep connecting to
 // it, and against one that never comes back.
 BOOST_FIXTURE_TEST_CASE(UnreachableServerIsLeftForAWhile, Fixture) {
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -1,4 +1,6 @@
 // What callers see of failures of backend servers.
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 
 #include "gateway_fixture.h"
@@ -320,6 +322,47 @@
   BOOST_TEST(std::stoi(server.Requests()[0].Header("Left")) <= 300);
 }
 
+// Pattern: more long prompts than the engines read in time. Guards against a
+// queue in which every request becomes late, and against callers that come back
+// all at once.
+BOOST_FIXTURE_TEST_CASE(PromptThatCannotBeginInTimeIsTurnedAway,
+                        GatewayFixture) {
+  ScriptedServer server([](const ReceivedRequest& request, Socket& socket) {
+    socket.Send(StreamHead(request) + EventChunk(1, "one") + "0\r\n\r\n");
+    return true;
+  });
+  this->AddServer(server);
+  const std::string key =
+      "at-" + server.Address() + "@" + server.Address() + "#1";
+  const auto set_pending = [&](int tokens) {
+    LoadMessage message{"other", ++this->sequence, {}, {}};
+    message.shares.push_back({ServerCode(key), tokens > 0 ? 4 : 0, tokens});
+    this->OnLoop(
+        [&] { this->balancer.OnPeerLoad(message, this->clock.Now()); });
+  };
+  RawCaller caller(this->Address());
+  std::set<std::string> times;
+  set_pending(200000);
+  for (int i = 0; i < 5; ++i) {
+    caller.Send(Request("r" + std::to_string(i), "/stream/x", "prompt",
+                        "Tokens: 4000\r\nDeadline: 5000\r\n"));
+    const std::string answer = caller.ReadUntil("\r\n\r\n");
+    BOOST_TEST(Contains(answer, "HTTP/1.1 503"));
+    const std::size_t at = answer.find("Retry-After: ");
+    BOOST_REQUIRE(at != std::string::npos);
+    const double after = std::stod(answer.substr(at + 13));
+    BOOST_TEST(after >= 0.9);
+    BOOST_TEST(after <= 5.0 / 3);
+    times.insert(answer.substr(at, 20));
+  }
+  BOOST_TEST(times.size() > 2U);
+  BOOST_TEST(server.Requests().empty());
+  // A request that is no generation waits for no prompt.
+  set_pending(0);
+  caller.Send(Request("r9", "/stream/x", "prompt", "Tokens: 4000\r\n"));
+  BOOST_TEST(Contains(caller.ReadUntil("0\r\n\r\n"), "data: one"));
+}
+
 // Guards against a stream at a silent engine that its caller gives up first.
 BOOST_FIXTURE_TEST_CASE(SilentServerIsLeftForARepeatableRequest,
                         GatewayFixture) {
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -18,6 +18,12 @@
   if (deadline) {
     fields.deadline = milliseconds(std::stoi(*deadline));
   }
+  const auto tokens = FindHeader(head.headers, "Tokens");
+  if (tokens) {
+    fields.generation.emplace();
+    fields.generation->input_tokens = std::stoi(*tokens);
+    fields.generation->prompt = {{1, std::stoi(*tokens)}};
+  }
   return fields;
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -54,6 +54,7 @@
   RouteHandler handler{context};
   std::unique_ptr<CallerServer> callers;
   std::vector<std::string> addresses;
+  std::uint64_t sequence = 0;  // Of messages about other gateways' load.
   std::thread thread;
 };
 
