--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -246,7 +246,9 @@
               Event event,
               std::initializer_list<LogField> fields = {});
 
-// Lines go to this descriptor from now on; standard error at first.
+// Lines go to this descriptor from now on; standard error at first. It is made
+// non-blocking: a reader that stops costs lines, never time. The next line that
+// can be written has their number as `lost_lines`.
 void SetLogDescriptor(int descriptor);
 
 // Lines below `severity` are dropped. The default is kInfo.
@@ -271,6 +273,12 @@
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
+// @return `duration` times `factor`, rounded towards zero.
+constexpr Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(duration.count()) * factor));
+}
+
 // Source of time.
 class Clock {
  public:
--- a/include/sycamorebend/settings.h
+++ b/include/sycamorebend/settings.h
@@ -105,6 +105,10 @@
   std::shared_ptr<std::set<std::string>> known;
 };
 
+// @return the value of "log_severity": debug, info, warning or error; info if
+// it is absent.
+Severity ReadLogSeverity(SettingsObject& object);
+
 // @return true if `text` is an IPv4 address and a port from 1 to 65535.
 bool IsAddress(std::string_view text);
 
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <fmt/format.h>
@@ -17,6 +18,9 @@
 
 std::atomic<int> log_descriptor{STDERR_FILENO};
 
+// Lines that could not be written since the last one that was.
+std::atomic<std::uint64_t> lost_lines{0};
+
 constexpr EventInfo kEvents[] = {
     {Event::kProcessStarted, "process_started", "The process started."},
     {Event::kProcessStopping, "process_stopping",
@@ -179,6 +183,10 @@
     : LogField(name, static_cast<std::uint64_t>(value)) {}
 
 void SetLogDescriptor(int descriptor) {
+  const int flags = ::fcntl(descriptor, F_GETFL);
+  if (flags >= 0) {
+    ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
+  }
   log_descriptor.store(descriptor);
 }
 
@@ -197,6 +205,10 @@
                  R"({{"time_ms":{},"severity":"{}","event":{},"name":"{}")",
                  SystemClock().WallTimeMs(), SeverityName(severity),
                  static_cast<int>(event), EventName(event));
+  const std::uint64_t lost = lost_lines.exchange(0);
+  if (lost > 0) {
+    fmt::format_to(std::back_inserter(line), R"(,"lost_lines":{})", lost);
+  }
   for (const LogField& field : fields) {
     fmt::format_to(std::back_inserter(line), R"(,"{}":{})", field.name,
                    field.json);
@@ -204,9 +216,9 @@
   line.push_back('}');
   line.push_back('\n');
   // One write for the whole line, so that lines of threads do not mix.
-  const ssize_t written =
-      ::write(log_descriptor.load(), line.data(), line.size());
-  static_cast<void>(written);  // There is no place to report it to.
+  if (::write(log_descriptor.load(), line.data(), line.size()) < 0) {
+    lost_lines.fetch_add(1);
+  }
 }
 
 }  // namespace sycamorebend
--- a/src/controld/control_settings.cc
+++ b/src/controld/control_settings.cc
@@ -1,6 +1,5 @@
 #include "controld/control_settings.h"
 
-#include <algorithm>
 #include <limits>
 #include <set>
 
@@ -101,13 +100,7 @@
   settings.feed.max_followers = static_cast<std::size_t>(
       root.GetInteger("max_followers", 1, kMaxFollowers,
                       static_cast<int>(settings.feed.max_followers)));
-  const std::vector<std::string> severities = {"debug", "info", "warning",
-                                               "error"};
-  const std::string severity =
-      root.GetChoice("log_severity", severities, "info");
-  settings.log_threshold = static_cast<Severity>(
-      std::find(severities.begin(), severities.end(), severity) -
-      severities.begin());
+  settings.log_threshold = ReadLogSeverity(root);
   BOOST_OUTCOME_TRY(root.Finish());
   return settings;
 }
--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -265,8 +265,9 @@
     }
   }
   const std::size_t count = std::min(kHomeHitRates.size(), ranks.size());
-  std::partial_sort(ranks.begin(), ranks.begin() + count, ranks.end(),
-                    std::greater<>());
+  std::partial_sort(ranks.begin(),
+                    ranks.begin() + static_cast<std::ptrdiff_t>(count),
+                    ranks.end(), std::greater<>());
   for (std::size_t i = 0; i < count; ++i) {
     placement.homes.push_back(ranks[i].second);
   }
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -54,11 +54,6 @@
 constexpr double kGapFactor = 3.0;
 constexpr Duration kShortestGap = milliseconds(600);
 
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 bool IsEventStream(const HttpHeaders& headers) {
   constexpr std::string_view kType = "text/event-stream";
   const auto type = FindHeader(headers, "Content-Type");
@@ -182,7 +177,6 @@
   ++this->attempts;
   this->sent_at = now;
   this->first_byte_seen = false;
-  this->connected = false;
   this->answer_is_stream = false;
   this->body.clear();
   this->splitter = net::SseSplitter();
@@ -260,7 +254,6 @@
 }
 
 void Forwarder::OnConnected(bool /*reused*/) {
-  this->connected = true;
   this->may_have_run = true;
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -121,7 +121,6 @@
   bool may_have_run = false;
   TimePoint sent_at;
   bool first_byte_seen = false;
-  bool connected = false;
 
   net::MessageHead answer;
   AnswerFields answer_fields;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -1,7 +1,5 @@
 #include "gateway/gateway_settings.h"
 
-#include <algorithm>
-
 namespace sycamorebend::gateway {
 
 namespace {
@@ -33,13 +31,7 @@
       root.GetNumber("retry_ratio", 0, kMaxRetryRatio, settings.retry_ratio);
   settings.retry_slack = static_cast<int>(
       root.GetInteger("retry_slack", 0, kMaxRetrySlack, settings.retry_slack));
-  const std::vector<std::string> severities = {"debug", "info", "warning",
-                                               "error"};
-  const std::string severity =
-      root.GetChoice("log_severity", severities, "info");
-  settings.log_threshold = static_cast<Severity>(
-      std::find(severities.begin(), severities.end(), severity) -
-      severities.begin());
+  settings.log_threshold = ReadLogSeverity(root);
   BOOST_OUTCOME_TRY(root.Finish());
   return settings;
 }
--- a/src/gateway/lanes.cc
+++ b/src/gateway/lanes.cc
@@ -33,11 +33,6 @@
   return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
 
-Duration Scaled(Duration duration, double factor) {
-  return Duration(static_cast<Duration::rep>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 void DecayingSum::Add(double amount, TimePoint now) {
@@ -106,7 +101,7 @@
     any_long = any_long || this->Long(load);
     any_harmed =
         any_harmed ||
-        (!this->Long(load) && Scaled(load.gap_target, kGapUse) < slowest_event);
+        (!this->Long(load) && Scale(load.gap_target, kGapUse) < slowest_event);
   }
   return any_long && any_harmed;
 }
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -321,4 +321,14 @@
   return Success();
 }
 
+Severity ReadLogSeverity(SettingsObject& object) {
+  const std::vector<std::string> severities = {"debug", "info", "warning",
+                                               "error"};
+  const std::string severity =
+      object.GetChoice("log_severity", severities, "info");
+  return static_cast<Severity>(
+      std::find(severities.begin(), severities.end(), severity) -
+      severities.begin());
+}
+
 }  // namespace sycamorebend
--- a/tests/base/base_test.cc
+++ b/tests/base/base_test.cc
@@ -1,10 +1,35 @@
 #define BOOST_TEST_MODULE base
 #include <boost/test/unit_test.hpp>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include "sycamorebend/base.h"
 
 namespace sycamorebend {
 
+// Guards against a process that stands still because nobody reads its log.
+BOOST_AUTO_TEST_CASE(StoppedLogReaderCostsLinesOnly) {
+  int ends[2] = {-1, -1};
+  BOOST_REQUIRE(pipe(ends) == 0);
+  SetLogDescriptor(ends[1]);
+  constexpr int kLines = 5000;
+  for (int i = 0; i < kLines; ++i) {
+    LogEvent(Severity::kInfo, Event::kListening, {{"line", i}});
+  }
+  std::string text(1 << 20, '\0');
+  BOOST_REQUIRE(read(ends[0], text.data(), text.size()) > 0);
+  LogEvent(Severity::kInfo, Event::kListening);
+  const ssize_t size = read(ends[0], text.data(), text.size());
+  const int flags = fcntl(STDERR_FILENO, F_GETFL);
+  SetLogDescriptor(STDERR_FILENO);
+  fcntl(STDERR_FILENO, F_SETFL, flags);
+  close(ends[0]);
+  close(ends[1]);
+  text.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
+  BOOST_TEST(text.find("\"lost_lines\":") != std::string::npos);
+}
+
 // Guards against two codes or two events with the same number or name, which
 // would make error bodies and logs ambiguous.
 BOOST_AUTO_TEST_CASE(TablesAreOrderedAndUnique) {
--- a/tests/gateway/caller_test.cc
+++ b/tests/gateway/caller_test.cc
@@ -7,15 +7,6 @@
 
 namespace {
 
-bool Contains(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
-bool Echo(const ReceivedRequest& request, Socket& socket) {
-  socket.Send(Answer(request, 200, "body of " + request.Header("Request-Id")));
-  return true;
-}
-
 struct OneServer : GatewayFixture {
   OneServer() { this->AddServer(this->server); }
   ScriptedServer server{Echo};
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -9,15 +9,6 @@
 
 namespace {
 
-bool Contains(const std::string& text, const std::string& part) {
-  return text.find(part) != std::string::npos;
-}
-
-bool Echo(const ReceivedRequest& request, Socket& socket) {
-  socket.Send(Answer(request, 200, "body of " + request.Header("Request-Id")));
-  return true;
-}
-
 // Breaks the connection of the first request, then answers.
 ScriptedServer::Script BreakFirst(std::atomic<int>& count) {
   return [&count](const ReceivedRequest& request, Socket& socket) {
--- a/tests/gateway/scripted_server.cc
+++ b/tests/gateway/scripted_server.cc
@@ -152,6 +152,15 @@
       status, request.Header("Request-Id"), more_headers, body.size(), body);
 }
 
+bool Echo(const ReceivedRequest& request, Socket& socket) {
+  socket.Send(Answer(request, 200, "body of " + request.Header("Request-Id")));
+  return true;
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
 std::string StreamHead(const ReceivedRequest& request) {
   return fmt::format(
       "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nSigned: yes\r\nContent-Type: "
--- a/tests/gateway/scripted_server.h
+++ b/tests/gateway/scripted_server.h
@@ -76,6 +76,11 @@
                    const std::string& body,
                    const std::string& more_headers = "Signed: yes\r\n");
 
+// Script: answers "body of ID".
+bool Echo(const ReceivedRequest& request, Socket& socket);
+
+bool Contains(const std::string& text, const std::string& part);
+
 // @return the head of a stream, and one event of it as a chunk.
 std::string StreamHead(const ReceivedRequest& request);
 std::string EventChunk(int id, const std::string& data);
