Exchange sums of load between failure domains through relays

Cause: each gateway sent its load to every other one. Change: above 24 gateways each tells those of its own failure domain; two relays of a domain send its sum to those of the others, which pass it on. The sums are kept as messages arrive, not added up for each candidate. Ruled out: a message for a domain through one relay (its loss would hide a domain until its lease ends); relays in small fleets (a hop more for few bytes).

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -148,19 +148,6 @@
   return found == this->servers.end() ? nullptr : found->second.get();
 }
 
-int Balancer::CountUsable(const std::string& service) const {
-  const auto found = this->pools.find(service);
-  if (found == this->pools.end()) {
-    return 0;
-  }
-  const std::vector<std::string>& keys = found->second.keys;
-  return static_cast<int>(
-      std::count_if(keys.begin(), keys.end(), [&](const std::string& key) {
-        const auto server = this->servers.find(key);
-        return server != this->servers.end() && !server->second->record.leaving;
-      }));
-}
-
 int Balancer::UncachedTokens(const Server& server,
                              const Generation& generation,
                              double hit_rate,
@@ -190,9 +177,9 @@
 
 double Balancer::ExpectedMs(const Pool& pool,
                             const Server& server,
+                            const LoadShare& others,
                             int uncached,
                             TimePoint now) const {
-  const LoadShare others = this->peers.Total(server.code, now);
   double running = server.outstanding + others.outstanding;
   if (server.load && now - server.load_at < kLoadAge) {
     // Own work since the report counts besides what it says.
@@ -222,6 +209,9 @@
       message.needs.push_back({ServerCode(service), need});
     }
   }
+  if (message.scope != LoadScope::kGateway) {
+    this->peers.AddGateways(message, now);
+  }
 }
 
 int Balancer::SlotsOf(const Pool& pool) const {
@@ -326,8 +316,8 @@
       placement.generation == nullptr
           ? 0
           : this->UncachedTokens(server, *placement.generation, hit_rate, now);
-  const double expected = this->ExpectedMs(pool, server, uncached, now);
   const LoadShare others = this->peers.Total(server.code, now);
+  const double expected = this->ExpectedMs(pool, server, others, uncached, now);
   Candidate candidate;
   candidate.index = index;
   // A server that fell silent is used only if no other is left.
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -92,15 +92,13 @@
               const LoadReport& report,
               TimePoint now);
 
-  // What this gateway has at the servers, for the others.
+  // Fills in what this gateway has at the servers or, if the message is for a
+  // failure domain, what all gateways of its own domain have.
   void ReportLoad(LoadMessage& message, TimePoint now);
   void OnPeerLoad(const LoadMessage& message, TimePoint now) {
     this->peers.Take(message, now);
   }
 
-  // @return servers of `service` that get new work.
-  int CountUsable(const std::string& service) const;
-
  private:
   struct Server {
     ServerRecord record;
@@ -185,6 +183,7 @@
   // Expected time to the first byte, in ms, from the load of all gateways.
   double ExpectedMs(const Pool& pool,
                     const Server& server,
+                    const LoadShare& others,
                     int uncached,
                     TimePoint now) const;
   void NoteParts(Server& server, const Generation& generation, TimePoint now);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -75,6 +75,7 @@
   BOOST_OUTCOME_TRY(started_exchange,
                     LoadExchange::Start(
                         this->loop, this->settings.exchange_address,
+                        this->settings.failure_domain,
                         [this](LoadMessage& message) {
                           this->balancer.ReportLoad(message, this->loop.Now());
                         },
@@ -111,11 +112,12 @@
     this->pool.Forget(key);
   }
   this->SetRetryLimits(state->entries.size());
-  std::vector<std::string> ips;
+  std::vector<ExchangePeer> gateways;
   for (const EntryInfo& entry : state->entries) {
-    ips.push_back(entry.address.substr(0, entry.address.find(':')));
+    gateways.push_back({entry.address.substr(0, entry.address.find(':')),
+                        entry.failure_domain});
   }
-  this->exchange->SetPeers(std::move(ips));
+  this->exchange->SetGateways(gateways);
   this->TakeConfiguration(*state);
 }
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
 #include <msgpack.hpp>
 
 namespace sycamorebend::gateway {
@@ -15,13 +16,19 @@
 // number, so that the messages that each receives in a second do not.
 constexpr Duration kRound = milliseconds(50);
 constexpr std::size_t kFewPeers = 36;
+// More gateways than these exchange sums of their failure domains.
+constexpr std::size_t kMaxDirectGateways = 24;
+// Gateways of a failure domain that pass sums on: one may be lost unnoticed.
+constexpr std::size_t kRelays = 2;
 
 using EncodedShare = std::tuple<std::uint32_t, int, int>;
 using EncodedNeed = std::tuple<std::uint32_t, double, double>;
 using EncodedMessage = std::tuple<std::string,
                                   std::uint64_t,
                                   std::vector<EncodedShare>,
-                                  std::vector<EncodedNeed>>;
+                                  std::vector<EncodedNeed>,
+                                  int,
+                                  std::string>;
 
 }  // namespace
 
@@ -30,7 +37,9 @@
 }
 
 std::string EncodeLoadMessage(const LoadMessage& message) {
-  EncodedMessage encoded(message.sender, message.sequence, {}, {});
+  EncodedMessage encoded(message.sender, message.sequence, {}, {},
+                         static_cast<int>(message.scope),
+                         message.failure_domain);
   for (const LoadShare& share : message.shares) {
     std::get<2>(encoded).emplace_back(share.server, share.outstanding,
                                       share.pending_tokens);
@@ -51,6 +60,14 @@
     const auto encoded = handle.get().as<EncodedMessage>();
     message.sender = std::get<0>(encoded);
     message.sequence = std::get<1>(encoded);
+    const int scope = std::get<4>(encoded);
+    if (scope < static_cast<int>(LoadScope::kGateway) ||
+        scope > static_cast<int>(LoadScope::kDomain)) {
+      return MakeError(ResultCode::kProtocolError,
+                       fmt::format("load message of unknown scope {}", scope));
+    }
+    message.scope = static_cast<LoadScope>(scope);
+    message.failure_domain = std::get<5>(encoded);
     for (const auto& [server, outstanding, tokens] : std::get<2>(encoded)) {
       message.shares.push_back(
           {server, std::max(0, outstanding), std::max(0, tokens)});
@@ -65,58 +82,125 @@
   return message;
 }
 
+void PeerLoads::Count(const Peer& peer, int sign) {
+  for (const LoadShare& share : peer.shares) {
+    const auto total = this->totals.try_emplace(share.server).first;
+    total->second.outstanding += sign * share.outstanding;
+    total->second.pending_tokens += sign * share.pending_tokens;
+    if (total->second.outstanding == 0 && total->second.pending_tokens == 0) {
+      this->totals.erase(total);
+    }
+  }
+  for (const NeedShare& share : peer.needs) {
+    LaneNeed& total = this->total_needs[share.service];
+    total.short_prompts += sign * share.need.short_prompts;
+    total.long_prompts += sign * share.need.long_prompts;
+  }
+}
+
 void PeerLoads::Take(const LoadMessage& message, TimePoint now) {
-  Peer& peer = this->peers[message.sender];
-  if (message.sequence <= peer.sequence) {
+  const bool domain = message.scope != LoadScope::kGateway;
+  Peer& peer =
+      this->peers[{domain, domain ? message.failure_domain : message.sender}];
+  if (peer.sender == message.sender && message.sequence <= peer.sequence) {
     return;
   }
-  peer.sequence = message.sequence;
-  peer.at = now;
-  peer.shares.clear();
-  for (const LoadShare& share : message.shares) {
-    peer.shares[share.server] = share;
-  }
-  peer.needs.clear();
-  for (const NeedShare& share : message.needs) {
-    peer.needs[share.service] = share.need;
+  this->Count(peer, -1);
+  peer = {message.sender, message.sequence, now, message.shares, message.needs};
+  this->Count(peer, 1);
+  this->Expire(now);
+}
+
+void PeerLoads::Expire(TimePoint now) {
+  if (now < this->next_expiry) {
+    return;
   }
+  this->next_expiry = TimePoint::max();
   for (auto one = this->peers.begin(); one != this->peers.end();) {
-    one = now - one->second.at > kMaxAge ? this->peers.erase(one)
-                                         : std::next(one);
+    const TimePoint expiry = one->second.at + kMaxAge;
+    if (now > expiry) {
+      this->Count(one->second, -1);
+      one = this->peers.erase(one);
+      continue;
+    }
+    this->next_expiry = std::min(this->next_expiry, expiry);
+    ++one;
+  }
+}
+
+LoadShare PeerLoads::Total(std::uint32_t server, TimePoint now) {
+  this->Expire(now);
+  const auto total = this->totals.find(server);
+  return total == this->totals.end() ? LoadShare{server, 0, 0} : total->second;
+}
+
+LaneNeed PeerLoads::TotalNeed(std::uint32_t service, TimePoint now) {
+  this->Expire(now);
+  const auto total = this->total_needs.find(service);
+  if (total == this->total_needs.end()) {
+    return {};
   }
+  return {std::max(0.0, total->second.short_prompts),
+          std::max(0.0, total->second.long_prompts)};
 }
 
-LoadShare PeerLoads::Total(std::uint32_t server, TimePoint now) const {
-  LoadShare total;
-  total.server = server;
-  for (const auto& [sender, peer] : this->peers) {
-    const auto share = peer.shares.find(server);
-    if (share != peer.shares.end() && now - peer.at <= kMaxAge) {
-      total.outstanding += share->second.outstanding;
-      total.pending_tokens += share->second.pending_tokens;
+void PeerLoads::AddGateways(LoadMessage& message, TimePoint now) {
+  this->Expire(now);
+  PeerLoads sum;
+  Peer own;
+  own.shares.swap(message.shares);
+  own.needs.swap(message.needs);
+  sum.Count(own, 1);
+  for (const auto& [key, peer] : this->peers) {
+    if (!key.first) {
+      sum.Count(peer, 1);
     }
   }
-  return total;
+  for (const auto& [server, total] : sum.totals) {
+    message.shares.push_back({server, total.outstanding, total.pending_tokens});
+  }
+  for (const auto& [service, need] : sum.total_needs) {
+    message.needs.push_back({service, need});
+  }
 }
 
-LaneNeed PeerLoads::TotalNeed(std::uint32_t service, TimePoint now) const {
-  LaneNeed total;
-  for (const auto& [sender, peer] : this->peers) {
-    const auto need = peer.needs.find(service);
-    if (need != peer.needs.end() && now - peer.at <= kMaxAge) {
-      total.short_prompts += need->second.short_prompts;
-      total.long_prompts += need->second.long_prompts;
+ExchangePlan PlanExchange(const ExchangePeer& self,
+                          const std::vector<ExchangePeer>& gateways) {
+  ExchangePlan plan;
+  const bool relayed = gateways.size() > kMaxDirectGateways;
+  std::map<std::string, std::vector<std::string>> domains;
+  for (const ExchangePeer& gateway : gateways) {
+    domains[gateway.failure_domain].push_back(gateway.ip);
+    if (gateway.ip != self.ip &&
+        (!relayed || gateway.failure_domain == self.failure_domain)) {
+      plan.direct.push_back(gateway.ip);
     }
   }
-  return total;
+  for (auto& [domain, ips] : domains) {
+    std::sort(ips.begin(), ips.end());
+  }
+  const std::vector<std::string>& own = domains[self.failure_domain];
+  const auto place = static_cast<std::size_t>(
+      std::find(own.begin(), own.end(), self.ip) - own.begin());
+  if (!relayed || place >= std::min(kRelays, own.size())) {
+    return plan;
+  }
+  for (const auto& [domain, ips] : domains) {
+    if (domain != self.failure_domain) {
+      plan.relays.push_back(ips[std::min(place, ips.size() - 1)]);
+    }
+  }
+  return plan;
 }
 
 LoadExchange::LoadExchange(net::EventLoop& loop,
-                           std::string address,
+                           const std::string& address,
+                           std::string failure_domain,
                            LoadSource source,
                            MessageSink sink)
     : loop(loop),
-      address(std::move(address)),
+      self{address.substr(0, address.find(':')), std::move(failure_domain)},
+      port(address.substr(address.find(':'))),
       sender(RandomId().substr(0, 8)),
       source(std::move(source)),
       sink(std::move(sink)) {}
@@ -124,10 +208,11 @@
 Result<std::unique_ptr<LoadExchange>> LoadExchange::Start(
     net::EventLoop& loop,
     const std::string& address,
+    const std::string& failure_domain,
     LoadSource source,
     MessageSink sink) {
-  std::unique_ptr<LoadExchange> exchange(
-      new LoadExchange(loop, address, std::move(source), std::move(sink)));
+  std::unique_ptr<LoadExchange> exchange(new LoadExchange(
+      loop, address, failure_domain, std::move(source), std::move(sink)));
   LoadExchange* const raw = exchange.get();
   BOOST_OUTCOME_TRY(socket, net::DatagramSocket::Bind(
                                 loop, address, [raw](std::string_view data) {
@@ -142,18 +227,12 @@
   this->loop.Cancel(this->timer);
 }
 
-void LoadExchange::SetPeers(std::vector<std::string> ips) {
-  const std::string port = this->address.substr(this->address.find(':'));
-  this->peers.clear();
-  for (const std::string& ip : ips) {
-    if (ip + port != this->address) {
-      this->peers.push_back(ip + port);
-    }
-  }
+void LoadExchange::SetGateways(const std::vector<ExchangePeer>& gateways) {
+  this->plan = PlanExchange(this->self, gateways);
 }
 
 void LoadExchange::Receive(std::string_view data) {
-  const Result<LoadMessage> message = DecodeLoadMessage(data);
+  Result<LoadMessage> message = DecodeLoadMessage(data);
   if (!message) {
     LogEvent(Severity::kWarning, Event::kReportRejected,
              {{"source", "load of another gateway"},
@@ -161,6 +240,22 @@
     return;
   }
   this->sink(message.value());
+  if (message.value().scope == LoadScope::kDomainToRelay) {
+    this->PassOn(std::move(message.value()));
+  }
+}
+
+void LoadExchange::PassOn(LoadMessage message) {
+  message.scope = LoadScope::kDomain;
+  this->SendTo(this->plan.direct, message);
+}
+
+void LoadExchange::SendTo(const std::vector<std::string>& ips,
+                          const LoadMessage& message) {
+  const std::string data = EncodeLoadMessage(message);
+  for (const std::string& ip : ips) {
+    this->socket->Send(ip + this->port, data);
+  }
 }
 
 void LoadExchange::SendRound() {
@@ -168,20 +263,30 @@
   if (now < this->next_round) {
     return;
   }
-  this->next_round = now + kRound * (this->peers.size() / kFewPeers);
+  this->next_round = now + kRound * (this->plan.direct.size() / kFewPeers);
+  ++this->sequence;
+  this->SendLoad(LoadScope::kGateway, this->plan.direct);
+  this->SendLoad(LoadScope::kDomainToRelay, this->plan.relays);
+}
+
+void LoadExchange::SendLoad(LoadScope scope,
+                            const std::vector<std::string>& ips) {
+  if (ips.empty()) {
+    return;
+  }
   LoadMessage message;
   message.sender = this->sender;
-  message.sequence = ++this->sequence;
+  message.sequence = this->sequence;
+  message.scope = scope;
+  message.failure_domain = this->self.failure_domain;
   this->source(message);
   // One message says that nothing is left; silence says the same afterwards.
-  if (message.shares.empty() && std::exchange(this->said_idle, true)) {
+  bool& idle = this->said_idle[scope];
+  if (message.shares.empty() && idle) {
     return;
   }
-  this->said_idle = message.shares.empty();
-  const std::string data = EncodeLoadMessage(message);
-  for (const std::string& peer : this->peers) {
-    this->socket->Send(peer, data);
-  }
+  idle = message.shares.empty();
+  this->SendTo(ips, message);
 }
 
 }  // namespace sycamorebend::gateway
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "gateway/lanes.h"
@@ -36,10 +37,19 @@
   LaneNeed need;
 };
 
+// Whose load a message carries, and who passes it on.
+enum class LoadScope {
+  kGateway = 0,        // That of the sender.
+  kDomainToRelay = 1,  // That of a failure domain; the receiver passes it on.
+  kDomain = 2,         // That of a failure domain, passed on.
+};
+
 // One message of a gateway.
 struct LoadMessage {
   std::string sender;  // Differs after a restart.
   std::uint64_t sequence = 0;
+  LoadScope scope = LoadScope::kGateway;
+  std::string failure_domain;  // Of the sender.
   std::vector<LoadShare> shares;
   std::vector<NeedShare> needs;
 };
@@ -48,65 +58,104 @@
 // @return kProtocolError for anything else than an encoded message.
 Result<LoadMessage> DecodeLoadMessage(std::string_view data);
 
-// The newest message of each other gateway. No threads, no I/O.
+// The newest message of each other gateway and failure domain, and their sums.
+// No threads, no I/O.
 class PeerLoads {
  public:
   // A repeated or overtaken message changes nothing.
   void Take(const LoadMessage& message, TimePoint now);
   // @return the sum of what the other gateways have at the server.
-  LoadShare Total(std::uint32_t server, TimePoint now) const;
+  LoadShare Total(std::uint32_t server, TimePoint now);
   // @return what the other gateways need of the service.
-  LaneNeed TotalNeed(std::uint32_t service, TimePoint now) const;
+  LaneNeed TotalNeed(std::uint32_t service, TimePoint now);
+  // Adds what each gateway said of itself to `message`.
+  void AddGateways(LoadMessage& message, TimePoint now);
 
  private:
   struct Peer {
+    std::string sender;
     std::uint64_t sequence = 0;
     TimePoint at;
-    std::unordered_map<std::uint32_t, LoadShare> shares;
-    std::unordered_map<std::uint32_t, LaneNeed> needs;
+    std::vector<LoadShare> shares;
+    std::vector<NeedShare> needs;
   };
+  using PeerKey = std::pair<bool, std::string>;  // Whether it is a domain.
+
+  // Adds `sign` times the peer's load to the sums.
+  void Count(const Peer& peer, int sign);
+  void Expire(TimePoint now);
+
+  std::map<PeerKey, Peer> peers;
+  std::unordered_map<std::uint32_t, LoadShare> totals;
+  std::unordered_map<std::uint32_t, LaneNeed> total_needs;
+  TimePoint next_expiry;
+};
+
+// Another gateway as the exchange sees it.
+struct ExchangePeer {
+  std::string ip;
+  std::string failure_domain;
+};
 
-  std::map<std::string, Peer> peers;
+// Who gets which message of one gateway. A few gateways tell each other
+// directly. More of them do so within their failure domain, and two relays of
+// each domain exchange its sum with those of the others: the bytes between
+// domains do not grow with the square of the gateways.
+struct ExchangePlan {
+  std::vector<std::string> direct;  // IPs that get this gateway's load.
+  std::vector<std::string> relays;  // IPs that get the domain's sum.
 };
 
+// @param self must be one of `gateways`, otherwise it is no relay.
+ExchangePlan PlanExchange(const ExchangePeer& self,
+                          const std::vector<ExchangePeer>& gateways);
+
 // Sends this gateway's load to the others and receives theirs.
 class LoadExchange {
  public:
-  // Fills in all but the sender and the sequence.
+  // Fills in the shares and needs for the message's scope.
   using LoadSource = std::function<void(LoadMessage&)>;
   using MessageSink = std::function<void(const LoadMessage&)>;
 
   // @param address "IP:port" for the datagrams; the others use the same port.
   // @return the exchange, or kListenFailed.
-  static Result<std::unique_ptr<LoadExchange>> Start(net::EventLoop& loop,
-                                                     const std::string& address,
-                                                     LoadSource source,
-                                                     MessageSink sink);
+  static Result<std::unique_ptr<LoadExchange>> Start(
+      net::EventLoop& loop,
+      const std::string& address,
+      const std::string& failure_domain,
+      LoadSource source,
+      MessageSink sink);
   ~LoadExchange();
 
-  // @param ips the other gateways.
-  void SetPeers(std::vector<std::string> ips);
+  // @param gateways all gateways, this one included.
+  void SetGateways(const std::vector<ExchangePeer>& gateways);
 
  private:
   LoadExchange(net::EventLoop& loop,
-               std::string address,
+               const std::string& address,
+               std::string failure_domain,
                LoadSource source,
                MessageSink sink);
 
   void Receive(std::string_view data);
+  // Passes the sum of another failure domain on within this one.
+  void PassOn(LoadMessage message);
   void SendRound();
+  void SendLoad(LoadScope scope, const std::vector<std::string>& ips);
+  void SendTo(const std::vector<std::string>& ips, const LoadMessage& message);
 
   net::EventLoop& loop;
-  const std::string address;
+  const ExchangePeer self;
+  const std::string port;  // With its colon.
   const std::string sender;
   const LoadSource source;
   const MessageSink sink;
   std::unique_ptr<net::DatagramSocket> socket;
-  std::vector<std::string> peers;
+  ExchangePlan plan;
   TimerId timer = 0;
   TimePoint next_round;
   std::uint64_t sequence = 0;
-  bool said_idle = false;
+  std::map<LoadScope, bool> said_idle;
 };
 
 }  // namespace sycamorebend::gateway
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -1,6 +1,10 @@
 #include "gateway/load_exchange.h"
 
+#include <map>
 #include <random>
+#include <set>
+#include <string>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -15,10 +19,31 @@
                     int outstanding) {
   return {sender,
           sequence,
+          LoadScope::kGateway,
+          "a",
           {{kServer, outstanding, outstanding * 100}},
           {{kServer, {0.5, 1.5}}}};
 }
 
+LoadMessage DomainMessage(const std::string& sender, int outstanding) {
+  LoadMessage message = Message(sender, 1, outstanding);
+  message.scope = LoadScope::kDomain;
+  message.failure_domain = "b";
+  return message;
+}
+
+// @return gateways "a0", "a1" ... in failure domain "a", and so on.
+std::vector<ExchangePeer> Gateways(int domains, int in_each) {
+  std::vector<ExchangePeer> gateways;
+  for (int domain = 0; domain < domains; ++domain) {
+    for (int i = 0; i < in_each; ++i) {
+      const std::string name(1, static_cast<char>('a' + domain));
+      gateways.push_back({name + std::to_string(i), name});
+    }
+  }
+  return gateways;
+}
+
 }  // namespace
 
 // Guards against a codec that loses or invents load.
@@ -71,4 +96,56 @@
   BOOST_TEST(peers.Total(kServer, TimePoint{seconds(13)}).outstanding == 0);
 }
 
+// Guards against a failure domain whose load is counted once for each relay.
+BOOST_AUTO_TEST_CASE(TwoRelaysOfADomainCountOnce) {
+  PeerLoads peers;
+  const TimePoint now{seconds(10)};
+  peers.Take(Message("one", 1, 4), now);
+  peers.Take(DomainMessage("relay 1", 20), now);
+  peers.Take(DomainMessage("relay 2", 22), now);
+  BOOST_TEST(peers.Total(kServer, now).outstanding == 26);
+}
+
+// Guards against the load of one domain that comes back to it through another.
+BOOST_AUTO_TEST_CASE(SumOfADomainHasOnlyItsOwnGateways) {
+  PeerLoads peers;
+  const TimePoint now{seconds(10)};
+  peers.Take(Message("one", 1, 4), now);
+  peers.Take(DomainMessage("relay 1", 20), now);
+  LoadMessage sum = Message("self", 1, 3);
+  peers.AddGateways(sum, now);
+  BOOST_REQUIRE(sum.shares.size() == 1U);
+  BOOST_TEST(sum.shares[0].outstanding == 7);
+  BOOST_REQUIRE(sum.needs.size() == 1U);
+  BOOST_TEST(sum.needs[0].need.long_prompts == 3);
+}
+
+// Guards against bytes between failure domains that grow with the square of
+// the gateways, and against a gateway that hears of a domain from nobody.
+BOOST_AUTO_TEST_CASE(LargeFleetExchangesSumsBetweenDomains) {
+  const std::vector<ExchangePeer> gateways = Gateways(3, 24);
+  std::size_t between_domains = 0;
+  std::map<std::string, std::set<std::string>> heard_by;
+  for (const ExchangePeer& gateway : gateways) {
+    const ExchangePlan plan = PlanExchange(gateway, gateways);
+    BOOST_TEST(plan.direct.size() == 23U);
+    between_domains += plan.relays.size();
+    for (const std::string& relay : plan.relays) {
+      heard_by[relay.substr(0, 1)].insert(gateway.failure_domain);
+    }
+  }
+  BOOST_TEST(between_domains == 12U);
+  for (const auto& [domain, heard] : heard_by) {
+    BOOST_TEST(heard.size() == 2U, "domain " << domain);
+  }
+}
+
+// Guards against relays where each gateway can tell the others itself.
+BOOST_AUTO_TEST_CASE(SmallFleetNeedsNoRelay) {
+  const std::vector<ExchangePeer> gateways = Gateways(3, 3);
+  const ExchangePlan plan = PlanExchange(gateways[0], gateways);
+  BOOST_TEST(plan.direct.size() == 8U);
+  BOOST_TEST(plan.relays.empty());
+}
+
 }  // namespace sycamorebend::gateway
