Try homes of prompts within each failure domain of a large pool

Change: where a failure domain has 8 or more engines for a kind of prompt, homes are ranked among these only. Servers of a pool are kept by pointer and their hashes are computed once, which the ranking needs for each request.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -45,7 +45,11 @@
 // A pool of at most this many servers is compared as a whole; of a larger one
 // the homes of the prompt and some at random.
 constexpr std::size_t kSmallPool = 32;
-constexpr int kRandomCandidates = 3;
+constexpr int kNearCandidates = 2;
+// A failure domain with at least this many servers for a prompt has homes of
+// its own for it: prompts are large, and bytes between domains are dear. With
+// fewer servers the copies of each domain would displace each other.
+constexpr std::size_t kOwnHomesFrom = 8;
 // Reading a prompt again delays all later requests of the engine, besides the
 // request itself; one millisecond of it weighs this much more than one of
 // waiting.
@@ -79,9 +83,12 @@
 }
 
 // @return a number that orders the servers for a prompt part, equal at every
-// gateway.
-std::uint64_t HomeRank(std::uint64_t part, const std::string& server_id) {
-  return StableHash64(fmt::format("{:x}/{}", part, server_id));
+// gateway: the finalizer of SplitMix64 over both.
+std::uint64_t HomeRank(std::uint64_t part, std::uint64_t server_hash) {
+  std::uint64_t rank = part * 0x9E3779B97F4A7C15U ^ server_hash;
+  rank = (rank ^ (rank >> 30)) * 0xBF58476D1CE4E5B9U;
+  rank = (rank ^ (rank >> 27)) * 0x94D049BB133111EBU;
+  return rank ^ (rank >> 31);
 }
 
 // The part that tells sessions or subjects apart: the last one that other
@@ -105,7 +112,7 @@
     const std::vector<ServerRecord>& records) {
   std::set<std::string> present;
   for (auto& [service, pool] : this->pools) {
-    pool.keys.clear();
+    pool.servers.clear();
   }
   for (const ServerRecord& record : records) {
     const std::string key = ServerKey(record);
@@ -113,15 +120,18 @@
     std::unique_ptr<Server>& server = this->servers[key];
     if (server == nullptr) {
       server = std::make_unique<Server>();
+      server->key = key;
+      server->key_hash = StableHash64(key);
       server->code = ServerCode(key);
+      server->id_hash = StableHash64(record.server_id);
     }
     server->record = record;
-    this->pools[record.service].keys.push_back(key);
+    this->pools[record.service].servers.push_back(server.get());
   }
   for (auto& [service, pool] : this->pools) {
-    std::sort(pool.keys.begin(), pool.keys.end(),
-              [](const std::string& a, const std::string& b) {
-                return StableHash64(a) < StableHash64(b);
+    std::sort(pool.servers.begin(), pool.servers.end(),
+              [](const Server* a, const Server* b) {
+                return a->key_hash < b->key_hash;
               });
   }
   std::vector<std::string> gone;
@@ -215,16 +225,15 @@
 }
 
 int Balancer::SlotsOf(const Pool& pool) const {
-  return pool.keys.empty()
-             ? 1
-             : std::max(1, this->servers.at(pool.keys.front())->record.slots);
+  return pool.servers.empty() ? 1
+                              : std::max(1, pool.servers.front()->record.slots);
 }
 
 Balancer::Placement Balancer::Place(Pool& pool,
                                     const Demand& demand,
                                     TimePoint now) {
   Placement placement;
-  placement.lane_end = pool.keys.size();
+  placement.lane_end = pool.servers.size();
   if (demand.generation == nullptr || demand.generation->prompt.empty()) {
     return placement;
   }
@@ -234,7 +243,7 @@
   need.short_prompts += own.short_prompts;
   need.long_prompts += own.long_prompts;
   const std::size_t boundary =
-      pool.lanes.ShortPromptEngines(pool.keys.size(), need);
+      pool.lanes.ShortPromptEngines(pool.servers.size(), need);
   const bool is_long =
       pool.lanes.KindOf(demand.route) == Lanes::Kind::kLongPrompt;
   placement.is_long = is_long;
@@ -246,13 +255,24 @@
 }
 
 void Balancer::FindHomes(const Pool& pool, Placement& placement) const {
-  const std::uint64_t part = HomePart(*placement.generation);
-  std::vector<std::pair<std::uint64_t, std::size_t>> ranks;
+  std::vector<std::size_t> lane;
   for (std::size_t i = placement.lane_begin; i < placement.lane_end; ++i) {
-    const ServerRecord& record = this->servers.at(pool.keys[i])->record;
-    if (!record.leaving && !record.silent) {
-      ranks.emplace_back(HomeRank(part, record.server_id), i);
+    const ServerRecord& record = pool.servers[i]->record;
+    if (record.leaving || record.silent) {
+      continue;
     }
+    lane.push_back(i);
+    if (record.failure_domain == this->options.failure_domain) {
+      placement.near.push_back(i);
+    }
+  }
+  if (placement.near.size() < kOwnHomesFrom) {
+    placement.near = std::move(lane);
+  }
+  const std::uint64_t part = HomePart(*placement.generation);
+  std::vector<std::pair<std::uint64_t, std::size_t>> ranks;
+  for (const std::size_t i : placement.near) {
+    ranks.emplace_back(HomeRank(part, pool.servers[i]->id_hash), i);
   }
   const std::size_t count = std::min(kHomeHitRates.size(), ranks.size());
   std::partial_sort(ranks.begin(),
@@ -265,7 +285,7 @@
 
 std::vector<std::size_t> Balancer::Sample(const Pool& pool,
                                           const Placement& placement) {
-  const std::size_t size = pool.keys.size();
+  const std::size_t size = pool.servers.size();
   std::vector<std::size_t> sample;
   if (size <= kSmallPool) {
     sample.resize(size);
@@ -273,8 +293,12 @@
     return sample;
   }
   sample = placement.homes;
+  for (int i = 0; i < kNearCandidates && !placement.near.empty(); ++i) {
+    sample.push_back(
+        placement.near[this->random.Next() % placement.near.size()]);
+  }
   const std::size_t lane = placement.lane_end - placement.lane_begin;
-  for (int i = 0; i < kRandomCandidates && lane > 0; ++i) {
+  if (lane > 0) {
     sample.push_back(placement.lane_begin + this->random.Next() % lane);
   }
   // One of the other kind, in case that all engines of this one are busy.
@@ -302,8 +326,7 @@
                                        const Placement& placement,
                                        std::size_t index,
                                        TimePoint now) {
-  const std::string& key = pool.keys[index];
-  const Server& server = *this->servers.at(key);
+  const Server& server = *pool.servers[index];
   const bool in_lane =
       index >= placement.lane_begin && index < placement.lane_end;
   const auto home =
@@ -325,7 +348,7 @@
   candidate.score =
       this->Score(server, expected, uncached, in_lane, placement.is_long);
   Choice& choice = candidate.choice;
-  choice.server_key = key;
+  choice.server_key = server.key;
   choice.server_id = server.record.server_id;
   choice.address = server.record.address;
   choice.uncached_tokens = uncached;
@@ -349,9 +372,9 @@
     TimePoint now) {
   std::optional<Candidate> best;
   for (const std::size_t index : indices) {
-    const std::string& key = pool.keys[index];
-    if (this->servers.at(key)->record.leaving ||
-        std::find(demand.excluded.begin(), demand.excluded.end(), key) !=
+    const Server& server = *pool.servers[index];
+    if (server.record.leaving ||
+        std::find(demand.excluded.begin(), demand.excluded.end(), server.key) !=
             demand.excluded.end()) {
       continue;
     }
@@ -376,7 +399,7 @@
   std::optional<Candidate> best =
       this->Best(pool, placement, this->Sample(pool, placement), demand, now);
   if (!best || best->avoided) {
-    std::vector<std::size_t> all(pool.keys.size());
+    std::vector<std::size_t> all(pool.servers.size());
     std::iota(all.begin(), all.end(), std::size_t{0});
     best = this->Best(pool, placement, all, demand, now);
   }
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -102,6 +102,9 @@
  private:
   struct Server {
     ServerRecord record;
+    std::string key;
+    std::uint64_t key_hash = 0;
+    std::uint64_t id_hash = 0;
     std::uint32_t code = 0;
     // Own requests at the server, and prompt tokens of those that have no
     // first byte yet.
@@ -124,8 +127,8 @@
   struct Pool {
     // Usual time that a request occupies a server, in ms.
     double service_ms = 50;
-    // Keys, in an order that is the same at every gateway.
-    std::vector<std::string> keys;
+    // In an order that is the same at every gateway.
+    std::vector<Server*> servers;
     Lanes lanes;
   };
   // What Choose knows of a request's place among the servers.
@@ -135,8 +138,11 @@
     // Servers [lane_begin, lane_end) of the pool are meant for the request.
     std::size_t lane_begin = 0;
     std::size_t lane_end = 0;
-    // The servers on which every gateway places the request's prompt if it can,
-    // the best first.
+    // Servers of the lane in the gateway's own failure domain, or the whole
+    // lane if these are few.
+    std::vector<std::size_t> near;
+    // The servers of `near` on which every gateway to which they are near
+    // places the request's prompt if it can, the best first.
     std::vector<std::size_t> homes;
   };
 
