--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -45,11 +45,7 @@
 // A pool of at most this many servers is compared as a whole; of a larger one
 // the homes of the prompt and some at random.
 constexpr std::size_t kSmallPool = 32;
-constexpr int kNearCandidates = 2;
-// A failure domain with at least this many servers for a prompt has homes of
-// its own for it: prompts are large, and bytes between domains are dear. With
-// fewer servers the copies of each domain would displace each other.
-constexpr std::size_t kOwnHomesFrom = 8;
+constexpr int kRandomCandidates = 3;
 // Reading a prompt again delays all later requests of the engine, besides the
 // request itself; one millisecond of it weighs this much more than one of
 // waiting.
@@ -255,24 +251,13 @@
 }
 
 void Balancer::FindHomes(const Pool& pool, Placement& placement) const {
-  std::vector<std::size_t> lane;
-  for (std::size_t i = placement.lane_begin; i < placement.lane_end; ++i) {
-    const ServerRecord& record = pool.servers[i]->record;
-    if (record.leaving || record.silent) {
-      continue;
-    }
-    lane.push_back(i);
-    if (record.failure_domain == this->options.failure_domain) {
-      placement.near.push_back(i);
-    }
-  }
-  if (placement.near.size() < kOwnHomesFrom) {
-    placement.near = std::move(lane);
-  }
   const std::uint64_t part = HomePart(*placement.generation);
   std::vector<std::pair<std::uint64_t, std::size_t>> ranks;
-  for (const std::size_t i : placement.near) {
-    ranks.emplace_back(HomeRank(part, pool.servers[i]->id_hash), i);
+  for (std::size_t i = placement.lane_begin; i < placement.lane_end; ++i) {
+    const Server& server = *pool.servers[i];
+    if (!server.record.leaving && !server.record.silent) {
+      ranks.emplace_back(HomeRank(part, server.id_hash), i);
+    }
   }
   const std::size_t count = std::min(kHomeHitRates.size(), ranks.size());
   std::partial_sort(ranks.begin(),
@@ -293,12 +278,8 @@
     return sample;
   }
   sample = placement.homes;
-  for (int i = 0; i < kNearCandidates && !placement.near.empty(); ++i) {
-    sample.push_back(
-        placement.near[this->random.Next() % placement.near.size()]);
-  }
   const std::size_t lane = placement.lane_end - placement.lane_begin;
-  if (lane > 0) {
+  for (int i = 0; i < kRandomCandidates && lane > 0; ++i) {
     sample.push_back(placement.lane_begin + this->random.Next() % lane);
   }
   // One of the other kind, in case that all engines of this one are busy.
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -138,11 +138,8 @@
     // Servers [lane_begin, lane_end) of the pool are meant for the request.
     std::size_t lane_begin = 0;
     std::size_t lane_end = 0;
-    // Servers of the lane in the gateway's own failure domain, or the whole
-    // lane if these are few.
-    std::vector<std::size_t> near;
-    // The servers of `near` on which every gateway to which they are near
-    // places the request's prompt if it can, the best first.
+    // The servers on which every gateway places the request's prompt if it can,
+    // the best first.
     std::vector<std::size_t> homes;
   };
 
