Explain requests from logs; metrics by tenant and outcome

Cause: on-call engineers had to join logs by hand, a failed attempt had no line of its own, and metrics did not tell tenants and late answers apart. Gateways log each failed attempt (server_failed) and the target; their metrics are added up for each request and published when they are read, on an address of their own as well. Urgencies are ranked once for each configuration, not for each request. Ruled out: counting in the metrics library for each request (it looks up labels each time).

--- a/include/sycamorebend/metrics.h
+++ b/include/sycamorebend/metrics.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace sycamorebend {
 
@@ -42,6 +43,19 @@
                 const MetricLabels& labels,
                 double value);
 
+  // Adds values to a histogram, which is created at its first use.
+  // @param bounds upper bounds of the buckets, ascending; always the same for a
+  // name.
+  // @param counts values in each bucket, and above the last bound; one longer
+  // than `bounds`, or empty for none.
+  // @param sum of these values.
+  void AddToHistogram(const std::string& name,
+                      const std::string& help,
+                      const MetricLabels& labels,
+                      const std::vector<double>& bounds,
+                      const std::vector<double>& counts,
+                      double sum);
+
   // @return the page for /metrics.
   std::string Text() const;
 
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -13,6 +13,7 @@
 
 #include "ctl/document_diff.h"
 #include "ctl/help.h"
+#include "ctl/log_commands.h"
 #include "ctl/table.h"
 #include "sycamorebend/settings.h"
 
@@ -112,6 +113,7 @@
   Outcome Drain();
   Outcome ShowStatus();
   Outcome Explain();
+  Outcome Report() { return ReportFromLogs(this->options, this->out); }
   Outcome Replica();
 
  private:
@@ -489,6 +491,9 @@
 }
 
 Outcome Session::Explain() {
+  if (!this->options.logs.empty()) {
+    return ExplainFromLogs(this->options, this->out);
+  }
   const bool described =
       !this->options.labels.empty() || !this->options.class_name.empty() ||
       !this->options.customer.empty() || !this->options.model.empty();
@@ -558,7 +563,7 @@
       {"dry-run", &Session::DryRun},    {"servers", &Session::Servers},
       {"drain", &Session::Drain},       {"undrain", &Session::Drain},
       {"status", &Session::ShowStatus}, {"explain", &Session::Explain},
-      {"replica", &Session::Replica},
+      {"replica", &Session::Replica},   {"report", &Session::Report},
   };
   return kCommands;
 }
@@ -586,9 +591,10 @@
                           "--help\"",
                           options.command));
   }
-  const bool asks_entry =
-      options.command == "servers" || options.command == "explain";
-  if (options.control.empty() && !asks_entry) {
+  const bool needs_control = options.command != "servers" &&
+                             options.command != "explain" &&
+                             options.command != "report";
+  if (options.control.empty() && needs_control) {
     return Usage(options, "--control=IP:port[,IP:port...] is required");
   }
   Session session(options, rpc, clock, out, err);
--- a/src/ctl/help.cc
+++ b/src/ctl/help.cc
@@ -25,6 +25,9 @@
   status      show control replicas and entry daemons
   explain     say how a request is or was routed, and why
   replica     add, promote or remove a control replica
+Logs
+  explain     with --log: tell a request's story from the logs of processes
+  report      attainment, refusals and failures over time, from logs
 
 Flags
   --control=ADDR,ADDR    control replicas; any of them, the leader is found
@@ -156,13 +159,22 @@
 sycamorebend-ctl explain [--labels=a=b,c=d] [--class=NAME] [--customer=NAME]
                          [--model=NAME] --entry=ADDR
 
+sycamorebend-ctl explain [REQUEST_ID] --log=FILE[,FILE...]
+
 Says how the entry daemon routed a recent request, or how it would route one
 with these labels now: the class, its selector, the reason, and each candidate
 server with its score or the reason why it was not taken. REQUEST_ID is the value
 of the X-Sycamorebend-Request-Id header. Without --entry, the first live entry
 daemon is asked.
 
+With --log, no process is called: the logs of gateways and control replicas are
+read and the request's story is printed in order of time, with the cause of its
+end and the lines that show it. Without a REQUEST_ID, the causes of all requests
+that were not served are counted, with an example of each. Exit code 1 if no log
+names the request.
+
 Examples
+  sycamorebend-ctl explain 5f0c7e --log=gateway-1.log,gateway-2.log
   sycamorebend-ctl explain 5f0c7e --entry=10.0.0.4:8080
   sycamorebend-ctl explain --labels=kind=repair,urgent=yes --customer=line-7 \
       --entry=10.0.0.4:8080
@@ -184,6 +196,17 @@
   sycamorebend-ctl replica remove 2 --control=10.0.0.1:7000
 )";
 
+constexpr char kReport[] =
+    R"(sycamorebend-ctl report --log=FILE[,FILE...] [--interval-ms=N] [--svg=FILE]
+
+Counts the requests of gateways that ended in each interval, and of each route:
+in time, late, refused (429 and 503) and failed, with the share that was in time
+and the slowest answer. --svg writes a picture of the shares over time.
+
+Example
+  sycamorebend-ctl report --log=gateway-1.log,gateway-2.log --svg=day.svg
+)";
+
 }  // namespace
 
 std::string CtlHelp(const std::string& command) {
@@ -191,7 +214,7 @@
       {"apply", kApply},     {"show", kShow},       {"diff", kDiff},
       {"history", kHistory}, {"dry-run", kDryRun},  {"servers", kServers},
       {"drain", kDrain},     {"undrain", kDrain},   {"status", kStatus},
-      {"explain", kExplain}, {"replica", kReplica},
+      {"explain", kExplain}, {"replica", kReplica}, {"report", kReport},
   };
   const auto found = kTexts.find(command);
   return found == kTexts.end() ? kOverview : found->second;
--- a/src/ctl/options.cc
+++ b/src/ctl/options.cc
@@ -26,6 +26,9 @@
 ABSL_FLAG(std::string, class, "", "class of a request");
 ABSL_FLAG(std::string, customer, "", "customer of a request");
 ABSL_FLAG(std::string, model, "", "model of a request");
+ABSL_FLAG(std::string, log, "", "log files to read");
+ABSL_FLAG(std::string, svg, "", "file for a picture");
+ABSL_FLAG(std::int64_t, interval_ms, 1000, "length of a report's intervals");
 ABSL_FLAG(bool, help, false, "explain the command");
 
 namespace sycamorebend {
@@ -38,7 +41,8 @@
     "version",         "wait",     "expected_version",
     "labels",          "class",    "customer",
     "model",           "help",     "timeout_ms",
-    "wait_timeout_ms",
+    "wait_timeout_ms", "log",      "svg",
+    "interval_ms",
 };
 
 Error Usage(std::string text) {
@@ -153,6 +157,13 @@
   options.class_name = absl::GetFlag(FLAGS_class);
   options.customer = absl::GetFlag(FLAGS_customer);
   options.model = absl::GetFlag(FLAGS_model);
+  options.logs =
+      absl::StrSplit(absl::GetFlag(FLAGS_log), ',', absl::SkipEmpty());
+  options.svg = absl::GetFlag(FLAGS_svg);
+  options.interval_ms = absl::GetFlag(FLAGS_interval_ms);
+  if (options.interval_ms <= 0) {
+    return Usage("--interval-ms: write a number greater than 0");
+  }
   options.help = absl::GetFlag(FLAGS_help);
   BOOST_OUTCOME_TRY(CheckAddresses(options));
   return options;
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -30,6 +30,10 @@
   std::string class_name;
   std::string customer;
   std::string model;
+  // Log files to read instead of calling processes.
+  std::vector<std::string> logs;
+  std::string svg;  // File for a report's picture.
+  std::int64_t interval_ms = 1000;
 };
 
 // Parses the arguments after the program name. Flags are defined with
--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -96,6 +96,13 @@
 
 }  // namespace
 
+std::string_view SendOutcomeName(SendOutcome outcome) {
+  constexpr std::array<std::string_view, 7> kNames = {
+      "answered",        "refused", "server_error", "connect_failed",
+      "connection_lost", "stalled", "cancelled"};
+  return kNames[static_cast<std::size_t>(outcome)];
+}
+
 std::string ServerKey(const ServerRecord& record) {
   return fmt::format("{}@{}#{}", record.server_id, record.address,
                      record.incarnation);
@@ -370,6 +377,31 @@
   return best;
 }
 
+PoolState Balancer::StateOf(const std::string& service, TimePoint now) const {
+  PoolState state;
+  const auto found = this->pools.find(service);
+  if (found == this->pools.end()) {
+    return state;
+  }
+  for (const Server* server : found->second.servers) {
+    const bool avoided = now < server->avoid_until;
+    ++(server->record.leaving  ? state.leaving
+       : server->record.silent ? state.silent
+       : avoided               ? state.avoided
+                               : state.usable);
+    state.outstanding += server->outstanding;
+  }
+  return state;
+}
+
+std::vector<std::string> Balancer::Services() const {
+  std::vector<std::string> names;
+  for (const auto& [name, pool] : this->pools) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 std::optional<Choice> Balancer::Choose(const Demand& demand, TimePoint now) {
   const auto found = this->pools.find(demand.service);
   if (found == this->pools.end()) {
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -62,6 +62,18 @@
   kCancelled = 6,  // The caller left, or its time was up.
 };
 
+// @return the name of `outcome` in logs.
+std::string_view SendOutcomeName(SendOutcome outcome);
+
+// The servers of one service as a gateway sees them.
+struct PoolState {
+  int usable = 0;
+  int avoided = 0;  // Left for a while after failures.
+  int silent = 0;   // They stopped reporting.
+  int leaving = 0;
+  int outstanding = 0;  // Own requests at all of them.
+};
+
 struct BalancerOptions {
   std::string failure_domain;
   std::uint64_t seed = 1;
@@ -92,6 +104,10 @@
               const LoadReport& report,
               TimePoint now);
 
+  // @return names of the services that have or had servers.
+  std::vector<std::string> Services() const;
+  PoolState StateOf(const std::string& service, TimePoint now) const;
+
   // Fills in what this gateway has at the servers or, if the message is for a
   // failure domain, what all gateways of its own domain have.
   void ReportLoad(LoadMessage& message, TimePoint now);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -248,6 +248,15 @@
   }
   this->call.reset();
   const TimePoint now = this->context.loop.Now();
+  if (outcome != SendOutcome::kAnswered && outcome != SendOutcome::kCancelled) {
+    LogEvent(Severity::kWarning, Event::kServerFailed,
+             {{"request_id", this->request_id},
+              {"server_id", this->choice.server_id},
+              {"attempt", this->attempts},
+              {"failure", SendOutcomeName(outcome)},
+              {"status", this->answer.status},
+              {"after_ms", ToMilliseconds(now - this->sent_at)}});
+  }
   this->context.balancer.OnDone(this->choice, this->demand, outcome,
                                 this->first_byte_seen, now - this->sent_at,
                                 now);
@@ -516,11 +525,37 @@
                  ? ToMilliseconds(this->first_event_at - this->started_at)
                  : std::int64_t{-1}},
             {"longest_gap_ms", ToMilliseconds(this->longest_gap)},
+            {"target_ms", ToMilliseconds(route.target)},
+            {"tenant", this->job.tenant == nullptr ? std::string()
+                                                   : this->job.tenant->name},
             {"duration_ms", ToMilliseconds(now - this->started_at)}});
-  this->context.metrics.Count(
-      "sycamorebend_gateway_requests_total", "Requests by route and status.",
-      {{"route", route.name}, {"status", std::to_string(status)}});
+  this->context.metrics.Add(this->Summarize(status, now));
   this->self.reset();
 }
 
+RequestResult Forwarder::Summarize(int status, TimePoint now) const {
+  const Route& route = *this->job.route;
+  RequestResult result;
+  result.route = route.name;
+  result.tenant =
+      this->job.tenant == nullptr ? std::string() : this->job.tenant->name;
+  result.status = status;
+  result.attempts = this->attempts;
+  result.target = route.target;
+  result.longest_gap = this->longest_gap;
+  if (status == kCallerGoneStatus) {
+    result.outcome = RequestOutcome::kCallerLeft;
+  } else if (status == kUnavailable || status == kTooManyRequests) {
+    result.outcome = RequestOutcome::kRefused;
+  } else if (status >= kFirstServerError) {
+    result.outcome = RequestOutcome::kFailed;
+  } else {
+    result.first =
+        (this->events > 0 ? this->first_event_at : now) - this->started_at;
+    result.outcome = result.first > route.target ? RequestOutcome::kLate
+                                                 : RequestOutcome::kInTime;
+  }
+  return result;
+}
+
 }  // namespace sycamorebend::gateway
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -10,13 +10,13 @@
 
 #include "gateway/balancer.h"
 #include "gateway/caller_connection.h"
+#include "gateway/request_metrics.h"
 #include "gateway/routes.h"
 #include "gateway/server_pool.h"
 #include "gateway/wire_format.h"
 #include "net/event_loop.h"
 #include "net/sse_splitter.h"
 #include "routing/retry_budget.h"
-#include "sycamorebend/metrics.h"
 
 namespace sycamorebend::gateway {
 
@@ -38,7 +38,7 @@
   Balancer& balancer;
   ServerPool& pool;
   RetryBudgets& budgets;
-  Metrics& metrics;
+  RequestMetrics& metrics;
   int open_requests = 0;
 };
 
@@ -101,6 +101,8 @@
   // promise that the request has not run.
   void Answer(int status, const std::string& reason, Duration retry_after = {});
   void Finish(int status, const std::string& outcome);
+  // @return what the metrics count of the request.
+  RequestResult Summarize(int status, TimePoint now) const;
 
   ForwardContext& context;
   ForwardJob job;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -38,7 +38,7 @@
                 StableHash64(settings.entry_id + RandomId())}),
       pool(loop, format),
       context{loop,       format,        this->balancer,
-              this->pool, this->budgets, this->metrics},
+              this->pool, this->budgets, this->request_metrics},
       handler(this->context),
       admin_handler(*this) {
   this->SetRetryLimits(1);
@@ -50,6 +50,7 @@
   }
   this->callers.reset();
   this->admin.reset();
+  this->metrics_server.reset();
 }
 
 Result<std::unique_ptr<Gateway>> Gateway::Start(const GatewaySettings& settings,
@@ -72,6 +73,13 @@
                                        this->loop, this->settings.admin_address,
                                        this->admin_handler));
   this->admin = std::move(started_admin);
+  if (!this->settings.metrics_address.empty()) {
+    BOOST_OUTCOME_TRY(
+        started_metrics,
+        CallerServer::Start(this->loop, this->settings.metrics_address,
+                            this->admin_handler));
+    this->metrics_server = std::move(started_metrics);
+  }
   BOOST_OUTCOME_TRY(started_exchange,
                     LoadExchange::Start(
                         this->loop, this->settings.exchange_address,
@@ -137,9 +145,11 @@
     return;
   }
   read.value().version = state.configuration_version;
+  read.value().RankUrgencies();
   const auto table =
       std::make_shared<const RouteTable>(std::move(read.value()));
   this->handler.SetTable(table);
+  this->configured_at = this->loop.Now();
   this->callers->SetLimits(table->limits);
   this->balancer.SetServices(table->services);
   LogEvent(Severity::kInfo, Event::kConfigurationInForce,
@@ -160,6 +170,7 @@
 void Gateway::AdminHandler::Handle(std::shared_ptr<CallerExchange> exchange) {
   const std::string_view path = exchange->Head().Path();
   if (path == "/metrics") {
+    this->gateway.PublishMetrics();
     exchange->Respond(kOk, {{"Content-Type", kMetricsContentType}},
                       this->gateway.metrics.Text());
     return;
@@ -175,6 +186,43 @@
                     ready ? "ready\n" : "not ready\n");
 }
 
+void Gateway::PublishMetrics() {
+  const TimePoint now = this->loop.Now();
+  this->request_metrics.Publish(this->metrics);
+  this->metrics.SetGauge("sycamorebend_gateway_open_requests",
+                         "Requests without an end.", {},
+                         this->context.open_requests);
+  const auto& table = this->handler.Table();
+  if (table != nullptr) {
+    this->metrics.SetGauge("sycamorebend_gateway_configuration_version",
+                           "Version of the configuration in force.", {},
+                           static_cast<double>(table->version));
+    this->metrics.SetGauge(
+        "sycamorebend_gateway_configuration_age_seconds",
+        "Time since the configuration came into force.", {},
+        std::chrono::duration<double>(now - this->configured_at).count());
+  }
+  for (const std::string& service : this->balancer.Services()) {
+    const PoolState state = this->balancer.StateOf(service, now);
+    const std::pair<const char*, int> counts[] = {{"usable", state.usable},
+                                                  {"avoided", state.avoided},
+                                                  {"silent", state.silent},
+                                                  {"leaving", state.leaving}};
+    for (const auto& [name, count] : counts) {
+      this->metrics.SetGauge("sycamorebend_gateway_servers",
+                             "Backend servers by state.",
+                             {{"service", service}, {"state", name}}, count);
+    }
+    this->metrics.SetGauge("sycamorebend_gateway_server_requests",
+                           "Own requests at the servers of a service.",
+                           {{"service", service}}, state.outstanding);
+    this->metrics.SetGauge("sycamorebend_gateway_retry_budget",
+                           "Repeats that may be added at present.",
+                           {{"service", service}},
+                           this->budgets.Of(service).Left(now));
+  }
+}
+
 void Gateway::BeginStop() {
   if (std::exchange(this->stopping, true)) {
     return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -59,12 +59,15 @@
   void TakeConfiguration(const SharedState& state);
   void SetRetryLimits(std::size_t gateways);
   void AdvanceStop();
+  // Brings the metrics up to date.
+  void PublishMetrics();
 
   const GatewaySettings settings;
   const WireFormat& format;
   net::EventLoop& loop;
   const Clock& clock;
   Metrics metrics;
+  RequestMetrics request_metrics;
   Balancer balancer;
   ServerPool pool;
   RetryBudgets budgets;
@@ -73,6 +76,7 @@
   AdminHandler admin_handler;
   std::unique_ptr<CallerServer> callers;
   std::unique_ptr<CallerServer> admin;
+  std::unique_ptr<CallerServer> metrics_server;
   std::unique_ptr<LoadExchange> exchange;
   std::unique_ptr<HttpClient> http_client;
   std::unique_ptr<RpcClient> rpc;
@@ -80,6 +84,8 @@
   bool stopping = false;
   bool refusing = false;
   TimePoint stop_began;
+  // When the configuration in force was taken.
+  TimePoint configured_at;
 };
 
 }  // namespace sycamorebend::gateway
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -19,6 +19,9 @@
   settings.failure_domain = root.GetString("failure_domain");
   settings.caller_address = root.GetAddress("caller_address");
   settings.admin_address = root.GetAddress("admin_address");
+  if (root.Has("metrics_address")) {
+    settings.metrics_address = root.GetAddress("metrics_address");
+  }
   settings.exchange_address = root.GetAddress("exchange_address");
   const std::int64_t rpc_port = root.GetInteger("control_port", 1, kMaxPort);
   for (const std::string& seed : root.GetAddressList("control_seeds")) {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -17,6 +17,8 @@
   std::string caller_address;
   // Where /readyz and /metrics are served.
   std::string admin_address;
+  // Where /metrics is served as well; nowhere if it is empty.
+  std::string metrics_address;
   // Where gateways tell each other their load, by UDP; the same port at all.
   std::string exchange_address;
   // Control replicas to contact first; their RPC addresses.
--- a/src/gateway/route_handler.cc
+++ b/src/gateway/route_handler.cc
@@ -26,9 +26,7 @@
             {"target", exchange.Head().target},
             {"status", status},
             {"reason", reason}});
-  this->context.metrics.Count("sycamorebend_gateway_rejected_total",
-                              "Requests that were not forwarded, by status.",
-                              {{"status", std::to_string(status)}});
+  this->context.metrics.AddRejected(status);
   HttpHeaders headers;
   if (status == kUnavailable) {
     headers.push_back(
--- a/src/gateway/routes.cc
+++ b/src/gateway/routes.cc
@@ -56,19 +56,22 @@
   return best;
 }
 
-int RouteTable::Urgency(const Route& route, const Tenant* tenant) const {
-  std::set<std::pair<int, int>> ranks;
-  for (const Route& other : this->routes) {
-    ranks.emplace(0, other.priority);
-    for (const Tenant& one : this->tenants) {
-      ranks.emplace(one.priority, other.priority);
+void RouteTable::RankUrgencies() {
+  this->ranks.clear();
+  for (const Route& route : this->routes) {
+    this->ranks.emplace(0, route.priority);
+    for (const Tenant& tenant : this->tenants) {
+      this->ranks.emplace(tenant.priority, route.priority);
     }
   }
+}
+
+int RouteTable::Urgency(const Route& route, const Tenant* tenant) const {
   const std::pair<int, int> own(tenant == nullptr ? 0 : tenant->priority,
                                 route.priority);
-  const auto index =
-      static_cast<int>(std::distance(ranks.begin(), ranks.find(own)));
-  const auto count = static_cast<int>(ranks.size());
+  const auto index = static_cast<int>(
+      std::distance(this->ranks.begin(), this->ranks.find(own)));
+  const auto count = static_cast<int>(this->ranks.size());
   // With more ranks than urgencies, neighbours share one.
   return count <= kUrgencies ? index : index * kUrgencies / count;
 }
--- a/src/gateway/routes.h
+++ b/src/gateway/routes.h
@@ -7,8 +7,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "sycamorebend/base.h"
@@ -83,7 +85,8 @@
 // Urgencies that backend servers tell apart: 0 is the most urgent.
 inline constexpr int kUrgencies = 10;
 
-struct RouteTable {
+class RouteTable {
+ public:
   std::uint64_t version = 0;
   std::vector<Route> routes;
   std::map<std::string, ServiceLimits> services;
@@ -97,9 +100,16 @@
   const Route* Find(std::string_view host, std::string_view path) const;
   // @return the urgency at a backend server of a request: by the tenant's
   // priority, then by the route's, among all that the table has.
+  // RankUrgencies must have been called.
   int Urgency(const Route& route, const Tenant* tenant) const;
+  // Orders the urgencies of the routes and tenants, once they are complete.
+  void RankUrgencies();
   // @return nullptr for an unknown key.
   const Tenant* FindTenant(std::string_view key) const;
+
+ private:
+  // Pairs of a tenant's and a route's priority, the most urgent first.
+  std::set<std::pair<int, int>> ranks;
 };
 
 }  // namespace sycamorebend::gateway
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -61,6 +62,23 @@
       .Set(value);
 }
 
+void Metrics::AddToHistogram(const std::string& name,
+                             const std::string& help,
+                             const MetricLabels& labels,
+                             const std::vector<double>& bounds,
+                             const std::vector<double>& counts,
+                             double sum) {
+  if (counts.empty()) {
+    return;
+  }
+  prometheus::BuildHistogram()
+      .Name(name)
+      .Help(help)
+      .Register(this->registry->registry)
+      .Add(labels, bounds)
+      .ObserveMultiple(counts, sum);
+}
+
 std::string Metrics::Text() const {
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text,
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -25,22 +25,25 @@
   ++this->Current(now).requests;
 }
 
-bool RetryBudget::TryRetry(TimePoint now) {
-  Bucket& current = this->Current(now);
+int RetryBudget::Left(TimePoint now) const {
+  const std::int64_t second = ToSeconds(now);
   int requests = 0;
   int retries = 0;
   for (const Bucket& bucket : this->buckets) {
-    if (bucket.second > current.second - kSeconds) {
+    if (bucket.second > second - kSeconds) {
       requests += bucket.requests;
       retries += bucket.retries;
     }
   }
   const int share = static_cast<int>(this->limits.ratio * requests);
-  const int limit = this->limits.slack + std::max(this->limits.floor, share);
-  if (retries >= limit) {
+  return this->limits.slack + std::max(this->limits.floor, share) - retries;
+}
+
+bool RetryBudget::TryRetry(TimePoint now) {
+  if (this->Left(now) <= 0) {
     return false;
   }
-  ++current.retries;
+  ++this->Current(now).retries;
   return true;
 }
 
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -27,6 +27,8 @@
   void CountRequest(TimePoint now);
   // @return true and counts the retry if the budget allows it.
   bool TryRetry(TimePoint now);
+  // @return retries that the budget allows at `now`.
+  int Left(TimePoint now) const;
 
  private:
   static constexpr int kSeconds = 10;
--- a/tests/control/ctl_test.cc
+++ b/tests/control/ctl_test.cc
@@ -165,6 +165,22 @@
   BOOST_TEST(this->Ctl({"show", "--version=9"}) == CtlExit::kRefused);
 }
 
+// Guards against logs that can only be read where the processes still run.
+BOOST_FIXTURE_TEST_CASE(LogsAreExplainedWithoutProcesses, Fixture) {
+  std::ofstream(this->file)
+      << R"({"time_ms":1000,"name":"request_rejected","request_id":"a1",)"
+      << R"("status":404,"reason":"no route matches"})"
+      << "\n";
+  const std::string log = "--log=" + this->file;
+  BOOST_TEST(this->Ctl({"explain", "a1", log}) == CtlExit::kOk);
+  BOOST_TEST(this->Printed("no route matches"));
+  BOOST_TEST(this->Ctl({"explain", "b2", log}) == CtlExit::kRefused);
+  BOOST_TEST(this->Ctl({"explain", log}) == CtlExit::kOk);
+  BOOST_TEST(this->Printed("a1"));
+  BOOST_TEST(this->Ctl({"report", log}) == CtlExit::kOk);
+  BOOST_TEST(this->Printed("ATTAINED"));
+}
+
 // Guards against a mistyped command that does something.
 BOOST_FIXTURE_TEST_CASE(UsageErrors, Fixture) {
   const std::vector<std::vector<std::string>> mistakes = {
@@ -181,6 +197,11 @@
       {"drain"},
       {"explain"},
       {"explain", "id", "--labels=a=b"},
+      {"explain", "id", "more", "--log=x"},
+      {"explain", "id", "--log=/nonexistent/x.log"},
+      {"report"},
+      {"report", "--log=/nonexistent/x.log"},
+      {"report", "--log=x", "--interval-ms=0"},
       {"replica"},
       {"replica", "add", "1"},
       {"replica", "promote", "x"},
@@ -293,7 +314,7 @@
 BOOST_AUTO_TEST_CASE(EverySubcommandHasHelp) {
   for (const char* command :
        {"apply", "show", "diff", "history", "dry-run", "servers", "drain",
-        "undrain", "status", "explain", "replica"}) {
+        "undrain", "status", "explain", "replica", "report"}) {
     const std::string help = CtlHelp(command);
     BOOST_TEST(help.find("Example") != std::string::npos, command);
     BOOST_TEST(help.find(std::string("sycamorebend-ctl ") + command) !=
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -124,6 +124,7 @@
   if (change) {
     change(*table);
   }
+  table->RankUrgencies();
   this->OnLoop([&] { this->handler.SetTable(table); });
 }
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -46,7 +46,7 @@
   SystemClock clock;
   TestFormat format;
   std::unique_ptr<net::EventLoop> loop = net::EventLoop::Create(clock);
-  Metrics metrics;
+  RequestMetrics metrics;
   Balancer balancer{{"a", 1}};
   ServerPool pool{*loop, format};
   RetryBudgets budgets;
--- a/tests/gateway/routes_test.cc
+++ b/tests/gateway/routes_test.cc
@@ -49,6 +49,7 @@
   RouteTable table;
   table.routes = {MakeRoute("urgent", "/u/", 0), MakeRoute("later", "/l/", 1)};
   table.tenants = {{"large", 0}, {"small", 1}};
+  table.RankUrgencies();
   const auto urgency = [&](int route, int tenant) {
     return table.Urgency(table.routes[route], &table.tenants[tenant]);
   };
@@ -65,6 +66,7 @@
     table.routes.push_back(MakeRoute("r", "/" + std::to_string(i) + "/", i));
     table.tenants.push_back({"t", i});
   }
+  table.RankUrgencies();
   BOOST_TEST(table.Urgency(table.routes.front(), &table.tenants.front()) == 0);
   BOOST_TEST(table.Urgency(table.routes.back(), &table.tenants.back()) ==
              kUrgencies - 1);
