--- a/src/logs/request_story.cc
+++ b/src/logs/request_story.cc
@@ -16,7 +16,7 @@
 
 // Other losses at a server this close to one's own belong to the same crash.
 constexpr std::int64_t kSameCrashMs = 400;
-// After a crash, connections to the server fail for at least this long.
+// A crashed server answers nobody for at least this long.
 constexpr std::int64_t kAfterCrashMs = 2000;
 constexpr int kFirstFailure = 300;
 constexpr int kFirstServerError = 500;
@@ -48,7 +48,8 @@
 struct ServerEvidence {
   int losses = 0;  // Connections with a request that ended.
   int failed_connects = 0;
-  int answers = 0;    // Whole answers from it.
+  int answers = 0;        // Whole answers while it had the request.
+  int answers_after = 0;  // The same soon after the request ended.
   bool gone = false;  // It left, or its lease expired.
 };
 
@@ -200,7 +201,9 @@
     const std::string server = this->attempt->Text("server_id");
     const bool lost = outcome.find("connection_lost") != std::string::npos ||
                       outcome.find("connection lost") != std::string::npos;
-    if (lost && (seen.losses > 0 || seen.failed_connects > 0 || seen.gone)) {
+    const bool crash_seen =
+        seen.losses > 0 || seen.failed_connects > 0 || seen.gone;
+    if (lost && crash_seen && seen.answers_after == 0) {
       this->Conclude(
           Cause::kServerCrashed,
           fmt::format("{} crashed: besides this request {} others lost their "
@@ -212,9 +215,11 @@
     } else if (lost) {
       this->Conclude(
           Cause::kConnectionLost,
-          fmt::format("{} ended this connection alone ({}); it answered {} "
-                      "other requests meanwhile.{}",
-                      server, outcome, seen.answers, this->NoRepeat()));
+          fmt::format("{} ended this connection but did not crash ({}): it "
+                      "answered {} other requests meanwhile and {} in the {} "
+                      "ms after.{}",
+                      server, outcome, seen.answers, seen.answers_after,
+                      kAfterCrashMs, this->NoRepeat()));
     } else if (outcome.find("time") != std::string::npos) {
       this->ExplainTimeout(seen, server);
     } else if (outcome.find("refused") != std::string::npos) {
@@ -288,9 +293,9 @@
         ++seen.losses;
         this->AddEvidence(line);
       }
-    } else if (line.event == "request_finished" && line.time_ms <= end_ms &&
+    } else if (line.event == "request_finished" &&
                line.Number("status") < kFirstFailure) {
-      ++seen.answers;
+      ++(line.time_ms <= end_ms ? seen.answers : seen.answers_after);
     } else if (line.event == "server_lease_expired" ||
                line.event == "server_left") {
       seen.gone = seen.gone || line.event == "server_lease_expired";
--- a/tests/logs/request_story_test.cc
+++ b/tests/logs/request_story_test.cc
@@ -82,6 +82,21 @@
   BOOST_TEST((this->CauseOf("c") == Cause::kConnectionLost));
 }
 
+// Guards against a server that loses several answers and is called crashed
+// although it goes on to answer.
+BOOST_FIXTURE_TEST_CASE(LostAnswersAreNoCrash, Fixture) {
+  this->Dispatch(100, "a", "s1");
+  this->Dispatch(110, "b", "s1");
+  this->Dispatch(120, "c", "s1");
+  this->Fail(500, "a", "s1", "connection_lost");
+  this->Finish(500, "a", "s1", 502, "connection_lost");
+  this->Fail(510, "b", "s1", "connection_lost");
+  this->Finish(510, "b", "s1", 502, "connection_lost");
+  BOOST_TEST((this->CauseOf("a") == Cause::kServerCrashed));
+  this->Finish(700, "c", "s1", 200, "whole");
+  BOOST_TEST((this->CauseOf("a") == Cause::kConnectionLost));
+}
+
 // Guards against a crash of an idle server, which only connections show.
 BOOST_FIXTURE_TEST_CASE(RefusedConnectionsShowACrash, Fixture) {
   this->Dispatch(100, "a", "s1");
