Turn prompts away before the queue makes all of them late

A caller was turned away only at 1.6 times the target. Change: at 0.8 of the target. Before a caller is turned away all engines are looked at, not the sample of a large pool alone. A stream whose time is up after some events is told from a silent server in explain.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -411,7 +411,8 @@
   const Placement placement = this->Place(pool, demand, now);
   std::optional<Candidate> best =
       this->Best(pool, placement, this->Sample(pool, placement), demand, now);
-  if (!best || best->avoided) {
+  if (!best || best->avoided ||
+      best->choice.expected > demand.latest_first_byte) {
     std::vector<std::size_t> all(pool.servers.size());
     std::iota(all.begin(), all.end(), std::size_t{0});
     best = this->Best(pool, placement, all, demand, now);
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -34,6 +34,9 @@
   const Generation* generation = nullptr;
   // Servers that failed this request.
   std::vector<std::string> excluded;
+  // A server whose first byte is expected later is of no use to the caller, so
+  // that all others are looked at before it is chosen.
+  Duration latest_first_byte = Duration::max();
 };
 
 struct Choice {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -35,10 +35,11 @@
 constexpr Duration kRetryAfterRefusal = milliseconds(300);
 constexpr Duration kRetryAfterNoServer = milliseconds(500);
 
-// A generation whose first event is expected later than this multiple of the
-// route's target is turned away: it would be late, and would make those behind
-// it late as well. The estimate is on the high side when engines are busy.
-constexpr double kHopelessFactor = 1.6;
+// A generation whose first event is expected later than this part of the
+// route's target is turned away: engines read prompts no faster with a longer
+// queue, and one in which expectations err by a quarter of it makes all behind
+// it late.
+constexpr double kHopelessFactor = 0.8;
 // When such a caller may come back, as a part of the time that it has left.
 // Callers wait for a third of it at the most.
 constexpr double kEarliestReturn = 0.2;
@@ -99,6 +100,9 @@
   this->demand.priority = route.priority;
   this->demand.generation =
       this->job.fields.generation ? &*this->job.fields.generation : nullptr;
+  if (this->demand.generation != nullptr) {
+    this->demand.latest_first_byte = Scale(route.target, kHopelessFactor);
+  }
   this->last_event = this->job.fields.resume_after;
   this->context.budgets.Of(this->service).CountRequest(this->started_at);
   const std::weak_ptr<Forwarder> weak = this->weak_from_this();
@@ -156,7 +160,7 @@
   // waited, and no more load comes from it.
   return this->demand.generation != nullptr && this->attempts == 0 &&
          found.running > 0 && !this->last_event &&
-         found.expected > Scale(this->job.route->target, kHopelessFactor);
+         found.expected > this->demand.latest_first_byte;
 }
 
 Duration Forwarder::ComeBackLater() const {
--- a/src/logs/request_story.cc
+++ b/src/logs/request_story.cc
@@ -37,6 +37,7 @@
     std::pair(Cause::kCallerLeft, std::string_view("caller_left")),
     std::pair(Cause::kGatewayEnded, std::string_view("gateway_ended")),
     std::pair(Cause::kNoServer, std::string_view("no_server")),
+    std::pair(Cause::kStreamTooSlow, std::string_view("stream_too_slow")),
     std::pair(Cause::kUnexplained, std::string_view("unexplained")),
 };
 
@@ -50,7 +51,7 @@
   int failed_connects = 0;
   int answers = 0;        // Whole answers while it had the request.
   int answers_after = 0;  // The same soon after the request ended.
-  bool gone = false;  // It left, or its lease expired.
+  bool gone = false;      // It left, or its lease expired.
 };
 
 class Investigation {
@@ -243,15 +244,29 @@
   }
 
   void ExplainTimeout(const ServerEvidence& seen, const std::string& server) {
-    const bool silent = seen.answers == 0;
-    this->Conclude(
-        silent ? Cause::kServerSilent : Cause::kRequestSilent,
-        fmt::format(
-            "The time was up after {} ms and {} events. {} answered "
-            "{} other requests while it had this one{}.{}",
-            this->end->Number("duration_ms"), this->end->Number("events"),
-            server, silent ? "none of the" : std::to_string(seen.answers),
-            silent ? ": it was dark or cut off" : "", this->NoRepeat()));
+    const std::int64_t took = this->end->Number("duration_ms");
+    const std::int64_t events = this->end->Number("events");
+    if (events > 0) {
+      this->Conclude(
+          Cause::kStreamTooSlow,
+          fmt::format("The time was up after {} ms; {} had sent {} events by "
+                      "then, one in {} ms on average, with {} requests before "
+                      "this one when it began.",
+                      took, server, events, took / events,
+                      this->attempt->Number("running")));
+    } else if (seen.answers == 0) {
+      this->Conclude(
+          Cause::kServerSilent,
+          fmt::format("The time was up after {} ms without an answer. {} "
+                      "answered nobody meanwhile: it was dark or cut off.{}",
+                      took, server, this->NoRepeat()));
+    } else {
+      this->Conclude(
+          Cause::kRequestSilent,
+          fmt::format("The time was up after {} ms without an answer. {} "
+                      "answered {} other requests while it had this one.{}",
+                      took, server, seen.answers, this->NoRepeat()));
+    }
   }
 
   std::string NoRepeat() const {
--- a/src/logs/request_story.h
+++ b/src/logs/request_story.h
@@ -26,7 +26,8 @@
   kCallerLeft = 11,
   kGatewayEnded = 12,
   kNoServer = 13,
-  kUnexplained = 14,
+  kStreamTooSlow = 14,  // Events came, but not all in the caller's time.
+  kUnexplained = 15,
 };
 
 // @return the name of `cause`.
--- a/tests/gateway/balancer_test.cc
+++ b/tests/gateway/balancer_test.cc
@@ -126,6 +126,26 @@
   BOOST_TEST(idle < 12);
 }
 
+// Pattern: the homes of a prompt and most of 112 engines are busy. Guards
+// against a caller that is turned away while an engine that was not sampled is
+// idle.
+BOOST_FIXTURE_TEST_CASE(IdleEngineIsFoundBeforeACallerIsTurnedAway, Fixture) {
+  this->Fill(112);
+  LoadMessage message;
+  message.sender = "other";
+  message.sequence = 1;
+  for (std::size_t i = 1; i < this->records.size(); ++i) {
+    message.shares.push_back(
+        {ServerCode(ServerKey(this->records[i])), 8, 100000});
+  }
+  this->balancer.OnPeerLoad(message, this->now);
+  for (std::uint64_t session = 2; session < 22; ++session) {
+    Demand demand = this->Ask(session);
+    demand.latest_first_byte = milliseconds(600);
+    BOOST_TEST(this->balancer.Choose(demand, this->now)->server_id == "s1");
+  }
+}
+
 // Pattern: an engine crashes. Guards against gateways that keep connecting to
 // it, and against one that never comes back.
 BOOST_FIXTURE_TEST_CASE(UnreachableServerIsLeftForAWhile, Fixture) {
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -347,6 +347,13 @@
     times.insert(answer.substr(at, 20));
   }
   BOOST_TEST(times.size() > 2U);
+  // Nearly as late as the target: no room is left for an error.
+  constexpr double kTokensPerMs = 40;
+  set_pending(static_cast<int>(
+      kTokensPerMs * 0.9 * static_cast<double>(Route().target.count()) / 1e6 -
+      4000));
+  caller.Send(Request("r8", "/stream/x", "prompt", "Tokens: 4000\r\n"));
+  BOOST_TEST(Contains(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 503"));
   BOOST_TEST(server.Requests().empty());
   // A request that is no generation waits for no prompt.
   set_pending(0);
--- a/tests/logs/request_story_test.cc
+++ b/tests/logs/request_story_test.cc
@@ -39,13 +39,15 @@
               const std::string& server,
               int status,
               const std::string& outcome,
-              int first_event_ms = 50) {
-    this->Line(time_ms, "request_finished",
-               fmt::format(R"("request_id":"{}","server_id":"{}","status":{},)"
-                           R"("outcome":"{}","attempts":1,"events":3,)"
-                           R"("first_event_ms":{},"target_ms":600,)"
-                           R"("duration_ms":900)",
-                           id, server, status, outcome, first_event_ms));
+              int first_event_ms = 50,
+              int events = 3) {
+    this->Line(
+        time_ms, "request_finished",
+        fmt::format(R"("request_id":"{}","server_id":"{}","status":{},)"
+                    R"("outcome":"{}","attempts":1,"events":{},)"
+                    R"("first_event_ms":{},"target_ms":600,)"
+                    R"("duration_ms":900)",
+                    id, server, status, outcome, events, first_event_ms));
   }
 
   Cause CauseOf(const std::string& id) {
@@ -113,12 +115,20 @@
   this->Dispatch(100, "b", "s2");
   this->Dispatch(150, "c", "s2");
   this->Finish(400, "c", "s2", 200, "whole");
-  this->Finish(5000, "a", "s1", 504, "no answer in time");
-  this->Finish(5000, "b", "s2", 504, "no answer in time");
+  this->Finish(5000, "a", "s1", 504, "no answer in time", -1, 0);
+  this->Finish(5000, "b", "s2", 504, "no answer in time", -1, 0);
   BOOST_TEST((this->CauseOf("a") == Cause::kServerSilent));
   BOOST_TEST((this->CauseOf("b") == Cause::kRequestSilent));
 }
 
+// Guards against a slow stream that looks like a silent server.
+BOOST_FIXTURE_TEST_CASE(SlowStreamIsToldFromSilence, Fixture) {
+  this->Dispatch(100, "a", "s1");
+  this->Finish(5100, "a", "s1", 504, "stream cut: its time is up", 60, 9);
+  BOOST_TEST((this->CauseOf("a") == Cause::kStreamTooSlow));
+  BOOST_TEST(this->Says("one in 100 ms"));
+}
+
 // Guards against a request of a gateway that was killed and is called lost.
 BOOST_FIXTURE_TEST_CASE(GatewayThatEndedIsNamed, Fixture) {
   this->Dispatch(100, "a", "s1");
