Tell the other gateways of long prompts at once; take turns in relaying

Change: before a refusal a second sample is looked at, not all engines; a prompt of 2000 tokens to read or more is told at once; gateways of a domain take turns in sending its sum and in passing on those of others. Ruled out: shorter rounds for all (bytes).

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -46,6 +46,9 @@
 // the homes of the prompt and some at random.
 constexpr std::size_t kSmallPool = 32;
 constexpr int kRandomCandidates = 3;
+// Prompt tokens to read that the other gateways should know at once: more than
+// an engine reads between two rounds of the exchange.
+constexpr int kHeavyTokens = 2000;
 // Reading a prompt again delays all later requests of the engine, besides the
 // request itself; one millisecond of it weighs this much more than one of
 // waiting.
@@ -411,8 +414,15 @@
   const Placement placement = this->Place(pool, demand, now);
   std::optional<Candidate> best =
       this->Best(pool, placement, this->Sample(pool, placement), demand, now);
-  if (!best || best->avoided ||
+  if (best && !best->avoided &&
       best->choice.expected > demand.latest_first_byte) {
+    std::optional<Candidate> other =
+        this->Best(pool, placement, this->Sample(pool, placement), demand, now);
+    if (other && !other->avoided && other->score < best->score) {
+      best = std::move(other);
+    }
+  }
+  if (!best || best->avoided) {
     std::vector<std::size_t> all(pool.servers.size());
     std::iota(all.begin(), all.end(), std::size_t{0});
     best = this->Best(pool, placement, all, demand, now);
@@ -449,6 +459,9 @@
   }
   ++server->outstanding;
   server->pending_tokens += choice.uncached_tokens;
+  if (choice.uncached_tokens >= kHeavyTokens) {
+    this->tell();
+  }
   if (demand.generation != nullptr) {
     this->NoteParts(*server, *demand.generation, now);
   }
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -34,8 +34,8 @@
   const Generation* generation = nullptr;
   // Servers that failed this request.
   std::vector<std::string> excluded;
-  // A server whose first byte is expected later is of no use to the caller, so
-  // that all others are looked at before it is chosen.
+  // A server whose first byte is expected later is of no use to the caller;
+  // others are looked at before it is chosen.
   Duration latest_first_byte = Duration::max();
 };
 
@@ -111,6 +111,10 @@
   std::vector<std::string> Services() const;
   PoolState StateOf(const std::string& service, TimePoint now) const;
 
+  // @param tell called when the other gateways should hear at once of what was
+  // sent: until then the engine looks idle to them.
+  void OnHeavyLoad(std::function<void()> tell) { this->tell = std::move(tell); }
+
   // Fills in what this gateway has at the servers or, if the message is for a
   // failure domain, what all gateways of its own domain have.
   void ReportLoad(LoadMessage& message, TimePoint now);
@@ -212,6 +216,7 @@
   void Avoid(Server& server, Duration duration, TimePoint now);
 
   const BalancerOptions options;
+  std::function<void()> tell = [] {};
   internal::Random random;
   std::map<std::string, Pool> pools;
   PeerLoads peers;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -91,6 +91,7 @@
                           this->balancer.OnPeerLoad(message, this->loop.Now());
                         }));
   this->exchange = std::move(started_exchange);
+  this->balancer.OnHeavyLoad([this] { this->exchange->SendSoon(); });
   LogEvent(Severity::kInfo, Event::kListening,
            {{"address", this->callers->Address()},
             {"admin_address", this->admin->Address()}});
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -16,10 +16,12 @@
 // number, so that the messages that each receives in a second do not.
 constexpr Duration kRound = milliseconds(50);
 constexpr std::size_t kFewPeers = 36;
+// Pause between two messages to the same gateways outside the rounds.
+constexpr Duration kShortestPause = milliseconds(10);
 // More gateways than these exchange sums of their failure domains.
 constexpr std::size_t kMaxDirectGateways = 24;
-// Gateways of a failure domain that pass sums on: one may be lost unnoticed.
-constexpr std::size_t kRelays = 2;
+// Sums that a failure domain sends in each round: one may be lost unnoticed.
+constexpr std::size_t kSumsPerRound = 2;
 
 using EncodedShare = std::tuple<std::uint32_t, int, int>;
 using EncodedNeed = std::tuple<std::uint32_t, double, double>;
@@ -164,32 +166,42 @@
   }
 }
 
+std::vector<std::string> ExchangePlan::Relays(std::uint64_t round) const {
+  std::vector<std::string> relays;
+  if (round % this->period != this->turn % this->period) {
+    return relays;
+  }
+  // Each turn meets another gateway, so that none passes on more than others.
+  const std::uint64_t start = round / this->period + this->turn;
+  for (const std::vector<std::string>& ips : this->domains) {
+    relays.push_back(ips[start % ips.size()]);
+  }
+  return relays;
+}
+
 ExchangePlan PlanExchange(const ExchangePeer& self,
                           const std::vector<ExchangePeer>& gateways) {
   ExchangePlan plan;
   const bool relayed = gateways.size() > kMaxDirectGateways;
   std::map<std::string, std::vector<std::string>> domains;
   for (const ExchangePeer& gateway : gateways) {
-    domains[gateway.failure_domain].push_back(gateway.ip);
-    if (gateway.ip != self.ip &&
-        (!relayed || gateway.failure_domain == self.failure_domain)) {
+    const bool own = gateway.failure_domain == self.failure_domain;
+    if (relayed && !own) {
+      domains[gateway.failure_domain].push_back(gateway.ip);
+    } else if (gateway.ip != self.ip) {
       plan.direct.push_back(gateway.ip);
     }
   }
   for (auto& [domain, ips] : domains) {
     std::sort(ips.begin(), ips.end());
+    plan.domains.push_back(std::move(ips));
   }
-  const std::vector<std::string>& own = domains[self.failure_domain];
-  const auto place = static_cast<std::size_t>(
-      std::find(own.begin(), own.end(), self.ip) - own.begin());
-  if (!relayed || place >= std::min(kRelays, own.size())) {
-    return plan;
-  }
-  for (const auto& [domain, ips] : domains) {
-    if (domain != self.failure_domain) {
-      plan.relays.push_back(ips[std::min(place, ips.size() - 1)]);
-    }
-  }
+  std::sort(plan.direct.begin(), plan.direct.end());
+  plan.turn = static_cast<std::uint64_t>(
+      std::lower_bound(plan.direct.begin(), plan.direct.end(), self.ip) -
+      plan.direct.begin());
+  plan.period =
+      std::max<std::uint64_t>(1, (plan.direct.size() + 1) / kSumsPerRound);
   return plan;
 }
 
@@ -258,15 +270,26 @@
   }
 }
 
+void LoadExchange::SendSoon() {
+  const TimePoint now = this->loop.Now();
+  if (now >= this->next_own) {
+    this->SendOwn(now);
+  }
+}
+
 void LoadExchange::SendRound() {
   const TimePoint now = this->loop.Now();
   if (now < this->next_round) {
     return;
   }
   this->next_round = now + kRound * (this->plan.direct.size() / kFewPeers);
-  ++this->sequence;
+  this->SendOwn(now);
+  this->SendLoad(LoadScope::kDomainToRelay, this->plan.Relays(++this->rounds));
+}
+
+void LoadExchange::SendOwn(TimePoint now) {
+  this->next_own = now + kShortestPause;
   this->SendLoad(LoadScope::kGateway, this->plan.direct);
-  this->SendLoad(LoadScope::kDomainToRelay, this->plan.relays);
 }
 
 void LoadExchange::SendLoad(LoadScope scope,
@@ -276,7 +299,7 @@
   }
   LoadMessage message;
   message.sender = this->sender;
-  message.sequence = this->sequence;
+  message.sequence = ++this->sequence;
   message.scope = scope;
   message.failure_domain = this->self.failure_domain;
   this->source(message);
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -98,15 +98,22 @@
 };
 
 // Who gets which message of one gateway. A few gateways tell each other
-// directly. More of them do so within their failure domain, and two relays of
-// each domain exchange its sum with those of the others: the bytes between
-// domains do not grow with the square of the gateways.
+// directly. More of them do so within their failure domain, and take turns in
+// sending the domain's sum to one gateway of each other domain, which passes it
+// on: neither the bytes between domains nor those of one gateway grow with the
+// square of the gateways.
 struct ExchangePlan {
   std::vector<std::string> direct;  // IPs that get this gateway's load.
-  std::vector<std::string> relays;  // IPs that get the domain's sum.
+  // IPs of each other failure domain; empty if all gateways are in `direct`.
+  std::vector<std::vector<std::string>> domains;
+  std::uint64_t turn = 0;    // Of this gateway among those of its domain.
+  std::uint64_t period = 1;  // Rounds between two of its turns.
+
+  // @return IPs that get the domain's sum in a round.
+  std::vector<std::string> Relays(std::uint64_t round) const;
 };
 
-// @param self must be one of `gateways`, otherwise it is no relay.
+// @param gateways all gateways, `self` included.
 ExchangePlan PlanExchange(const ExchangePeer& self,
                           const std::vector<ExchangePeer>& gateways);
 
@@ -129,6 +136,8 @@
 
   // @param gateways all gateways, this one included.
   void SetGateways(const std::vector<ExchangePeer>& gateways);
+  // Sends this gateway's load before the next round.
+  void SendSoon();
 
  private:
   LoadExchange(net::EventLoop& loop,
@@ -141,6 +150,7 @@
   // Passes the sum of another failure domain on within this one.
   void PassOn(LoadMessage message);
   void SendRound();
+  void SendOwn(TimePoint now);
   void SendLoad(LoadScope scope, const std::vector<std::string>& ips);
   void SendTo(const std::vector<std::string>& ips, const LoadMessage& message);
 
@@ -154,7 +164,9 @@
   ExchangePlan plan;
   TimerId timer = 0;
   TimePoint next_round;
+  TimePoint next_own;  // Not before this, unless it is due.
   std::uint64_t sequence = 0;
+  std::uint64_t rounds = 0;
   std::map<LoadScope, bool> said_idle;
 };
 
