Do not turn prompts away for their own size; first configuration confirmed

Change: a prompt that waits for less than 0.15 of the target is not turned away. A gateway without a configuration takes the first one that a quorum has confirmed, or any after 3 s. Tests: PromptThatCannotBeginInTimeIsTurnedAway, FirstConfigurationIsAConfirmedOne.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -344,6 +344,7 @@
   choice.address = server.record.address;
   choice.uncached_tokens = uncached;
   choice.expected = FromMs(expected);
+  choice.reading = FromMs(uncached / kPrefillTokensPerMs);
   choice.running = server.outstanding + others.outstanding;
   choice.pending_tokens =
       static_cast<int>(server.pending_tokens) + others.pending_tokens;
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -44,8 +44,10 @@
   std::string server_id;
   std::string address;
   std::string reason;
-  // Expected time until the first byte.
+  // Expected time until the first byte, and the part of it that the server
+  // needs to read the prompt.
   Duration expected{0};
+  Duration reading{0};
   // Prompt tokens that the server has to read.
   int uncached_tokens = 0;
   // What all gateways together have at the server, as far as known.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -40,6 +40,9 @@
 // queue, and one in which expectations err by a quarter of it makes all behind
 // it late.
 constexpr double kHopelessFactor = 0.8;
+// A prompt that waits for others no longer than this part of the target is not
+// turned away for its own size.
+constexpr double kFairWait = 0.15;
 // When such a caller may come back, as a part of the time that it has left.
 // Callers wait for a third of it at the most.
 constexpr double kEarliestReturn = 0.2;
@@ -158,9 +161,11 @@
 bool Forwarder::IsHopeless(const Choice& found) const {
   // What has run, or was refused elsewhere, is not turned away: its caller has
   // waited, and no more load comes from it.
+  const Duration wait = found.expected - found.reading;
   return this->demand.generation != nullptr && this->attempts == 0 &&
          found.running > 0 && !this->last_event &&
-         found.expected > this->demand.latest_first_byte;
+         found.expected > this->demand.latest_first_byte &&
+         wait > Scale(this->job.route->target, kFairWait);
 }
 
 Duration Forwarder::ComeBackLater() const {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,12 +20,22 @@
 // Requests that are still open this long before the end are cut.
 constexpr Duration kStopMargin = milliseconds(400);
 constexpr Duration kStopCheck = milliseconds(50);
+// A first configuration that no quorum has confirmed is taken after this time:
+// callers are better served by it than by nobody, if this VM is cut off.
+constexpr Duration kConfirmationWait = seconds(3);
+constexpr Duration kFirstConfigurationCheck = milliseconds(20);
+// A confirmation older than this says nothing about a replica that restarted.
+constexpr Duration kConfirmationAge = seconds(2);
 // Part of the shared retry slack that is given out, so that a gateway whose
 // view of the others is old does not exceed it.
 constexpr double kRetrySlackPart = 0.8;
 
 }  // namespace
 
+bool MayTakeFirstConfiguration(Duration confirmation_age, Duration waited) {
+  return confirmation_age < kConfirmationAge || waited >= kConfirmationWait;
+}
+
 Gateway::Gateway(const GatewaySettings& settings,
                  const WireFormat& format,
                  net::EventLoop& loop,
@@ -40,7 +50,8 @@
       context{loop,       format,        this->balancer,
               this->pool, this->budgets, this->request_metrics},
       handler(this->context),
-      admin_handler(*this) {
+      admin_handler(*this),
+      started_at(loop.Now()) {
   this->SetRetryLimits(1);
 }
 
@@ -127,7 +138,27 @@
                         entry.failure_domain});
   }
   this->exchange->SetGateways(gateways);
-  this->TakeConfiguration(*state);
+  if (this->handler.Table() != nullptr) {
+    this->TakeConfiguration(*state);
+  } else {
+    this->TakeFirstConfiguration();
+  }
+}
+
+void Gateway::TakeFirstConfiguration() {
+  const std::shared_ptr<const SharedState> state = this->follower->Current();
+  if (state != nullptr &&
+      MayTakeFirstConfiguration(this->follower->ConfirmationAge(),
+                                this->loop.Now() - this->started_at)) {
+    this->TakeConfiguration(*state);
+  }
+  if (this->handler.Table() != nullptr) {
+    this->loop.Cancel(std::exchange(this->first_configuration_timer, 0));
+  } else if (state != nullptr && !state->configuration.isNull() &&
+             this->first_configuration_timer == 0) {
+    this->first_configuration_timer = this->loop.SubscribePeriodic(
+        kFirstConfigurationCheck, [this] { this->TakeFirstConfiguration(); });
+  }
 }
 
 void Gateway::TakeConfiguration(const SharedState& state) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,13 @@
 
 // All methods are called on the loop's thread, except Start and Stop, which the
 // owner calls before and after the loop runs.
+// @param confirmation_age time since a quorum confirmed the state;
+// Duration::max() if it never did.
+// @param waited time since the gateway started.
+// @return true if a gateway without a configuration may take this one. A
+// replica that restarts shows its log as it reads it: old configurations first.
+bool MayTakeFirstConfiguration(Duration confirmation_age, Duration waited);
+
 class Gateway {
  public:
   // The references must outlive the gateway.
@@ -57,6 +64,8 @@
   void Follow();
   void OnShared(const std::shared_ptr<const SharedState>& state);
   void TakeConfiguration(const SharedState& state);
+  // Takes the newest state's configuration if it is the first.
+  void TakeFirstConfiguration();
   void SetRetryLimits(std::size_t gateways);
   void AdvanceStop();
   // Brings the metrics up to date.
@@ -84,6 +93,8 @@
   bool stopping = false;
   bool refusing = false;
   TimePoint stop_began;
+  const TimePoint started_at;
+  TimerId first_configuration_timer = 0;
   // When the configuration in force was taken.
   TimePoint configured_at;
 };
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -355,6 +355,10 @@
   caller.Send(Request("r8", "/stream/x", "prompt", "Tokens: 4000\r\n"));
   BOOST_TEST(Contains(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 503"));
   BOOST_TEST(server.Requests().empty());
+  // A large prompt is late by its own size, with hardly a queue before it.
+  set_pending(1000);
+  caller.Send(Request("r7", "/stream/x", "prompt", "Tokens: 22000\r\n"));
+  BOOST_TEST(Contains(caller.ReadUntil("0\r\n\r\n"), "data: one"));
   // A request that is no generation waits for no prompt.
   set_pending(0);
   caller.Send(Request("r9", "/stream/x", "prompt", "Tokens: 4000\r\n"));
--- a/tests/gateway/gateway_settings_test.cc
+++ b/tests/gateway/gateway_settings_test.cc
@@ -1,5 +1,7 @@
 #include "gateway/gateway_settings.h"
 
+#include "gateway/gateway.h"
+
 #include <boost/test/unit_test.hpp>
 
 namespace sycamorebend::gateway {
@@ -38,4 +40,15 @@
   BOOST_TEST(settings.error().message.find("retry_rate") != std::string::npos);
 }
 
+// Guards against routes of an old configuration at a gateway that restarts
+// together with the replicas, and against one that waits for a quorum for ever.
+BOOST_AUTO_TEST_CASE(FirstConfigurationIsAConfirmedOne) {
+  const Duration never = Duration::max();
+  BOOST_TEST(!MayTakeFirstConfiguration(never, milliseconds(0)));
+  BOOST_TEST(!MayTakeFirstConfiguration(never, milliseconds(2900)));
+  BOOST_TEST(!MayTakeFirstConfiguration(seconds(60), milliseconds(500)));
+  BOOST_TEST(MayTakeFirstConfiguration(milliseconds(300), milliseconds(0)));
+  BOOST_TEST(MayTakeFirstConfiguration(never, seconds(3)));
+}
+
 }  // namespace sycamorebend::gateway
