--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -148,7 +148,7 @@
 BOOST_AUTO_TEST_CASE(GatewaysTakeTurnsInPassingOn) {
   const std::vector<ExchangePeer> gateways = Gateways(3, 24);
   std::map<std::string, int> passed_on;
-  constexpr std::uint64_t kRounds = 24 * 12;
+  constexpr std::uint64_t kRounds = 288;  // Whole turns of all gateways.
   for (const ExchangePeer& gateway : gateways) {
     const ExchangePlan plan = PlanExchange(gateway, gateways);
     for (std::uint64_t round = 0; round < kRounds; ++round) {
