--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -497,7 +497,7 @@
                       TimePoint now) {
   Pool& pool = this->pools[demand.service];
   if (demand.generation != nullptr) {
-    pool.lanes.OnDone(demand.route);
+    pool.lanes.OnDone(demand.route, now);
   }
   if (outcome == SendOutcome::kAnswered) {
     pool.service_ms += kServiceWeight * (ToMs(elapsed) - pool.service_ms);
--- a/src/gateway/lanes.cc
+++ b/src/gateway/lanes.cc
@@ -48,6 +48,11 @@
          kAverageSeconds;
 }
 
+void Lanes::Advance(RouteLoad& load, TimePoint now) {
+  load.busy.Add(load.outstanding * SecondsBetween(load.at, now), now);
+  load.at = now;
+}
+
 void Lanes::OnSent(const std::string& route,
                    const LaneRequest& request,
                    TimePoint now) {
@@ -55,7 +60,9 @@
   RouteLoad& load = known->second;
   if (added) {
     load.uncached_tokens = request.uncached_tokens;
+    load.at = now;
   }
+  this->Advance(load, now);
   load.gap_target = request.gap_target;
   load.priority = request.priority;
   ++load.outstanding;
@@ -64,9 +71,10 @@
   load.tokens.Add(request.uncached_tokens, now);
 }
 
-void Lanes::OnDone(const std::string& route) {
+void Lanes::OnDone(const std::string& route, TimePoint now) {
   const auto known = this->routes.find(route);
   if (known != this->routes.end()) {
+    this->Advance(known->second, now);
     known->second.outstanding = std::max(0, known->second.outstanding - 1);
   }
 }
@@ -102,11 +110,10 @@
   LaneNeed in_use;
   LaneNeed prefill;
   for (auto& [name, load] : this->routes) {
+    this->Advance(load, now);
     const bool is_long = this->Long(load);
-    // Not averaged: streams that engines are too busy to end pile up faster
-    // than an average follows.
     (is_long ? in_use.long_prompts : in_use.short_prompts) +=
-        load.outstanding / (slots * kSlotUse);
+        load.busy.PerSecond(now) / (slots * kSlotUse);
     (is_long ? prefill.long_prompts : prefill.short_prompts) +=
         load.tokens.PerSecond(now) /
         (this->model.tokens_per_ms * 1000 * kPrefillUse);
--- a/src/gateway/lanes.h
+++ b/src/gateway/lanes.h
@@ -57,7 +57,7 @@
   void OnSent(const std::string& route,
               const LaneRequest& request,
               TimePoint now);
-  void OnDone(const std::string& route);
+  void OnDone(const std::string& route, TimePoint now);
 
   Kind KindOf(const std::string& route) const;
 
@@ -81,9 +81,13 @@
     int priority = 0;
     double uncached_tokens = 0;  // Of a usual request.
     int outstanding = 0;
+    // Time integral of `outstanding`: requests at the engines, on average.
+    DecayingSum busy;
     DecayingSum tokens;
+    TimePoint at;
   };
 
+  void Advance(RouteLoad& load, TimePoint now);
   bool Long(const RouteLoad& load) const;
   // @return the part of the engines that short prompts shall have.
   double IdealShare(double engines, const LaneNeed& need) const;
--- a/tests/gateway/lanes_test.cc
+++ b/tests/gateway/lanes_test.cc
@@ -31,7 +31,7 @@
         ends.emplace(this->now + milliseconds(500), "long");
       }
       while (!ends.empty() && ends.begin()->first <= this->now) {
-        this->lanes.OnDone(ends.begin()->second);
+        this->lanes.OnDone(ends.begin()->second, this->now);
         ends.erase(ends.begin());
       }
     }
