Forget gateways that fall silent a second time; remove unused code

Cause: found by reading the change: after a time without any other gateway the next ones were never checked for silence, so that the load of one that was killed stayed for ever. Change: the check is due again with each message. Functions without a caller are gone (TcpConnection::AnySent, ControlDaemon::LeaderIp and Service). Ruled out: a check at each look-up of a total (it is on the path of every candidate). Conclusion: GatewayThatReturnedIsForgottenAgain fails without the change.

--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -97,7 +97,6 @@
                     CreateReplicatedLog(options, *this->state, *this->rpc,
                                         this->control_thread, this->clock));
   this->log = std::move(started);
-  this->published_log = this->log.get();
   ReplicaSetGoal goal;
   goal.voters = this->settings.voters;
   this->service.SetLog(*this->log, goal);
@@ -127,15 +126,6 @@
   this->seeds = std::move(new_seeds);
 }
 
-std::string ControlDaemon::LeaderIp() const {
-  const ReplicatedLogService* const replica_log = this->published_log;
-  if (replica_log == nullptr) {
-    return {};
-  }
-  const std::string address = replica_log->GetStatus().leader_address;
-  return address.substr(0, address.find(':'));
-}
-
 Status ControlDaemon::Advance() {
   ReplicaId granted = 0;
   {
--- a/src/controld/control_daemon.h
+++ b/src/controld/control_daemon.h
@@ -2,7 +2,6 @@
 #ifndef SYCAMOREBEND_SRC_CONTROLD_CONTROL_DAEMON_H_
 #define SYCAMOREBEND_SRC_CONTROLD_CONTROL_DAEMON_H_
 
-#include <atomic>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -48,10 +47,7 @@
   std::shared_ptr<const SharedState> Shared() const {
     return this->state->Shared();
   }
-  // @return IP of the leader as far as known, or an empty string. Thread-safe.
-  std::string LeaderIp() const;
   const Clock& GetClock() const { return this->clock; }
-  ControlService& Service() { return this->service; }
 
  private:
   explicit ControlDaemon(const ControlSettings& settings);
@@ -75,7 +71,6 @@
   std::unique_ptr<HttpServer> server;
   std::shared_ptr<LeaderCalls> leader_calls;
   std::unique_ptr<ReplicatedLogService> log;
-  std::atomic<ReplicatedLogService*> published_log{nullptr};
   mutable std::mutex mutex;
   std::vector<std::string> seeds;
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -110,6 +110,7 @@
   this->Count(peer, -1);
   peer = {message.sender, message.sequence, now, message.shares, message.needs};
   this->Count(peer, 1);
+  this->next_expiry = std::min(this->next_expiry, now + kMaxAge);
   this->Expire(now);
 }
 
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -206,7 +206,6 @@
       }
       break;
     }
-    this->any_sent = true;
     this->out_sent += static_cast<std::size_t>(size);
   }
   const bool drained = this->UnsentBytes() == 0;
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -68,8 +68,6 @@
   bool Connected() const { return this->connected; }
   bool Closed() const { return this->fd < 0; }
   std::size_t UnsentBytes() const { return this->out.size() - this->out_sent; }
-  // @return true once any byte was handed to the kernel.
-  bool AnySent() const { return this->any_sent; }
 
   void OnReadable() override;
   void OnWritable() override;
@@ -87,7 +85,6 @@
   bool connected;
   bool reading = true;
   bool ended = false;
-  bool any_sent = false;
   // Set while the connection flushes before it closes.
   std::shared_ptr<TcpConnection> closing_self;
   ConnectionObserver* observer = nullptr;
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -96,6 +96,16 @@
   BOOST_TEST(peers.Total(kServer, TimePoint{seconds(13)}).outstanding == 0);
 }
 
+// Guards against load that stays for ever once all gateways were silent.
+BOOST_AUTO_TEST_CASE(GatewayThatReturnedIsForgottenAgain) {
+  PeerLoads peers;
+  peers.Take(Message("one", 1, 4), TimePoint{seconds(10)});
+  BOOST_TEST(peers.Total(kServer, TimePoint{seconds(13)}).outstanding == 0);
+  peers.Take(Message("one", 2, 4), TimePoint{seconds(20)});
+  BOOST_TEST(peers.Total(kServer, TimePoint{seconds(21)}).outstanding == 4);
+  BOOST_TEST(peers.Total(kServer, TimePoint{seconds(23)}).outstanding == 0);
+}
+
 // Guards against a failure domain whose load is counted once for each relay.
 BOOST_AUTO_TEST_CASE(TwoRelaysOfADomainCountOnce) {
   PeerLoads peers;
