Refuse messages of another HTTP version; tests of the reader

Cause: found by new tests of the HTTP reader: a request line with HTTP/9.9 was read as HTTP/1.1 and forwarded. Change: a major version other than 1 is refused. Ruled out: nothing else failed: pipelining in pieces of each size, ambiguous lengths, long heads, answers that break off, interim answers.

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -118,7 +118,7 @@
   if (this->value_begun || !this->field.empty()) {
     this->FinishHeader();
   }
-  if (this->parser.upgrade != 0) {
+  if (this->parser.upgrade != 0 || this->parser.http_major != 1) {
     return kRefuse;
   }
   const bool request = this->kind == Kind::kRequest;
--- /dev/null
+++ b/tests/net/http_reader_test.cc
@@ -0,0 +1,177 @@
+#include "net/http_reader.h"
+
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+namespace sycamorebend::net {
+
+namespace {
+
+constexpr std::size_t kHeadBytes = 512;
+
+// What a reader made of some bytes.
+class Recorder : public MessageSink {
+ public:
+  explicit Recorder(HttpReader::Kind kind) : reader(kind, *this, kHeadBytes) {}
+
+  // Reads `data` in pieces of `size` bytes, over all its messages.
+  void Feed(const std::string& data, std::size_t size) {
+    for (std::size_t at = 0; at < data.size(); at += size) {
+      std::string_view piece = std::string_view(data).substr(at, size);
+      while (!piece.empty() && !this->reader.Failed()) {
+        piece.remove_prefix(this->reader.Read(piece));
+      }
+    }
+  }
+
+  bool OnHead(MessageHead head) override {
+    this->heads.push_back(std::move(head));
+    this->bodies.emplace_back();
+    return true;
+  }
+  void OnBody(std::string_view data) override {
+    this->bodies.back().append(data);
+  }
+  void OnMessageEnd() override { ++this->ended; }
+
+  std::vector<MessageHead> heads;
+  std::vector<std::string> bodies;
+  int ended = 0;
+  HttpReader reader;
+};
+
+constexpr auto kRequest = HttpReader::Kind::kRequest;
+constexpr auto kAnswer = HttpReader::Kind::kAnswer;
+
+}  // namespace
+
+// Guards against messages that are read differently when the network cuts them
+// at another place.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreReadInAnyPieces) {
+  const std::string data =
+      "POST /a?x=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+      "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n2;ext=1\r\nde\r\n0\r\nTrailer: t\r\n\r\n"
+      "GET /c HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (std::size_t size = 1; size <= data.size(); ++size) {
+    Recorder recorder(kRequest);
+    recorder.Feed(data, size);
+    BOOST_TEST(!recorder.reader.Failed());
+    BOOST_TEST(recorder.ended == 3);
+    BOOST_REQUIRE(recorder.heads.size() == 3U);
+    BOOST_TEST(recorder.heads[0].target == "/a?x=1");
+    BOOST_TEST(recorder.heads[0].Path() == "/a");
+    BOOST_TEST(recorder.bodies[0] == "hello");
+    BOOST_TEST(recorder.bodies[1] == "abcde");
+    BOOST_TEST(recorder.heads[2].method == "GET");
+  }
+}
+
+// Guards against a second request that hides in the body of another, where
+// two readers disagree about its length.
+BOOST_AUTO_TEST_CASE(AmbiguousLengthsAreRefused) {
+  const std::vector<std::string> ambiguous = {
+      "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+      "Content-Length: 4\r\nContent-Length: 9\r\n",
+      "Content-Length: 4, 9\r\n",
+      "Content-Length: -4\r\n",
+      "Content-Length: 4x\r\n",
+      "Content-Length: 99999999999999999999999\r\n",
+  };
+  for (const std::string& headers : ambiguous) {
+    Recorder recorder(kRequest);
+    recorder.Feed("POST /a HTTP/1.1\r\nHost: h\r\n" + headers +
+                      "\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: h\r\n\r\n",
+                  1000);
+    BOOST_TEST(recorder.reader.Failed(), headers);
+    for (const MessageHead& head : recorder.heads) {
+      BOOST_TEST(head.target != "/hidden", headers);
+    }
+  }
+}
+
+// Guards against a caller that fills memory with headers.
+BOOST_AUTO_TEST_CASE(LongHeadIsRefused) {
+  for (const std::size_t size : {1, 1000}) {
+    Recorder recorder(kRequest);
+    recorder.Feed(
+        "GET /a HTTP/1.1\r\nX: " + std::string(kHeadBytes, 'x') + "\r\n\r\n",
+        size);
+    BOOST_TEST(recorder.reader.Failed());
+    BOOST_TEST(recorder.reader.HeadTooLarge());
+    BOOST_TEST(recorder.heads.empty());
+  }
+}
+
+// Guards against an answer that broke off and looks whole.
+BOOST_AUTO_TEST_CASE(AnswerThatBreaksOffDoesNotEnd) {
+  const std::vector<std::string> broken = {
+      "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Le",
+  };
+  for (const std::string& data : broken) {
+    Recorder recorder(kAnswer);
+    recorder.Feed(data, 7);
+    recorder.reader.End();
+    BOOST_TEST(recorder.ended == 0, data);
+    BOOST_TEST(recorder.reader.Failed(), data);
+  }
+}
+
+// Guards against an answer without a length that never ends, or that ends
+// before its connection does.
+BOOST_AUTO_TEST_CASE(AnswerWithoutLengthEndsWithItsConnection) {
+  Recorder recorder(kAnswer);
+  recorder.Feed("HTTP/1.1 200 OK\r\nX: y\r\n\r\nsome", 3);
+  recorder.Feed(" more", 2);
+  BOOST_TEST(recorder.ended == 0);
+  BOOST_REQUIRE(recorder.heads.size() == 1U);
+  BOOST_TEST(recorder.heads[0].until_close);
+  recorder.reader.End();
+  BOOST_TEST(recorder.ended == 1);
+  BOOST_TEST(recorder.bodies[0] == "some more");
+}
+
+// Guards against a body that is expected where there is none.
+BOOST_AUTO_TEST_CASE(AnswersWithoutBodyEndAtOnce) {
+  for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+    Recorder recorder(kAnswer);
+    recorder.Feed("HTTP/1.1 " + status + "\r\n\r\n", 4);
+    BOOST_TEST(recorder.ended == 1, status);
+  }
+  Recorder head(kAnswer);
+  head.reader.ExpectNoBody(true);
+  head.Feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", 4);
+  BOOST_TEST(head.ended == 1);
+}
+
+// Guards against an interim answer that is taken for the final one.
+BOOST_AUTO_TEST_CASE(InterimAnswersAreSkipped) {
+  Recorder recorder(kAnswer);
+  recorder.Feed(
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+      5);
+  BOOST_TEST(recorder.ended == 1);
+  BOOST_REQUIRE(recorder.heads.size() == 1U);
+  BOOST_TEST(recorder.heads[0].status == 200);
+  BOOST_TEST(recorder.bodies[0] == "ok");
+}
+
+// Guards against bytes that are no HTTP, and against a tunnel.
+BOOST_AUTO_TEST_CASE(OtherProtocolsAreRefused) {
+  for (const std::string data :
+       {"\x16\x03\x01\x02", "HELLO\r\n\r\n", "GET /a HTTP/9.9\r\n\r\n",
+        "CONNECT h:1 HTTP/1.1\r\n\r\n"}) {
+    Recorder recorder(kRequest);
+    recorder.Feed(data, 100);
+    BOOST_TEST(recorder.reader.Failed(), data);
+    BOOST_TEST(recorder.ended == 0, data);
+  }
+}
+
+}  // namespace sycamorebend::net
