--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -11,14 +11,16 @@
 headers=$(cat .clang-tidy $(printf '%s\n' "${files[@]}" | grep '\.h$') | sha256sum)
 export cache headers
 lint_one() {
-  local stamp
+  local stamp output
   stamp=$cache/$( (echo "$headers $1"; cat "$1") | sha256sum | cut -c1-64)
   [[ -e $stamp ]] && return 0
-  if clang-tidy --quiet -p build "$1" >"$stamp.log" 2>/dev/null; then
-    mv "$stamp.log" "$stamp"
+  # Another run may check the same file at the same time.
+  output=$(mktemp "$stamp.XXXXXX")
+  if clang-tidy --quiet -p build "$1" >"$output" 2>/dev/null; then
+    mv "$output" "$stamp"
   else
-    cat "$stamp.log"
-    rm -f "$stamp.log"
+    cat "$output"
+    rm -f "$output"
     return 1
   fi
 }
