Start a gateway whose metrics port is in use

Cause: found by reading: the address for metrics names a port of its own; if it were in use, the gateway would not start and serve nobody. Change: it starts without that address and logs why.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -84,13 +84,7 @@
                                        this->loop, this->settings.admin_address,
                                        this->admin_handler));
   this->admin = std::move(started_admin);
-  if (!this->settings.metrics_address.empty()) {
-    BOOST_OUTCOME_TRY(
-        started_metrics,
-        CallerServer::Start(this->loop, this->settings.metrics_address,
-                            this->admin_handler));
-    this->metrics_server = std::move(started_metrics);
-  }
+  this->ListenForMetrics();
   BOOST_OUTCOME_TRY(started_exchange,
                     LoadExchange::Start(
                         this->loop, this->settings.exchange_address,
@@ -109,6 +103,23 @@
   return Success();
 }
 
+void Gateway::ListenForMetrics() {
+  const std::string& address = this->settings.metrics_address;
+  if (address.empty()) {
+    return;
+  }
+  auto started = CallerServer::Start(this->loop, address, this->admin_handler);
+  if (started) {
+    this->metrics_server = std::move(started.value());
+    return;
+  }
+  // Callers are served without it, and the admin address has the same page.
+  LogEvent(Severity::kError, Event::kSettingsRejected,
+           {{"key", "metrics_address"},
+            {"address", address},
+            {"message", started.error().message}});
+}
+
 void Gateway::Follow() {
   this->http_client = HttpClient::Create(kFeedThreads);
   this->rpc = RpcClient::Create(*this->http_client);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,6 +61,7 @@
           const Clock& clock);
 
   Status Listen();
+  void ListenForMetrics();
   void Follow();
   void OnShared(const std::shared_ptr<const SharedState>& state);
   void TakeConfiguration(const SharedState& state);
