Read the numbers of a deployment as numbers that may have fractions

Cause: the settings template of the gateway wrote `retry_slack` as a whole number and milliseconds by appending 000 to a number of seconds.

Change: `retry_slack` is a number, `stop_grace_ms` becomes `stop_grace_s` (SettingsObject::GetSeconds).

--- a/include/sycamorebend/settings.h
+++ b/include/sycamorebend/settings.h
@@ -55,6 +55,13 @@
                            milliseconds minimum,
                            milliseconds maximum,
                            std::optional<milliseconds> fallback = std::nullopt);
+  // Seconds within [minimum, maximum], fractions included. The key ends in
+  // "_s".
+  Duration GetSeconds(const std::string& key,
+                      Duration minimum,
+                      Duration maximum,
+                      std::optional<Duration> fallback = std::nullopt);
+  // A finite number within [minimum, maximum].
   double GetNumber(const std::string& key,
                    double minimum,
                    double maximum,
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -6,10 +6,9 @@
 
 constexpr std::int64_t kMaxPort = 65535;
 constexpr double kMaxRetryRatio = 10;
-constexpr std::int64_t kMaxRetrySlack = 1000000;
-constexpr milliseconds kMinStopGrace{1000};
-constexpr milliseconds kMaxStopGrace{3600 * 1000};
-constexpr milliseconds kDefaultStopGrace{8000};
+constexpr double kMaxRetrySlack = 1000000;
+constexpr Duration kMinStopGrace = seconds(1);
+constexpr Duration kMaxStopGrace = seconds(3600);
 
 }  // namespace
 
@@ -28,12 +27,12 @@
     settings.replicas.push_back(seed.substr(0, seed.find(':')) + ":" +
                                 std::to_string(rpc_port));
   }
-  settings.stop_grace = root.GetMilliseconds("stop_grace_ms", kMinStopGrace,
-                                             kMaxStopGrace, kDefaultStopGrace);
+  settings.stop_grace = root.GetSeconds("stop_grace_s", kMinStopGrace,
+                                        kMaxStopGrace, settings.stop_grace);
   settings.retry_ratio =
       root.GetNumber("retry_ratio", 0, kMaxRetryRatio, settings.retry_ratio);
-  settings.retry_slack = static_cast<int>(
-      root.GetInteger("retry_slack", 0, kMaxRetrySlack, settings.retry_slack));
+  settings.retry_slack =
+      root.GetNumber("retry_slack", 0, kMaxRetrySlack, settings.retry_slack);
   settings.log_threshold = ReadLogSeverity(root);
   BOOST_OUTCOME_TRY(root.Finish());
   return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -29,7 +29,7 @@
   // Retries that all gateways together may add to a service in 10 s: this ratio
   // of its requests plus a fixed number.
   double retry_ratio = 0.2;
-  int retry_slack = 50;
+  double retry_slack = 50;
   Severity log_threshold = Severity::kInfo;
 };
 
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -15,6 +15,10 @@
 
 constexpr int kMaxPort = 65535;
 
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 int LineAt(std::string_view text, std::ptrdiff_t offset) {
   const auto end = std::min<std::size_t>(
       text.size(), offset < 0 ? 0 : static_cast<std::size_t>(offset));
@@ -169,6 +173,18 @@
       this->GetInteger(key, minimum.count(), maximum.count(), count));
 }
 
+Duration SettingsObject::GetSeconds(const std::string& key,
+                                    Duration minimum,
+                                    Duration maximum,
+                                    std::optional<Duration> fallback) {
+  std::optional<double> count;
+  if (fallback) {
+    count = ToSeconds(*fallback);
+  }
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      this->GetNumber(key, ToSeconds(minimum), ToSeconds(maximum), count)));
+}
+
 double SettingsObject::GetNumber(const std::string& key,
                                  double minimum,
                                  double maximum,
