--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -29,24 +29,42 @@
 // Penalty for a long prompt on an engine for short prompts, where it delays
 // many streams.
 constexpr double kLongPromptPenaltyMs = 1200;
-// Demand below this number of engines is not reported to other gateways.
-constexpr double kMinReportedDemand = 0.001;
+// Interval at which the routes are classified and the engines assigned anew.
+constexpr Duration kPartitionInterval = milliseconds(50);
 // Upper bound of the random value added to each score, so that gateways with
 // the same information do not all select the same server.
 constexpr double kScoreJitterMs = 4;
 // A load report older than this is ignored.
 constexpr Duration kLoadReportTtl = seconds(2);
-// A prefix block sent longer ago than this is assumed to be evicted.
-constexpr Duration kPromptBlockTtl = seconds(30);
+constexpr Duration kMinBlockLifetime = seconds(2);
+// Part of an engine's memory that holds cached blocks; running requests take
+// the rest.
+constexpr double kCacheFraction = 0.7;
+// A placement is sent to other gateways for this long, in case datagrams are
+// lost, and again when this part of the block's lifetime has passed.
+constexpr Duration kPlacementRepeatTime = milliseconds(120);
+constexpr double kPlacementRefreshFraction = 0.5;
+// Servers remembered for each block.
+constexpr std::size_t kMaxHolders = 4;
 // Prefix blocks tracked per server before old ones are removed.
 constexpr std::size_t kMaxTrackedBlocks = 4096;
+// Blocks with known holders per service, as a multiple of that.
+constexpr std::size_t kHolderBlocksFactor = 4;
 // Probability that the first, second and third preferred server have cached a
-// prompt that this gateway has not sent to them.
-constexpr std::array<double, 3> kPreferredHitRates = {0.8, 0.3, 0.1};
+// prompt that no gateway is known to have sent to them.
+constexpr std::array<double, 3> kPreferredHitRates = {0.3, 0.1, 0.05};
 // Pools of up to this size are evaluated completely; in larger ones only the
 // preferred servers and a random sample.
 constexpr std::size_t kMaxFullScanServers = 32;
 constexpr int kRandomCandidates = 3;
+// Random servers of the whole pool that are evaluated besides, first and if no
+// server was found that can begin the request in time.
+constexpr int kOutsideCandidates = 1;
+constexpr int kMoreOutsideCandidates = 4;
+// Part of an average prompt that an engine still prefills, on average, when a
+// request of higher priority arrives.
+constexpr double kBegunPromptFraction = 0.5;
+constexpr double kPromptEwmaWeight = 0.05;
 // Uncached prompt tokens that are reported to the other gateways immediately:
 // as many as an engine prefills in one round of the load exchange.
 constexpr int kHeavyPromptTokens = 2000;
@@ -81,6 +99,17 @@
       std::chrono::duration<double, std::milli>(ms));
 }
 
+// @return the prompt tokens that an engine prefills before those of a new
+// request at `level`. It serves higher priorities first, but finishes a prompt
+// that it has begun.
+double TokensAhead(const PendingTokens& pending,
+                   int level,
+                   double prompt_tokens) {
+  const int ahead = pending.AheadOf(level);
+  return ahead + std::min<double>(pending.Total() - ahead,
+                                  kBegunPromptFraction * prompt_tokens);
+}
+
 // @return the rendezvous hashing weight of a server for a prefix block, which
 // is the same at every gateway: the finalizer of SplitMix64 over both.
 std::uint64_t RendezvousWeight(std::uint64_t block, std::uint64_t server_hash) {
@@ -131,6 +160,7 @@
       server->key_hash = StableHash64(key);
       server->key_hash32 = StableHash32(key);
       server->id_hash = StableHash64(record.server_id);
+      this->servers_by_hash[server->key_hash32] = server.get();
     }
     server->record = record;
     this->pools[record.service].servers.push_back(server.get());
@@ -148,6 +178,7 @@
       continue;
     }
     removed.push_back(it->first);
+    this->Forget(*it->second);
     it = this->servers.erase(it);
   }
   return removed;
@@ -156,7 +187,9 @@
 void Balancer::SetServices(
     const std::map<std::string, ServiceLimits>& services) {
   for (const auto& [name, limits] : services) {
-    this->pools[name].partition.SetEventTokens(limits.event_tokens);
+    Pool& pool = this->pools[name];
+    pool.partition.SetEventTokens(limits.event_tokens);
+    pool.cache_tokens = limits.cache_tokens;
   }
 }
 
@@ -165,25 +198,27 @@
   return found == this->servers.end() ? nullptr : found->second.get();
 }
 
-int Balancer::UncachedTokens(const Server& server,
+int Balancer::UncachedTokens(const Pool& pool,
+                             const Server& server,
                              const GenerationRequest& generation,
                              double hit_rate,
-                             TimePoint now) const {
-  double cached = 0;
-  bool prefix_cached = true;
-  for (std::size_t i = 0; i < generation.prompt.size(); ++i) {
-    const PromptBlock& block = generation.prompt[i];
-    const auto sent = server.block_sent_at.find(block.id);
-    prefix_cached = prefix_cached && sent != server.block_sent_at.end() &&
-                    now - sent->second < kPromptBlockTtl;
-    if (prefix_cached) {
-      cached += block.tokens;
-    } else if (hit_rate > 0 && i + 1 < generation.prompt.size()) {
-      cached += hit_rate * block.tokens;
-    } else {
+                             TimePoint now) {
+  const std::vector<PromptBlock>& prompt = generation.prompt;
+  // The blocks before a cached one are cached as well, since they are used
+  // whenever it is.
+  std::size_t known = prompt.size();
+  for (; known > 0; --known) {
+    const auto sent = server.sent_blocks.find(prompt[known - 1].id);
+    if (sent != server.sent_blocks.end() &&
+        now - sent->second.at < pool.block_lifetime) {
       break;
     }
   }
+  double cached = 0;
+  for (std::size_t i = 0; i < prompt.size(); ++i) {
+    const bool shared = i + 1 < prompt.size();
+    cached += prompt[i].tokens * (i < known ? 1 : shared ? hit_rate : 0);
+  }
   return std::max(0, generation.input_tokens - static_cast<int>(cached));
 }
 
@@ -195,7 +230,7 @@
 double Balancer::ExpectedMs(const Pool& pool,
                             const Server& server,
                             const GatewayLoad& peer_load,
-                            int uncached,
+                            double tokens,
                             TimePoint now) const {
   double running = server.outstanding + peer_load.outstanding;
   if (server.load_report && now - server.load_report_at < kLoadReportTtl) {
@@ -207,8 +242,6 @@
   }
   const int slots = std::max(1, server.record.slots);
   const double waiting = std::max(0.0, running + 1 - slots);
-  const double tokens =
-      server.pending_tokens + peer_load.pending_tokens + uncached;
   return (kIdleFirstByteMs + tokens / kPrefillTokensPerMs +
           kRunningRequestDelayMs * running +
           pool.service_time_ms / slots * waiting) *
@@ -219,20 +252,20 @@
   for (const auto& [key, server] : this->servers) {
     if (server->outstanding > 0) {
       message.server_loads.push_back(
-          {server->key_hash32, server->outstanding,
-           static_cast<int>(server->pending_tokens)});
+          {server->key_hash32, server->outstanding, server->pending});
     }
   }
   for (auto& [service, pool] : this->pools) {
-    const EngineDemand demand =
-        pool.partition.LocalDemand(this->SlotsPerServer(pool), now);
-    if (demand.short_prompts + demand.long_prompts > kMinReportedDemand) {
-      message.service_demands.push_back({StableHash32(service), demand});
+    std::vector<RouteDemand> demand = pool.partition.LocalDemand(now);
+    if (!demand.empty()) {
+      message.service_demands.push_back(
+          {StableHash32(service), std::move(demand)});
     }
   }
   if (message.scope != LoadScope::kGateway) {
     this->peer_loads.AddGatewayLoads(message, now);
   }
+  this->FillPlacements(message, now);
 }
 
 int Balancer::SlotsPerServer(const Pool& pool) const {
@@ -245,18 +278,14 @@
                                            TimePoint now) {
   Placement placement;
   placement.partition_end = pool.servers.size();
+  placement.priority_level = profile.priority_level;
+  placement.max_first_byte_time = profile.max_first_byte_time;
   if (profile.generation == nullptr || profile.generation->prompt.empty()) {
     return placement;
   }
   placement.generation = profile.generation;
-  EngineDemand demand =
-      this->peer_loads.TotalDemand(StableHash32(profile.service), now);
-  const EngineDemand own =
-      pool.partition.LocalDemand(this->SlotsPerServer(pool), now);
-  demand.short_prompts += own.short_prompts;
-  demand.long_prompts += own.long_prompts;
-  const std::size_t boundary =
-      pool.partition.ShortPromptEngines(pool.servers.size(), demand);
+  this->UpdatePartition(pool, profile.service, now);
+  const std::size_t boundary = pool.partition.ShortPromptEngines();
   const bool is_long = pool.partition.PromptClassOf(profile.route) ==
                        EnginePartition::PromptClass::kLongPrompt;
   placement.is_long = is_long;
@@ -264,9 +293,60 @@
     (is_long ? placement.partition_begin : placement.partition_end) = boundary;
   }
   this->FindPreferredServers(pool, placement);
+  this->FindHolders(pool, placement);
   return placement;
 }
 
+void Balancer::UpdatePartition(Pool& pool,
+                               const std::string& service,
+                               TimePoint now) {
+  if (now < pool.next_partition_update) {
+    return;
+  }
+  pool.next_partition_update = now + kPartitionInterval;
+  std::vector<RouteDemand> demand =
+      this->peer_loads.TotalDemand(StableHash32(service), now);
+  for (const RouteDemand& route : pool.partition.LocalDemand(now)) {
+    demand.push_back(route);
+  }
+  pool.partition.Update(pool.servers.size(), this->SlotsPerServer(pool),
+                        demand);
+  double tokens_per_s = 0;
+  for (const RouteDemand& route : demand) {
+    tokens_per_s += route.tokens_per_s;
+  }
+  UpdateBlockLifetime(pool, tokens_per_s);
+}
+
+void Balancer::UpdateBlockLifetime(Pool& pool, double tokens_per_s) {
+  if (pool.cache_tokens == 0 || tokens_per_s <= 0) {
+    return;
+  }
+  const double lifetime_s =
+      kCacheFraction * static_cast<double>(pool.cache_tokens) *
+      static_cast<double>(pool.servers.size()) / tokens_per_s;
+  pool.block_lifetime = std::clamp(
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          std::min(lifetime_s, ToMs(kMaxBlockLifetime) / 1000))),
+      Duration(kMinBlockLifetime), kMaxBlockLifetime);
+}
+
+void Balancer::FindHolders(const Pool& pool, Placement& placement) const {
+  const auto found = pool.holders.find(AffinityBlock(*placement.generation));
+  if (found == pool.holders.end()) {
+    return;
+  }
+  for (const Server* holder : found->second) {
+    const auto server = std::lower_bound(
+        pool.servers.begin(), pool.servers.end(), holder->key_hash,
+        [](const Server* a, std::uint64_t hash) { return a->key_hash < hash; });
+    if (server != pool.servers.end() && *server == holder) {
+      placement.holders.push_back(
+          static_cast<std::size_t>(server - pool.servers.begin()));
+    }
+  }
+}
+
 void Balancer::FindPreferredServers(const Pool& pool,
                                     Placement& placement) const {
   const std::uint64_t block = AffinityBlock(*placement.generation);
@@ -288,7 +368,8 @@
 }
 
 std::vector<std::size_t> Balancer::Sample(const Pool& pool,
-                                          const Placement& placement) {
+                                          const Placement& placement,
+                                          int outside) {
   const std::size_t size = pool.servers.size();
   std::vector<std::size_t> sample;
   if (size <= kMaxFullScanServers) {
@@ -297,14 +378,17 @@
     return sample;
   }
   sample = placement.preferred_servers;
+  sample.insert(sample.end(), placement.holders.begin(),
+                placement.holders.end());
   const std::size_t partition_size =
       placement.partition_end - placement.partition_begin;
   for (int i = 0; i < kRandomCandidates && partition_size > 0; ++i) {
     sample.push_back(placement.partition_begin +
                      this->random.Next() % partition_size);
   }
-  // Any server of the pool, in case all engines of the partition are busy.
-  sample.push_back(this->random.Next() % size);
+  for (int i = 0; i < outside; ++i) {
+    sample.push_back(this->random.Next() % size);
+  }
   return sample;
 }
 
@@ -342,17 +426,25 @@
   const int uncached =
       placement.generation == nullptr
           ? 0
-          : this->UncachedTokens(server, *placement.generation, hit_rate, now);
+          : UncachedTokens(pool, server, *placement.generation, hit_rate, now);
   const GatewayLoad peer_load = this->peer_loads.Total(server.key_hash32, now);
-  const double expected_ms =
-      this->ExpectedMs(pool, server, peer_load, uncached, now);
+  PendingTokens pending = server.pending;
+  pending.Add(peer_load.pending);
+  const double expected_ms = this->ExpectedMs(
+      pool, server, peer_load,
+      TokensAhead(pending, placement.priority_level, pool.prompt_tokens) +
+          uncached,
+      now);
   Candidate candidate;
   candidate.index = index;
   // A silent server is used only if no other one is usable.
   candidate.avoided = now < server.avoid_until || server.record.silent;
   candidate.score = this->Score(server, expected_ms, uncached, in_partition,
                                 placement.is_long);
+  candidate.in_time = (in_partition || !placement.is_long) &&
+                      FromMs(expected_ms) <= placement.max_first_byte_time;
   Choice& choice = candidate.choice;
+  choice.priority_level = placement.priority_level;
   choice.server_key = server.key;
   choice.server_id = server.record.server_id;
   choice.address = server.record.address;
@@ -360,8 +452,7 @@
   choice.expected_first_byte = FromMs(expected_ms);
   choice.prefill_time = FromMs(uncached / kPrefillTokensPerMs);
   choice.running = server.outstanding + peer_load.outstanding;
-  choice.pending_tokens =
-      static_cast<int>(server.pending_tokens) + peer_load.pending_tokens;
+  choice.pending_tokens = pending.Total();
   choice.slowness = this->Slowness(server, now);
   choice.reason = candidate.avoided ? "no other server is usable"
                   : !in_partition   ? "engines of the other partition are busy"
@@ -371,6 +462,16 @@
   return candidate;
 }
 
+bool Balancer::Candidate::BetterThan(const Candidate& other) const {
+  if (this->avoided != other.avoided) {
+    return other.avoided;
+  }
+  if (this->in_time != other.in_time) {
+    return this->in_time;
+  }
+  return this->score < other.score;
+}
+
 std::optional<Balancer::Candidate> Balancer::BestCandidate(
     const Pool& pool,
     const Placement& placement,
@@ -386,10 +487,7 @@
       continue;
     }
     Candidate candidate = this->Evaluate(pool, placement, index, now);
-    const bool better =
-        !best || (best->avoided && !candidate.avoided) ||
-        (best->avoided == candidate.avoided && candidate.score < best->score);
-    if (better) {
+    if (!best || candidate.BetterThan(*best)) {
       best = std::move(candidate);
     }
   }
@@ -430,12 +528,13 @@
   Pool& pool = found->second;
   const Placement placement = this->PlaceRequest(pool, profile, now);
   std::optional<Candidate> best = this->BestCandidate(
-      pool, placement, this->Sample(pool, placement), profile, now);
-  if (best && !best->avoided &&
-      best->choice.expected_first_byte > profile.max_first_byte_time) {
+      pool, placement, this->Sample(pool, placement, kOutsideCandidates),
+      profile, now);
+  if (best && !best->avoided && !best->in_time) {
     std::optional<Candidate> other = this->BestCandidate(
-        pool, placement, this->Sample(pool, placement), profile, now);
-    if (other && !other->avoided && other->score < best->score) {
+        pool, placement, this->Sample(pool, placement, kMoreOutsideCandidates),
+        profile, now);
+    if (other && other->BetterThan(*best)) {
       best = std::move(other);
     }
   }
@@ -447,19 +546,93 @@
   return best ? std::optional<Choice>(std::move(best->choice)) : std::nullopt;
 }
 
-void Balancer::RecordPromptBlocks(Server& server,
+void Balancer::RecordHolder(Pool& pool,
+                            std::uint64_t block,
+                            const Server& server) {
+  std::vector<const Server*>& holders = pool.holders[block];
+  holders.erase(std::remove(holders.begin(), holders.end(), &server),
+                holders.end());
+  holders.push_back(&server);
+  if (holders.size() > kMaxHolders) {
+    holders.erase(holders.begin());
+  }
+}
+
+void Balancer::RecordPromptBlocks(Pool& pool,
+                                  Server& server,
                                   const GenerationRequest& generation,
                                   TimePoint now) {
-  for (const PromptBlock& block : generation.prompt) {
-    server.block_sent_at[block.id] = now;
+  const Duration refresh =
+      Scale(pool.block_lifetime, kPlacementRefreshFraction);
+  for (std::size_t i = 0; i < generation.prompt.size(); ++i) {
+    const std::uint64_t id = generation.prompt[i].id;
+    SentBlock& sent = server.sent_blocks[id];
+    sent.at = now;
+    // The last block belongs to this request alone.
+    if (i + 1 < generation.prompt.size() && now - sent.announced_at > refresh) {
+      sent.announced_at = now;
+      this->recent_placements.push_back({{id, server.key_hash32}, true, now});
+    }
   }
-  if (server.block_sent_at.size() <= kMaxTrackedBlocks) {
-    return;
+  RecordHolder(pool, AffinityBlock(generation), server);
+  DropOldBlocks(pool, server, now);
+}
+
+void Balancer::DropOldBlocks(Pool& pool, Server& server, TimePoint now) {
+  if (server.sent_blocks.size() > kMaxTrackedBlocks) {
+    for (auto it = server.sent_blocks.begin();
+         it != server.sent_blocks.end();) {
+      it = now - it->second.at > pool.block_lifetime / 2
+               ? server.sent_blocks.erase(it)
+               : std::next(it);
+    }
   }
-  for (auto it = server.block_sent_at.begin();
-       it != server.block_sent_at.end();) {
-    it = now - it->second > kPromptBlockTtl / 2 ? server.block_sent_at.erase(it)
-                                                : std::next(it);
+  if (pool.holders.size() > kMaxTrackedBlocks * kHolderBlocksFactor) {
+    pool.holders.clear();
+  }
+}
+
+void Balancer::FillPlacements(LoadMessage& message, TimePoint now) {
+  while (!this->recent_placements.empty() &&
+         now - this->recent_placements.front().at > kPlacementRepeatTime) {
+    this->recent_placements.pop_front();
+  }
+  for (const RecentPlacement& recent : this->recent_placements) {
+    if (recent.own || message.scope != LoadScope::kGateway) {
+      message.placements.push_back(recent.placement);
+    }
+  }
+}
+
+void Balancer::OnPeerLoad(const LoadMessage& message, TimePoint now) {
+  this->peer_loads.Update(message, now);
+  for (const PromptPlacement& placement : message.placements) {
+    const auto found = this->servers_by_hash.find(placement.server_hash);
+    if (found == this->servers_by_hash.end()) {
+      continue;
+    }
+    Server& server = *found->second;
+    Pool& pool = this->pools[server.record.service];
+    SentBlock& sent = server.sent_blocks[placement.block];
+    if (now - sent.announced_at <= kPlacementRepeatTime * 2) {
+      continue;  // A repetition.
+    }
+    sent = {now, now};
+    RecordHolder(pool, placement.block, server);
+    DropOldBlocks(pool, server, now);
+    if (message.scope == LoadScope::kGateway) {
+      this->recent_placements.push_back({placement, false, now});
+    }
+  }
+}
+
+void Balancer::Forget(const Server& server) {
+  this->servers_by_hash.erase(server.key_hash32);
+  for (auto& [service, pool] : this->pools) {
+    for (auto& [block, holders] : pool.holders) {
+      holders.erase(std::remove(holders.begin(), holders.end(), &server),
+                    holders.end());
+    }
   }
 }
 
@@ -467,24 +640,36 @@
                       const RequestProfile& profile,
                       TimePoint now) {
   if (profile.generation != nullptr) {
-    this->pools[profile.service].partition.OnSent(
+    Pool& pool = this->pools[profile.service];
+    pool.partition.OnSent(
         profile.route,
         {profile.gap_target, profile.priority, choice.uncached_tokens}, now);
+    pool.prompt_tokens +=
+        kPromptEwmaWeight * (choice.uncached_tokens - pool.prompt_tokens);
   }
   Server* const server = this->FindServer(choice.server_key);
   if (server == nullptr) {
     return;
   }
   ++server->outstanding;
-  server->pending_tokens += choice.uncached_tokens;
+  server->pending.Add(choice.priority_level, choice.uncached_tokens);
   if (choice.uncached_tokens >= kHeavyPromptTokens) {
     this->on_heavy_load();
   }
   if (profile.generation != nullptr) {
-    this->RecordPromptBlocks(*server, *profile.generation, now);
+    this->RecordPromptBlocks(this->pools[profile.service], *server,
+                             *profile.generation, now);
   }
 }
 
+void Balancer::OnRefused(const Choice& choice,
+                         const RequestProfile& profile,
+                         TimePoint now) {
+  this->pools[profile.service].partition.OnRefused(
+      profile.route,
+      {profile.gap_target, profile.priority, choice.uncached_tokens}, now);
+}
+
 void Balancer::OnFirstByte(const Choice& choice,
                            Duration elapsed,
                            TimePoint now) {
@@ -492,8 +677,7 @@
   if (server == nullptr) {
     return;
   }
-  server->pending_tokens =
-      std::max(0.0, server->pending_tokens - choice.uncached_tokens);
+  server->pending.Remove(choice.priority_level, choice.uncached_tokens);
   const double ratio =
       std::clamp(ToMs(elapsed) / std::max(kIdleFirstByteMs,
                                           ToMs(choice.expected_first_byte)),
@@ -515,7 +699,7 @@
                       TimePoint now) {
   Pool& pool = this->pools[profile.service];
   if (profile.generation != nullptr) {
-    pool.partition.OnDone(profile.route, now);
+    pool.partition.OnDone(profile.route, elapsed, now);
   }
   if (outcome == AttemptOutcome::kAnswered) {
     pool.service_time_ms +=
@@ -527,8 +711,7 @@
   }
   server->outstanding = std::max(0, server->outstanding - 1);
   if (!first_byte_seen) {
-    server->pending_tokens =
-        std::max(0.0, server->pending_tokens - choice.uncached_tokens);
+    server->pending.Remove(choice.priority_level, choice.uncached_tokens);
   }
   const bool unreachable = outcome == AttemptOutcome::kConnectFailed ||
                            outcome == AttemptOutcome::kConnectionLost;
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -5,6 +5,7 @@
 #define SYCAMOREBEND_SRC_GATEWAY_BALANCER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -32,11 +33,13 @@
   // Maximum time between two events of its stream that meets the target.
   Duration gap_target{0};
   int priority = 0;  // Of its route; 0 is the highest.
+  // Level at which servers admit the request, see RouteTable::PriorityLevel.
+  int priority_level = 0;
   const GenerationRequest* generation = nullptr;
   // Keys of servers that have already failed this request.
   std::vector<std::string> excluded;
-  // Latest useful time to the first byte. If the best server is expected to
-  // exceed it, a second sample of servers is evaluated.
+  // Latest useful time to the first byte. Servers that are expected to exceed
+  // it are selected only if no other server was found.
   Duration max_first_byte_time = Duration::max();
 };
 
@@ -52,6 +55,7 @@
   Duration prefill_time{0};
   // Prompt tokens that are not in the server's cache.
   int uncached_tokens = 0;
+  int priority_level = 0;  // Of the request.
   // Running requests and pending prompt tokens of all gateways at the server,
   // as far as known.
   int running = 0;
@@ -87,6 +91,9 @@
   std::uint64_t seed = 1;
 };
 
+// A prefix block that was not used for this long is assumed to be evicted.
+inline constexpr Duration kMaxBlockLifetime = seconds(30);
+
 class Balancer {
  public:
   explicit Balancer(BalancerOptions options);
@@ -105,6 +112,11 @@
   void OnSent(const Choice& choice,
               const RequestProfile& profile,
               TimePoint now);
+  // Records that a request was refused, since it would have missed its target
+  // at the selected server.
+  void OnRefused(const Choice& choice,
+                 const RequestProfile& profile,
+                 TimePoint now);
   void OnFirstByte(const Choice& choice, Duration elapsed, TimePoint now);
   void OnDone(const Choice& choice,
               const RequestProfile& profile,
@@ -130,11 +142,13 @@
   // Sets the load and demand of this gateway or, if the scope of the message is
   // a failure domain, of all gateways of its domain.
   void FillLoadMessage(LoadMessage& message, TimePoint now);
-  void OnPeerLoad(const LoadMessage& message, TimePoint now) {
-    this->peer_loads.Update(message, now);
-  }
+  void OnPeerLoad(const LoadMessage& message, TimePoint now);
 
  private:
+  struct SentBlock {
+    TimePoint at;
+    TimePoint announced_at;  // To the other gateways.
+  };
   struct Server {
     ServerRecord record;
     std::string key;
@@ -144,7 +158,7 @@
     // Requests of this gateway at the server, and prompt tokens of those that
     // have not received their first byte.
     int outstanding = 0;
-    double pending_tokens = 0;
+    PendingTokens pending;
     std::optional<LoadReport> load_report;
     TimePoint load_report_at;
     int outstanding_at_report = 0;
@@ -155,21 +169,32 @@
     int consecutive_connect_failures = 0;
     double error_rate = 0;
     TimePoint avoid_until;
-    // Time when each prefix block was last sent to the server.
-    std::unordered_map<std::uint64_t, TimePoint> block_sent_at;
+    // Prefix blocks that this or another gateway sent to the server.
+    std::unordered_map<std::uint64_t, SentBlock> sent_blocks;
   };
 
   // The servers of one service.
   struct Pool {
     // Moving average of the time that a request occupies a slot.
     double service_time_ms = 50;
+    // Moving average of the uncached tokens of a prompt.
+    double prompt_tokens = 0;
     // Sorted by key hash, which gives the same order at every gateway.
     std::vector<Server*> servers;
     EnginePartition partition;
+    TimePoint next_partition_update;
+    // Capacity of a server's prefix cache in tokens; 0 if unknown.
+    std::int64_t cache_tokens = 0;
+    // Time for which a server is assumed to keep a block after its last use.
+    Duration block_lifetime = kMaxBlockLifetime;
+    // Servers that were last sent each prefix block, the latest at the end.
+    std::unordered_map<std::uint64_t, std::vector<const Server*>> holders;
   };
   // Servers of the pool that suit a request.
   struct Placement {
     const GenerationRequest* generation = nullptr;
+    int priority_level = 0;
+    Duration max_first_byte_time = Duration::max();
     bool is_long = false;
     // Servers [partition_begin, partition_end) of the pool are assigned to the
     // prompt class of the request.
@@ -178,6 +203,8 @@
     // Servers that every gateway prefers for the prompt by rendezvous hashing,
     // the most preferred first.
     std::vector<std::size_t> preferred_servers;
+    // Servers that were last sent the shared part of the prompt.
+    std::vector<std::size_t> holders;
   };
 
   Server* FindServer(const std::string& key);
@@ -193,25 +220,41 @@
                int uncached,
                bool in_partition,
                bool is_long);
-  // @param hit_rate probability that the server has cached a block that this
-  // gateway has not sent to it.
+  // @param hit_rate probability that the server has cached a block that no
+  // gateway is known to have sent to it.
   // @return the expected number of prompt tokens that are not in the cache.
-  int UncachedTokens(const Server& server,
-                     const GenerationRequest& generation,
-                     double hit_rate,
-                     TimePoint now) const;
+  static int UncachedTokens(const Pool& pool,
+                            const Server& server,
+                            const GenerationRequest& generation,
+                            double hit_rate,
+                            TimePoint now);
+  // A placement to announce to other gateways.
+  struct RecentPlacement {
+    PromptPlacement placement;
+    bool own = false;
+    TimePoint at;
+  };
   // A server evaluated for a request.
   struct Candidate {
     std::size_t index = 0;
     bool avoided = false;
+    // Expected to send its first byte in time, without delaying the streams of
+    // the other partition.
+    bool in_time = false;
     double score = 0;  // Lower is better.
     Choice choice;
+
+    bool BetterThan(const Candidate& other) const;
   };
+  // @param outside number of random servers of the whole pool, in case all
+  // engines of the partition are busy.
   // @return indices of the servers to evaluate: all of a small pool, otherwise
   // the preferred servers and a few random ones. The random choice keeps
   // gateways with the same information from all selecting the server that was
   // idle in the last load exchange.
-  std::vector<std::size_t> Sample(const Pool& pool, const Placement& placement);
+  std::vector<std::size_t> Sample(const Pool& pool,
+                                  const Placement& placement,
+                                  int outside);
   // @return the best server of `indices`, or nothing if none may be used.
   std::optional<Candidate> BestCandidate(
       const Pool& pool,
@@ -225,17 +268,34 @@
                      TimePoint now);
   // Sets `preferred_servers` from the servers of the request's partition.
   void FindPreferredServers(const Pool& pool, Placement& placement) const;
+  void FindHolders(const Pool& pool, Placement& placement) const;
+  // Updates how long blocks stay cached, from the tokens that all gateways send
+  // to the servers of the pool.
+  static void UpdateBlockLifetime(Pool& pool, double tokens_per_s);
+  // Updates what depends on the load of all gateways, if it is due.
+  void UpdatePartition(Pool& pool, const std::string& service, TimePoint now);
   double Slowness(const Server& server, TimePoint now) const;
   // @return the expected time to the first byte in ms, from the load of all
   // gateways.
+  // @param tokens prompt tokens to prefill until then.
   double ExpectedMs(const Pool& pool,
                     const Server& server,
                     const GatewayLoad& peer_load,
-                    int uncached,
+                    double tokens,
                     TimePoint now) const;
-  void RecordPromptBlocks(Server& server,
+  void RecordPromptBlocks(Pool& pool,
+                          Server& server,
                           const GenerationRequest& generation,
                           TimePoint now);
+  static void DropOldBlocks(Pool& pool, Server& server, TimePoint now);
+  // Removes all references to a server that is about to be removed.
+  void Forget(const Server& server);
+  static void RecordHolder(Pool& pool,
+                           std::uint64_t block,
+                           const Server& server);
+  // Adds recent placements of this gateway or, if the message is a sum, of all
+  // gateways of its failure domain.
+  void FillPlacements(LoadMessage& message, TimePoint now);
   void Avoid(Server& server, Duration duration, TimePoint now);
 
   const BalancerOptions options;
@@ -244,6 +304,9 @@
   std::map<std::string, Pool> pools;
   PeerLoads peer_loads;
   std::unordered_map<std::string, std::unique_ptr<Server>> servers;
+  std::unordered_map<std::uint32_t, Server*> servers_by_hash;
+  // Placements made or heard of in the last moments, the oldest first.
+  std::deque<RecentPlacement> recent_placements;
 };
 
 }  // namespace sycamorebend::gateway
--- a/src/gateway/engine_partition.h
+++ b/src/gateway/engine_partition.h
@@ -6,13 +6,17 @@
 #define SYCAMOREBEND_SRC_GATEWAY_ENGINE_PARTITION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "sycamorebend/base.h"
 
 namespace sycamorebend::gateway {
 
+std::uint32_t StableHash32(const std::string& text);
+
 // Exponentially decaying sum; yields the rate over the last few seconds.
 class DecayingSum {
  public:
@@ -31,11 +35,14 @@
   int chunk_tokens = 2048;
 };
 
-// Number of engines that each prompt class needs, for the traffic of one
-// gateway or of all gateways.
-struct EngineDemand {
-  double short_prompts = 0;
-  double long_prompts = 0;
+// Load of one route on the engines of a service, by one gateway or by all.
+struct RouteDemand {
+  std::uint32_t route_hash = 0;  // StableHash32 of the route name.
+  double requests_per_s = 0;
+  double tokens_per_s = 0;  // Uncached prompt tokens.
+  double outstanding = 0;   // Average number of requests at the engines.
+
+  void Add(const RouteDemand& other, int sign = 1);
 };
 
 // Properties of a request that determine the load on its prompt class.
@@ -59,32 +66,43 @@
   void OnSent(const std::string& route,
               const RequestLoad& request,
               TimePoint now);
-  void OnDone(const std::string& route, TimePoint now);
+  // Counts a request that no engine could begin in time, so that its prompt
+  // class is assigned the engines that it lacks.
+  void OnRefused(const std::string& route,
+                 const RequestLoad& request,
+                 TimePoint now);
+  // @param elapsed time since the request was sent.
+  void OnDone(const std::string& route, Duration elapsed, TimePoint now);
 
   PromptClass PromptClassOf(const std::string& route) const;
 
-  // @return true if prefill of long prompts makes the gaps of other streams
-  // exceed their target.
-  bool NeedsPartition() const;
+  // @return the load of this gateway by route.
+  std::vector<RouteDemand> LocalDemand(TimePoint now);
 
+  // Classifies the routes and assigns the engines anew.
+  // @param engines number of engines of the service.
   // @param slots number of requests that one engine runs concurrently.
-  // @return the engines needed for the requests of this gateway.
-  EngineDemand LocalDemand(int slots, TimePoint now);
+  // @param demand load of all gateways. The gateways exchange their load, so
+  // that they compute nearly the same result.
+  void Update(std::size_t engines,
+              int slots,
+              const std::vector<RouteDemand>& demand);
 
-  // @param engines number of engines of the service.
-  // @param demand engines needed by all gateways. The gateways exchange their
-  // demand, so that they compute nearly the same result.
   // @return the number of engines for short prompts, counted from the start of
   // the fixed engine order; 0 if every engine serves both classes.
-  std::size_t ShortPromptEngines(std::size_t engines,
-                                 const EngineDemand& demand);
+  std::size_t ShortPromptEngines() const { return this->short_engines; }
 
  private:
   struct RouteLoad {
     Duration gap_target{0};
     int priority = 0;
-    double uncached_tokens = 0;  // Moving average per request.
+    double seconds = 0;  // Moving average per request.
     int outstanding = 0;
+    // Requests in the decaying sum `requests`, including those refused.
+    DecayingSum requests;
+    // Uncached prompt tokens of an average request of all gateways.
+    double prompt_tokens = 0;
+    RouteDemand demand;  // Of all gateways.
     // Time integral of `outstanding`; its rate is the average number of
     // requests at the engines.
     DecayingSum request_seconds;
@@ -92,17 +110,30 @@
     TimePoint updated_at;
   };
 
+  // @return the load of the route with the properties of `request` recorded.
+  RouteLoad& Record(const std::string& route,
+                    const RequestLoad& request,
+                    TimePoint now);
   void Advance(RouteLoad& load, TimePoint now);
   bool HasLongPrompts(const RouteLoad& load) const;
+  // @return true if prefill of long prompts makes the gaps of other streams
+  // exceed their target.
+  bool NeedsPartition() const;
+  // Number of engines that each prompt class needs.
+  struct ClassNeeds {
+    double short_prompts = 0;
+    double long_prompts = 0;
+  };
+  ClassNeeds Needs(int slots) const;
   // @return the share of the engines to assign to short prompts.
-  double IdealShortPromptShare(double engines,
-                               const EngineDemand& demand) const;
+  double IdealShortPromptShare(double engines, const ClassNeeds& needs) const;
 
   const PrefillModel model{};
   int event_tokens = 1;
   std::map<std::string, RouteLoad> routes;
   // Share of the engines assigned to short prompts; 0 before the first result.
   double short_prompt_share = 0;
+  std::size_t short_engines = 0;
 };
 
 }  // namespace sycamorebend::gateway
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -106,6 +106,8 @@
   this->profile.generation =
       this->job.fields.generation ? &*this->job.fields.generation : nullptr;
   if (this->profile.generation != nullptr) {
+    this->profile.priority_level =
+        this->job.table->PriorityLevel(route, this->job.tenant);
     this->profile.max_first_byte_time =
         Scale(route.target, kMaxExpectedTargetFraction);
   }
@@ -156,6 +158,7 @@
               {"running", selected->running},
               {"pending_tokens", selected->pending_tokens},
               {"slowness", selected->slowness}});
+    this->context.balancer.OnRefused(*selected, this->profile, now);
     this->RespondWithError(kUnavailable, "no engine can begin it in time",
                            this->OverloadRetryAfter());
     return;
@@ -204,7 +207,7 @@
     fields.tenant = this->job.tenant->name;
   }
   if (this->profile.generation != nullptr) {
-    fields.priority = this->job.table->PriorityLevel(route, this->job.tenant);
+    fields.priority = this->profile.priority_level;
   }
   fields.resume_after = this->last_event;
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -25,33 +25,92 @@
 // With two of them, the loss of one datagram has no effect.
 constexpr std::size_t kDomainSumsPerRound = 2;
 
-using EncodedLoad = std::tuple<std::uint32_t, int, int>;
-using EncodedDemand = std::tuple<std::uint32_t, double, double>;
+// Server, outstanding requests, and pairs of priority level and pending tokens.
+using EncodedLoad = std::tuple<std::uint32_t, int, std::vector<int>>;
+// Upper bound of the tokens that one gateway reports at one level; keeps sums
+// of corrupt messages from overflowing.
+constexpr int kMaxPendingTokens = 1 << 24;
+
+// Route, requests per 1000 s, tokens per second, and thousandths of outstanding
+// requests: integers are shorter than floating-point numbers.
+using EncodedRoute =
+    std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::uint64_t>;
+using EncodedDemand = std::tuple<std::uint32_t, std::vector<EncodedRoute>>;
+using EncodedPlacement = std::tuple<std::uint64_t, std::uint32_t>;
 using EncodedMessage = std::tuple<std::string,
                                   std::uint64_t,
                                   std::vector<EncodedLoad>,
                                   std::vector<EncodedDemand>,
                                   int,
-                                  std::string>;
+                                  std::string,
+                                  std::vector<EncodedPlacement>>;
 
 }  // namespace
 
-std::uint32_t StableHash32(const std::string& text) {
-  return static_cast<std::uint32_t>(StableHash64(text));
+namespace {
+
+constexpr double kThousand = 1000;
+
+std::uint64_t ToThousandths(double value) {
+  return static_cast<std::uint64_t>(std::max(0.0, value) * kThousand);
+}
+
+std::vector<int> EncodePending(const PendingTokens& pending) {
+  std::vector<int> encoded;
+  for (int level = 0; level < kPriorityLevels; ++level) {
+    if (pending.At(level) > 0) {
+      encoded.push_back(level);
+      encoded.push_back(pending.At(level));
+    }
+  }
+  return encoded;
+}
+
+std::vector<EncodedRoute> EncodeRoutes(const std::vector<RouteDemand>& routes) {
+  std::vector<EncodedRoute> encoded;
+  for (const RouteDemand& route : routes) {
+    encoded.emplace_back(route.route_hash, ToThousandths(route.requests_per_s),
+                         static_cast<std::uint64_t>(route.tokens_per_s),
+                         ToThousandths(route.outstanding));
+  }
+  return encoded;
+}
+
+std::vector<RouteDemand> DecodeRoutes(
+    const std::vector<EncodedRoute>& encoded) {
+  std::vector<RouteDemand> routes;
+  for (const auto& [hash, requests, tokens, outstanding] : encoded) {
+    routes.push_back({hash, static_cast<double>(requests) / kThousand,
+                      static_cast<double>(tokens),
+                      static_cast<double>(outstanding) / kThousand});
+  }
+  return routes;
+}
+
+PendingTokens DecodePending(const std::vector<int>& encoded) {
+  PendingTokens pending;
+  for (std::size_t i = 0; i + 1 < encoded.size(); i += 2) {
+    pending.Add(encoded[i], std::clamp(encoded[i + 1], 0, kMaxPendingTokens));
+  }
+  return pending;
 }
 
+}  // namespace
+
 std::string EncodeLoadMessage(const LoadMessage& message) {
   EncodedMessage encoded(message.sender, message.sequence, {}, {},
                          static_cast<int>(message.scope),
-                         message.failure_domain);
+                         message.failure_domain, {});
   for (const GatewayLoad& load : message.server_loads) {
     std::get<2>(encoded).emplace_back(load.server_hash, load.outstanding,
-                                      load.pending_tokens);
+                                      EncodePending(load.pending));
+  }
+  for (const ServiceDemand& demand : message.service_demands) {
+    std::get<3>(encoded).emplace_back(demand.service_hash,
+                                      EncodeRoutes(demand.routes));
   }
-  for (const ServiceDemand& service_demand : message.service_demands) {
-    std::get<3>(encoded).emplace_back(service_demand.service_hash,
-                                      service_demand.demand.short_prompts,
-                                      service_demand.demand.long_prompts);
+  for (const PromptPlacement& placement : message.placements) {
+    std::get<6>(encoded).emplace_back(placement.block, placement.server_hash);
   }
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, encoded);
@@ -73,14 +132,15 @@
     }
     message.scope = static_cast<LoadScope>(scope);
     message.failure_domain = std::get<5>(encoded);
-    for (const auto& [server, outstanding, tokens] : std::get<2>(encoded)) {
+    for (const auto& [server, outstanding, pending] : std::get<2>(encoded)) {
       message.server_loads.push_back(
-          {server, std::max(0, outstanding), std::max(0, tokens)});
+          {server, std::max(0, outstanding), DecodePending(pending)});
+    }
+    for (const auto& [service, routes] : std::get<3>(encoded)) {
+      message.service_demands.push_back({service, DecodeRoutes(routes)});
     }
-    for (const auto& [service, short_demand, long_demand] :
-         std::get<3>(encoded)) {
-      message.service_demands.push_back(
-          {service, {std::max(0.0, short_demand), std::max(0.0, long_demand)}});
+    for (const auto& [block, server] : std::get<6>(encoded)) {
+      message.placements.push_back({block, server});
     }
   } catch (const std::exception& error) {
     return MakeError(ResultCode::kProtocolError, error.what());
@@ -92,15 +152,18 @@
   for (const GatewayLoad& load : peer.server_loads) {
     const auto total = this->totals.try_emplace(load.server_hash).first;
     total->second.outstanding += sign * load.outstanding;
-    total->second.pending_tokens += sign * load.pending_tokens;
-    if (total->second.outstanding == 0 && total->second.pending_tokens == 0) {
+    total->second.pending.Add(load.pending, sign);
+    if (total->second.outstanding == 0 && total->second.pending.Empty()) {
       this->totals.erase(total);
     }
   }
-  for (const ServiceDemand& service_demand : peer.service_demands) {
-    EngineDemand& total = this->total_demands[service_demand.service_hash];
-    total.short_prompts += sign * service_demand.demand.short_prompts;
-    total.long_prompts += sign * service_demand.demand.long_prompts;
+  for (const ServiceDemand& demand : peer.service_demands) {
+    for (const RouteDemand& route : demand.routes) {
+      RouteDemand& total =
+          this->total_demands[demand.service_hash][route.route_hash];
+      total.route_hash = route.route_hash;
+      total.Add(route, sign);
+    }
   }
 }
 
@@ -139,18 +202,21 @@
 GatewayLoad PeerLoads::Total(std::uint32_t server, TimePoint now) {
   this->Expire(now);
   const auto total = this->totals.find(server);
-  return total == this->totals.end() ? GatewayLoad{server, 0, 0}
+  return total == this->totals.end() ? GatewayLoad{server, 0, {}}
                                      : total->second;
 }
 
-EngineDemand PeerLoads::TotalDemand(std::uint32_t service, TimePoint now) {
+std::vector<RouteDemand> PeerLoads::TotalDemand(std::uint32_t service,
+                                                TimePoint now) {
   this->Expire(now);
-  const auto total = this->total_demands.find(service);
-  if (total == this->total_demands.end()) {
-    return {};
+  std::vector<RouteDemand> demand;
+  const auto totals = this->total_demands.find(service);
+  if (totals != this->total_demands.end()) {
+    for (const auto& [hash, total] : totals->second) {
+      demand.push_back(total);
+    }
   }
-  return {std::max(0.0, total->second.short_prompts),
-          std::max(0.0, total->second.long_prompts)};
+  return demand;
 }
 
 void PeerLoads::AddGatewayLoads(LoadMessage& message, TimePoint now) {
@@ -166,11 +232,15 @@
     }
   }
   for (const auto& [server, total] : sum.totals) {
-    message.server_loads.push_back(
-        {server, total.outstanding, total.pending_tokens});
+    message.server_loads.push_back({server, total.outstanding, total.pending});
   }
-  for (const auto& [service, demand] : sum.total_demands) {
-    message.service_demands.push_back({service, demand});
+  for (const auto& [service, routes] : sum.total_demands) {
+    ServiceDemand demand;
+    demand.service_hash = service;
+    for (const auto& [hash, route] : routes) {
+      demand.routes.push_back(route);
+    }
+    message.service_demands.push_back(std::move(demand));
   }
 }
 
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "gateway/engine_partition.h"
+#include "gateway/pending_tokens.h"
 #include "net/datagram_socket.h"
 #include "net/event_loop.h"
 #include "sycamorebend/base.h"
@@ -26,15 +27,20 @@
   std::uint32_t server_hash = 0;  // StableHash32 of the server key.
   int outstanding = 0;
   // Prompt tokens of requests that have not received their first byte.
-  int pending_tokens = 0;
+  PendingTokens pending;
 };
 
-std::uint32_t StableHash32(const std::string& text);
+// A prompt block that was sent to a server, which has it in its cache from then
+// on.
+struct PromptPlacement {
+  std::uint64_t block = 0;
+  std::uint32_t server_hash = 0;  // StableHash32 of the server key.
+};
 
-// Engines of one service that one gateway needs for each prompt class.
+// Load of one gateway on the engines of one service.
 struct ServiceDemand {
   std::uint32_t service_hash = 0;  // StableHash32 of the service name.
-  EngineDemand demand;
+  std::vector<RouteDemand> routes;
 };
 
 // Whose load a message carries, and whether the receiver relays it.
@@ -52,6 +58,7 @@
   std::string failure_domain;  // Of the sender.
   std::vector<GatewayLoad> server_loads;
   std::vector<ServiceDemand> service_demands;
+  std::vector<PromptPlacement> placements;  // Recent ones only.
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
@@ -66,8 +73,8 @@
   void Update(const LoadMessage& message, TimePoint now);
   // @return the load of all other gateways on the server.
   GatewayLoad Total(std::uint32_t server, TimePoint now);
-  // @return the engines of the service that all other gateways need.
-  EngineDemand TotalDemand(std::uint32_t service, TimePoint now);
+  // @return the load of all other gateways on the service, by route.
+  std::vector<RouteDemand> TotalDemand(std::uint32_t service, TimePoint now);
   // Adds the load of each gateway known by its own kGateway message to
   // `message`; relayed loads of failure domains are left out.
   void AddGatewayLoads(LoadMessage& message, TimePoint now);
@@ -89,7 +96,9 @@
 
   std::map<PeerKey, Peer> peers;
   std::unordered_map<std::uint32_t, GatewayLoad> totals;
-  std::unordered_map<std::uint32_t, EngineDemand> total_demands;
+  // By service, then by route.
+  std::unordered_map<std::uint32_t, std::map<std::uint32_t, RouteDemand>>
+      total_demands;
   TimePoint next_expiry;
 };
 
--- a/tests/gateway/balancer_test.cc
+++ b/tests/gateway/balancer_test.cc
@@ -78,7 +78,8 @@
     records.push_back(MakeServer(i));
     if (i > 1) {
       message.server_loads.push_back({StableHash32(ServerKey(records.back())),
-                                      outstanding, pending_tokens});
+                                      outstanding,
+                                      {0, pending_tokens}});
     }
   }
   const TimePoint now{seconds(100)};
@@ -129,14 +130,152 @@
 BOOST_FIXTURE_TEST_CASE(LoadOfOtherGatewaysCounts, Fixture) {
   const RequestProfile profile = this->MakeRequest(5);
   const auto preferred = this->balancer.Choose(profile, this->now);
-  LoadMessage message{"other", 1, {}, {}};
+  LoadMessage message;
+  message.sender = "other";
+  message.sequence = 1;
   message.server_loads.push_back(
-      {StableHash32(preferred->server_key), 30, 200000});
+      {StableHash32(preferred->server_key), 30, {0, 200000}});
   this->balancer.OnPeerLoad(message, this->now);
   BOOST_TEST(this->balancer.Choose(profile, this->now)->server_key !=
              preferred->server_key);
 }
 
+// Lower-priority prompts of other gateways fill the engine that holds the
+// session. Guards against an urgent prompt that goes elsewhere or is refused,
+// although the engine would serve it next.
+BOOST_FIXTURE_TEST_CASE(LowerPriorityPromptsBarelyDelayUrgentOnes, Fixture) {
+  this->SetServerCount(1);
+  RequestProfile profile = this->MakeRequest(5, 400);
+  profile.priority_level = 1;
+  const Duration idle =
+      this->balancer.Choose(profile, this->now)->expected_first_byte;
+  LoadMessage message;
+  message.sender = "other";
+  message.sequence = 1;
+  const std::uint32_t server = StableHash32(ServerKey(this->records[0]));
+  message.server_loads.push_back({server, 0, {5, 40000}});
+  this->balancer.OnPeerLoad(message, this->now);
+  const Duration behind_lower =
+      this->balancer.Choose(profile, this->now)->expected_first_byte;
+  BOOST_TEST((behind_lower < idle + milliseconds(200)));
+  message.sequence = 2;
+  message.server_loads = {{server, 0, {1, 40000}}};
+  this->balancer.OnPeerLoad(message, this->now);
+  const Duration behind_equal =
+      this->balancer.Choose(profile, this->now)->expected_first_byte;
+  BOOST_TEST((behind_equal > idle + milliseconds(800)));
+}
+
+// Another gateway has sent the session to an engine that is not the preferred
+// one. Guards against reading its shared part again at another engine.
+BOOST_FIXTURE_TEST_CASE(SessionStaysAtTheEngineOfOtherGateways, Fixture) {
+  for (std::uint64_t session = 2; session < 20; ++session) {
+    const RequestProfile profile = this->MakeRequest(session);
+    const auto preferred = this->balancer.Choose(profile, this->now);
+    const ServerRecord& other =
+        this->records[preferred->server_id == "s1" ? 1 : 0];
+    LoadMessage message;
+    message.sender = "other" + std::to_string(session);
+    message.sequence = 1;
+    message.placements = {{session, StableHash32(ServerKey(other))}};
+    this->balancer.OnPeerLoad(message, this->now);
+    BOOST_TEST(this->balancer.Choose(profile, this->now)->server_id ==
+               other.server_id);
+  }
+}
+
+// Guards against placements that are never announced, announced with each
+// request of a session, or relayed without end.
+BOOST_FIXTURE_TEST_CASE(PlacementsAreAnnouncedOnce, Fixture) {
+  this->Send(this->MakeRequest(5));
+  LoadMessage first;
+  this->balancer.FillLoadMessage(first, this->now);
+  BOOST_TEST(first.placements.size() == 2U);  // Not the request's own block.
+  this->now += seconds(1);
+  this->Send(this->MakeRequest(5));
+  LoadMessage second;
+  this->balancer.FillLoadMessage(second, this->now);
+  BOOST_TEST(second.placements.empty());
+  LoadMessage peer;
+  peer.sender = "other";
+  peer.sequence = 1;
+  peer.placements = {{7, StableHash32(ServerKey(this->records[0]))}};
+  this->balancer.OnPeerLoad(peer, this->now);
+  LoadMessage own;
+  this->balancer.FillLoadMessage(own, this->now);
+  BOOST_TEST(own.placements.empty());
+  LoadMessage sum;
+  sum.scope = LoadScope::kDomainToRelay;
+  this->balancer.FillLoadMessage(sum, this->now);
+  BOOST_TEST(sum.placements.size() == 1U);
+}
+
+// Heavy traffic replaces the cached blocks of an engine within seconds. Guards
+// against sending a session to an engine that has evicted its blocks.
+BOOST_FIXTURE_TEST_CASE(BlocksAreEvictedByTraffic, Fixture) {
+  ServiceLimits limits;
+  limits.cache_tokens = 100000;
+  this->balancer.SetServices({{"engines", limits}});
+  const RequestProfile profile = this->MakeRequest(5);
+  const Choice first = this->Send(profile);
+  this->balancer.OnDone(first, profile, AttemptOutcome::kAnswered, false,
+                        milliseconds(500), this->now);
+  BOOST_TEST(this->balancer.Choose(profile, this->now)->uncached_tokens < 2500);
+  LoadMessage message;
+  message.sender = "other";
+  message.sequence = 1;
+  message.service_demands = {{StableHash32("engines"), {{1, 20, 200000, 10}}}};
+  this->now += seconds(10);
+  this->balancer.OnPeerLoad(message, this->now);
+  BOOST_TEST(this->balancer.Choose(profile, this->now)->uncached_tokens > 4000);
+}
+
+// The engines for short prompts are busy while the others are idle. Guards
+// against a request that is refused although an engine could begin it in time.
+BOOST_FIXTURE_TEST_CASE(OtherPartitionIsUsedBeforeARefusal, Fixture) {
+  ServiceLimits limits;
+  limits.event_tokens = 5;
+  this->balancer.SetServices({{"engines", limits}});
+  LoadMessage message;
+  message.sender = "other";
+  message.sequence = 1;
+  for (int i = 0; i < 400; ++i) {
+    RequestProfile request = this->MakeRequest(5, 600);
+    request.route = "short";
+    request.gap_target = milliseconds(150);
+    const bool is_long = i % 2 == 0;
+    if (is_long) {
+      request = this->MakeRequest(static_cast<std::uint64_t>(i) + 10);
+    }
+    const Choice choice = this->Send(request);
+    this->balancer.OnDone(choice, request, AttemptOutcome::kAnswered, false,
+                          milliseconds(100), this->now);
+    this->now += milliseconds(10);
+  }
+  RequestProfile profile = this->MakeRequest(5, 600);
+  profile.route = "short";
+  profile.gap_target = milliseconds(150);
+  profile.max_first_byte_time = milliseconds(240);
+  const Choice own = *this->balancer.Choose(profile, this->now);
+  // 20 requests with 30000 tokens in front at each engine of the same
+  // partition.
+  for (const ServerRecord& record : this->records) {
+    message.server_loads.push_back(
+        {StableHash32(ServerKey(record)), 20, {0, 30000}});
+  }
+  const ServerRecord& idle = this->records[own.server_id == "s1" ? 1 : 0];
+  for (GatewayLoad& load : message.server_loads) {
+    if (load.server_hash == StableHash32(ServerKey(idle))) {
+      load.outstanding = 0;
+      load.pending = {};
+    }
+  }
+  this->balancer.OnPeerLoad(message, this->now);
+  const Choice choice = *this->balancer.Choose(profile, this->now);
+  BOOST_TEST(choice.server_id == idle.server_id);
+  BOOST_TEST((choice.expected_first_byte <= profile.max_first_byte_time));
+}
+
 // Many gateways have the same load information, with one idle engine. Guards
 // against all of them choosing it before the next load exchange.
 BOOST_AUTO_TEST_CASE(GatewaysDoNotAllChooseTheIdleEngine) {
--- a/tests/gateway/engine_partition_test.cc
+++ b/tests/gateway/engine_partition_test.cc
@@ -31,15 +31,19 @@
         ends.emplace(this->now + milliseconds(500), "long");
       }
       while (!ends.empty() && ends.begin()->first <= this->now) {
-        this->partition.OnDone(ends.begin()->second, this->now);
+        const std::string& route = ends.begin()->second;
+        this->partition.OnDone(
+            route, route == "short" ? seconds(2) : milliseconds(500),
+            this->now);
         ends.erase(ends.begin());
       }
     }
   }
 
   std::size_t Engines(std::size_t engines = kEngines) {
-    return this->partition.ShortPromptEngines(
-        engines, this->partition.LocalDemand(kSlots, this->now));
+    this->partition.Update(engines, kSlots,
+                           this->partition.LocalDemand(this->now));
+    return this->partition.ShortPromptEngines();
   }
 
   EnginePartition partition;
@@ -94,6 +98,45 @@
   BOOST_TEST(load.Engines() == 0U);
 }
 
+// A burst of short prompts of which most are refused. Guards against a class
+// that gets no engines because its requests are refused.
+BOOST_AUTO_TEST_CASE(RefusedRequestsCountAsDemand) {
+  LoadGenerator load;
+  load.partition.SetEventTokens(5);
+  load.Run(20, 60, 4000, 5);
+  const std::size_t before = load.Engines();
+  for (int ms = 0; ms < 4000; ms += 10) {
+    load.Run(0, 0, 4000, 0);
+    load.now += milliseconds(10);
+    load.partition.OnRefused("short", {milliseconds(200), 0, 600}, load.now);
+    if (ms % 20 == 0) {
+      load.partition.OnSent("long", {milliseconds(300), 1, 4000}, load.now);
+      load.partition.OnDone("long", milliseconds(500), load.now);
+    }
+  }
+  BOOST_TEST(load.Engines() > before);
+}
+
+// One gateway sees a few unusually large prompts of a short-prompt route.
+// Guards against gateways that disagree on the classes, so that each one sends
+// its long prompts to the engines that others keep for short ones.
+BOOST_AUTO_TEST_CASE(RoutesAreClassifiedByTheLoadOfAllGateways) {
+  EnginePartition partition;
+  partition.SetEventTokens(5);
+  const TimePoint now{seconds(100)};
+  partition.OnSent("short", {milliseconds(200), 0, 4000}, now);
+  partition.OnSent("long", {milliseconds(300), 1, 900}, now);
+  std::vector<RouteDemand> demand = partition.LocalDemand(now);
+  demand.push_back({StableHash32("short"), 100, 60000, 100});
+  demand.push_back({StableHash32("long"), 40, 200000, 20});
+  partition.Update(kEngines, kSlots, demand);
+  BOOST_TEST((partition.PromptClassOf("short") ==
+              EnginePartition::PromptClass::kShortPrompt));
+  BOOST_TEST((partition.PromptClassOf("long") ==
+              EnginePartition::PromptClass::kLongPrompt));
+  BOOST_TEST(partition.ShortPromptEngines() > 0U);
+}
+
 // Only one prompt class has requests. Guards against engines that stay idle.
 BOOST_AUTO_TEST_CASE(SingleClassUsesAllEngines) {
   LoadGenerator load;
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr std::uint32_t kRoute = 7;
 const std::uint32_t kServer = StableHash32("s@10.0.0.1:1#1");
 
 LoadMessage Message(const std::string& sender,
@@ -21,8 +22,9 @@
           sequence,
           LoadScope::kGateway,
           "a",
-          {{kServer, outstanding, outstanding * 100}},
-          {{kServer, {0.5, 1.5}}}};
+          {{kServer, outstanding, {2, outstanding * 100}}},
+          {{kServer, {{kRoute, 0.5, 1.5, 2}}}},
+          {{17, kServer}}};
 }
 
 LoadMessage DomainMessage(const std::string& sender, int outstanding) {
@@ -56,7 +58,15 @@
   BOOST_REQUIRE(read.value().server_loads.size() == 1U);
   BOOST_TEST(read.value().server_loads[0].server_hash == kServer);
   BOOST_TEST(read.value().server_loads[0].outstanding == 3);
-  BOOST_TEST(read.value().server_loads[0].pending_tokens == 300);
+  BOOST_TEST(read.value().server_loads[0].pending.At(2) == 300);
+  BOOST_REQUIRE(read.value().service_demands.size() == 1U);
+  BOOST_REQUIRE(read.value().service_demands[0].routes.size() == 1U);
+  BOOST_TEST(read.value().service_demands[0].routes[0].requests_per_s == 0.5);
+  BOOST_TEST(read.value().service_demands[0].routes[0].outstanding == 2);
+  BOOST_REQUIRE(read.value().placements.size() == 1U);
+  BOOST_TEST(read.value().placements[0].block == 17U);
+  BOOST_TEST(read.value().placements[0].server_hash == kServer);
+  BOOST_TEST(read.value().server_loads[0].pending.Total() == 300);
 }
 
 // Guards against a crash of the process by datagrams of other programs.
@@ -84,8 +94,10 @@
   peers.Update(Message("one", 4, 9), now);
   peers.Update(Message("two", 1, 2), now);
   BOOST_TEST(peers.Total(kServer, now).outstanding == 6);
-  BOOST_TEST(peers.Total(kServer, now).pending_tokens == 600);
-  BOOST_TEST(peers.TotalDemand(kServer, now).long_prompts == 3);
+  BOOST_TEST(peers.Total(kServer, now).pending.Total() == 600);
+  const auto demand = peers.TotalDemand(kServer, now);
+  BOOST_REQUIRE(demand.size() == 1U);
+  BOOST_TEST(demand[0].tokens_per_s == 3);
   BOOST_TEST(peers.Total(kServer + 1, now).outstanding == 0);
 }
 
@@ -129,7 +141,8 @@
   BOOST_REQUIRE(sum.server_loads.size() == 1U);
   BOOST_TEST(sum.server_loads[0].outstanding == 7);
   BOOST_REQUIRE(sum.service_demands.size() == 1U);
-  BOOST_TEST(sum.service_demands[0].demand.long_prompts == 3);
+  BOOST_REQUIRE(sum.service_demands[0].routes.size() == 1U);
+  BOOST_TEST(sum.service_demands[0].routes[0].tokens_per_s == 3);
 }
 
 // Guards against traffic between failure domains that grows quadratically with
