Group any number of routes by target; charge re-read prefixes against the limit

Cause: the partition knew short and long prompts only. A session whose engine could not begin in time was sent to another one, which read 13,300 shared tokens again: a third of a second of an engine, taken from the requests behind it.

Change: routes are ordered by target and grouped as long as their prompts do not make each other late: by pauses always, by waiting for a begun prompt only while there are too few engines. Groups get engines by need, under overload by priority. Short prompts are planned with more headroom. A prefix that is read again counts twice against the time limit of a request, and its weight in the score rises from 2 to 6. The log says which requests went to an engine with the prefix, and how many such engines are known.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -26,9 +26,9 @@
 // Penalty for an engine of the other partition: roughly the cost of a late
 // stream to its caller.
 constexpr double kOtherPartitionPenaltyMs = 300;
-// Penalty for a long prompt on an engine for short prompts, where it delays
-// many streams.
-constexpr double kLongPromptPenaltyMs = 1200;
+// Penalty for a request that would make requests of other routes late, which
+// share the engine.
+constexpr double kDelaysOthersPenaltyMs = 1200;
 // Interval at which the routes are classified and the engines assigned anew.
 constexpr Duration kPartitionInterval = milliseconds(50);
 // Upper bound of the random value added to each score, so that gateways with
@@ -70,7 +70,7 @@
 constexpr int kHeavyPromptTokens = 2000;
 // Weight of prefill time in the score, in addition to its part of the expected
 // delay: prefilling a prompt again also delays later requests of the engine.
-constexpr double kPrefillWorkWeight = 2;
+constexpr double kPrefillWorkWeight = 6;
 
 // Weight of a new sample in the moving averages of slowness and error rate.
 constexpr double kEwmaWeight = 0.25;
@@ -277,21 +277,16 @@
                                            const RequestProfile& profile,
                                            TimePoint now) {
   Placement placement;
-  placement.partition_end = pool.servers.size();
+  placement.engines.own = {0, pool.servers.size()};
   placement.priority_level = profile.priority_level;
   placement.max_first_byte_time = profile.max_first_byte_time;
   if (profile.generation == nullptr || profile.generation->prompt.empty()) {
     return placement;
   }
   placement.generation = profile.generation;
+  placement.unique_tokens = profile.generation->prompt.back().tokens;
   this->UpdatePartition(pool, profile.service, now);
-  const std::size_t boundary = pool.partition.ShortPromptEngines();
-  const bool is_long = pool.partition.PromptClassOf(profile.route) ==
-                       EnginePartition::PromptClass::kLongPrompt;
-  placement.is_long = is_long;
-  if (boundary > 0) {
-    (is_long ? placement.partition_begin : placement.partition_end) = boundary;
-  }
+  placement.engines = pool.partition.EnginesOf(profile.route);
   this->FindPreferredServers(pool, placement);
   this->FindHolders(pool, placement);
   return placement;
@@ -351,8 +346,8 @@
                                     Placement& placement) const {
   const std::uint64_t block = AffinityBlock(*placement.generation);
   std::vector<std::pair<std::uint64_t, std::size_t>> weights;
-  for (std::size_t i = placement.partition_begin; i < placement.partition_end;
-       ++i) {
+  const EngineRange& range = placement.engines.own;
+  for (std::size_t i = range.begin; i < range.end; ++i) {
     const Server& server = *pool.servers[i];
     if (!server.record.leaving && !server.record.silent) {
       weights.emplace_back(RendezvousWeight(block, server.id_hash), i);
@@ -380,11 +375,9 @@
   sample = placement.preferred_servers;
   sample.insert(sample.end(), placement.holders.begin(),
                 placement.holders.end());
-  const std::size_t partition_size =
-      placement.partition_end - placement.partition_begin;
-  for (int i = 0; i < kRandomCandidates && partition_size > 0; ++i) {
-    sample.push_back(placement.partition_begin +
-                     this->random.Next() % partition_size);
+  const EngineRange& range = placement.engines.own;
+  for (int i = 0; i < kRandomCandidates && range.Size() > 0; ++i) {
+    sample.push_back(range.begin + this->random.Next() % range.Size());
   }
   for (int i = 0; i < outside; ++i) {
     sample.push_back(this->random.Next() % size);
@@ -395,18 +388,14 @@
 double Balancer::Score(const Server& server,
                        double expected_ms,
                        int uncached,
-                       bool in_partition,
-                       bool is_long) {
+                       double partition_penalty_ms) {
   const bool other_domain =
       server.record.failure_domain != this->options.failure_domain;
   return expected_ms + kPrefillWorkWeight * uncached / kPrefillTokensPerMs +
          kScoreJitterMs * this->random.Unit() +
          kErrorPenaltyMs *
              std::max(0.0, server.error_rate - kToleratedErrorRate) +
-         (other_domain ? kDomainPenaltyMs : 0) +
-         (in_partition ? 0
-          : is_long    ? kLongPromptPenaltyMs
-                       : kOtherPartitionPenaltyMs);
+         (other_domain ? kDomainPenaltyMs : 0) + partition_penalty_ms;
 }
 
 Balancer::Candidate Balancer::Evaluate(const Pool& pool,
@@ -414,8 +403,8 @@
                                        std::size_t index,
                                        TimePoint now) {
   const Server& server = *pool.servers[index];
-  const bool in_partition =
-      index >= placement.partition_begin && index < placement.partition_end;
+  const bool in_partition = placement.engines.own.Contains(index);
+  const bool delays_others = placement.engines.Delays(index);
   const auto preferred = std::find(placement.preferred_servers.begin(),
                                    placement.preferred_servers.end(), index);
   const double hit_rate =
@@ -435,14 +424,22 @@
       TokensAhead(pending, placement.priority_level, pool.prompt_tokens) +
           uncached,
       now);
+  // Reading a cached prefix again takes the time from other requests.
+  const double reread_ms =
+      placement.holders.empty()
+          ? 0
+          : std::max(0, uncached - placement.unique_tokens) /
+                kPrefillTokensPerMs;
   Candidate candidate;
   candidate.index = index;
   // A silent server is used only if no other one is usable.
   candidate.avoided = now < server.avoid_until || server.record.silent;
-  candidate.score = this->Score(server, expected_ms, uncached, in_partition,
-                                placement.is_long);
-  candidate.in_time = (in_partition || !placement.is_long) &&
-                      FromMs(expected_ms) <= placement.max_first_byte_time;
+  candidate.score = this->Score(server, expected_ms, uncached,
+                                delays_others   ? kDelaysOthersPenaltyMs
+                                : !in_partition ? kOtherPartitionPenaltyMs
+                                                : 0);
+  candidate.in_time = !delays_others && FromMs(expected_ms + reread_ms) <=
+                                            placement.max_first_byte_time;
   Choice& choice = candidate.choice;
   choice.priority_level = placement.priority_level;
   choice.server_key = server.key;
@@ -454,7 +451,12 @@
   choice.running = server.outstanding + peer_load.outstanding;
   choice.pending_tokens = pending.Total();
   choice.slowness = this->Slowness(server, now);
+  const bool holder =
+      std::find(placement.holders.begin(), placement.holders.end(), index) !=
+      placement.holders.end();
+  choice.holders = static_cast<int>(placement.holders.size());
   choice.reason = candidate.avoided ? "no other server is usable"
+                  : holder          ? "has the prompt prefix in its cache"
                   : !in_partition   ? "engines of the other partition are busy"
                   : preferred != placement.preferred_servers.end()
                       ? "preferred for the prompt prefix"
@@ -641,9 +643,10 @@
                       TimePoint now) {
   if (profile.generation != nullptr) {
     Pool& pool = this->pools[profile.service];
-    pool.partition.OnSent(
-        profile.route,
-        {profile.gap_target, profile.priority, choice.uncached_tokens}, now);
+    pool.partition.OnSent(profile.route,
+                          {profile.gap_target, profile.priority,
+                           choice.uncached_tokens, profile.target},
+                          now);
     pool.prompt_tokens +=
         kPromptEwmaWeight * (choice.uncached_tokens - pool.prompt_tokens);
   }
@@ -667,7 +670,9 @@
                          TimePoint now) {
   this->pools[profile.service].partition.OnRefused(
       profile.route,
-      {profile.gap_target, profile.priority, choice.uncached_tokens}, now);
+      {profile.gap_target, profile.priority, choice.uncached_tokens,
+       profile.target},
+      now);
 }
 
 void Balancer::OnFirstByte(const Choice& choice,
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -32,7 +32,8 @@
   std::string route;
   // Maximum time between two events of its stream that meets the target.
   Duration gap_target{0};
-  int priority = 0;  // Of its route; 0 is the highest.
+  Duration target{0};  // Maximum time to its first byte that meets the target.
+  int priority = 0;    // Of its route; 0 is the highest.
   // Level at which servers admit the request, see RouteTable::PriorityLevel.
   int priority_level = 0;
   const GenerationRequest* generation = nullptr;
@@ -55,6 +56,8 @@
   Duration prefill_time{0};
   // Prompt tokens that are not in the server's cache.
   int uncached_tokens = 0;
+  // Number of servers known to have the shared part of the prompt.
+  int holders = 0;
   int priority_level = 0;  // Of the request.
   // Running requests and pending prompt tokens of all gateways at the server,
   // as far as known.
@@ -195,14 +198,12 @@
     const GenerationRequest* generation = nullptr;
     int priority_level = 0;
     Duration max_first_byte_time = Duration::max();
-    bool is_long = false;
-    // Servers [partition_begin, partition_end) of the pool are assigned to the
-    // prompt class of the request.
-    std::size_t partition_begin = 0;
-    std::size_t partition_end = 0;
+    RouteEngines engines;  // By index in the pool.
     // Servers that every gateway prefers for the prompt by rendezvous hashing,
     // the most preferred first.
     std::vector<std::size_t> preferred_servers;
+    // Tokens of the block that belongs to the request alone.
+    int unique_tokens = 0;
     // Servers that were last sent the shared part of the prompt.
     std::vector<std::size_t> holders;
   };
@@ -218,8 +219,7 @@
   double Score(const Server& server,
                double expected_ms,
                int uncached,
-               bool in_partition,
-               bool is_long);
+               double partition_penalty_ms);
   // @param hit_rate probability that the server has cached a block that no
   // gateway is known to have sent to it.
   // @return the expected number of prompt tokens that are not in the cache.
@@ -238,8 +238,8 @@
   struct Candidate {
     std::size_t index = 0;
     bool avoided = false;
-    // Expected to send its first byte in time, without delaying the streams of
-    // the other partition.
+    // Expected to send its first byte in time, without delaying the requests of
+    // other routes.
     bool in_time = false;
     double score = 0;  // Lower is better.
     Choice choice;
--- a/src/gateway/engine_partition.cc
+++ b/src/gateway/engine_partition.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
+#include <set>
+#include <tuple>
 
 namespace sycamorebend::gateway {
 
@@ -20,18 +21,29 @@
 // leaving headroom for short bursts.
 constexpr double kTargetSlotUtilization = 0.6;
 constexpr double kTargetPrefillUtilization = 0.5;
+constexpr double kSensitivePrefillUtilization = 0.35;
+// Demand as a fraction of the engines below which an overload has ended.
+constexpr double kOverloadEnd = 0.7;
 // Fraction of the gap target that prefill chunks may use: attention over long
 // contexts makes some chunks slower than PrefillModel predicts.
 constexpr double kChunkGapFraction = 0.8;
-// Maximum share of the engines that the higher-priority class gets first when
-// there are too few engines for both classes.
-constexpr double kMaxHighPriorityShare = 0.6;
-// The share changes only if it moves by more than this number of engines;
-// smaller changes are noise.
-constexpr double kShareHysteresisEngines = 0.7;
+// Maximum share of the engines left that groups of one priority get before
+// those of lower priorities when there are too few engines.
+constexpr double kMaxPriorityShare = 0.6;
+// A range ends elsewhere only if its end moves by more than this number of
+// engines; smaller changes are noise.
+constexpr double kHysteresisEngines = 0.7;
+constexpr double kHysteresisFraction = 0.15;
+// A prompt that is prefilled for longer than this fraction of another route's
+// target makes requests of that route late that arrive meanwhile.
+constexpr double kBlockedTargetFraction = 0.3;
 // Routes with fewer requests have no load.
 constexpr double kMinRequestsPerSecond = 0.001;
 
+double ToMs(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
 double SecondsBetween(TimePoint from, TimePoint to) {
   return std::max(0.0, std::chrono::duration<double>(to - from).count());
 }
@@ -78,8 +90,7 @@
     load.updated_at = now;
   }
   this->Advance(load, now);
-  load.gap_target = request.gap_target;
-  load.priority = request.priority;
+  load.limits = request;
   load.requests.Add(1, now);
   load.tokens.Add(request.uncached_tokens, now);
   return load;
@@ -113,34 +124,37 @@
       (std::chrono::duration<double>(elapsed).count() - load.seconds);
 }
 
+bool RouteEngines::Delays(std::size_t index) const {
+  return std::any_of(
+      this->delayed.begin(), this->delayed.end(),
+      [index](const EngineRange& range) { return range.Contains(index); });
+}
+
 bool EnginePartition::HasLongPrompts(const RouteLoad& load) const {
   return load.prompt_tokens >=
          kLongPromptChunkFraction * this->model.chunk_tokens;
 }
 
-EnginePartition::PromptClass EnginePartition::PromptClassOf(
-    const std::string& route) const {
-  const auto found = this->routes.find(route);
-  return found != this->routes.end() && this->HasLongPrompts(found->second)
-             ? PromptClass::kLongPrompt
-             : PromptClass::kShortPrompt;
-}
-
-bool EnginePartition::NeedsPartition() const {
+bool EnginePartition::Delays(const RouteLoad& heavy,
+                             const RouteLoad& load) const {
+  const double blocked_ms = heavy.prompt_tokens / this->model.tokens_per_ms;
+  if (this->overloaded &&
+      blocked_ms > kBlockedTargetFraction * ToMs(load.limits.target)) {
+    return true;
+  }
   const double chunk_ms =
       this->model.chunk_tokens / this->model.tokens_per_ms + kDecodeStepMs;
-  const Duration slowest_event = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double, std::milli>(this->event_tokens * chunk_ms));
-  bool any_long = false;
-  bool any_gap_exceeded = false;
-  for (const auto& [name, load] : this->routes) {
-    any_long = any_long || this->HasLongPrompts(load);
-    any_gap_exceeded =
-        any_gap_exceeded ||
-        (!this->HasLongPrompts(load) &&
-         Scale(load.gap_target, kChunkGapFraction) < slowest_event);
-  }
-  return any_long && any_gap_exceeded;
+  return this->HasLongPrompts(heavy) && !this->HasLongPrompts(load) &&
+         this->event_tokens * chunk_ms >
+             kChunkGapFraction * ToMs(load.limits.gap_target);
+}
+
+bool EnginePartition::CanShare(const Group& group,
+                               const RouteLoad& load) const {
+  return std::none_of(
+      group.routes.begin(), group.routes.end(), [&](const RouteLoad* other) {
+        return this->Delays(load, *other) || this->Delays(*other, load);
+      });
 }
 
 std::vector<RouteDemand> EnginePartition::LocalDemand(TimePoint now) {
@@ -157,76 +171,159 @@
   return demand;
 }
 
-EnginePartition::ClassNeeds EnginePartition::Needs(int slots) const {
-  ClassNeeds in_use;
-  ClassNeeds prefill;
-  for (const auto& [name, load] : this->routes) {
-    const bool is_long = this->HasLongPrompts(load);
-    (is_long ? in_use.long_prompts : in_use.short_prompts) +=
-        load.demand.outstanding / (slots * kTargetSlotUtilization);
-    (is_long ? prefill.long_prompts : prefill.short_prompts) +=
-        load.demand.tokens_per_s /
-        (this->model.tokens_per_ms * 1000 * kTargetPrefillUtilization);
-  }
-  return {std::max(in_use.short_prompts, prefill.short_prompts),
-          std::max(in_use.long_prompts, prefill.long_prompts)};
-}
-
-double EnginePartition::IdealShortPromptShare(double engines,
-                                              const ClassNeeds& needs) const {
-  const double total = needs.short_prompts + needs.long_prompts;
-  if (total <= engines) {
-    return needs.short_prompts / total;
-  }
-  // Too few engines to meet all targets: serve the higher-priority class first.
-  int short_priority = std::numeric_limits<int>::max();
-  int long_priority = std::numeric_limits<int>::max();
-  for (const auto& [name, load] : this->routes) {
-    int& priority = this->HasLongPrompts(load) ? long_priority : short_priority;
-    priority = std::min(priority, load.priority);
+double EnginePartition::Need(const Group& group, int slots) const {
+  double in_use = 0;
+  double prefill = 0;
+  for (const RouteLoad* load : group.routes) {
+    in_use += load->demand.outstanding / (slots * kTargetSlotUtilization);
+    prefill += load->demand.tokens_per_s /
+               (this->model.tokens_per_ms * 1000 *
+                (this->HasLongPrompts(*load) ? kTargetPrefillUtilization
+                                             : kSensitivePrefillUtilization));
+  }
+  return std::max(in_use, prefill);
+}
+
+std::vector<EnginePartition::Group> EnginePartition::MakeGroups(int slots) {
+  std::vector<RouteLoad*> order;
+  for (auto& [name, load] : this->routes) {
+    load.group = 0;
+    if (load.demand.requests_per_s > kMinRequestsPerSecond ||
+        load.demand.outstanding > 0) {
+      order.push_back(&load);
+    }
   }
-  if (short_priority < long_priority) {
-    return std::min(needs.short_prompts / engines, kMaxHighPriorityShare);
+  // The targets of routes rarely change, so neither does the order.
+  std::stable_sort(order.begin(), order.end(),
+                   [](const RouteLoad* a, const RouteLoad* b) {
+                     return std::tie(a->limits.target, a->limits.gap_target) <
+                            std::tie(b->limits.target, b->limits.gap_target);
+                   });
+  std::vector<Group> groups;
+  for (RouteLoad* load : order) {
+    if (groups.empty() || !this->CanShare(groups.back(), *load)) {
+      groups.emplace_back();
+      groups.back().priority = load->limits.priority;
+    }
+    Group& group = groups.back();
+    group.routes.push_back(load);
+    group.priority = std::min(group.priority, load->limits.priority);
+    load->group = groups.size() - 1;
   }
-  if (long_priority < short_priority) {
-    return 1 - std::min(needs.long_prompts / engines, kMaxHighPriorityShare);
+  for (Group& group : groups) {
+    group.need = this->Need(group, slots);
   }
-  return needs.short_prompts / total;
+  return groups;
 }
 
 void EnginePartition::Update(std::size_t engines,
                              int slots,
                              const std::vector<RouteDemand>& demand) {
+  this->engine_count = engines;
   for (auto& [name, load] : this->routes) {
-    const std::uint32_t hash = load.demand.route_hash;
-    load.demand = {};
-    load.demand.route_hash = hash;
+    RouteDemand total;
+    total.route_hash = load.demand.route_hash;
     for (const RouteDemand& route : demand) {
-      if (route.route_hash == hash) {
-        load.demand.Add(route);
+      if (route.route_hash == total.route_hash) {
+        total.Add(route);
       }
     }
-    if (load.demand.requests_per_s > kMinRequestsPerSecond) {
-      load.prompt_tokens =
-          load.demand.tokens_per_s / load.demand.requests_per_s;
+    load.demand = total;
+    if (total.requests_per_s > kMinRequestsPerSecond) {
+      load.prompt_tokens = total.tokens_per_s / total.requests_per_s;
     }
   }
-  const ClassNeeds needs = this->Needs(slots);
-  this->short_engines = 0;
-  if (engines < 2 || needs.short_prompts + needs.long_prompts <= 0 ||
-      !this->NeedsPartition()) {
+  double need = 0;
+  for (const Group& group : this->MakeGroups(slots)) {
+    need += group.need;
+  }
+  this->overloaded = need > static_cast<double>(engines) *
+                                (this->overloaded ? kOverloadEnd : 1.0);
+  const std::vector<Group> groups = this->MakeGroups(slots);
+  if (groups.size() < 2 || engines < groups.size()) {
+    this->ends.clear();
     return;
   }
-  const auto count = static_cast<double>(engines);
-  const double ideal = this->IdealShortPromptShare(count, needs);
-  if (this->short_prompt_share == 0 ||
-      std::abs(ideal - this->short_prompt_share) * count >
-          kShareHysteresisEngines) {
-    this->short_prompt_share = ideal;
+  this->AssignEngines(engines, groups);
+}
+
+std::vector<double> EnginePartition::ShareEngines(
+    const std::vector<Group>& groups,
+    double engines) {
+  double total = 0;
+  std::map<int, double> need_by_priority;
+  for (const Group& group : groups) {
+    total += group.need;
+    need_by_priority[group.priority] += group.need;
+  }
+  // Engines for all groups of one priority, which share them by need. With
+  // enough engines for all, every group gets the same multiple of its need.
+  std::map<int, double> engines_by_priority;
+  double left = engines;
+  for (const auto& [priority, need] : need_by_priority) {
+    const bool last = priority == need_by_priority.rbegin()->first;
+    const double granted = total <= engines ? engines * need / total
+                           : last           ? left
+                                  : std::min(need, left * kMaxPriorityShare);
+    engines_by_priority[priority] = granted;
+    left -= granted;
+  }
+  std::vector<double> shares;
+  for (const Group& group : groups) {
+    shares.push_back(engines_by_priority[group.priority] * group.need /
+                     need_by_priority[group.priority]);
+  }
+  return shares;
+}
+
+void EnginePartition::AssignEngines(std::size_t engines,
+                                    const std::vector<Group>& groups) {
+  const std::vector<double> shares =
+      ShareEngines(groups, static_cast<double>(engines));
+  if (this->ends.size() != groups.size()) {
+    this->ends.assign(groups.size(), 0);
+  }
+  double ideal_end = 0;
+  std::size_t begin = 0;
+  for (std::size_t i = 0; i < groups.size(); ++i) {
+    ideal_end += shares[i];
+    std::size_t& end = this->ends[i];
+    if (std::abs(ideal_end - static_cast<double>(end)) >
+        std::max(kHysteresisEngines, kHysteresisFraction * shares[i])) {
+      end = static_cast<std::size_t>(std::lround(ideal_end));
+    }
+    // Each group keeps at least one engine.
+    const std::size_t groups_after = groups.size() - 1 - i;
+    end = std::clamp(end, begin + 1, engines - groups_after);
+    begin = end;
+  }
+  this->ends.back() = engines;
+}
+
+RouteEngines EnginePartition::EnginesOf(const std::string& route) const {
+  RouteEngines result;
+  result.own = {0, this->engine_count};
+  const auto found = this->routes.find(route);
+  if (this->ends.empty() || found == this->routes.end()) {
+    return result;
+  }
+  const RouteLoad& own = found->second;
+  const auto range = [this](std::size_t group) {
+    return EngineRange{group == 0 ? 0 : this->ends[group - 1],
+                       this->ends[group]};
+  };
+  result.own = range(own.group);
+  std::set<std::size_t> delayed;
+  for (const auto& [name, load] : this->routes) {
+    if (load.group != own.group && load.demand.outstanding > 0 &&
+        this->Delays(own, load)) {
+      delayed.insert(load.group);
+    }
+  }
+  for (const std::size_t group : delayed) {
+    result.delayed.push_back(range(group));
   }
-  this->short_engines = std::clamp<std::size_t>(
-      static_cast<std::size_t>(std::lround(this->short_prompt_share * count)),
-      1, engines - 1);
+  return result;
 }
 
 }  // namespace sycamorebend::gateway
--- a/src/gateway/engine_partition.h
+++ b/src/gateway/engine_partition.h
@@ -1,10 +1,12 @@
-// Separates short-prompt streams from long prompts. An engine prefills a prompt
-// in chunks, interleaved with decode steps of its other requests; while it
-// prefills a long prompt, each event of another stream is delayed by one chunk
-// per token of the event. No threads, no I/O; the current time is passed in.
+// Separates requests with short targets from long prompts. An engine prefills a
+// prompt in chunks, interleaved with decode steps of its other requests; while
+// it prefills a long prompt, each event of another stream is delayed by one
+// chunk per token of the event, and other prompts wait. No threads, no I/O; the
+// current time is passed in.
 #ifndef SYCAMOREBEND_SRC_GATEWAY_ENGINE_PARTITION_H_
 #define SYCAMOREBEND_SRC_GATEWAY_ENGINE_PARTITION_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -45,41 +47,59 @@
   void Add(const RouteDemand& other, int sign = 1);
 };
 
-// Properties of a request that determine the load on its prompt class.
+// Properties of a request that determine its load and what it tolerates.
 struct RequestLoad {
   // Maximum time between two events of its stream that meets the target.
   Duration gap_target{0};
   int priority = 0;  // Of its route; 0 is the highest.
   int uncached_tokens = 0;
+  // Maximum time to its first event that meets the target.
+  Duration target{0};
 };
 
-// Partitions the engines of one service between short-prompt and long-prompt
-// routes.
+// Engines [begin, end) of the fixed engine order.
+struct EngineRange {
+  std::size_t begin = 0;
+  std::size_t end = 0;
+
+  std::size_t Size() const { return this->end - this->begin; }
+  bool Contains(std::size_t index) const {
+    return index >= this->begin && index < this->end;
+  }
+};
+
+// Engines for the requests of one route.
+struct RouteEngines {
+  EngineRange own;
+  // Engines of other routes whose requests would miss their targets if they had
+  // to share engines with this route.
+  std::vector<EngineRange> delayed;
+
+  bool Delays(std::size_t index) const;
+};
+
+// Assigns the engines of one service to groups of routes that can share engines
+// without missing their targets.
 class EnginePartition {
  public:
-  // kLongPrompt: routes whose typical prompt fills most of a prefill chunk.
-  enum class PromptClass { kShortPrompt, kLongPrompt };
-
   // @param event_tokens number of tokens in one event of a stream.
   void SetEventTokens(int tokens) { this->event_tokens = tokens; }
 
   void OnSent(const std::string& route,
               const RequestLoad& request,
               TimePoint now);
-  // Counts a request that no engine could begin in time, so that its prompt
-  // class is assigned the engines that it lacks.
+  // Counts a request that no engine could begin in time, so that its group is
+  // assigned the engines that it lacks.
   void OnRefused(const std::string& route,
                  const RequestLoad& request,
                  TimePoint now);
   // @param elapsed time since the request was sent.
   void OnDone(const std::string& route, Duration elapsed, TimePoint now);
 
-  PromptClass PromptClassOf(const std::string& route) const;
-
   // @return the load of this gateway by route.
   std::vector<RouteDemand> LocalDemand(TimePoint now);
 
-  // Classifies the routes and assigns the engines anew.
+  // Groups the routes and assigns the engines anew.
   // @param engines number of engines of the service.
   // @param slots number of requests that one engine runs concurrently.
   // @param demand load of all gateways. The gateways exchange their load, so
@@ -88,26 +108,36 @@
               int slots,
               const std::vector<RouteDemand>& demand);
 
-  // @return the number of engines for short prompts, counted from the start of
-  // the fixed engine order; 0 if every engine serves both classes.
-  std::size_t ShortPromptEngines() const { return this->short_engines; }
+  // @return the engines for the route by the last update; all of them if the
+  // route has no load yet.
+  RouteEngines EnginesOf(const std::string& route) const;
+
+  // @return the number of groups; 1 if every engine serves all routes.
+  std::size_t Groups() const {
+    return std::max<std::size_t>(1, this->ends.size());
+  }
 
  private:
   struct RouteLoad {
-    Duration gap_target{0};
-    int priority = 0;
+    RequestLoad limits;
     double seconds = 0;  // Moving average per request.
     int outstanding = 0;
-    // Requests in the decaying sum `requests`, including those refused.
-    DecayingSum requests;
-    // Uncached prompt tokens of an average request of all gateways.
-    double prompt_tokens = 0;
-    RouteDemand demand;  // Of all gateways.
     // Time integral of `outstanding`; its rate is the average number of
     // requests at the engines.
     DecayingSum request_seconds;
+    DecayingSum requests;  // Including those refused.
     DecayingSum tokens;
     TimePoint updated_at;
+    // Uncached prompt tokens of an average request of all gateways.
+    double prompt_tokens = 0;
+    RouteDemand demand;  // Of all gateways.
+    std::size_t group = 0;
+  };
+  // Routes that share engines.
+  struct Group {
+    std::vector<RouteLoad*> routes;
+    double need = 0;   // Number of engines.
+    int priority = 0;  // The highest of its routes.
   };
 
   // @return the load of the route with the properties of `request` recorded.
@@ -116,24 +146,29 @@
                     TimePoint now);
   void Advance(RouteLoad& load, TimePoint now);
   bool HasLongPrompts(const RouteLoad& load) const;
-  // @return true if prefill of long prompts makes the gaps of other streams
-  // exceed their target.
-  bool NeedsPartition() const;
-  // Number of engines that each prompt class needs.
-  struct ClassNeeds {
-    double short_prompts = 0;
-    double long_prompts = 0;
-  };
-  ClassNeeds Needs(int slots) const;
-  // @return the share of the engines to assign to short prompts.
-  double IdealShortPromptShare(double engines, const ClassNeeds& needs) const;
+  // @return true if prefill of the prompts of `heavy` makes requests of `load`
+  // miss their targets.
+  bool Delays(const RouteLoad& heavy, const RouteLoad& load) const;
+  bool CanShare(const Group& group, const RouteLoad& load) const;
+  // @return the groups of all routes that have load, those with the shortest
+  // targets first.
+  std::vector<Group> MakeGroups(int slots);
+  double Need(const Group& group, int slots) const;
+  // @return the engines for each group. If there are too few, groups of higher
+  // priority get what they need first.
+  static std::vector<double> ShareEngines(const std::vector<Group>& groups,
+                                          double engines);
+  // Sets `ends` from the needs of the groups.
+  void AssignEngines(std::size_t engines, const std::vector<Group>& groups);
 
   const PrefillModel model{};
   int event_tokens = 1;
+  // The groups need more engines than there are.
+  bool overloaded = false;
+  std::size_t engine_count = 0;
   std::map<std::string, RouteLoad> routes;
-  // Share of the engines assigned to short prompts; 0 before the first result.
-  double short_prompt_share = 0;
-  std::size_t short_engines = 0;
+  // End of the engine range of each group; empty if there is only one group.
+  std::vector<std::size_t> ends;
 };
 
 }  // namespace sycamorebend::gateway
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -102,6 +102,7 @@
   this->profile.service = this->service;
   this->profile.route = route.name;
   this->profile.gap_target = route.gap_target;
+  this->profile.target = route.target;
   this->profile.priority = route.priority;
   this->profile.generation =
       this->job.fields.generation ? &*this->job.fields.generation : nullptr;
@@ -234,6 +235,7 @@
        {"reason", selected.reason},
        {"expected_ms", ToMilliseconds(selected.expected_first_byte)},
        {"uncached_tokens", selected.uncached_tokens},
+       {"cached_at", selected.holders},
        {"running", selected.running},
        {"pending_tokens", selected.pending_tokens},
        {"slowness", selected.slowness},
