Bound endless bytes of servers; answer what arrived before a planned stop

Change: HttpReader fails after 4 times its head limit in framing bytes without body (256 KiB from servers); an event may have 256 KiB, skipped bodies 1 MiB a call; SseSplitter searches each byte once. A comment is no progress. A stop accepts what is queued, reads what has arrived, and waits until all is sent.

Looked for and not found: a second copy of a response that reaches the next caller of the connection (LateCopyNeverReachesTheNextCaller: at once, after 1 and 40 ms, whole and in halves), and sound streams with pauses just below their target that are cut (SlowSoundStreamIsNotCut).

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -2,6 +2,7 @@
 
 #include <strings.h>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -141,19 +142,37 @@
 
 void CallerServer::StopAccepting() {
   this->closing = true;
-  this->listener.reset();
+  if (this->listener != nullptr) {
+    // Closing the socket would reset the connections that wait in its queue.
+    this->listener->AcceptPending();
+    this->listener.reset();
+  }
 }
 
 void CallerServer::CloseIdle() {
   const std::vector<std::shared_ptr<CallerConnection>> open(
       this->connections.begin(), this->connections.end());
   for (const auto& connection : open) {
+    if (connection->Idle()) {
+      connection->socket->OnReadable();
+    }
     if (connection->Idle()) {
       connection->Close();
     }
   }
 }
 
+bool CallerServer::Quiet() {
+  this->flushing.erase(
+      std::remove_if(this->flushing.begin(), this->flushing.end(),
+                     [](const std::weak_ptr<net::TcpConnection>& socket) {
+                       const auto open = socket.lock();
+                       return open == nullptr || open->Closed();
+                     }),
+      this->flushing.end());
+  return this->connections.empty() && this->flushing.empty();
+}
+
 void CallerServer::Sweep() {
   const TimePoint now = this->loop.Now();
   const std::vector<std::shared_ptr<CallerConnection>> open(
@@ -298,6 +317,9 @@
   this->socket->SetObserver(nullptr);
   // Pending output is still sent.
   this->socket->CloseAfterFlush();
+  if (!this->socket->Closed()) {
+    owner->flushing.push_back(this->socket);
+  }
   const auto open = std::exchange(this->exchange, nullptr);
   if (open != nullptr) {
     open->connection = nullptr;
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -85,8 +85,11 @@
   // Closes the listening socket. Open connections are closed after their next
   // response.
   void StopAccepting();
-  // Closes the connections without a request in progress.
+  // Closes the connections without a request in progress. A request that has
+  // arrived but was not read yet is handled first.
   void CloseIdle();
+  // @return true if no request is being read and no response is being sent.
+  bool Quiet();
 
  private:
   friend class CallerConnection;
@@ -106,6 +109,8 @@
   TimerId sweep_timer = 0;
   std::unique_ptr<net::TcpListener> listener;
   std::unordered_set<std::shared_ptr<CallerConnection>> connections;
+  // Sockets that are closed once their output was passed on.
+  std::vector<std::weak_ptr<net::TcpConnection>> flushing;
 };
 
 // One connection of a caller.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -33,6 +33,8 @@
 constexpr std::size_t kMaxBufferedBytes = 1 << 20;
 // A stream is aborted if more bytes than this wait for its caller to read them.
 constexpr std::size_t kMaxUnsentBytes = 1 << 20;
+// Maximum size of one event of a stream. An attempt that exceeds it has failed.
+constexpr std::size_t kMaxEventBytes = 256 << 10;
 // Retry-After times of error responses.
 constexpr Duration kRetryAfterRefusal = milliseconds(300);
 constexpr Duration kRetryAfterNoServer = milliseconds(500);
@@ -324,6 +326,7 @@
 void Forwarder::HandleEvents() {
   const TimePoint now = this->context.loop.Now();
   std::string out;
+  bool progress = false;
   while (const auto event = this->splitter.Next()) {
     if (event->id) {
       if (this->last_event && *event->id <= *this->last_event) {
@@ -331,9 +334,20 @@
       }
       this->last_event = event->id;
     }
-    ++this->events;
+    const bool comment = !event->id && !event->has_data;
+    // A comment is no sign of progress, and no reason to begin the response.
+    if (comment && this->events == 0) {
+      continue;
+    }
+    progress = progress || !comment;
+    this->events += comment ? 0 : 1;
     out.append(event->bytes);
   }
+  if (this->splitter.PendingBytes() > kMaxEventBytes) {
+    this->EndCall(AttemptOutcome::kServerError);
+    this->HandleFailedAttempt("an event of the stream is too large");
+    return;
+  }
   if (out.empty()) {
     return;
   }
@@ -355,7 +369,7 @@
     return;
   }
   const Route& route = *this->job.route;
-  if (route.Repeatable() && this->attempts < route.max_attempts) {
+  if (progress && route.Repeatable() && this->attempts < route.max_attempts) {
     this->SetAttemptTimer(
         std::max(kMinGapTimeout, Scale(route.gap_target, kGapTimeoutFactor)));
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -295,7 +295,9 @@
   this->callers->CloseIdle();
   const bool grace_over =
       elapsed > this->settings.stop_grace - kStopAbortMargin;
-  if (this->context.open_requests == 0 || grace_over) {
+  const bool finished =
+      this->context.open_requests == 0 && this->callers->Quiet();
+  if (finished || grace_over) {
     LogEvent(Severity::kInfo, Event::kProcessStopped,
              {{"open_requests", this->context.open_requests}});
     this->loop.Stop();
--- a/src/gateway/server_pool.cc
+++ b/src/gateway/server_pool.cc
@@ -12,6 +12,8 @@
     "connect_failed", "connection_lost", "malformed_answer"};
 
 constexpr std::size_t kMaxResponseHeadBytes = 64 << 10;
+// Body bytes of responses to other requests that are skipped during one call.
+constexpr std::size_t kMaxSkippedBytes = 1 << 20;
 // Keep-alive time if the server specifies none.
 constexpr Duration kDefaultKeepAlive = seconds(4);
 // Subtracted from the server's keep-alive time, so that the server does not
@@ -139,6 +141,7 @@
   this->request_id = request.request_id;
   this->reader.ExpectNoBody(request.no_response_body);
   this->skipping = false;
+  this->skipped_bytes = 0;
   this->socket->Write(request.head);
   this->socket->Write(request.body);
   if (this->socket->Connected()) {
@@ -248,8 +251,16 @@
 }
 
 void ServerConnection::OnBody(std::string_view data) {
-  if (this->observer != nullptr && !this->skipping) {
+  if (this->observer == nullptr) {
+    return;
+  }
+  if (!this->skipping) {
     this->observer->OnResponseBody(data);
+    return;
+  }
+  this->skipped_bytes += data.size();
+  if (this->skipped_bytes > kMaxSkippedBytes) {
+    this->Fail(CallFailure::kMalformed);
   }
 }
 
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -139,6 +139,7 @@
   bool reusable = true;
   // The message being read is a response to another request.
   bool skipping = false;
+  std::size_t skipped_bytes = 0;
   Duration keep_alive{0};
   TimePoint idle_since;
 };
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr int kMinFinalStatus = 200;
+// Framing bytes in a row, as a multiple of the limit on the head: a header of a
+// few bytes has as many separators.
+constexpr std::size_t kMaxFramingFactor = 4;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 // Return values of on_headers_complete.
@@ -56,6 +59,7 @@
   }
 
   static int OnBody(http_parser* parser, const char* at, size_t size) {
+    Of(parser).framing_bytes = 0;
     Of(parser).sink.OnBody({at, size});
     return 0;
   }
@@ -156,11 +160,13 @@
     const std::size_t size = http_parser_execute(
         &this->parser, &Callbacks::Settings(), rest.data(), rest.size());
     used += size;
+    this->framing_bytes += size;
     const auto error = HTTP_PARSER_ERRNO(&this->parser);
     if (error == HPE_PAUSED) {
       http_parser_pause(&this->parser, 0);
       this->in_message = false;
       if (!this->informational) {
+        this->framing_bytes = 0;
         this->sink.OnMessageEnd();
         return used;
       }
@@ -169,6 +175,9 @@
           this->head_too_large || error == HPE_HEADER_OVERFLOW;
       this->failed = true;
     }
+    if (this->framing_bytes > this->max_head_bytes * kMaxFramingFactor) {
+      this->failed = true;
+    }
   }
   return used;
 }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -51,7 +51,9 @@
   HttpReader(const HttpReader&) = delete;
   HttpReader& operator=(const HttpReader&) = delete;
 
-  // Parses up to the end of one message.
+  // Parses up to the end of one message. Fails if the peer sends too many bytes
+  // that belong neither to a final head nor to a body, such as informational
+  // responses or chunk extensions.
   // @return the number of bytes consumed; the rest belongs to the next message.
   std::size_t Read(std::string_view data);
   // Signals connection close, which ends a response without a length.
@@ -88,6 +90,8 @@
   bool failed = false;
   bool head_too_large = false;
   std::size_t head_bytes = 0;
+  // Bytes consumed since the last piece of a body or the end of a message.
+  std::size_t framing_bytes = 0;
 };
 
 }  // namespace sycamorebend::net
--- a/src/net/sse_splitter.cc
+++ b/src/net/sse_splitter.cc
@@ -1,5 +1,6 @@
 #include "net/sse_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace sycamorebend::net {
@@ -55,6 +56,7 @@
   if (this->event_begin > 0) {
     this->buffer.erase(0, this->event_begin);
     this->line_begin -= this->event_begin;
+    this->searched -= this->event_begin;
     this->event_begin = 0;
   }
   this->buffer.append(data);
@@ -63,13 +65,16 @@
 std::optional<SseEvent> SseSplitter::Next() {
   const std::string_view text = this->buffer;
   for (;;) {
-    const std::size_t end = text.find('\n', this->line_begin);
+    const std::size_t end =
+        text.find('\n', std::max(this->line_begin, this->searched));
     if (end == std::string_view::npos) {
+      this->searched = text.size();
       return std::nullopt;
     }
     const std::string_view line = WithoutCarriageReturn(
         text.substr(this->line_begin, end - this->line_begin));
     this->line_begin = end + 1;
+    this->searched = this->line_begin;
     if (!line.empty()) {
       continue;
     }
--- a/src/net/sse_splitter.h
+++ b/src/net/sse_splitter.h
@@ -38,8 +38,10 @@
  private:
   std::string buffer;
   std::size_t event_begin = 0;
-  // Start of the first line of the pending event not searched yet.
+  // Start of the first line of the pending event not parsed yet.
   std::size_t line_begin = 0;
+  // Bytes of the buffer that were searched for the end of that line.
+  std::size_t searched = 0;
 };
 
 }  // namespace sycamorebend::net
--- a/src/net/tcp_listener.cc
+++ b/src/net/tcp_listener.cc
@@ -92,14 +92,23 @@
   return listener;
 }
 
+bool TcpListener::AcceptOne() {
+  const int accepted =
+      accept4(this->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (accepted < 0) {
+    return false;
+  }
+  this->on_accept(accepted);
+  return true;
+}
+
+void TcpListener::AcceptPending() {
+  while (this->AcceptOne()) {
+  }
+}
+
 void TcpListener::OnReadable() {
-  for (int i = 0; i < kMaxAcceptsPerCall; ++i) {
-    const int accepted =
-        accept4(this->fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (accepted < 0) {
-      return;
-    }
-    this->on_accept(accepted);
+  for (int i = 0; i < kMaxAcceptsPerCall && this->AcceptOne(); ++i) {
   }
 }
 
--- a/src/net/tcp_listener.h
+++ b/src/net/tcp_listener.h
@@ -25,12 +25,18 @@
 
   std::string Address() const { return this->address; }
 
+  // Accepts all connections that wait in the queue of the socket.
+  void AcceptPending();
+
   void OnReadable() override;
   void OnWritable() override {}
 
  private:
   TcpListener(EventLoop& loop, int fd, AcceptCallback on_accept);
 
+  // @return false if no connection waits.
+  bool AcceptOne();
+
   EventLoop& loop;
   const int fd;
   const AcceptCallback on_accept;
--- a/tests/gateway/caller_test.cc
+++ b/tests/gateway/caller_test.cc
@@ -1,4 +1,8 @@
 // Tests of the caller side: parsing, limits, admission and connection handling.
+#include <memory>
+#include <thread>
+#include <vector>
+
 #include <boost/test/unit_test.hpp>
 
 #include "gateway_fixture.h"
@@ -143,4 +147,72 @@
   BOOST_TEST(Contains(response, "Connection: close"));
 }
 
+// Callers connect and send requests just before the listening socket is closed.
+// Guards against requests in the accept queue or in a socket's buffer that are
+// cut off without a response.
+BOOST_FIXTURE_TEST_CASE(RequestsSentBeforeTheStopAreAnswered, OneServer) {
+  RawCaller kept(this->Address());
+  kept.Send(Request("r0", "/safe/x"));
+  BOOST_TEST(Contains(kept.ReadUntil("body of r0"), "HTTP/1.1 200"));
+  constexpr int kCallers = 150;
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  this->OnLoop([&] {
+    kept.Send(Request("r1", "/once/x", "order"));
+    for (int i = 0; i < kCallers; ++i) {
+      callers.push_back(std::make_unique<RawCaller>(this->Address()));
+      callers.back()->Send(Request("c" + std::to_string(i), "/safe/x"));
+    }
+    this->handler.RejectNewRequests();
+    this->callers->StopAccepting();
+    this->callers->CloseIdle();
+  });
+  BOOST_TEST(Contains(kept.ReadToEnd(2000), "HTTP/1.1 503"));
+  int answered = 0;
+  for (const auto& caller : callers) {
+    answered += Contains(caller->ReadToEnd(2000), "HTTP/1.1 ") ? 1 : 0;
+  }
+  BOOST_TEST(answered == kCallers);
+}
+
+// A request has begun to arrive and a large response is being sent when the
+// process stops. Guards against ending the process before both are finished.
+BOOST_FIXTURE_TEST_CASE(StopWaitsForHalfReadRequestsAndResponses,
+                        GatewayFixture) {
+  constexpr std::size_t kBodyBytes = 1000 << 10;
+  ScriptedServer server([](const ReceivedRequest& request, Socket& socket) {
+    socket.Send(MakeResponse(request, 200, std::string(kBodyBytes, 'b')));
+    return true;
+  });
+  this->AddServer(server);
+  const auto quiet = [this] {
+    bool result = false;
+    this->OnLoop([&] {
+      this->callers->CloseIdle();
+      result = this->callers->Quiet();
+    });
+    return result;
+  };
+  RawCaller half(this->Address());
+  half.Send("GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n");
+  // Together larger than the buffers of the sockets.
+  constexpr std::size_t kResponses = 24;
+  RawCaller slow(this->Address());
+  for (std::size_t i = 0; i < kResponses; ++i) {
+    slow.Send(Request("s" + std::to_string(i), "/safe/x"));
+  }
+  while (server.Requests().size() < kResponses || this->OpenRequests() > 0) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  this->OnLoop([this] {
+    this->handler.RejectNewRequests();
+    this->callers->StopAccepting();
+  });
+  BOOST_TEST(!quiet());
+  half.Send("Request-Id: r1\r\n\r\n");
+  BOOST_TEST(Contains(half.ReadToEnd(2000), "HTTP/1.1 503"));
+  BOOST_TEST(!quiet());
+  BOOST_TEST(slow.ReadToEnd().size() > kResponses * kBodyBytes);
+  BOOST_TEST(quiet());
+}
+
 }  // namespace sycamorebend::gateway
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -1,6 +1,8 @@
 // Tests of forwarding: retries, streams and failures of backend servers.
 #include <set>
+#include <thread>
 
+#include <fmt/format.h>
 #include <boost/test/unit_test.hpp>
 
 #include "gateway_fixture.h"
@@ -333,9 +335,11 @@
   const std::string key =
       "at-" + server.Address() + "@" + server.Address() + "#1";
   const auto set_pending = [&](int tokens) {
-    LoadMessage message{"other", ++this->sequence, {}, {}};
+    LoadMessage message;
+    message.sender = "other";
+    message.sequence = ++this->sequence;
     message.server_loads.push_back(
-        {StableHash32(key), tokens > 0 ? 4 : 0, tokens});
+        {StableHash32(key), tokens > 0 ? 4 : 0, {0, tokens}});
     this->OnLoop(
         [&] { this->balancer.OnPeerLoad(message, this->clock.Now()); });
   };
@@ -374,6 +378,177 @@
   BOOST_TEST(Contains(caller.ReadUntil("0\r\n\r\n"), "data: one"));
 }
 
+// A server sends `part` again and again, in place of the rest of its response.
+// Guards against memory and time that a faulty server can take without end, and
+// against a request that is not offered to the sound server.
+BOOST_FIXTURE_TEST_CASE(EndlessBytesEndTheAttempt, GatewayFixture) {
+  const std::string head = "HTTP/1.1 200 OK\r\nSigned: yes\r\n";
+  const std::string stream = head +
+                             "Content-Type: text/event-stream\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+  struct Case {
+    const char* name;
+    std::string begin;
+    std::string part;
+  };
+  const std::string filler(4000, 'x');
+  const std::vector<Case> cases = {
+      {"status line", "HTTP/1.1 200 ", filler},
+      {"header name", head, filler},
+      {"header value", head + "Other: ", filler},
+      {"headers", head, "Other: " + filler + "\r\n"},
+      {"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"body", head + "Content-Length: 1000000000\r\n\r\n", filler},
+      {"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n5;",
+       filler},
+      {"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+       "Other: " + filler + "\r\n"},
+      {"event", stream, Chunk(filler)},
+      {"comments", stream, Chunk(": " + filler + "\n")},
+      {"response to another request",
+       "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nSigned: yes\r\n"
+       "Content-Length: 1000000000\r\n\r\n",
+       filler}};
+  for (const Case& test : cases) {
+    std::atomic<int> count{0};
+    const auto endless_first = [&](const ReceivedRequest& request,
+                                   Socket& socket) {
+      if (++count > 1) {
+        return Echo(request, socket);
+      }
+      socket.Send(test.begin);
+      // Bounds the memory that a gateway without limits takes in this test.
+      constexpr int kPartsPerPause = 16;
+      for (int i = 1; !socket.WaitForPeerClose(0); ++i) {
+        socket.Send(test.part);
+        if (i % kPartsPerPause == 0) {
+          std::this_thread::sleep_for(milliseconds(1));
+        }
+      }
+      return false;
+    };
+    ScriptedServer first(endless_first);
+    ScriptedServer second(endless_first);
+    this->SetServers({first.Address(), second.Address()});
+    const bool is_stream = test.begin.rfind(stream, 0) == 0;
+    // Well below the time limits of the routes.
+    constexpr int kLimitMs = 1000;
+    RawCaller repeatable(this->Address());
+    repeatable.Send(Request("r1", is_stream ? "/stream/x" : "/safe/x"));
+    BOOST_TEST(
+        Contains(repeatable.ReadUntil("body of r1", kLimitMs), "HTTP/1.1 200"),
+        test.name);
+    BOOST_TEST(count == 2, test.name);
+    count = 0;
+    RawCaller once(this->Address());
+    once.Send(Request("r2", is_stream ? "/live/x" : "/once/x"));
+    BOOST_TEST(Contains(once.ReadUntil("\r\n\r\n", kLimitMs), "HTTP/1.1 502"),
+               test.name);
+    BOOST_TEST(count == 1, test.name);
+  }
+}
+
+// A server keeps a stream open with comments or single bytes, but sends no
+// event. Guards against a stalled stream that counts as alive.
+BOOST_FIXTURE_TEST_CASE(StalledStreamWithCommentsIsLeft, GatewayFixture) {
+  this->SetTable([](RouteTable& table) {
+    for (Route& route : table.routes) {
+      route.target = milliseconds(100);
+    }
+  });
+  for (const std::string part : {": alive\n\n", ":"}) {
+    std::atomic<int> count{0};
+    const auto stall_first = [&](const ReceivedRequest& request,
+                                 Socket& socket) {
+      socket.Send(StreamResponseHead(request));
+      if (++count > 1) {
+        socket.Send(EventChunk(1, "one") + "0\r\n\r\n");
+        return true;
+      }
+      while (!socket.WaitForPeerClose(50)) {
+        socket.Send(Chunk(part));
+      }
+      return false;
+    };
+    ScriptedServer first(stall_first);
+    ScriptedServer second(stall_first);
+    this->SetServers({first.Address(), second.Address()});
+    RawCaller caller(this->Address());
+    caller.Send(Request("r1", "/stream/x"));
+    const std::string response = caller.ReadUntil("0\r\n\r\n", 3000);
+    BOOST_TEST(Contains(response, "data: one"));
+    BOOST_TEST(!Contains(response, "alive"));
+    BOOST_TEST(count == 2);
+  }
+}
+
+// Events follow each other just within their target, for much longer than the
+// time limit of a first event. Guards against sound streams that are cut.
+BOOST_FIXTURE_TEST_CASE(SlowSoundStreamIsNotCut, GatewayFixture) {
+  this->SetTable([](RouteTable& table) {
+    for (Route& route : table.routes) {
+      route.target = milliseconds(100);
+      route.gap_target = milliseconds(250);
+    }
+  });
+  constexpr int kEvents = 8;
+  ScriptedServer server([](const ReceivedRequest& request, Socket& socket) {
+    socket.Send(StreamResponseHead(request));
+    for (int id = 1; id <= kEvents; ++id) {
+      std::this_thread::sleep_for(milliseconds(240));
+      socket.Send(EventChunk(id, "event"));
+    }
+    socket.Send("0\r\n\r\n");
+    return true;
+  });
+  this->AddServer(server);
+  for (const char* path : {"/stream/x", "/live/x"}) {
+    RawCaller caller(this->Address());
+    caller.Send(Request(path, path));
+    const std::string response = caller.ReadUntil("0\r\n\r\n");
+    BOOST_TEST(Contains(response, fmt::format("id: {}\n", kEvents)));
+    BOOST_TEST(Contains(response, "0\r\n\r\n"));
+  }
+  BOOST_TEST(server.Requests().size() == 2U);
+}
+
+// A server sends a second copy of a response late: after the next request was
+// sent on the same connection, before its response, whole or in two pieces.
+// Guards against a caller that gets the response to another request.
+BOOST_FIXTURE_TEST_CASE(LateCopyNeverReachesTheNextCaller, GatewayFixture) {
+  for (const bool in_pieces : {false, true}) {
+    for (const int delay_ms : {0, 1, 40}) {
+      std::string copy;
+      ScriptedServer server(
+          [&](const ReceivedRequest& request, Socket& socket) {
+            if (request.preceding_requests > 0) {
+              std::this_thread::sleep_for(milliseconds(delay_ms));
+              if (in_pieces) {
+                socket.Send(copy.substr(0, copy.size() / 2));
+                std::this_thread::sleep_for(milliseconds(delay_ms));
+                socket.Send(copy.substr(copy.size() / 2));
+              } else {
+                socket.Send(copy);
+              }
+            }
+            copy = MakeResponse(request, 200,
+                                "body of " + request.Header("Request-Id"));
+            socket.Send(copy);
+            return true;
+          });
+      this->SetServers({server.Address()});
+      RawCaller caller(this->Address());
+      for (int i = 1; i <= 3; ++i) {
+        const std::string body = "body of r" + std::to_string(i);
+        caller.Send(Request("r" + std::to_string(i), "/once/x", "order"));
+        const std::string response = caller.ReadUntil(body);
+        BOOST_TEST(Contains(response, body));
+        BOOST_TEST(!Contains(response, "body of r" + std::to_string(i - 1)));
+      }
+    }
+  }
+}
+
 // Guards against waiting for a stalled server until the caller gives up.
 BOOST_FIXTURE_TEST_CASE(RepeatableRequestLeavesStalledServer, GatewayFixture) {
   std::atomic<int> count{0};
