Prefer servers in the failure domain of the gateway for new sessions

Cause: on the large site a request body of 9 KB sent to another failure domain costs as much as reading 1,000 tokens, but servers were chosen with a fixed penalty of 2 ms, and preferred servers without regard to their domain.

Change: rendezvous hashing uses the servers of the own failure domain if it has three or more in the range; the penalty grows by 4 ms for each KB of the body. A server that is known to have the session still goes first.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -21,8 +21,10 @@
 constexpr double kRunningRequestDelayMs = 1.0;
 // Time to the first byte at an idle server, without prefill.
 constexpr double kIdleFirstByteMs = 20;
-// Penalty for a server in another failure domain.
+// Penalty for a server in another failure domain, and for each KB of the
+// request that is sent there: links between failure domains are scarce.
 constexpr double kDomainPenaltyMs = 2;
+constexpr double kDomainPenaltyMsPerKb = 4;
 // Penalty for an engine of the other partition: roughly the cost of a late
 // stream to its caller.
 constexpr double kOtherPartitionPenaltyMs = 300;
@@ -279,6 +281,7 @@
   Placement placement;
   placement.engines.own = {0, pool.servers.size()};
   placement.priority_level = profile.priority_level;
+  placement.request_kb = static_cast<double>(profile.request_bytes) / 1024;
   placement.max_first_byte_time = profile.max_first_byte_time;
   if (profile.generation == nullptr || profile.generation->prompt.empty()) {
     return placement;
@@ -342,17 +345,28 @@
   }
 }
 
+bool Balancer::IsLocal(const Server& server) const {
+  return server.record.failure_domain == this->options.failure_domain;
+}
+
 void Balancer::FindPreferredServers(const Pool& pool,
                                     Placement& placement) const {
   const std::uint64_t block = AffinityBlock(*placement.generation);
   std::vector<std::pair<std::uint64_t, std::size_t>> weights;
   const EngineRange& range = placement.engines.own;
+  std::vector<std::pair<std::uint64_t, std::size_t>> local_weights;
   for (std::size_t i = range.begin; i < range.end; ++i) {
     const Server& server = *pool.servers[i];
     if (!server.record.leaving && !server.record.silent) {
       weights.emplace_back(RendezvousWeight(block, server.id_hash), i);
+      if (this->IsLocal(server)) {
+        local_weights.push_back(weights.back());
+      }
     }
   }
+  if (local_weights.size() >= kPreferredHitRates.size()) {
+    weights = std::move(local_weights);
+  }
   const std::size_t count = std::min(kPreferredHitRates.size(), weights.size());
   std::partial_sort(weights.begin(),
                     weights.begin() + static_cast<std::ptrdiff_t>(count),
@@ -388,14 +402,14 @@
 double Balancer::Score(const Server& server,
                        double expected_ms,
                        int uncached,
+                       double transfer_penalty_ms,
                        double partition_penalty_ms) {
-  const bool other_domain =
-      server.record.failure_domain != this->options.failure_domain;
   return expected_ms + kPrefillWorkWeight * uncached / kPrefillTokensPerMs +
          kScoreJitterMs * this->random.Unit() +
          kErrorPenaltyMs *
              std::max(0.0, server.error_rate - kToleratedErrorRate) +
-         (other_domain ? kDomainPenaltyMs : 0) + partition_penalty_ms;
+         (this->IsLocal(server) ? 0 : transfer_penalty_ms) +
+         partition_penalty_ms;
 }
 
 Balancer::Candidate Balancer::Evaluate(const Pool& pool,
@@ -434,10 +448,12 @@
   candidate.index = index;
   // A silent server is used only if no other one is usable.
   candidate.avoided = now < server.avoid_until || server.record.silent;
-  candidate.score = this->Score(server, expected_ms, uncached,
-                                delays_others   ? kDelaysOthersPenaltyMs
-                                : !in_partition ? kOtherPartitionPenaltyMs
-                                                : 0);
+  candidate.score = this->Score(
+      server, expected_ms, uncached,
+      kDomainPenaltyMs + kDomainPenaltyMsPerKb * placement.request_kb,
+      delays_others   ? kDelaysOthersPenaltyMs
+      : !in_partition ? kOtherPartitionPenaltyMs
+                      : 0);
   candidate.in_time = !delays_others && FromMs(expected_ms + reread_ms) <=
                                             placement.max_first_byte_time;
   Choice& choice = candidate.choice;
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -37,6 +37,7 @@
   // Level at which servers admit the request, see RouteTable::PriorityLevel.
   int priority_level = 0;
   const GenerationRequest* generation = nullptr;
+  std::size_t request_bytes = 0;  // Of its body.
   // Keys of servers that have already failed this request.
   std::vector<std::string> excluded;
   // Latest useful time to the first byte. Servers that are expected to exceed
@@ -197,10 +198,11 @@
   struct Placement {
     const GenerationRequest* generation = nullptr;
     int priority_level = 0;
+    double request_kb = 0;
     Duration max_first_byte_time = Duration::max();
     RouteEngines engines;  // By index in the pool.
-    // Servers that every gateway prefers for the prompt by rendezvous hashing,
-    // the most preferred first.
+    // Servers that the gateways of a failure domain prefer for the prompt by
+    // rendezvous hashing, the most preferred first.
     std::vector<std::size_t> preferred_servers;
     // Tokens of the block that belongs to the request alone.
     int unique_tokens = 0;
@@ -219,6 +221,7 @@
   double Score(const Server& server,
                double expected_ms,
                int uncached,
+               double transfer_penalty_ms,
                double partition_penalty_ms);
   // @param hit_rate probability that the server has cached a block that no
   // gateway is known to have sent to it.
@@ -266,7 +269,9 @@
                      const Placement& placement,
                      std::size_t index,
                      TimePoint now);
-  // Sets `preferred_servers` from the servers of the request's partition.
+  bool IsLocal(const Server& server) const;
+  // Sets `preferred_servers` from the servers of the request's partition, if
+  // possible from those in the failure domain of this gateway.
   void FindPreferredServers(const Pool& pool, Placement& placement) const;
   void FindHolders(const Pool& pool, Placement& placement) const;
   // Updates how long blocks stay cached, from the tokens that all gateways send
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -106,6 +106,7 @@
   this->profile.gap_target = route.gap_target;
   this->profile.target = route.target;
   this->profile.priority = route.priority;
+  this->profile.request_bytes = this->job.exchange->Body().size();
   this->profile.generation =
       this->job.fields.generation ? &*this->job.fields.generation : nullptr;
   if (this->profile.generation != nullptr) {
--- a/tests/gateway/balancer_test.cc
+++ b/tests/gateway/balancer_test.cc
@@ -212,6 +212,35 @@
   }
 }
 
+// Half of the engines are in another failure domain. Guards against sending
+// prompts over the scarce links between failure domains for nothing, and
+// against reading a shared part again only to avoid them.
+BOOST_FIXTURE_TEST_CASE(NewSessionsStayInTheFailureDomain, Fixture) {
+  for (std::size_t i = 0; i < this->records.size(); ++i) {
+    this->records[i].failure_domain = i % 2 == 0 ? "a" : "b";
+  }
+  this->balancer.SetServers(this->records);
+  for (std::uint64_t session = 2; session < 20; ++session) {
+    RequestProfile profile = this->MakeRequest(session);
+    profile.request_bytes = 10000;
+    const auto choice = this->balancer.Choose(profile, this->now);
+    const auto chosen = std::find_if(
+        this->records.begin(), this->records.end(), [&](const ServerRecord& r) {
+          return ServerKey(r) == choice->server_key;
+        });
+    BOOST_TEST(chosen->failure_domain == "a");
+  }
+  LoadMessage message;
+  message.sender = "other";
+  message.sequence = 1;
+  message.placements = {{5, StableHash32(ServerKey(this->records[1]))}};
+  this->balancer.OnPeerLoad(message, this->now);
+  RequestProfile profile = this->MakeRequest(5);
+  profile.request_bytes = 10000;
+  BOOST_TEST(this->balancer.Choose(profile, this->now)->server_id ==
+             this->records[1].server_id);
+}
+
 // Guards against placements that are never announced, announced with each
 // request of a session, or relayed without end.
 BOOST_FIXTURE_TEST_CASE(PlacementsAreAnnouncedOnce, Fixture) {
