Use a connection of its own for each request of the entry daemon

Cause: reported by operators of similar systems and possible here: a server sends a second copy of a response late, on a connection that is in use again. libcurl takes it for the response to the next request (FreshConnectionsGetNoLateCopies without the fresh connection: the second caller gets the first body). The entry daemon used fresh connections for orders only.

Change: every attempt has a connection of its own, as orders had; the responses of plain services carry no ID by which a copy could be told. The gateway compares IDs and was not affected (LateCopyNeverReachesTheNextCaller).

Weighed: checking an ID in the response, which plain services do not send.

--- a/src/entry/upstream_call.cc
+++ b/src/entry/upstream_call.cc
@@ -112,9 +112,11 @@
   }
   call.headers.push_back(
       {"X-Request-Id", StreamId(request.info.request_id, action.attempt)});
-  // libcurl resends a request by itself when a reused connection closes before
-  // the first byte of the response. An order must not be sent twice.
-  call.fresh_connection = request.is_order;
+  // On a reused connection, libcurl takes a late second copy of the previous
+  // response for the response to this request. It also resends a request by
+  // itself when such a connection closes before the first byte of the response,
+  // and an order must not be sent twice.
+  call.fresh_connection = true;
   return call;
 }
 
--- a/src/gateway/engine_partition.cc
+++ b/src/gateway/engine_partition.cc
@@ -269,6 +269,7 @@
     left -= granted;
   }
   std::vector<double> shares;
+  shares.reserve(groups.size());
   for (const Group& group : groups) {
     shares.push_back(engines_by_priority[group.priority] * group.need /
                      need_by_priority[group.priority]);
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -69,6 +69,7 @@
 
 std::vector<EncodedRoute> EncodeRoutes(const std::vector<RouteDemand>& routes) {
   std::vector<EncodedRoute> encoded;
+  encoded.reserve(routes.size());
   for (const RouteDemand& route : routes) {
     encoded.emplace_back(route.route_hash, ToThousandths(route.requests_per_s),
                          static_cast<std::uint64_t>(route.tokens_per_s),
@@ -80,6 +81,7 @@
 std::vector<RouteDemand> DecodeRoutes(
     const std::vector<EncodedRoute>& encoded) {
   std::vector<RouteDemand> routes;
+  routes.reserve(encoded.size());
   for (const auto& [hash, requests, tokens, outstanding] : encoded) {
     routes.push_back({hash, static_cast<double>(requests) / kThousand,
                       static_cast<double>(tokens),
--- a/tests/entry/proxy_session_test.cc
+++ b/tests/entry/proxy_session_test.cc
@@ -76,6 +76,14 @@
   BOOST_TEST(listener.attempts.at(0) == 2);
 }
 
+// Guards against a second copy of an earlier response, which a server sends
+// late on a connection that is in use again, as the response to this request.
+BOOST_AUTO_TEST_CASE(AttemptsDoNotShareConnections) {
+  Dispatch(1, "10.0.0.1:1");
+  BOOST_REQUIRE(client.calls.size() == 1U);
+  BOOST_TEST(client.calls[0].fresh_connection);
+}
+
 // Guards against a truncated response when the scheduler moves a request at the
 // moment when its first token arrives.
 BOOST_AUTO_TEST_CASE(MoveAfterTheFirstTokenKeepsTheResponse) {
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -306,6 +306,49 @@
   }
 }
 
+// A server sends a second copy of a response late, before the response to the
+// next request on the connection. Guards against a call with a connection of
+// its own that gets the response to another one.
+BOOST_AUTO_TEST_CASE(FreshConnectionsGetNoLateCopies) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in local{};
+  local.sin_family = AF_INET;
+  local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* const generic = reinterpret_cast<sockaddr*>(&local);
+  socklen_t size = sizeof(local);
+  BOOST_REQUIRE(bind(listener, generic, size) == 0);
+  BOOST_REQUIRE(listen(listener, 8) == 0);
+  getsockname(listener, generic, &size);
+  constexpr int kCalls = 3;
+  std::thread server([&] {
+    int requests = 0;
+    while (requests < kCalls) {
+      const int fd = accept(listener, nullptr, nullptr);
+      char buffer[4096];
+      std::string copy;
+      while (requests < kCalls && recv(fd, buffer, sizeof(buffer), 0) > 0) {
+        const std::string response =
+            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" +
+            std::to_string(++requests);
+        const std::string bytes = copy + response;
+        send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        copy = response;
+      }
+      close(fd);
+    }
+  });
+  const auto client = HttpClient::Create(1);
+  HttpCall call;
+  call.url = "http://127.0.0.1:" + std::to_string(ntohs(local.sin_port)) + "/";
+  call.fresh_connection = true;
+  for (int i = 1; i <= kCalls; ++i) {
+    const auto response = client->Fetch(call);
+    BOOST_TEST((response && response.value().body == std::to_string(i)));
+  }
+  server.join();
+  close(listener);
+}
+
 BOOST_AUTO_TEST_CASE(OccupiedAddressIsReported) {
   RoutingHandler handler;
   HttpServerOptions options;
