Bound the datagrams of large failure domains; keep placements between rounds

Change: above 24 direct peers rounds take 10 ms for each peer, at most 700 ms; a long prompt is told at once to 12 peers by turns instead of all. Placements are sent for 2.4 rounds (PlacementsLastUntilTheNextRounds, EarlyPeersTakeTurns). Up to 24 direct peers nothing changes but that time.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -42,9 +42,10 @@
 // Part of an engine's memory that holds cached blocks; running requests take
 // the rest.
 constexpr double kCacheFraction = 0.7;
-// A placement is sent to other gateways for this long, in case datagrams are
-// lost, and again when this part of the block's lifetime has passed.
-constexpr Duration kPlacementRepeatTime = milliseconds(120);
+// Rounds of the load exchange in which a placement is sent, in case datagrams
+// are lost. It is sent again when the fraction of the block's lifetime has
+// passed.
+constexpr double kPlacementRounds = 2.4;
 constexpr double kPlacementRefreshFraction = 0.5;
 // Servers remembered for each block.
 constexpr std::size_t kMaxHolders = 4;
@@ -610,9 +611,14 @@
   }
 }
 
+void Balancer::SetExchangeInterval(Duration interval) {
+  this->placement_repeat_time = Scale(interval, kPlacementRounds);
+}
+
 void Balancer::FillPlacements(LoadMessage& message, TimePoint now) {
   while (!this->recent_placements.empty() &&
-         now - this->recent_placements.front().at > kPlacementRepeatTime) {
+         now - this->recent_placements.front().at >
+             this->placement_repeat_time) {
     this->recent_placements.pop_front();
   }
   for (const RecentPlacement& recent : this->recent_placements) {
@@ -632,7 +638,7 @@
     Server& server = *found->second;
     Pool& pool = this->pools[server.record.service];
     SentBlock& sent = server.sent_blocks[placement.block];
-    if (now - sent.announced_at <= kPlacementRepeatTime * 2) {
+    if (now - sent.announced_at <= this->placement_repeat_time * 2) {
       continue;  // A repetition.
     }
     sent = {now, now};
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -143,6 +143,8 @@
     this->on_heavy_load = std::move(on_heavy_load);
   }
 
+  // @param interval time between two messages to the same gateway.
+  void SetExchangeInterval(Duration interval);
   // Sets the load and demand of this gateway or, if the scope of the message is
   // a failure domain, of all gateways of its domain.
   void FillLoadMessage(LoadMessage& message, TimePoint now);
@@ -312,6 +314,7 @@
   std::unordered_map<std::uint32_t, Server*> servers_by_hash;
   // Placements made or heard of in the last moments, the oldest first.
   std::deque<RecentPlacement> recent_placements;
+  Duration placement_repeat_time = milliseconds(120);
 };
 
 }  // namespace sycamorebend::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -153,6 +153,7 @@
                         entry.failure_domain});
   }
   this->exchange->SetGateways(gateways);
+  this->balancer.SetExchangeInterval(this->exchange->Interval());
   if (this->handler.Table() != nullptr) {
     this->ApplyConfiguration(*state);
   } else {
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -18,6 +18,14 @@
 // it says.
 constexpr Duration kRoundInterval = milliseconds(50);
 constexpr std::size_t kPeersPerInterval = 12;
+// The same for more than kMaxDirectGateways peers. The upper bound leaves two
+// rounds until the load of a gateway is dropped.
+constexpr Duration kRoundTimePerPeer = milliseconds(10);
+constexpr Duration kMaxRoundInterval = milliseconds(700);
+// Peers that are told of a long prompt at once, by turns, if there are more
+// than kMaxDirectGateways. With so many, each of them sends few prompts to an
+// engine.
+constexpr std::size_t kEarlyPeers = 12;
 // Minimum interval between messages sent outside of the rounds.
 constexpr Duration kMinSendInterval = milliseconds(10);
 // With more gateways than this, failure domains exchange sums.
@@ -289,9 +297,26 @@
 }
 
 Duration RoundInterval(std::size_t direct_peers) {
-  const std::size_t intervals =
-      (direct_peers + kPeersPerInterval - 1) / kPeersPerInterval;
-  return kRoundInterval * std::max<std::size_t>(1, intervals);
+  if (direct_peers <= kMaxDirectGateways) {
+    const std::size_t intervals =
+        (direct_peers + kPeersPerInterval - 1) / kPeersPerInterval;
+    return kRoundInterval * std::max<std::size_t>(1, intervals);
+  }
+  return std::min(kMaxRoundInterval,
+                  kRoundTimePerPeer * static_cast<int>(direct_peers));
+}
+
+std::vector<std::string> EarlyPeers(const std::vector<std::string>& peers,
+                                    std::uint64_t turn) {
+  if (peers.size() <= kMaxDirectGateways) {
+    return peers;
+  }
+  std::vector<std::string> selected;
+  selected.reserve(kEarlyPeers);
+  for (std::size_t i = 0; i < kEarlyPeers; ++i) {
+    selected.push_back(peers[(turn * kEarlyPeers + i) % peers.size()]);
+  }
+  return selected;
 }
 
 LoadExchange::LoadExchange(net::EventLoop& loop,
@@ -362,9 +387,12 @@
 
 void LoadExchange::SendEarly() {
   const TimePoint now = this->loop.Now();
-  if (now >= this->next_gateway_load_at) {
-    this->SendGatewayLoad(now);
+  if (now < this->next_gateway_load_at) {
+    return;
   }
+  this->next_gateway_load_at = now + kMinSendInterval;
+  this->SendLoad(LoadScope::kGateway,
+                 EarlyPeers(this->plan.direct, ++this->early_turns));
 }
 
 void LoadExchange::SendRound() {
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -136,6 +136,11 @@
 // peers, not counting those sent early.
 Duration RoundInterval(std::size_t direct_peers);
 
+// @return the peers that receive the load of a long prompt without waiting for
+// the next round: all of a few peers, otherwise some of them by turns.
+std::vector<std::string> EarlyPeers(const std::vector<std::string>& peers,
+                                    std::uint64_t turn);
+
 // Sends this gateway's load to the other gateways and receives theirs.
 class LoadExchange {
  public:
@@ -156,8 +161,10 @@
 
   // @param gateways all gateways, including this one.
   void SetGateways(const std::vector<ExchangePeer>& gateways);
-  // Sends this gateway's load without waiting for the next round, unless it has
-  // just been sent.
+  // @return the time between two messages to the same gateway.
+  Duration Interval() const { return RoundInterval(this->plan.direct.size()); }
+  // Sends this gateway's load to EarlyPeers without waiting for the next round,
+  // unless it has just been sent.
   void SendEarly();
 
  private:
@@ -189,6 +196,7 @@
   TimePoint next_gateway_load_at;
   std::uint64_t sequence = 0;
   std::uint64_t rounds = 0;
+  std::uint64_t early_turns = 0;
   // Whether the last message of each scope reported no load.
   std::map<LoadScope, bool> idle_announced;
 };
--- a/tests/gateway/balancer_test.cc
+++ b/tests/gateway/balancer_test.cc
@@ -267,6 +267,19 @@
   BOOST_TEST(sum.placements.size() == 1U);
 }
 
+// Rounds of a large fleet are far apart. Guards against placements that are
+// forgotten before the next message is sent.
+BOOST_FIXTURE_TEST_CASE(PlacementsLastUntilTheNextRounds, Fixture) {
+  this->balancer.SetExchangeInterval(milliseconds(600));
+  this->Send(this->MakeRequest(5));
+  for (int round = 1; round <= 2; ++round) {
+    this->now += milliseconds(600);
+    LoadMessage message;
+    this->balancer.FillLoadMessage(message, this->now);
+    BOOST_TEST(message.placements.size() == 2U);
+  }
+}
+
 // Heavy traffic replaces the cached blocks of an engine within seconds. Guards
 // against sending a session to an engine that has evicted its blocks.
 BOOST_FIXTURE_TEST_CASE(BlocksAreEvictedByTraffic, Fixture) {
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -227,4 +227,22 @@
   }
 }
 
+// Guards against peers that are never told of long prompts at once, and against
+// a message to each of 59 peers for each of them.
+BOOST_AUTO_TEST_CASE(EarlyPeersTakeTurns) {
+  std::vector<std::string> peers;
+  for (int i = 0; i < 59; ++i) {
+    peers.push_back(std::to_string(i));
+  }
+  std::set<std::string> told;
+  for (std::uint64_t turn = 0; turn < 10; ++turn) {
+    const std::vector<std::string> selected = EarlyPeers(peers, turn);
+    BOOST_TEST(selected.size() <= 16U);
+    told.insert(selected.begin(), selected.end());
+  }
+  BOOST_TEST(told.size() == peers.size());
+  peers.resize(20);
+  BOOST_TEST(EarlyPeers(peers, 3).size() == 20U);
+}
+
 }  // namespace sycamorebend::gateway
