--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -210,9 +210,8 @@
   internal::RetryLimits limits;
   limits.ratio = this->settings.retry_ratio;
   limits.floor = 0;
-  limits.slack =
-      static_cast<int>(kRetrySlackFraction * this->settings.retry_slack /
-                       static_cast<double>(std::max<std::size_t>(1, gateways)));
+  limits.slack = kRetrySlackFraction * this->settings.retry_slack /
+                 static_cast<double>(std::max<std::size_t>(1, gateways));
   this->budgets.SetLimits(limits);
 }
 
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -35,8 +35,9 @@
       retries += bucket.retries;
     }
   }
-  const int share = static_cast<int>(this->limits.ratio * requests);
-  return this->limits.slack + std::max(this->limits.floor, share) - retries;
+  const double share =
+      std::max<double>(this->limits.floor, this->limits.ratio * requests);
+  return static_cast<int>(this->limits.slack + share) - retries;
 }
 
 bool RetryBudget::TryRetry(TimePoint now) {
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -10,11 +10,12 @@
 
 namespace sycamorebend::internal {
 
-// Retries allowed in 10 s: slack + max(floor, ratio * requests).
+// Retries allowed in 10 s: slack + max(floor, ratio * requests), rounded down.
 struct RetryLimits {
   double ratio = 0.1;
   int floor = 30;
-  int slack = 0;
+  // May have a fraction: the share of one of many gateways can be below 1.
+  double slack = 0;
 };
 
 // Counts requests and retries over the last 10 s, in buckets of 1 s.
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -231,6 +231,7 @@
 // a message to each of 59 peers for each of them.
 BOOST_AUTO_TEST_CASE(EarlyPeersTakeTurns) {
   std::vector<std::string> peers;
+  peers.reserve(59);
   for (int i = 0; i < 59; ++i) {
     peers.push_back(std::to_string(i));
   }
--- a/tests/routing/rules_test.cc
+++ b/tests/routing/rules_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "fixture.h"
+#include "routing/retry_budget.h"
 
 namespace sycamorebend {
 
@@ -171,6 +172,24 @@
   BOOST_TEST(Actions().size() == 1U);
 }
 
+// 295 gateways share 504 retries, 1.7 each. Guards against shares that are each
+// rounded down, which leaves nearly half of the shared budget unused, and
+// against a sum above it.
+BOOST_AUTO_TEST_CASE(FractionsOfARetryBudgetCount) {
+  internal::RetryLimits limits;
+  limits.ratio = 0.2;
+  limits.floor = 0;
+  limits.slack = 504.0 / 295;
+  const TimePoint now{seconds(100)};
+  internal::RetryBudget budget(limits);
+  BOOST_TEST(budget.Left(now) == 1);
+  budget.CountRequest(now);
+  budget.CountRequest(now);
+  BOOST_TEST(budget.TryRetry(now));
+  BOOST_TEST(budget.TryRetry(now));
+  BOOST_TEST(!budget.TryRetry(now));
+}
+
 // Guards against retries that multiply the load when many servers fail.
 BOOST_AUTO_TEST_CASE(RetryBudgetIsBounded) {
   for (int i = 0; i < 100; ++i) {
