Assign the engines anew when the set of servers changes

Ranges of engines are indices into the pool and were kept for up to 50 ms; when servers were removed meanwhile, a request read beyond the pool: AssignmentFollowsRemovedServers ends with std::bad_alloc.

Change: SetServers makes the next request assign the engines anew.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -152,6 +152,8 @@
   std::set<std::string> present;
   for (auto& [service, pool] : this->pools) {
     pool.servers.clear();
+    // The assignment refers to servers by their index.
+    pool.next_partition_update = TimePoint();
   }
   for (const ServerRecord& record : records) {
     const std::string key = ServerKey(record);
--- a/tests/gateway/balancer_test.cc
+++ b/tests/gateway/balancer_test.cc
@@ -427,6 +427,25 @@
       !this->balancer.Choose(this->MakeRequest(5), this->now).has_value());
 }
 
+// Servers are removed right after the engines were assigned. Guards against
+// ranges of engines that no longer exist.
+BOOST_FIXTURE_TEST_CASE(AssignmentFollowsRemovedServers, Fixture) {
+  this->SetServerCount(90);
+  for (std::uint64_t session = 2; session < 40; ++session) {
+    this->Send(this->MakeRequest(session));
+  }
+  this->SetServerCount(36);
+  for (std::uint64_t session = 2; session < 80; ++session) {
+    const auto choice =
+        this->balancer.Choose(this->MakeRequest(session), this->now);
+    BOOST_REQUIRE(choice.has_value());
+    BOOST_TEST(std::any_of(this->records.begin(), this->records.end(),
+                           [&](const ServerRecord& record) {
+                             return ServerKey(record) == choice->server_key;
+                           }));
+  }
+}
+
 // Guards against retrying a request at the server that failed it.
 BOOST_FIXTURE_TEST_CASE(ExcludedServersAreNotChosen, Fixture) {
   this->SetServerCount(2);
