Deliver events before one that is too large; pace the endless bytes by size

Causes: found by reading the diff: the check of an event's size stood before the complete events of the same read were passed on. A read is smaller than the limit, so none could be lost; the order was still wrong. A comment also ended the pause that is measured between events.

The parts now have 4,000 bytes as the others; the bound and the second are unchanged.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -314,6 +314,12 @@
   if (this->response_is_stream) {
     this->splitter.Append(data);
     this->HandleEvents();
+    // The complete events before it have been delivered.
+    if (this->call != nullptr &&
+        this->splitter.PendingBytes() > kMaxEventBytes) {
+      this->EndCall(AttemptOutcome::kServerError);
+      this->HandleFailedAttempt("an event of the stream is too large");
+    }
     return;
   }
   if (this->body.size() + data.size() > kMaxBufferedBytes) {
@@ -344,11 +350,6 @@
     this->events += comment ? 0 : 1;
     out.append(event->bytes);
   }
-  if (this->splitter.PendingBytes() > kMaxEventBytes) {
-    this->EndCall(AttemptOutcome::kServerError);
-    this->HandleFailedAttempt("an event of the stream is too large");
-    return;
-  }
   if (out.empty()) {
     return;
   }
@@ -356,10 +357,10 @@
     this->first_byte_seen = true;
     this->context.balancer.OnFirstByte(this->choice, now - this->sent_at, now);
   }
-  if (this->job.exchange->Started()) {
+  if (progress && this->job.exchange->Started()) {
     this->longest_gap = std::max(this->longest_gap, now - this->last_event_at);
   }
-  this->last_event_at = now;
+  this->last_event_at = progress ? now : this->last_event_at;
   this->StartStream();
   this->job.exchange->Write(out);
   if (this->job.exchange->UnsentBytes() > kMaxUnsentBytes) {
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -392,12 +392,16 @@
     std::string part;
   };
   const std::string filler(4000, 'x');
+  std::string informational;
+  while (informational.size() < filler.size()) {
+    informational += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
   const std::vector<Case> cases = {
       {"status line", "HTTP/1.1 200 ", filler},
       {"header name", head, filler},
       {"header value", head + "Other: ", filler},
       {"headers", head, "Other: " + filler + "\r\n"},
-      {"informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"informational responses", "", informational},
       {"body", head + "Content-Length: 1000000000\r\n\r\n", filler},
       {"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n5;",
        filler},
