Revert the preferred servers of the own failure domain

Rulings of one session come from all failure domains there; with preferred servers in each, their shared part is read once in every domain.

Change: rendezvous hashing over all servers of the range again; the penalty for the size of a request sent to another domain stays.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -357,19 +357,12 @@
   const std::uint64_t block = AffinityBlock(*placement.generation);
   std::vector<std::pair<std::uint64_t, std::size_t>> weights;
   const EngineRange& range = placement.engines.own;
-  std::vector<std::pair<std::uint64_t, std::size_t>> local_weights;
   for (std::size_t i = range.begin; i < range.end; ++i) {
     const Server& server = *pool.servers[i];
     if (!server.record.leaving && !server.record.silent) {
       weights.emplace_back(RendezvousWeight(block, server.id_hash), i);
-      if (this->IsLocal(server)) {
-        local_weights.push_back(weights.back());
-      }
     }
   }
-  if (local_weights.size() >= kPreferredHitRates.size()) {
-    weights = std::move(local_weights);
-  }
   const std::size_t count = std::min(kPreferredHitRates.size(), weights.size());
   std::partial_sort(weights.begin(),
                     weights.begin() + static_cast<std::ptrdiff_t>(count),
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -203,8 +203,8 @@
     double request_kb = 0;
     Duration max_first_byte_time = Duration::max();
     RouteEngines engines;  // By index in the pool.
-    // Servers that the gateways of a failure domain prefer for the prompt by
-    // rendezvous hashing, the most preferred first.
+    // Servers that every gateway prefers for the prompt by rendezvous hashing,
+    // the most preferred first.
     std::vector<std::size_t> preferred_servers;
     // Tokens of the block that belongs to the request alone.
     int unique_tokens = 0;
@@ -272,8 +272,7 @@
                      std::size_t index,
                      TimePoint now);
   bool IsLocal(const Server& server) const;
-  // Sets `preferred_servers` from the servers of the request's partition, if
-  // possible from those in the failure domain of this gateway.
+  // Sets `preferred_servers` from the servers of the request's partition.
   void FindPreferredServers(const Pool& pool, Placement& placement) const;
   void FindHolders(const Pool& pool, Placement& placement) const;
   // Updates how long blocks stay cached, from the tokens that all gateways send
