Do not count the body bytes of a large read as framing

A read of more than four times the head limit that ends within a body made the reader fail: a caller's pipelined request with a large body, or any large body where the head limit is small, was answered 400.

Change: HttpReader parses 1 KiB at a time, so at most that much of a body is counted. LargeBodyInOneReadIsAccepted fails on the code before (149,948 of 200,000 bytes) and passes now.

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -10,6 +10,7 @@
 // Framing bytes in a row, as a multiple of the limit on the head: a header of a
 // few bytes has as many separators.
 constexpr std::size_t kMaxFramingFactor = 4;
+constexpr std::size_t kParseBytes = 1024;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 // Return values of on_headers_complete.
@@ -156,7 +157,9 @@
 std::size_t HttpReader::Read(std::string_view data) {
   std::size_t used = 0;
   while (used < data.size() && !this->failed) {
-    const std::string_view rest = data.substr(used);
+    // In pieces, so that the body bytes of a large read do not count as
+    // framing.
+    const std::string_view rest = data.substr(used, kParseBytes);
     const std::size_t size = http_parser_execute(
         &this->parser, &Callbacks::Settings(), rest.data(), rest.size());
     used += size;
--- a/tests/net/http_reader_test.cc
+++ b/tests/net/http_reader_test.cc
@@ -105,6 +105,29 @@
   }
 }
 
+// Guards against a body that arrives in one large read, as after a pipelined
+// request, and is taken for framing without end.
+BOOST_AUTO_TEST_CASE(LargeBodyInOneReadIsAccepted) {
+  struct Sink : MessageSink {
+    bool OnHead(MessageHead) override { return true; }
+    void OnBody(std::string_view data) override { this->bytes += data.size(); }
+    void OnMessageEnd() override { this->ended = true; }
+    std::size_t bytes = 0;
+    bool ended = false;
+  };
+  Sink sink;
+  HttpReader reader(HttpReader::Kind::kRequest, sink, 1024);
+  const std::string body(200000, 'b');
+  const std::string text =
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n" + body;
+  const std::string_view bytes = text;
+  reader.Read(bytes.substr(0, 150000));
+  reader.Read(bytes.substr(150000));
+  BOOST_TEST(!reader.Failed());
+  BOOST_TEST(sink.ended);
+  BOOST_TEST(sink.bytes == body.size());
+}
+
 // Guards against a truncated response that appears complete.
 BOOST_AUTO_TEST_CASE(TruncatedResponseDoesNotEnd) {
   const std::vector<std::string> truncated = {
