Log and count how the end of a server's response is marked

Change: server_failed and request_finished have `framing` and `unfinished_bytes`; attempt_ends_total counts ends of attempts by framing and outcome. MessageHead has one BodyFraming in place of two flags. A failed attempt without a response is no longer logged with the status of the attempt before it.

Ruled out: a log line for each response head; the end of the request says the same.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -199,6 +199,7 @@
   ++this->attempts;
   this->sent_at = now;
   this->first_byte_seen = false;
+  this->response = net::MessageHead();
   this->response_is_stream = false;
   this->body.clear();
   this->splitter = net::SseSplitter();
@@ -279,13 +280,23 @@
               {"attempt", this->attempts},
               {"failure", AttemptOutcomeName(outcome)},
               {"status", this->response.status},
+              {"framing", this->ResponseFraming()},
+              {"unfinished_bytes", this->splitter.PendingBytes()},
               {"after_ms", ToMilliseconds(now - this->sent_at)}});
   }
+  this->context.metrics.AddAttempt(this->ResponseFraming(),
+                                   AttemptOutcomeName(outcome));
   this->context.balancer.OnDone(this->choice, this->profile, outcome,
                                 this->first_byte_seen, now - this->sent_at,
                                 now);
 }
 
+std::string Forwarder::ResponseFraming() const {
+  return this->response.status == 0
+             ? std::string("none")
+             : std::string(net::BodyFramingName(this->response.framing));
+}
+
 void Forwarder::OnConnected(bool /*reused*/) {
   this->may_have_run = true;
 }
@@ -560,7 +571,9 @@
             {"outcome", outcome},
             {"attempts", this->attempts},
             {"server_id", this->choice.server_id},
+            {"framing", this->ResponseFraming()},
             {"events", this->events},
+            {"unfinished_bytes", this->splitter.PendingBytes()},
             {"first_event_ms",
              this->events > 0
                  ? ToMilliseconds(this->first_event_at - this->started_at)
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -81,6 +81,9 @@
   void Send(const Choice& selected);
   // Ends the call in progress, if there is one.
   void EndCall(AttemptOutcome outcome);
+  // @return how the end of the server's response is marked, for logs and
+  // metrics; "none" before its head.
+  std::string ResponseFraming() const;
   void SetAttemptTimer(Duration wait);
   void OnAttemptTimeout();
   void OnDeadline();
--- a/src/gateway/request_metrics.cc
+++ b/src/gateway/request_metrics.cc
@@ -73,6 +73,12 @@
                      "Sendings of requests to backend servers.",
                      {{"route", route}}, static_cast<double>(count));
   }
+  for (const auto& [key, count] : this->attempt_ends) {
+    metrics.SetTotal("sycamorebend_gateway_attempt_ends_total",
+                     "Ends of attempts by framing of the response and outcome.",
+                     {{"framing", key.first}, {"outcome", key.second}},
+                     static_cast<double>(count));
+  }
   for (const auto& [status, count] : this->rejected) {
     metrics.SetTotal("sycamorebend_gateway_rejected_total",
                      "Requests that were not forwarded, by status.",
--- a/src/gateway/request_metrics.h
+++ b/src/gateway/request_metrics.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "sycamorebend/base.h"
@@ -44,6 +45,12 @@
 class RequestMetrics {
  public:
   void Add(const RequestResult& result);
+  // Counts an attempt that ended.
+  // @param framing how the end of the server's response was marked.
+  // @param outcome name of an AttemptOutcome.
+  void AddAttempt(const std::string& framing, std::string_view outcome) {
+    ++this->attempt_ends[{framing, std::string(outcome)}];
+  }
   // Counts a request that was rejected before forwarding.
   void AddRejected(int status) { ++this->rejected[status]; }
   // Writes the totals to `metrics`; may be called repeatedly.
@@ -61,6 +68,8 @@
 
   std::map<CountKey, std::uint64_t> requests;
   std::map<std::string, std::uint64_t> attempts;
+  // By framing and outcome.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> attempt_ends;
   std::map<int, std::uint64_t> rejected;
   std::map<std::string, Histogram> first_event;
   std::map<std::string, Histogram> longest_gaps;
--- a/src/gateway/server_pool.cc
+++ b/src/gateway/server_pool.cc
@@ -239,8 +239,8 @@
   }
   const ResponseFields fields = this->pool->format.ReadResponseFields(head);
   this->skipping = fields.request_id && *fields.request_id != this->request_id;
-  this->reusable =
-      this->reusable && !this->skipping && head.keep_alive && !head.until_close;
+  this->reusable = this->reusable && !this->skipping && head.keep_alive &&
+                   head.framing != net::BodyFraming::kUntilClose;
   if (this->skipping) {
     return true;
   }
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -140,14 +140,16 @@
   this->head.keep_alive = http_should_keep_alive(&this->parser) != 0;
   this->head.http_1_0 =
       this->parser.http_major == 1 && this->parser.http_minor == 0;
-  this->head.chunked = (this->parser.flags & F_CHUNKED) != 0;
   if ((this->parser.flags & F_CONTENTLENGTH) != 0) {
     this->head.content_length = this->parser.content_length;
   }
   const bool bodyless = this->no_body || this->head.status == kNoContent ||
                         this->head.status == kNotModified;
-  this->head.until_close = !request && !bodyless && !this->head.chunked &&
-                           !this->head.content_length;
+  if ((this->parser.flags & F_CHUNKED) != 0) {
+    this->head.framing = BodyFraming::kChunked;
+  } else if (!request && !bodyless && !this->head.content_length) {
+    this->head.framing = BodyFraming::kUntilClose;
+  }
   if (!this->sink.OnHead(std::move(this->head))) {
     return kParserError;
   }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/body_framing.h"
 #include "sycamorebend/http.h"
 
 namespace sycamorebend::net {
@@ -24,9 +25,7 @@
   bool http_1_0 = false;
   // Absent for chunked messages and those delimited by connection close.
   std::optional<std::uint64_t> content_length;
-  bool chunked = false;
-  // The response body is delimited by connection close.
-  bool until_close = false;
+  BodyFraming framing = BodyFraming::kLength;
 
   // @return the target without its query.
   std::string_view Path() const;
--- a/src/net/http_writer.h
+++ b/src/net/http_writer.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/body_framing.h"
 #include "sycamorebend/http.h"
 
 namespace sycamorebend::net {
@@ -24,9 +25,6 @@
                               const HttpHeaders& headers,
                               std::size_t body_size);
 
-// How the end of a response body is marked.
-enum class BodyFraming { kLength, kChunked, kUntilClose };
-
 // @param body_size used with kLength.
 std::string FormatResponseHead(int status,
                                const HttpHeaders& headers,
--- a/tests/gateway/request_metrics_test.cc
+++ b/tests/gateway/request_metrics_test.cc
@@ -36,12 +36,15 @@
   requests.Add(MakeResult("one", RequestOutcome::kInTime));
   requests.Add(MakeResult("two", RequestOutcome::kLate));
   requests.AddRejected(404);
+  requests.AddAttempt("until_close", "connection_lost");
   const std::string text = Publish(requests, metrics);
   BOOST_TEST(Contains(
       text, R"(requests_total{outcome="late",route="ask",status="200",)"
             R"(tenant="two"} 1)"));
   BOOST_TEST(Contains(text, R"(attempts_total{route="ask"} 4)"));
   BOOST_TEST(Contains(text, R"(rejected_total{status="404"} 1)"));
+  BOOST_TEST(Contains(text, R"(attempt_ends_total{framing="until_close",)"
+                            R"(outcome="connection_lost"} 1)"));
   BOOST_TEST(
       Contains(text, R"(first_event_seconds_bucket{route="ask",le="0.2"} 2)"));
   BOOST_TEST(
--- a/tests/net/http_reader_test.cc
+++ b/tests/net/http_reader_test.cc
@@ -152,7 +152,7 @@
   recorder.Feed(" more", 2);
   BOOST_TEST(recorder.ended == 0);
   BOOST_REQUIRE(recorder.heads.size() == 1U);
-  BOOST_TEST(recorder.heads[0].until_close);
+  BOOST_TEST((recorder.heads[0].framing == BodyFraming::kUntilClose));
   recorder.reader.End();
   BOOST_TEST(recorder.ended == 1);
   BOOST_TEST(recorder.bodies[0] == "some more");
