--- /dev/null
+++ b/tests/gateway/truncation_test.cc
@@ -0,0 +1,124 @@
+// Responses that end early, at each hop and with each framing of their body.
+#include <atomic>
+
+#include <fmt/format.h>
+#include <boost/test/unit_test.hpp>
+
+#include "gateway_fixture.h"
+#include "net/http_writer.h"
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+constexpr net::BodyFraming kFramings[] = {net::BodyFraming::kLength,
+                                          net::BodyFraming::kChunked,
+                                          net::BodyFraming::kUntilClose};
+const std::string kFirstEvent = "id: 1\ndata: one\n\n";
+const std::string kSecondEvent = "id: 2\ndata: two\n\n";
+
+// @return a stream response whose HTTP message is complete.
+std::string StreamResponse(const ReceivedRequest& request,
+                           net::BodyFraming framing,
+                           const std::string& body) {
+  const std::string head =
+      net::FormatResponseHead(200,
+                              {{"Request-Id", request.Header("Request-Id")},
+                               {"Signed", "yes"},
+                               {"Content-Type", "text/event-stream"}},
+                              framing, body.size(), false);
+  if (framing != net::BodyFraming::kChunked) {
+    return head + body;
+  }
+  return head + (body.empty() ? "" : Chunk(body)) +
+         std::string(net::kLastChunk);
+}
+
+int Count(const std::string& text, const std::string& part) {
+  int count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+// Responds to the first request with `first` and to the later ones with the
+// events that the caller lacks.
+struct BreaksOffFirst {
+  bool operator()(const ReceivedRequest& request, Socket& socket) {
+    if (++*this->requests == 1) {
+      socket.Send(StreamResponse(request, this->framing, this->first));
+      return false;
+    }
+    const bool has_first = request.Header("Resume-After") == "1";
+    socket.Send(StreamResponse(request, net::BodyFraming::kChunked,
+                               (has_first ? "" : kFirstEvent) + kSecondEvent));
+    return true;
+  }
+
+  std::atomic<int>* requests;
+  net::BodyFraming framing;
+  std::string first;
+};
+
+struct TwoServers : GatewayFixture {
+  // Sends one request to servers of which the first one responds with `body`.
+  // @return the bytes that the caller receives.
+  std::string CallBrokenOff(const std::string& path,
+                            net::BodyFraming framing,
+                            const std::string& body) {
+    std::atomic<int> requests{0};
+    ScriptedServer first(BreaksOffFirst{&requests, framing, body});
+    ScriptedServer second(BreaksOffFirst{&requests, framing, body});
+    this->SetServers({first.Address(), second.Address()});
+    RawCaller caller(this->Address());
+    caller.Send(Request("r1", path, "prompt", "Connection: close\r\n"));
+    return caller.ReadToEnd();
+  }
+};
+
+}  // namespace
+
+// A server ends its response inside an event. Guards against a stream that was
+// broken off and that reaches its caller as complete.
+BOOST_FIXTURE_TEST_CASE(StreamEndingInsideAnEventIsNotComplete, TwoServers) {
+  for (const net::BodyFraming framing : kFramings) {
+    for (const std::string unfinished :
+         {"i", "id: 2", "id: 2\ndata: t", "id: 2\ndata: two\n"}) {
+      const std::string name =
+          fmt::format("{}: {}", net::BodyFramingName(framing), unfinished);
+      const std::string cut =
+          this->CallBrokenOff("/live/x", framing, kFirstEvent + unfinished);
+      BOOST_TEST(Contains(cut, kFirstEvent), name);
+      BOOST_TEST(!Contains(cut, "id: 2"), name);
+      BOOST_TEST(!Contains(cut, std::string(net::kLastChunk)), name);
+
+      const std::string unbegun =
+          this->CallBrokenOff("/live/x", framing, unfinished);
+      BOOST_TEST(Contains(unbegun, "HTTP/1.1 502"), name);
+
+      for (const std::string& events : {std::string(), kFirstEvent}) {
+        const std::string resumed =
+            this->CallBrokenOff("/stream/x", framing, events + unfinished);
+        BOOST_TEST(Count(resumed, kFirstEvent) == 1, name);
+        BOOST_TEST(Count(resumed, kSecondEvent) == 1, name);
+        BOOST_TEST(Contains(resumed, std::string(net::kLastChunk)), name);
+      }
+    }
+  }
+}
+
+// Guards against sound streams that are taken for broken off because of their
+// framing.
+BOOST_FIXTURE_TEST_CASE(StreamEndingAfterAnEventIsComplete, TwoServers) {
+  for (const net::BodyFraming framing : kFramings) {
+    const std::string whole =
+        this->CallBrokenOff("/live/x", framing, kFirstEvent + kSecondEvent);
+    BOOST_TEST(Contains(whole, "HTTP/1.1 200"));
+    BOOST_TEST(Count(whole, kSecondEvent) == 1);
+    BOOST_TEST(Contains(whole, std::string(net::kLastChunk)));
+  }
+}
+
+}  // namespace sycamorebend::gateway
