Fail an attempt whose stream ends inside an event

Callers saw a stream that was cut short as a complete response: status 200, the server's signature, and the last chunk of a body that lacks its last events.

Cause: the gateway forwards whole events, and took the end of the server's HTTP message for the end of the stream. Bytes of an event without its end stayed in the splitter and were dropped. A response without length and chunks ends with its connection, so a run that breaks off there looks like any other end; the gateway then vouched for it with its own last chunk. Class of fault: the end of the transport taken for the end of the content, while translating a framing that cannot show a truncation into one that can.

Change: a stream whose message ends inside an event is a failed attempt with the outcome `truncated`, for every framing. It is resumed after its last whole event where the route allows it; otherwise the response is cut without its end, or 502 before the first event. `explain` treats it as a lost connection.

TruncatedStreamsCountAsLostConnections covers the diagnosis.

Ruled out: an own case for responses without length.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -133,9 +133,9 @@
 }  // namespace
 
 std::string_view AttemptOutcomeName(AttemptOutcome outcome) {
-  constexpr std::array<std::string_view, 7> kNames = {
+  constexpr std::array<std::string_view, 8> kNames = {
       "answered",        "refused", "server_error", "connect_failed",
-      "connection_lost", "stalled", "cancelled"};
+      "connection_lost", "stalled", "cancelled",    "truncated"};
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
@@ -737,7 +737,8 @@
   }
   const bool unreachable = outcome == AttemptOutcome::kConnectFailed ||
                            outcome == AttemptOutcome::kConnectionLost;
-  const bool error = unreachable || outcome == AttemptOutcome::kServerError;
+  const bool error = unreachable || outcome == AttemptOutcome::kServerError ||
+                     outcome == AttemptOutcome::kTruncated;
   if (outcome != AttemptOutcome::kCancelled &&
       outcome != AttemptOutcome::kRefused) {
     server->error_rate +=
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -76,6 +76,7 @@
   kConnectionLost = 4,
   kStalled = 5,    // No data within the attempt timeout.
   kCancelled = 6,  // The caller disconnected or the deadline passed.
+  kTruncated = 7,  // The response ended before its content did.
 };
 
 // @return the name of `outcome` in logs.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -410,6 +410,13 @@
 }
 
 void Forwarder::FinishStream() {
+  // The end of the HTTP message does not mean that the stream is complete: the
+  // body may have no other end than that of the connection.
+  if (this->splitter.PendingBytes() > 0) {
+    this->EndCall(AttemptOutcome::kTruncated);
+    this->HandleFailedAttempt("truncated inside an event");
+    return;
+  }
   this->EndCall(AttemptOutcome::kAnswered);
   this->StartStream();
   this->job.exchange->Finish();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -91,6 +91,7 @@
 
   void HandleEvents();
   void StartStream();
+  // Handles the end of the server's response to a stream.
   void FinishStream();
   void DeliverBufferedResponse();
   // Handles a response that guarantees that the request was not run.
--- a/src/logs/request_diagnosis.cc
+++ b/src/logs/request_diagnosis.cc
@@ -46,6 +46,15 @@
   return line.event == "request_dispatched" || line.event == "request_retried";
 }
 
+// @return true if `reason` says that a response ended before it was complete.
+bool EndedEarly(const std::string& reason) {
+  constexpr std::array<std::string_view, 3> kReasons = {
+      "connection_lost", "connection lost", "truncated"};
+  return std::any_of(kReasons.begin(), kReasons.end(), [&](auto known) {
+    return reason.find(known) != std::string::npos;
+  });
+}
+
 // What the logs of other requests and the control replicas show about one
 // server during and shortly after the request.
 struct ServerObservations {
@@ -207,8 +216,7 @@
   void ExplainFailure(int status, const std::string& outcome) {
     const ServerObservations seen = this->ObserveServer();
     const std::string server = this->attempt->Text("server_id");
-    const bool lost = outcome.find("connection_lost") != std::string::npos ||
-                      outcome.find("connection lost") != std::string::npos;
+    const bool lost = EndedEarly(outcome);
     const bool crash_seen = seen.lost_connections > 0 ||
                             seen.failed_connects > 0 || seen.lease_expired;
     if (lost && crash_seen && seen.responses_after == 0) {
@@ -317,7 +325,7 @@
       if (connect && line.time_ms >= end_ms - kSameCrashWindowMs) {
         ++seen.failed_connects;
         this->AddSupportingLine(line);
-      } else if (line.Text("failure") == "connection_lost" &&
+      } else if (EndedEarly(line.Text("failure")) &&
                  line.time_ms >= end_ms - kSameCrashWindowMs &&
                  line.time_ms <= end_ms + kSameCrashWindowMs) {
         ++seen.lost_connections;
--- a/tests/logs/request_diagnosis_test.cc
+++ b/tests/logs/request_diagnosis_test.cc
@@ -99,6 +99,19 @@
   BOOST_TEST((this->CauseOf("a") == Cause::kConnectionLost));
 }
 
+// Guards against a truncated stream that is reported as unexplained, and is not
+// counted as a sign of its server's crash.
+BOOST_FIXTURE_TEST_CASE(TruncatedStreamsCountAsLostConnections, Fixture) {
+  this->Dispatch(100, "a", "s1");
+  this->Dispatch(110, "b", "s1");
+  this->Fail(500, "a", "s1", "truncated");
+  this->Finish(500, "a", "s1", 502, "stream cut: truncated inside an event");
+  BOOST_TEST((this->CauseOf("a") == Cause::kConnectionLost));
+  this->Fail(510, "b", "s1", "truncated");
+  this->Finish(510, "b", "s1", 502, "stream cut: truncated inside an event");
+  BOOST_TEST((this->CauseOf("a") == Cause::kServerCrashed));
+}
+
 // Guards against missing the crash of a server without other open requests,
 // which shows only in failed connects afterwards.
 BOOST_FIXTURE_TEST_CASE(FailedConnectsShowACrash, Fixture) {
