Fail an attempt whose unframed stream ends without an event

Callers saw an empty stream as a complete response if a server crashed between the head of a response without length and chunks and its first event.

Change: such an attempt is truncated if it brought no event. It is repeated where the route allows it, otherwise 502. An empty stream with a length or a last chunk stays complete, since the server itself says so.

Ruled out: the same for a stream cut between two events. A caller that resumes after the very last event at a server that answers without framing gets 502 now; it may ask again.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -201,6 +201,7 @@
   this->first_byte_seen = false;
   this->response = net::MessageHead();
   this->response_is_stream = false;
+  this->attempt_has_events = false;
   this->body.clear();
   this->splitter = net::SseSplitter();
   this->context.balancer.OnSent(this->choice, this->profile, now);
@@ -346,13 +347,14 @@
   std::string out;
   bool progress = false;
   while (const auto event = this->splitter.Next()) {
+    const bool comment = !event->id && !event->has_data;
+    this->attempt_has_events = this->attempt_has_events || !comment;
     if (event->id) {
       if (this->last_event && *event->id <= *this->last_event) {
         continue;
       }
       this->last_event = event->id;
     }
-    const bool comment = !event->id && !event->has_data;
     // A comment is no sign of progress, and no reason to begin the response.
     if (comment && this->events == 0) {
       continue;
@@ -409,12 +411,24 @@
   }
 }
 
-void Forwarder::FinishStream() {
-  // The end of the HTTP message does not mean that the stream is complete: the
-  // body may have no other end than that of the connection.
+std::string_view Forwarder::StreamTruncation() const {
   if (this->splitter.PendingBytes() > 0) {
+    return "truncated inside an event";
+  }
+  // A sound stream has events, and without other framing only these distinguish
+  // its end from that of a server that crashes before the first one.
+  if (this->response.framing == net::BodyFraming::kUntilClose &&
+      !this->attempt_has_events) {
+    return "truncated before the first event";
+  }
+  return {};
+}
+
+void Forwarder::FinishStream() {
+  const std::string_view truncation = this->StreamTruncation();
+  if (!truncation.empty()) {
     this->EndCall(AttemptOutcome::kTruncated);
-    this->HandleFailedAttempt("truncated inside an event");
+    this->HandleFailedAttempt(std::string(truncation));
     return;
   }
   this->EndCall(AttemptOutcome::kAnswered);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "gateway/balancer.h"
 #include "gateway/caller_connection.h"
@@ -91,6 +92,9 @@
 
   void HandleEvents();
   void StartStream();
+  // @return how the stream is incomplete although the HTTP message is complete;
+  // empty if it is not.
+  std::string_view StreamTruncation() const;
   // Handles the end of the server's response to a stream.
   void FinishStream();
   void DeliverBufferedResponse();
@@ -136,6 +140,7 @@
   net::MessageHead response;
   ResponseFields response_fields;
   bool response_is_stream = false;
+  bool attempt_has_events = false;
   std::string body;
   net::SseSplitter splitter;
   std::optional<std::int64_t> last_event;
--- a/tests/gateway/truncation_test.cc
+++ b/tests/gateway/truncation_test.cc
@@ -109,6 +109,28 @@
   }
 }
 
+// A server closes the connection after the head of a response without length
+// and chunks, or after comments. Guards against an empty stream that reaches
+// its caller as complete.
+BOOST_FIXTURE_TEST_CASE(UnframedStreamWithoutEventsIsNotComplete, TwoServers) {
+  for (const std::string body : {"", ": alive\n\n"}) {
+    const std::string once =
+        this->CallBrokenOff("/live/x", net::BodyFraming::kUntilClose, body);
+    BOOST_TEST(Contains(once, "HTTP/1.1 502"));
+    const std::string repeated =
+        this->CallBrokenOff("/stream/x", net::BodyFraming::kUntilClose, body);
+    BOOST_TEST(Count(repeated, kFirstEvent) == 1);
+    BOOST_TEST(Count(repeated, kSecondEvent) == 1);
+  }
+  // Nothing is missing if the server itself marks the end.
+  for (const auto framing :
+       {net::BodyFraming::kLength, net::BodyFraming::kChunked}) {
+    const std::string empty = this->CallBrokenOff("/live/x", framing, "");
+    BOOST_TEST(Contains(empty, "HTTP/1.1 200"));
+    BOOST_TEST(Contains(empty, std::string(net::kLastChunk)));
+  }
+}
+
 // Guards against sound streams that are taken for broken off because of their
 // framing.
 BOOST_FIXTURE_TEST_CASE(StreamEndingAfterAnEventIsComplete, TwoServers) {
