Treat a response that is cut off in its head as an error

Callers of the entry daemon got no response, and for an order no outcome, if a backend server closed the connection inside the headers of its response.

Cause: libcurl reports success for a connection that closes after the status line or in the middle of a header. The HTTP client passed this on as a complete response with status 200, or 0 to observers that wait for the head. The order session records such an outcome as run (by reading; the record was not inspected).

Change: without a complete head of a final response the outcome is kServerCrashed. This holds for all users of the HTTP client, calls between our own processes included.

Ruled out: the other ends of a message. Eleven endings were played against the client (no bytes, status line, headers, informational response, body with a length, inside a chunk, before and inside the last chunk, reset without framing); only the two inside the head were wrong.

The entry daemon's streams were right already, as their end is an event (TruncatedStreamEndsWithAnErrorEvent).

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -68,6 +68,12 @@
       outcome.code = this->Classify(result);
       outcome.message = fmt::format("{} {}: {}", this->call.method,
                                     this->call.url, curl_easy_strerror(result));
+    } else if (!this->head_complete) {
+      // libcurl reports success if the connection closes in the headers.
+      outcome.code = ResultCode::kServerCrashed;
+      outcome.message =
+          fmt::format("{} {}: the connection closed in the response headers",
+                      this->call.method, this->call.url);
     }
     this->observer->OnDone(outcome);
   }
@@ -184,6 +190,7 @@
     }
     if (line.empty()) {
       if (this->status >= 200) {
+        this->head_complete = true;
         this->observer->OnHeaders(this->status, this->response_headers);
       }
       return;
@@ -256,6 +263,7 @@
   HttpHeaders response_headers;
   int status = 0;
   bool sending = false;
+  bool head_complete = false;  // That of the final response.
   bool received_data = false;
   TimePoint started;
   TimePoint last_data;
--- a/tests/entry/daemon_fixture.cc
+++ b/tests/entry/daemon_fixture.cc
@@ -154,10 +154,15 @@
 
 void DaemonFixture::AddEngine(const std::string& server_id,
                               FakeEngine& engine) {
+  this->AddServer(server_id, engine.Address());
+}
+
+void DaemonFixture::AddServer(const std::string& server_id,
+                              const std::string& address) {
   Json::Value body;
   body["server_id"] = server_id;
   body["incarnation"] = "1";
-  body["address"] = engine.Address();
+  body["address"] = address;
   const bool is_service = server_id.rfind("parts", 0) == 0;
   body["kind"] = is_service ? "service" : "engine";
   body["labels"]["model"] = is_service ? "parts" : "chat";
--- a/tests/entry/daemon_fixture.h
+++ b/tests/entry/daemon_fixture.h
@@ -63,8 +63,9 @@
   DaemonFixture();
   ~DaemonFixture();
 
-  // Announces the engine and reports for it every 200 ms.
+  // Announces the server and reports for it every 200 ms.
   void AddEngine(const std::string& server_id, FakeEngine& engine);
+  void AddServer(const std::string& server_id, const std::string& address);
   void StopReports(const std::string& server_id);
 
   HttpCall ChatCall(const std::string& prompt, bool stream) const;
