Reset the connection of an HTTP/1.0 caller whose stream is cut

A caller that speaks HTTP/1.0 saw a stream that the gateway cut as a complete response.

Cause: HTTP/1.0 has no chunks, so the gateway ends such a stream with the connection. It closed the connection the same way when the server broke off, when the deadline passed and when the gateway itself ended.

Change: while a response is open whose only end is that of its connection, every end of the connection but that of a complete response is a reset (SO_LINGER with a time of 0), by Abort, by the end of the server and by that of the process.

Ruled out: buffering the stream to send its length (HTTP/1.0 callers would get their first event with the last); 505 for HTTP/1.0.

An end of the process was not played.

--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -62,6 +62,9 @@
   const bool close =
       !this->connection->keep_alive || this->connection->server->closing;
   this->connection->keep_alive = !close;
+  if (this->framing == net::BodyFraming::kUntilClose) {
+    this->connection->socket->ResetUnlessFlushed();
+  }
   this->connection->socket->Write(
       net::FormatResponseHead(status, headers, this->framing, 0, close));
 }
@@ -315,12 +318,17 @@
   CallerServer* const owner = std::exchange(this->server, nullptr);
   owner->connections.erase(self);
   this->socket->SetObserver(nullptr);
-  // Pending output is still sent.
-  this->socket->CloseAfterFlush();
+  const auto open = std::exchange(this->exchange, nullptr);
+  if (open != nullptr && open->EndsWithConnection()) {
+    // A close would be taken for the end of the body.
+    this->socket->Close();
+  } else {
+    // Pending output is still sent.
+    this->socket->CloseAfterFlush();
+  }
   if (!this->socket->Closed()) {
     owner->flushing.push_back(this->socket);
   }
-  const auto open = std::exchange(this->exchange, nullptr);
   if (open != nullptr) {
     open->connection = nullptr;
     const auto callback = std::exchange(open->on_disconnect, nullptr);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -39,8 +39,8 @@
   void Start(int status, const HttpHeaders& headers);
   void Write(std::string_view data);
   void Finish();
-  // Closes the connection without ending the response, so that the caller
-  // detects the truncation.
+  // Ends the connection without ending the response, so that the caller detects
+  // the truncation.
   void Abort();
 
   // @param callback called once if the caller disconnects before the response
@@ -50,6 +50,10 @@
   }
   bool Disconnected() const { return this->connection == nullptr; }
   bool Started() const { return this->started; }
+  // @return true if only the end of the connection marks that of the response.
+  bool EndsWithConnection() const {
+    return this->started && this->framing == net::BodyFraming::kUntilClose;
+  }
   std::size_t UnsentBytes() const;
 
  private:
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -38,6 +38,12 @@
   SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
 }
 
+// @param reset whether closing the socket resets the connection.
+void SetLinger(int fd, bool reset) {
+  const linger option{reset ? 1 : 0, 0};
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 bool WouldBlock() {
   return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
@@ -115,7 +121,7 @@
 
 void TcpConnection::CloseAfterFlush() {
   if (this->fd < 0 || !this->connected || this->UnsentBytes() == 0) {
-    this->Close();
+    this->CloseFlushed();
     return;
   }
   this->closing_self = this->shared_from_this();
@@ -123,6 +129,18 @@
   this->UpdateWatch();
 }
 
+void TcpConnection::ResetUnlessFlushed() {
+  this->reset_unless_flushed = true;
+  SetLinger(this->fd, true);
+}
+
+void TcpConnection::CloseFlushed() {
+  if (this->reset_unless_flushed) {
+    SetLinger(this->fd, false);
+  }
+  this->Close();
+}
+
 void TcpConnection::End(ConnectionEnd end) {
   if (this->ended) {
     return;
@@ -214,7 +232,7 @@
     this->out_sent = 0;
   }
   if (drained && this->closing_self != nullptr) {
-    this->Close();
+    this->CloseFlushed();
     return;
   }
   this->UpdateWatch();
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -64,6 +64,9 @@
   // Closes once all written data was passed to the socket. The connection
   // keeps itself alive until then.
   void CloseAfterFlush();
+  // Any other end than CloseAfterFlush, that of the process included, resets
+  // the connection. Data that the peer has not read may be lost.
+  void ResetUnlessFlushed();
 
   bool Connected() const { return this->connected; }
   bool Closed() const { return this->fd < 0; }
@@ -77,6 +80,8 @@
 
   void FinishConnect();
   void Flush();
+  // Closes a connection whose written data was passed to the socket.
+  void CloseFlushed();
   void End(ConnectionEnd end);
   void UpdateWatch();
 
@@ -85,6 +90,7 @@
   bool connected;
   bool reading = true;
   bool ended = false;
+  bool reset_unless_flushed = false;
   // Set while the connection flushes before it closes.
   std::shared_ptr<TcpConnection> closing_self;
   ConnectionObserver* observer = nullptr;
--- a/tests/gateway/raw_caller.h
+++ b/tests/gateway/raw_caller.h
@@ -20,6 +20,8 @@
   std::string ReadUntil(const std::string& text, int ms = 5000);
   // @return everything received until the connection ends or `ms` have passed.
   std::string ReadToEnd(int ms = 5000);
+  // @return true if the last read found that the gateway reset the connection.
+  bool WasReset() const { return this->socket->ResetByPeer(); }
   void Close() { this->socket->Close(); }
 
  private:
--- a/tests/gateway/scripted_server.cc
+++ b/tests/gateway/scripted_server.cc
@@ -5,6 +5,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 #include <fmt/format.h>
 
 #include "net/socket_address.h"
@@ -25,6 +27,7 @@
 std::string Socket::Receive() {
   std::string buffer(kReadBytes, '\0');
   const ssize_t size = ::recv(this->fd, buffer.data(), buffer.size(), 0);
+  this->reset_by_peer = size < 0 && errno == ECONNRESET;
   buffer.resize(size > 0 ? static_cast<std::size_t>(size) : 0);
   return buffer;
 }
--- a/tests/gateway/scripted_server.h
+++ b/tests/gateway/scripted_server.h
@@ -22,6 +22,8 @@
   void Send(const std::string& text);
   // @return the data of one read; empty at the end of the connection.
   std::string Receive();
+  // @return true if the last Receive found that the peer reset the connection.
+  bool ResetByPeer() const { return this->reset_by_peer; }
   // @return true if the peer closes within `ms`.
   bool WaitForPeerClose(int ms);
   void Close();
@@ -30,6 +32,7 @@
 
  private:
   int fd;
+  bool reset_by_peer = false;
 };
 
 // One request as the server received it.
--- a/tests/gateway/truncation_test.cc
+++ b/tests/gateway/truncation_test.cc
@@ -143,4 +143,49 @@
   }
 }
 
+// HTTP/1.0 has no chunks, so a stream to such a caller ends with its
+// connection. Guards against a stream that was broken off and that ends like a
+// complete one.
+BOOST_FIXTURE_TEST_CASE(TruncatedStreamToHttp10CallerIsReset, GatewayFixture) {
+  ScriptedServer server([](const ReceivedRequest& request, Socket& socket) {
+    socket.Send(StreamResponseHead(request) + EventChunk(1, "one"));
+    socket.WaitForPeerClose(200);
+    return false;
+  });
+  this->AddServer(server);
+  const std::string request =
+      "GET /live/x HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: r1\r\n";
+  RawCaller cut(this->Address());
+  cut.Send(request + "\r\n");
+  BOOST_TEST(Contains(cut.ReadToEnd(), "data: one"));
+  BOOST_TEST(cut.WasReset());
+
+  RawCaller late(this->Address());
+  late.Send(request + "Deadline: 100\r\n\r\n");
+  BOOST_TEST(Contains(late.ReadToEnd(), "data: one"));
+  BOOST_TEST(late.WasReset());
+
+  RawCaller stopped(this->Address());
+  stopped.Send(request + "\r\n");
+  BOOST_TEST(Contains(stopped.ReadUntil("data: one"), "data: one"));
+  this->OnLoop([&] { this->callers.reset(); });
+  stopped.ReadToEnd();
+  BOOST_TEST(stopped.WasReset());
+}
+
+// Guards against resetting the connection of a caller whose stream is complete.
+BOOST_FIXTURE_TEST_CASE(CompleteStreamToHttp10CallerIsClosed, GatewayFixture) {
+  ScriptedServer server([](const ReceivedRequest& request, Socket& socket) {
+    socket.Send(StreamResponse(request, net::BodyFraming::kChunked,
+                               kFirstEvent + kSecondEvent));
+    return true;
+  });
+  this->AddServer(server);
+  RawCaller caller(this->Address());
+  caller.Send(
+      "GET /live/x HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: r1\r\n\r\n");
+  BOOST_TEST(Contains(caller.ReadToEnd(), kSecondEvent));
+  BOOST_TEST(!caller.WasReset());
+}
+
 }  // namespace sycamorebend::gateway
