Check event streams that are buffered for a truncation as well

Callers saw an event stream that ended inside an event as a complete response on routes that do not stream, from plain services of the entry daemon, and if the server wrote its media type with capital letters. An order was recorded as run with the shortened response.

Change: the media type is compared without regard to case and parameters, in one place. A buffered event stream that ends inside an event is a failed attempt in the gateway (502, or another server), an error in the entry daemon, and an unknown outcome for an order.

Ruled out: a check of other media types. A body without length and chunks is complete at a proper end of its connection by HTTP and by the users' pages; that a JSON document is cut short there is left to its reader.

--- a/src/entry/order_session.cc
+++ b/src/entry/order_session.cc
@@ -7,6 +7,7 @@
 
 #include "entry/order_recorder.h"
 #include "entry/upstream_call.h"
+#include "net/sse_splitter.h"
 
 namespace sycamorebend::entry {
 
@@ -61,6 +62,11 @@
     if (this->too_large && outcome.code == ResultCode::kOk) {
       final_outcome.code = ResultCode::kServerError;
       final_outcome.message = "the response is too large";
+    } else if (outcome.code == ResultCode::kOk &&
+               net::IsTruncatedEventStream(this->response.headers,
+                                           this->response.body)) {
+      final_outcome.code = ResultCode::kStreamTruncated;
+      final_outcome.message = "the response ended inside an event";
     }
     this->session->Post([session = this->session, final_outcome,
                          response = std::move(this->response)]() mutable {
--- a/src/entry/proxy_session.cc
+++ b/src/entry/proxy_session.cc
@@ -23,12 +23,6 @@
 constexpr int kProgressBatchTokens = 16;
 constexpr Duration kProgressInterval = milliseconds(100);
 
-bool IsEventStream(const HttpHeaders& headers) {
-  constexpr std::string_view kType = "text/event-stream";
-  const auto type = FindHeader(headers, "Content-Type");
-  return type && std::string_view(*type).substr(0, kType.size()) == kType;
-}
-
 // @return true if another engine may be able to run the request. That includes
 // 404, the status of an engine that has unloaded the model since its last
 // report.
@@ -250,8 +244,8 @@
   }
   this->status = status;
   this->headers = headers;
-  this->streaming =
-      this->request.stream && status == kStatusOk && IsEventStream(headers);
+  this->streaming = this->request.stream && status == kStatusOk &&
+                    net::IsEventStream(headers);
 }
 
 void ProxySession::OnData(int generation, std::string_view data) {
@@ -393,6 +387,11 @@
         false);
     return;
   }
+  if (net::IsTruncatedEventStream(this->headers, this->body)) {
+    this->FailAttempt(ResultCode::kStreamTruncated,
+                      "the response ended inside an event", false);
+    return;
+  }
   this->FinishResponse();
 }
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -62,12 +62,6 @@
 constexpr double kGapTimeoutFactor = 3.0;
 constexpr Duration kMinGapTimeout = milliseconds(600);
 
-bool IsEventStream(const HttpHeaders& headers) {
-  constexpr std::string_view kType = "text/event-stream";
-  const auto type = FindHeader(headers, "Content-Type");
-  return type && std::string_view(*type).substr(0, kType.size()) == kType;
-}
-
 }  // namespace
 
 void RetryBudgets::SetLimits(internal::RetryLimits new_limits) {
@@ -314,7 +308,7 @@
   const bool success = head.status >= kOk && head.status < kFirstRedirect;
   this->response_is_stream = this->job.route->kind == RouteKind::kStream &&
                              success && fields.authentic &&
-                             IsEventStream(head.headers);
+                             net::IsEventStream(head.headers);
   if (success && !this->response_is_stream && !this->first_byte_seen) {
     this->first_byte_seen = true;
     this->context.balancer.OnFirstByte(this->choice, now - this->sent_at, now);
@@ -347,7 +341,7 @@
   std::string out;
   bool progress = false;
   while (const auto event = this->splitter.Next()) {
-    const bool comment = !event->id && !event->has_data;
+    const bool comment = event->IsComment();
     this->attempt_has_events = this->attempt_has_events || !comment;
     if (event->id) {
       if (this->last_event && *event->id <= *this->last_event) {
@@ -424,11 +418,18 @@
   return {};
 }
 
-void Forwarder::FinishStream() {
+bool Forwarder::FailTruncatedStream() {
   const std::string_view truncation = this->StreamTruncation();
-  if (!truncation.empty()) {
-    this->EndCall(AttemptOutcome::kTruncated);
-    this->HandleFailedAttempt(std::string(truncation));
+  if (truncation.empty()) {
+    return false;
+  }
+  this->EndCall(AttemptOutcome::kTruncated);
+  this->HandleFailedAttempt(std::string(truncation));
+  return true;
+}
+
+void Forwarder::FinishStream() {
+  if (this->FailTruncatedStream()) {
     return;
   }
   this->EndCall(AttemptOutcome::kAnswered);
@@ -446,6 +447,16 @@
     this->HandleFailedAttempt("the response is not the server's own");
     return;
   }
+  if (success && net::IsEventStream(this->response.headers)) {
+    this->splitter.Append(this->body);
+    while (const auto event = this->splitter.Next()) {
+      this->attempt_has_events =
+          this->attempt_has_events || !event->IsComment();
+    }
+    if (this->FailTruncatedStream()) {
+      return;
+    }
+  }
   this->EndCall(error ? AttemptOutcome::kServerError
                       : AttemptOutcome::kAnswered);
   if (this->job.exchange->Started()) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -95,6 +95,9 @@
   // @return how the stream is incomplete although the HTTP message is complete;
   // empty if it is not.
   std::string_view StreamTruncation() const;
+  // Ends the attempt if its stream is incomplete.
+  // @return true if it is.
+  bool FailTruncatedStream();
   // Handles the end of the server's response to a stream.
   void FinishStream();
   void DeliverBufferedResponse();
--- a/src/net/sse_splitter.cc
+++ b/src/net/sse_splitter.cc
@@ -1,5 +1,7 @@
 #include "net/sse_splitter.h"
 
+#include <strings.h>
+
 #include <algorithm>
 #include <charconv>
 
@@ -50,6 +52,26 @@
 
 }  // namespace
 
+bool IsEventStream(const HttpHeaders& headers) {
+  constexpr std::string_view kType = "text/event-stream";
+  const std::string value = FindHeader(headers, "Content-Type").value_or("");
+  const std::string_view type =
+      std::string_view(value).substr(0, value.find_first_of("; \t"));
+  return type.size() == kType.size() &&
+         strncasecmp(type.data(), kType.data(), kType.size()) == 0;
+}
+
+bool IsTruncatedEventStream(const HttpHeaders& headers, std::string_view body) {
+  if (!IsEventStream(headers)) {
+    return false;
+  }
+  SseSplitter splitter;
+  splitter.Append(body);
+  while (splitter.Next()) {
+  }
+  return splitter.PendingBytes() > 0;
+}
+
 void SseSplitter::Append(std::string_view data) {
   // Erases the events already returned; their views are only valid until this
   // call.
--- a/src/net/sse_splitter.h
+++ b/src/net/sse_splitter.h
@@ -8,8 +8,16 @@
 #include <string>
 #include <string_view>
 
+#include "sycamorebend/http.h"
+
 namespace sycamorebend::net {
 
+// @return true if the media type of a message is that of an event stream.
+bool IsEventStream(const HttpHeaders& headers);
+
+// @return true if the message is an event stream that ends inside an event.
+bool IsTruncatedEventStream(const HttpHeaders& headers, std::string_view body);
+
 // One event. The views are valid until the next call of the splitter.
 struct SseEvent {
   // The event's bytes as received, with the empty line that ends it.
@@ -19,6 +27,9 @@
   bool has_data = false;
   // True for `data: [DONE]`.
   bool done = false;
+
+  // @return true if the event carries nothing for its reader.
+  bool IsComment() const { return !this->id && !this->has_data; }
 };
 
 // Accepts the stream in chunks of any size. Only line ends, `id` and `data` are
--- a/tests/entry/daemon_truncation_test.cc
+++ b/tests/entry/daemon_truncation_test.cc
@@ -38,7 +38,7 @@
 BOOST_AUTO_TEST_CASE(OrderWithTruncatedResponseIsUnknown) {
   const std::vector<std::string> responses = {
       kHead + "Content-Le", kHead + "Content-Length: 9\r\n\r\nhalf",
-      kChunked + "5\r\nhello\r\n"};
+      kChunked + "5\r\nhello\r\n", kStreamHead + "\r\nid: 1\ndata: on"};
   for (const std::string& bytes : responses) {
     // A daemon for each response, since it avoids servers that fail.
     DaemonFixture daemon;
@@ -77,6 +77,20 @@
   }
 }
 
+// Guards against an event stream of a plain service that was broken off and
+// reaches its caller as complete.
+BOOST_AUTO_TEST_CASE(TruncatedEventsOfAServiceAreAnError) {
+  DaemonFixture daemon;
+  const gateway::ScriptedServer service(
+      SendAndClose(kStreamHead + "\r\nid: 1\ndata: on"));
+  daemon.AddServer("parts-1", service.Address());
+  HttpCall call = daemon.Call("GET", "/stock");
+  call.headers.push_back({"X-Sycamorebend-Labels", "kind=lookup"});
+  const HttpResponse response = daemon.Fetch(std::move(call));
+  BOOST_TEST(response.status >= 500);
+  BOOST_TEST(BodyContains(response, "\"ran\":\"unknown\""), response.body);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace sycamorebend::entry
--- a/tests/gateway/truncation_test.cc
+++ b/tests/gateway/truncation_test.cc
@@ -20,12 +20,13 @@
 // @return a stream response whose HTTP message is complete.
 std::string StreamResponse(const ReceivedRequest& request,
                            net::BodyFraming framing,
-                           const std::string& body) {
+                           const std::string& body,
+                           const std::string& type = "text/event-stream") {
   const std::string head =
       net::FormatResponseHead(200,
                               {{"Request-Id", request.Header("Request-Id")},
                                {"Signed", "yes"},
-                               {"Content-Type", "text/event-stream"}},
+                               {"Content-Type", type}},
                               framing, body.size(), false);
   if (framing != net::BodyFraming::kChunked) {
     return head + body;
@@ -48,7 +49,8 @@
 struct BreaksOffFirst {
   bool operator()(const ReceivedRequest& request, Socket& socket) {
     if (++*this->requests == 1) {
-      socket.Send(StreamResponse(request, this->framing, this->first));
+      socket.Send(
+          StreamResponse(request, this->framing, this->first, this->type));
       return false;
     }
     const bool has_first = request.Header("Resume-After") == "1";
@@ -60,6 +62,7 @@
   std::atomic<int>* requests;
   net::BodyFraming framing;
   std::string first;
+  std::string type;
 };
 
 struct TwoServers : GatewayFixture {
@@ -69,13 +72,17 @@
                             net::BodyFraming framing,
                             const std::string& body) {
     std::atomic<int> requests{0};
-    ScriptedServer first(BreaksOffFirst{&requests, framing, body});
-    ScriptedServer second(BreaksOffFirst{&requests, framing, body});
+    ScriptedServer first(
+        BreaksOffFirst{&requests, framing, body, this->content_type});
+    ScriptedServer second(
+        BreaksOffFirst{&requests, framing, body, this->content_type});
     this->SetServers({first.Address(), second.Address()});
     RawCaller caller(this->Address());
     caller.Send(Request("r1", path, "prompt", "Connection: close\r\n"));
     return caller.ReadToEnd();
   }
+
+  std::string content_type = "text/event-stream";
 };
 
 }  // namespace
@@ -131,6 +138,31 @@
   }
 }
 
+// A route that does not stream, and a media type in capital letters. Guards
+// against an event stream that was broken off and that is passed on as a body
+// of any other type.
+BOOST_FIXTURE_TEST_CASE(BufferedEventStreamIsChecked, TwoServers) {
+  for (const net::BodyFraming framing : kFramings) {
+    for (const std::string type :
+         {"text/event-stream", "Text/Event-Stream; charset=utf-8"}) {
+      this->content_type = type;
+      const std::string name =
+          fmt::format("{} {}", type, net::BodyFramingName(framing));
+      const std::string body = kFirstEvent + "id: 2\ndata: t";
+      BOOST_TEST(Contains(this->CallBrokenOff("/once/x", framing, body),
+                          "HTTP/1.1 502"),
+                 name);
+      BOOST_TEST(Contains(this->CallBrokenOff("/safe/x", framing, body),
+                          kFirstEvent + kSecondEvent),
+                 name);
+      const std::string cut = this->CallBrokenOff("/live/x", framing, body);
+      BOOST_TEST(Contains(cut, kFirstEvent), name);
+      BOOST_TEST(!Contains(cut, "id: 2"), name);
+      BOOST_TEST(!Contains(cut, std::string(net::kLastChunk)), name);
+    }
+  }
+}
+
 // Guards against sound streams that are taken for broken off because of their
 // framing.
 BOOST_FIXTURE_TEST_CASE(StreamEndingAfterAnEventIsComplete, TwoServers) {
--- a/tests/net/sse_splitter_test.cc
+++ b/tests/net/sse_splitter_test.cc
@@ -51,6 +51,21 @@
   BOOST_TEST(!events[5].has_data);
 }
 
+// Guards against an event stream that is not recognized by its media type,
+// which does not depend on capital letters and parameters.
+BOOST_AUTO_TEST_CASE(MediaTypeOfEventStreamIsRecognized) {
+  for (const std::string type :
+       {"text/event-stream", "Text/Event-Stream",
+        "text/event-stream;charset=utf-8", "text/event-stream ; a=b"}) {
+    BOOST_TEST(IsEventStream({{"content-type", type}}), type);
+  }
+  for (const std::string type :
+       {"", "text/event-streams", "text/plain", "a; text/event-stream"}) {
+    BOOST_TEST(!IsEventStream({{"Content-Type", type}}), type);
+  }
+  BOOST_TEST(!IsEventStream({}));
+}
+
 BOOST_AUTO_TEST_CASE(IncompleteEventIsNotReturned) {
   SseSplitter splitter;
   splitter.Append("data: 1\n\ndata: 2\n");
