Break off messages with each framing at the remaining hops

Load messages between gateways had such a test already.

What they cover beside the length was not covered before.

--- a/tests/consensus/storage_test.cc
+++ b/tests/consensus/storage_test.cc
@@ -356,6 +356,27 @@
   BOOST_TEST(state.entries.back()->payload == "entry 10000");
 }
 
+// Guards against a message between replicas, or a snapshot, that was broken off
+// and is taken for a complete one.
+BOOST_AUTO_TEST_CASE(TruncatedMessagesAreRejected) {
+  internal::Message message;
+  message.type = internal::MessageType::kPreVote;
+  message.data = "part of a snapshot";
+  message.entries.push_back(Fixture::MakeEntry(1, 1));
+  const std::string encoded = internal::EncodeMessage(message);
+  BOOST_REQUIRE(internal::DecodeMessage(encoded).has_value());
+  for (std::size_t size = 0; size < encoded.size(); ++size) {
+    BOOST_TEST(!internal::DecodeMessage(encoded.substr(0, size)), size);
+  }
+  internal::SnapshotData snapshot;
+  snapshot.state = "state";
+  const std::string stored = internal::EncodeSnapshot(snapshot);
+  BOOST_REQUIRE(internal::DecodeSnapshot(stored).has_value());
+  for (std::size_t size = 0; size < stored.size(); ++size) {
+    BOOST_TEST(!internal::DecodeSnapshot(stored.substr(0, size)), size);
+  }
+}
+
 // Checks CRC-32C and base64 against published test vectors.
 BOOST_AUTO_TEST_CASE(EncodingsMatchPublishedVectors) {
   BOOST_TEST(internal::Crc32c("123456789") == 0xE3069283u);
--- a/tests/gateway/truncation_test.cc
+++ b/tests/gateway/truncation_test.cc
@@ -1,5 +1,6 @@
 // Responses that end early, at each hop and with each framing of their body.
 #include <atomic>
+#include <thread>
 
 #include <fmt/format.h>
 #include <boost/test/unit_test.hpp>
@@ -220,4 +221,72 @@
   BOOST_TEST(!caller.WasReset());
 }
 
+// A server breaks off a response that is not a stream. Guards against a
+// truncated body that reaches its caller as complete.
+BOOST_FIXTURE_TEST_CASE(TruncatedBodyIsNotDelivered, GatewayFixture) {
+  struct Ending {
+    std::string bytes;
+    bool reset;
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nSigned: yes\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const Ending& ending :
+       {Ending{"", false}, Ending{"HTTP/1.1 2", false},
+        Ending{head + "Content-Le", false},
+        Ending{head + "Content-Length: 9\r\n\r\nhalf", false},
+        Ending{chunked + "9\r\nhalf", false},
+        Ending{chunked + "4\r\nhalf\r\n", false},
+        Ending{chunked + "4\r\nhalf\r\n0\r\n", false},
+        Ending{head + "\r\nhalf", true}}) {
+    std::atomic<int> requests{0};
+    const auto script = [&](const ReceivedRequest& request, Socket& socket) {
+      if (++requests > 1) {
+        return Echo(request, socket);
+      }
+      socket.Send(ending.bytes);
+      if (ending.reset) {
+        // The gateway reads what arrived before the reset.
+        std::this_thread::sleep_for(milliseconds(50));
+        socket.Reset();
+      }
+      return false;
+    };
+    ScriptedServer first(script);
+    ScriptedServer second(script);
+    this->SetServers({first.Address(), second.Address()});
+    RawCaller once(this->Address());
+    once.Send(Request("r1", "/once/x", "order"));
+    BOOST_TEST(Contains(once.ReadUntil("\r\n\r\n"), "HTTP/1.1 502"),
+               ending.bytes);
+    requests = 0;
+    RawCaller safe(this->Address());
+    safe.Send(Request("r2", "/safe/x"));
+    BOOST_TEST(Contains(safe.ReadUntil("body of r2"), "body of r2"),
+               ending.bytes);
+  }
+}
+
+// A caller ends its connection inside its request. Guards against a truncated
+// request that a server runs.
+BOOST_FIXTURE_TEST_CASE(TruncatedRequestIsNotForwarded, GatewayFixture) {
+  ScriptedServer server(Echo);
+  this->AddServer(server);
+  const std::string head =
+      "POST /once/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& request :
+       {head + "Content-Le", head + "Content-Length: 9\r\n\r\nhalf",
+        chunked + "9\r\nhalf", chunked + "4\r\nhalf\r\n",
+        chunked + "4\r\nhalf\r\n0\r\n"}) {
+    RawCaller caller(this->Address());
+    caller.Send(request);
+    caller.Close();
+  }
+  // Handled after the connections above.
+  RawCaller last(this->Address());
+  last.Send(Request("r2", "/safe/x"));
+  BOOST_TEST(Contains(last.ReadUntil("body of r2"), "body of r2"));
+  BOOST_TEST(server.Requests().size() == 1U);
+}
+
 }  // namespace sycamorebend::gateway
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -227,14 +227,20 @@
     ++calls;
     exchange->Respond(200, {}, "");
   };
-  const int fd = Connect(
-      "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\nabc");
-  shutdown(fd, SHUT_WR);
-  char buffer[64];
-  while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+  const std::string head = "POST /echo HTTP/1.1\r\nHost: a\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& request :
+       {head + "Content-Le", head + "Content-Length: 100\r\n\r\nabc",
+        chunked + "5\r\nabc", chunked + "3\r\nabc\r\n",
+        chunked + "3\r\nabc\r\n0\r\n"}) {
+    const int fd = Connect(request);
+    shutdown(fd, SHUT_WR);
+    char buffer[64];
+    while (recv(fd, buffer, sizeof(buffer), 0) > 0) {
+    }
+    close(fd);
+    BOOST_TEST(calls.load() == 0, request);
   }
-  close(fd);
-  BOOST_TEST(calls.load() == 0);
 }
 
 BOOST_FIXTURE_TEST_CASE(RefusedConnectionSendsNothing, Fixture) {
--- a/tests/rpc/rpc_test.cc
+++ b/tests/rpc/rpc_test.cc
@@ -1,6 +1,11 @@
 #define BOOST_TEST_MODULE rpc
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
 #include <boost/test/unit_test.hpp>
 
+#include "gateway/scripted_server.h"
 #include "sycamorebend/rpc.h"
 
 namespace sycamorebend {
@@ -84,4 +89,40 @@
   BOOST_TEST((result.error().code == ResultCode::kConnectFailed));
 }
 
+// Guards against a result of a call between our own processes that was broken
+// off and counts as complete, with each framing of the response.
+BOOST_AUTO_TEST_CASE(TruncatedResultIsAnError) {
+  const std::string document =
+      R"({"id":1,"jsonrpc":"2.0","result":{"version":12}})";
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string whole = head + "\r\n" + document;
+  std::vector<std::string> truncated;
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    truncated.push_back(whole.substr(0, size));
+  }
+  // The document is complete, but the message is not.
+  truncated.push_back(fmt::format("{}Content-Length: {}\r\n\r\n{}", head,
+                                  document.size() + 1, document));
+  truncated.push_back(
+      fmt::format("{}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n", head,
+                  document.size(), document));
+  std::string bytes;
+  gateway::ScriptedServer server(
+      [&bytes](const gateway::ReceivedRequest&, gateway::Socket& socket) {
+        socket.Send(bytes);
+        return false;
+      });
+  const auto client = HttpClient::Create(1);
+  const auto rpc = RpcClient::Create(*client);
+  for (const std::string& response : truncated) {
+    bytes = response;
+    const auto result = rpc->Call(server.Address(), "get", {}, seconds(5));
+    BOOST_TEST(!result, response);
+  }
+  bytes = whole;
+  const auto result = rpc->Call(server.Address(), "get", {}, seconds(5));
+  BOOST_REQUIRE(result);
+  BOOST_TEST(result.value()["version"].asInt() == 12);
+}
+
 }  // namespace sycamorebend
