Do not resume a stream after an event without a number

Callers saw the beginning of a stream twice, as the outputs of two runs joined, if events without numbers had been passed on before the server broke off.

Cause: the gateway resumes after the last number it has seen. With none, the second server begins anew; with unnumbered events after the last numbered one it repeats these.

Change: an attempt is not repeated once an event without a number was passed on last; the stream is cut without its end.

Ruled out: counting events in place of numbers; two runs of a model need not have the same events.

Before: StreamWithoutNumbersIsNotResumed got the first event twice.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -353,8 +353,11 @@
     if (comment && this->events == 0) {
       continue;
     }
-    progress = progress || !comment;
-    this->events += comment ? 0 : 1;
+    if (!comment) {
+      progress = true;
+      ++this->events;
+      this->position_known = event->id.has_value();
+    }
     out.append(event->bytes);
   }
   if (out.empty()) {
@@ -517,10 +520,10 @@
 }
 
 bool Forwarder::CanRetry() {
-  return this->job.route->Repeatable() &&
-         this->attempts<this->job.route->max_attempts&& this->deadline -
-                        this->context.loop.Now()>
-             kMinAttemptTime;
+  const Route& route = *this->job.route;
+  const Duration left = this->deadline - this->context.loop.Now();
+  return route.Repeatable() && this->position_known &&
+         this->attempts < route.max_attempts && left > kMinAttemptTime;
 }
 
 bool Forwarder::SpendRetry() {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -147,6 +147,9 @@
   std::string body;
   net::SseSplitter splitter;
   std::optional<std::int64_t> last_event;
+  // False once an event without a number was passed on: a server that resumes
+  // after `last_event` would send it again.
+  bool position_known = true;
   int events = 0;
   TimePoint first_event_at;
   TimePoint last_event_at;
--- a/tests/gateway/truncation_test.cc
+++ b/tests/gateway/truncation_test.cc
@@ -164,6 +164,24 @@
   }
 }
 
+// A stream whose events have no numbers breaks off. Guards against the outputs
+// of two runs that are joined, since the second one begins anew.
+BOOST_FIXTURE_TEST_CASE(StreamWithoutNumbersIsNotResumed, GatewayFixture) {
+  const auto script = [](const ReceivedRequest& request, Socket& socket) {
+    socket.Send(StreamResponse(request, net::BodyFraming::kUntilClose,
+                               "data: one\n\ndata: t"));
+    return false;
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  this->SetServers({first.Address(), second.Address()});
+  RawCaller caller(this->Address());
+  caller.Send(Request("r1", "/stream/x", "prompt"));
+  const std::string response = caller.ReadToEnd();
+  BOOST_TEST(Count(response, "data: one\n\n") == 1);
+  BOOST_TEST(!Contains(response, std::string(net::kLastChunk)));
+}
+
 // Guards against sound streams that are taken for broken off because of their
 // framing.
 BOOST_FIXTURE_TEST_CASE(StreamEndingAfterAnEventIsComplete, TwoServers) {
