Bound the headers, trailers and kept bodies of the HTTP client

A faulty server could make the entry daemon, or any process that calls another one, keep bytes without end until the call's timeout.

Cause: libcurl bounds a status line and headers, but not trailers, which the client keeps with the headers; Fetch and calls between our processes keep a body of any size.

Change: 256 KiB for headers and trailers together; HttpCall::max_body_bytes, of which Fetch and RPC calls use 64 MiB. A longer response is a protocol error.

Ruled out: a limit for streams; the entry daemon passes them on and bounds each event.

Before: EndlessBytesEndTheCall ran into its timeout for "body" and "trailers"; status line, headers and informational responses were bounded. After: passed, as http_test, rpc_test and entry_daemon_test.

--- a/include/sycamorebend/http.h
+++ b/include/sycamorebend/http.h
@@ -128,6 +128,8 @@
   // Longest time between two pieces of the body.
   Duration gap_timeout = seconds(30);
   Duration total_timeout = std::chrono::minutes(30);
+  // A longer body is an error (kProtocolError); 0: no limit.
+  std::size_t max_body_bytes = 0;
   // Uses a connection of its own that is never reused. Required for calls that
   // must not run twice: libcurl sends a request again by itself when a reused
   // connection closes before the first byte of the answer.
@@ -169,6 +171,9 @@
 
 using HttpCallId = std::uint64_t;
 
+// Limit on the bodies that Fetch keeps.
+inline constexpr std::size_t kMaxFetchedBytes = std::size_t{64} << 20;
+
 class HttpClient {
  public:
   virtual ~HttpClient() = default;
@@ -183,7 +188,8 @@
   // follows with kCancelled.
   virtual void Cancel(HttpCallId id) = 0;
 
-  // Runs a call and waits for the whole answer.
+  // Runs a call and waits for the whole answer. Without a limit on its body,
+  // kMaxFetchedBytes holds.
   // @return the answer, whatever its status, or the error of the transport.
   Result<HttpResponse> Fetch(HttpCall call);
 };
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -19,6 +19,10 @@
 constexpr int kPollMs = 20;
 constexpr long kIdleConnections = 256;
 constexpr int kMaxStatusDigits = 3;
+// Returned by a callback of libcurl to end the transfer with an error.
+constexpr std::size_t kAbort = 0;
+// Limit on the headers and trailers of a response. libcurl bounds only headers.
+constexpr std::size_t kMaxHeaderBytes = 256 << 10;
 
 using Headers = std::unique_ptr<curl_slist, decltype(&curl_slist_free_all)>;
 
@@ -169,6 +173,10 @@
                                   std::size_t count,
                                   void* context) {
     auto* const transfer = static_cast<Transfer*>(context);
+    transfer->header_bytes += size * count;
+    if (transfer->header_bytes > kMaxHeaderBytes) {
+      return kAbort;
+    }
     transfer->AddHeaderLine(std::string_view(data, size * count));
     return size * count;
   }
@@ -212,6 +220,11 @@
                             std::size_t count,
                             void* context) {
     auto* const transfer = static_cast<Transfer*>(context);
+    transfer->body_bytes += size * count;
+    const std::size_t max_body_bytes = transfer->call.max_body_bytes;
+    if (max_body_bytes > 0 && transfer->body_bytes > max_body_bytes) {
+      return kAbort;
+    }
     transfer->received_data = true;
     transfer->last_data = transfer->clock.Now();
     transfer->observer->OnData(std::string_view(data, size * count));
@@ -263,6 +276,8 @@
   HttpHeaders response_headers;
   int status = 0;
   bool sending = false;
+  std::size_t header_bytes = 0;
+  std::size_t body_bytes = 0;
   bool head_complete = false;  // That of the final response.
   bool received_data = false;
   TimePoint started;
--- a/src/http/fetch.cc
+++ b/src/http/fetch.cc
@@ -27,6 +27,9 @@
 }  // namespace
 
 Result<HttpResponse> HttpClient::Fetch(HttpCall call) {
+  if (call.max_body_bytes == 0) {
+    call.max_body_bytes = kMaxFetchedBytes;
+  }
   auto observer = std::make_shared<CollectingObserver>();
   std::future<HttpOutcome> done = observer->done.get_future();
   this->Start(std::move(call), observer);
--- a/src/rpc/rpc_client.cc
+++ b/src/rpc/rpc_client.cc
@@ -82,6 +82,7 @@
     call.first_byte_timeout = timeout;
     call.gap_timeout = timeout;
     call.total_timeout = timeout;
+    call.max_body_bytes = kMaxFetchedBytes;
     this->client.Start(
         std::move(call),
         std::make_shared<ResponseObserver>(
