--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -62,6 +62,20 @@
 constexpr double kGapTimeoutFactor = 3.0;
 constexpr Duration kMinGapTimeout = milliseconds(600);
 
+// @return the hexadecimal IDs of the prompt's blocks except the last, which
+// belongs to the request or its session; empty without a prompt.
+std::string SharedBlockNames(const GenerationRequest* generation) {
+  std::string names;
+  if (generation == nullptr) {
+    return names;
+  }
+  for (std::size_t i = 0; i + 1 < generation->prompt.size(); ++i) {
+    names +=
+        fmt::format("{}{:x}", i == 0 ? "" : ",", generation->prompt[i].id);
+  }
+  return names;
+}
+
 }  // namespace
 
 void RetryBudgets::SetLimits(internal::RetryLimits new_limits) {
@@ -277,6 +291,8 @@
               {"status", this->response.status},
               {"framing", this->ResponseFraming()},
               {"unfinished_bytes", this->splitter.PendingBytes()},
+              {"response_begun", this->first_byte_seen},
+              {"shared_blocks", SharedBlockNames(this->profile.generation)},
               {"after_ms", ToMilliseconds(now - this->sent_at)}});
   }
   this->context.metrics.AddAttempt(this->ResponseFraming(),
