--- /dev/null
+++ b/tests/gateway/crashing_content_test.cc
@@ -0,0 +1,119 @@
+// Requests, and parts of prompts, that crash the servers that run them.
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <fmt/format.h>
+#include <boost/test/unit_test.hpp>
+
+#include "gateway_fixture.h"
+#include "net/http_writer.h"
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+// Hash of the prompt part that crashes engines.
+constexpr int kCrashingPart = 666;
+// Requests with a crashing part that may reach servers after the fifth crash.
+constexpr int kCrashesUntilLimit = 5;
+constexpr int kRequestsAfterLimit = 3;
+constexpr int kRounds = 12;
+// Time between two requests that crash servers.
+constexpr Duration kPace = milliseconds(300);
+
+// Servers that crash when they begin to respond to a marked request.
+class CrashableServers {
+ public:
+  CrashableServers(GatewayFixture& gateway,
+                   int count,
+                   const std::string& marker)
+      : marker(marker) {
+    for (int i = 0; i < count; ++i) {
+      this->servers.push_back(std::make_unique<ScriptedServer>(
+          [this, i](const ReceivedRequest& request, Socket& socket) {
+            return this->Serve(static_cast<std::size_t>(i), request, socket);
+          }));
+      gateway.AddServer(*this->servers.back());
+    }
+  }
+
+  int Crashes() const { return this->crashes; }
+  // Number of marked requests that reached a server after the limit.
+  int ArrivalsAfterLimit() const { return this->arrivals_after_limit; }
+
+ private:
+  bool Serve(std::size_t index,
+             const ReceivedRequest& request,
+             Socket& socket) {
+    const bool marked =
+        request.head.find(this->marker) != std::string::npos ||
+        request.body.find(this->marker) != std::string::npos;
+    if (!marked) {
+      socket.Send(StreamResponseHead(request) + EventChunk(1, "one") +
+                  std::string(net::kLastChunk));
+      return true;
+    }
+    if (this->crashes >= kCrashesUntilLimit) {
+      ++this->arrivals_after_limit;
+    }
+    ++this->crashes;
+    socket.Send(StreamResponseHead(request));
+    this->servers[index]->Crash();
+    return false;
+  }
+
+  const std::string marker;
+  std::atomic<int> crashes{0};
+  std::atomic<int> arrivals_after_limit{0};
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+};
+
+// Sends a request and returns the status line of its response.
+std::string Ask(const GatewayFixture& gateway,
+                const std::string& id,
+                const std::string& body,
+                const std::string& prompt) {
+  RawCaller caller(gateway.Address());
+  caller.Send(Request(id, "/stream/x", body,
+                      "Tokens: 30\r\nPrompt: " + prompt + "\r\n"));
+  const std::string response = caller.ReadUntil("\r\n\r\n");
+  return response.substr(0, response.find("\r\n"));
+}
+
+}  // namespace
+
+// Guards against requests that share one part of their prompts and crash one
+// server after the other, since no two of them are alike.
+BOOST_FIXTURE_TEST_CASE(CrashingPromptPartIsKeptFromServers, GatewayFixture) {
+  CrashableServers servers(*this, 2 * kRounds + 2,
+                           fmt::format(" {} ", kCrashingPart));
+  int sound = 0;
+  for (int i = 0; i < kRounds; ++i) {
+    // The first part is shared by all requests, the last belongs to one.
+    const std::string prompt = fmt::format("1 {} {}", 100 + i % 3, 1000 + i);
+    sound +=
+        Contains(Ask(*this, fmt::format("sound{}", i), "a", prompt), "200");
+    Ask(*this, fmt::format("bad{}", i), "b",
+        fmt::format("1 {} {} {}", 100 + i % 3, kCrashingPart, 2000 + i));
+    std::this_thread::sleep_for(kPace);
+  }
+  BOOST_TEST(servers.ArrivalsAfterLimit() <= kRequestsAfterLimit);
+  BOOST_TEST(sound == kRounds);
+}
+
+// Guards against one request whose caller sends it again after each crash.
+BOOST_FIXTURE_TEST_CASE(CrashingRequestIsKeptFromServers, GatewayFixture) {
+  CrashableServers servers(*this, 2 * kRounds + 2, "crash me");
+  for (int i = 0; i < kRounds; ++i) {
+    BOOST_TEST(Contains(Ask(*this, fmt::format("sound{}", i),
+                            fmt::format("ask {}", i), "1 100 1000"),
+                        "200"));
+    Ask(*this, fmt::format("bad{}", i), "crash me", "1 100 1000");
+    std::this_thread::sleep_for(kPace);
+  }
+  BOOST_TEST(servers.ArrivalsAfterLimit() <= kRequestsAfterLimit);
+}
+
+}  // namespace sycamorebend::gateway
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -1,6 +1,7 @@
 #include "gateway_fixture.h"
 
 #include <future>
+#include <sstream>
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,6 +9,21 @@
 
 namespace sycamorebend::gateway {
 
+namespace {
+
+// @return the blocks of a prompt written as "ID ID ID".
+std::vector<PromptBlock> ParsePrompt(const std::string& text) {
+  constexpr int kBlockTokens = 10;
+  std::vector<PromptBlock> prompt;
+  std::istringstream words(text);
+  for (std::uint64_t id = 0; words >> id;) {
+    prompt.push_back({id, kBlockTokens});
+  }
+  return prompt;
+}
+
+}  // namespace
+
 Result<RequestFields> TestFormat::ReadRequestFields(
     const net::MessageHead& head) const {
   RequestFields fields;
@@ -23,6 +39,10 @@
     fields.generation.emplace();
     fields.generation->input_tokens = std::stoi(*tokens);
     fields.generation->prompt = {{1, std::stoi(*tokens)}};
+    const auto prompt = FindHeader(head.headers, "Prompt");
+    if (prompt) {
+      fields.generation->prompt = ParsePrompt(*prompt);
+    }
   }
   return fields;
 }
--- a/tests/gateway/scripted_server.cc
+++ b/tests/gateway/scripted_server.cc
@@ -55,6 +55,10 @@
   this->Close();
 }
 
+void Socket::Shutdown() {
+  shutdown(this->fd, SHUT_RDWR);
+}
+
 std::string ReceivedRequest::Header(const std::string& name) const {
   const std::string wanted = "\r\n" + name + ": ";
   const std::size_t at = this->head.find(wanted);
@@ -83,7 +87,9 @@
   this->stopping = true;
   shutdown(this->listen_fd, SHUT_RDWR);
   this->acceptor.join();
-  ::close(this->listen_fd);
+  if (!this->crashed) {
+    ::close(this->listen_fd);
+  }
   for (std::thread& thread : this->threads) {
     thread.join();
   }
@@ -94,6 +100,18 @@
   return this->requests;
 }
 
+void ScriptedServer::Crash() {
+  std::lock_guard lock(this->mutex);
+  if (this->crashed.exchange(true)) {
+    return;
+  }
+  shutdown(this->listen_fd, SHUT_RDWR);
+  ::close(this->listen_fd);
+  for (Socket* socket : this->open) {
+    socket->Shutdown();
+  }
+}
+
 void ScriptedServer::Accept() {
   for (;;) {
     const int fd = accept(this->listen_fd, nullptr, nullptr);
@@ -107,8 +125,19 @@
 
 void ScriptedServer::Serve(int fd) {
   Socket socket(fd);
+  {
+    std::lock_guard lock(this->mutex);
+    this->open.insert(&socket);
+  }
+  this->ServeRequests(fd, socket);
+  std::lock_guard lock(this->mutex);
+  this->open.erase(&socket);
+}
+
+void ScriptedServer::ServeRequests(int fd, Socket& socket) {
   std::string buffer;
-  for (int preceding_requests = 0; !this->stopping; ++preceding_requests) {
+  for (int preceding_requests = 0; !this->stopping && !this->crashed;
+       ++preceding_requests) {
     std::size_t end = 0;
     while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
       pollfd wanted{fd, POLLIN, 0};
--- a/tests/gateway/scripted_server.h
+++ b/tests/gateway/scripted_server.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -29,6 +30,9 @@
   void Close();
   // Closes the connection with a TCP reset.
   void Reset();
+  // Ends the connection, as seen by the peer and by a blocked Receive, without
+  // closing the descriptor.
+  void Shutdown();
 
  private:
   int fd;
@@ -58,17 +62,25 @@
   std::vector<ReceivedRequest> Requests() const;
   int Connections() const { return this->connections; }
 
+  // Ends the server as a crash of its process does: resets all connections and
+  // refuses new ones. May be called by the script, which then returns false.
+  void Crash();
+  bool Crashed() const { return this->crashed; }
+
  private:
   void Accept();
   void Serve(int fd);
+  void ServeRequests(int fd, Socket& socket);
 
   const Script script;
   std::string address;
   int listen_fd = -1;
   std::atomic<bool> stopping{false};
+  std::atomic<bool> crashed{false};
   std::atomic<int> connections{0};
   mutable std::mutex mutex;
   std::vector<ReceivedRequest> requests;
+  std::set<Socket*> open;
   std::vector<std::thread> threads;
   std::thread acceptor;
 };
