--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -188,6 +188,8 @@
   kServerStraggling = 505,
   kReportRejected = 506,
   kCacheEventGap = 507,
+  kCrashCauseFound = 508,
+  kServerChecked = 509,
   // 6xx: configuration and control.
   kConfigurationAccepted = 601,
   kConfigurationConflict = 602,
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -77,6 +77,11 @@
      "A report of a backend server was refused."},
     {Event::kCacheEventGap, "cache_event_gap",
      "Cache events were lost; the view of the cache starts anew."},
+    {Event::kCrashCauseFound, "crash_cause_found",
+     "A request or a prompt part crashes servers; such requests are refused."},
+    {Event::kServerChecked, "server_checked",
+     "A server that lost a request's connection was connected to, to find out "
+     "whether it has crashed."},
     {Event::kConfigurationAccepted, "configuration_accepted",
      "A configuration change was committed."},
     {Event::kConfigurationConflict, "configuration_conflict",
--- /dev/null
+++ b/src/gateway/crash_quarantine.cc
@@ -0,0 +1,195 @@
+#include "gateway/crash_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+using internal::CrashCandidate;
+using internal::CrashCause;
+using internal::NewsScope;
+using internal::NewsSource;
+using internal::RequestContent;
+
+// Rounds of the exchange in which news are sent, in case datagrams are lost.
+constexpr double kNewsRounds = 3;
+// Interval at which known causes are sent again, for gateways that have just
+// started or were cut off.
+constexpr Duration kCauseInterval = seconds(1);
+// A gateway that was not heard for this long has ended.
+constexpr Duration kSenderRetention = seconds(60);
+// Bounds of the news in one message.
+constexpr std::size_t kMaxCandidates = 64;
+constexpr std::size_t kMaxCleared = 128;
+constexpr std::size_t kMaxCauses = 32;
+
+const char* CauseKind(const CrashCause& cause) {
+  return cause.request != 0 ? "request" : "prompt_part";
+}
+
+template <typename Value>
+void KeepNewest(std::vector<Value>& values, std::size_t count) {
+  if (values.size() > count) {
+    values.erase(values.begin(),
+                 values.end() - static_cast<std::ptrdiff_t>(count));
+  }
+}
+
+void LogFinding(const CrashCause& cause, const char* source, TimePoint now) {
+  LogEvent(Severity::kWarning, Event::kCrashCauseFound,
+           {{"kind", CauseKind(cause)},
+            {"request_hash", fmt::format("{:x}", cause.request)},
+            {"prompt_parts", FormatHashes(cause.parts)},
+            {"crashes", cause.crashes},
+            {"findings", cause.findings},
+            {"source", source},
+            {"quarantine_ms", ToMilliseconds(cause.quarantined_until - now)}});
+}
+
+}  // namespace
+
+RequestContent ContentOf(const net::MessageHead& head,
+                         std::string_view body,
+                         const RequestFields& fields) {
+  RequestContent content;
+  std::string text = fmt::format("{} {}\n{}\n{:x}", head.method, head.target,
+                                 fields.api_key, StableHash64(body));
+  if (fields.generation) {
+    const std::vector<PromptBlock>& prompt = fields.generation->prompt;
+    for (std::size_t i = 0; i < prompt.size(); ++i) {
+      text += fmt::format(",{:x}", prompt[i].id);
+      // The last block belongs to the request or its session.
+      if (i + 1 < prompt.size()) {
+        content.parts.push_back(prompt[i].id);
+      }
+    }
+    std::sort(content.parts.begin(), content.parts.end());
+    content.parts.erase(std::unique(content.parts.begin(), content.parts.end()),
+                        content.parts.end());
+  }
+  content.request = StableHash64(text);
+  return content;
+}
+
+std::string FormatHashes(const std::vector<std::uint64_t>& hashes) {
+  std::string text;
+  for (const std::uint64_t hash : hashes) {
+    text += fmt::format("{}{:x}", text.empty() ? "" : ",", hash);
+  }
+  return text;
+}
+
+CrashQuarantine::CrashQuarantine() : tracker({kCrashReportWindow}) {}
+
+void CrashQuarantine::Evaluate(TimePoint now) {
+  for (const CrashCause& cause : this->tracker.Evaluate(now)) {
+    this->causes_changed_at = now;
+    ++this->findings[CauseKind(cause)];
+    LogFinding(cause, "own", now);
+  }
+}
+
+std::optional<CrashCause> CrashQuarantine::Check(const RequestContent& content,
+                                                 TimePoint now) {
+  this->Evaluate(now);
+  return this->tracker.FindCause(content, now);
+}
+
+void CrashQuarantine::CountRefused(const CrashCause& cause) {
+  ++this->refused[CauseKind(cause)];
+}
+
+void CrashQuarantine::RecordCrash(const std::string& server_key,
+                                  const RequestContent& content,
+                                  TimePoint now) {
+  ++this->lost_requests;
+  if (this->tracker.RecordCrash({StableHash32(server_key), content},
+                                NewsSource::kOwn, now)) {
+    this->on_crash();
+  }
+}
+
+void CrashQuarantine::SetExchangeInterval(Duration interval) {
+  this->news_repeat_time = Scale(interval, kNewsRounds);
+}
+
+void CrashQuarantine::FillLoadMessage(LoadMessage& message, TimePoint now) {
+  this->Evaluate(now);
+  const NewsScope scope =
+      message.scope == LoadScope::kGateway ? NewsScope::kOwn : NewsScope::kAll;
+  const TimePoint since = now - this->news_repeat_time;
+  CrashNews& news = message.crash_news;
+  news.candidates = this->tracker.CandidatesSince(since, scope);
+  news.cleared = this->tracker.ClearedSince(since, scope);
+  KeepNewest(news.candidates, kMaxCandidates);
+  KeepNewest(news.cleared, kMaxCleared);
+  TimePoint& sent_at = this->causes_sent_at[message.scope];
+  if (this->causes_changed_at < since && now - sent_at < kCauseInterval) {
+    return;
+  }
+  sent_at = now;
+  for (const CrashCause& cause : this->tracker.Causes(now)) {
+    news.causes.push_back({cause, cause.quarantined_until - now});
+  }
+  KeepNewest(news.causes, kMaxCauses);
+}
+
+void CrashQuarantine::NoteSender(const LoadMessage& message, TimePoint now) {
+  if (message.scope != LoadScope::kGateway) {
+    return;
+  }
+  const auto [sender, is_new] = this->senders.try_emplace(message.sender, now);
+  sender->second = now;
+  if (!is_new) {
+    return;
+  }
+  this->causes_sent_at.clear();
+  for (auto it = this->senders.begin(); it != this->senders.end();) {
+    it = now - it->second > kSenderRetention ? this->senders.erase(it)
+                                             : std::next(it);
+  }
+}
+
+void CrashQuarantine::OnPeerLoad(const LoadMessage& message, TimePoint now) {
+  this->NoteSender(message, now);
+  const CrashNews& news = message.crash_news;
+  this->tracker.RecordCleared(news.cleared, now);
+  for (const CrashCandidate& candidate : news.candidates) {
+    this->tracker.RecordCrash(candidate, NewsSource::kPeer, now);
+  }
+  for (const SharedCrashCause& shared : news.causes) {
+    CrashCause cause = shared.cause;
+    cause.quarantined_until = now + shared.time_left;
+    if (this->tracker.AddCause(cause, now)) {
+      this->causes_changed_at = now;
+      LogFinding(cause, "another gateway", now);
+    }
+  }
+}
+
+void CrashQuarantine::Publish(Metrics& metrics, TimePoint now) const {
+  metrics.SetTotal("sycamorebend_gateway_crash_candidates_total",
+                   "Requests that were running on a server that crashed and "
+                   "had received no response.",
+                   {}, static_cast<double>(this->lost_requests));
+  for (const auto& [kind, count] : this->findings) {
+    metrics.SetTotal("sycamorebend_gateway_crash_causes_found_total",
+                     "Causes of crashes found by this gateway, by kind.",
+                     {{"kind", kind}}, static_cast<double>(count));
+  }
+  for (const auto& [kind, count] : this->refused) {
+    metrics.SetTotal("sycamorebend_gateway_quarantined_requests_total",
+                     "Requests that were refused because such requests crash "
+                     "servers, by kind of the cause.",
+                     {{"kind", kind}}, static_cast<double>(count));
+  }
+  metrics.SetGauge("sycamorebend_gateway_crash_causes",
+                   "Requests and prompt parts in quarantine.", {},
+                   static_cast<double>(this->tracker.Causes(now).size()));
+}
+
+}  // namespace sycamorebend::gateway
--- /dev/null
+++ b/src/gateway/crash_quarantine.h
@@ -0,0 +1,98 @@
+// Keeps requests that crash servers away from them. Gateways tell each other
+// which of their requests were running on a server that crashed, so that all of
+// them find the cause.
+#ifndef SYCAMOREBEND_SRC_GATEWAY_CRASH_QUARANTINE_H_
+#define SYCAMOREBEND_SRC_GATEWAY_CRASH_QUARANTINE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "gateway/load_exchange.h"
+#include "gateway/wire_format.h"
+#include "net/http_reader.h"
+#include "routing/crash_tracker.h"
+#include "sycamorebend/base.h"
+#include "sycamorebend/metrics.h"
+
+namespace sycamorebend::gateway {
+
+// Time in which gateways tell each other what was running on a server that
+// crashed.
+inline constexpr Duration kCrashReportWindow = milliseconds(150);
+
+// @return the hashes by which requests with the same content are recognized.
+internal::RequestContent ContentOf(const net::MessageHead& head,
+                                   std::string_view body,
+                                   const RequestFields& fields);
+
+// @return the hashes in hexadecimal, separated by commas, for logs.
+std::string FormatHashes(const std::vector<std::uint64_t>& hashes);
+
+// No threads, no I/O; the current time is passed in.
+class CrashQuarantine {
+ public:
+  CrashQuarantine();
+
+  // @param on_crash called when a request of this gateway was running on a
+  // server that crashed. The other gateways should be told immediately.
+  void SetCrashCallback(std::function<void()> on_crash) {
+    this->on_crash = std::move(on_crash);
+  }
+
+  // @return why the request must not be sent, or nothing if it may.
+  std::optional<internal::CrashCause> Check(
+      const internal::RequestContent& content,
+      TimePoint now);
+  // Counts a request that was not sent.
+  void CountRefused(const internal::CrashCause& cause);
+  // @return true if something in the request was running during several
+  // crashes: it should not be sent again before kCrashReportWindow has passed.
+  bool NeedsFinding(const internal::RequestContent& content) const {
+    return this->tracker.InSeveralCrashes(content);
+  }
+  // Records that a server began to respond to the request.
+  void RecordServed(const internal::RequestContent& content, TimePoint now) {
+    this->tracker.RecordServed(content, now);
+  }
+  // Records that the server crashed before it began to respond to the request.
+  void RecordCrash(const std::string& server_key,
+                   const internal::RequestContent& content,
+                   TimePoint now);
+
+  // @param interval time between two messages to the same gateway.
+  void SetExchangeInterval(Duration interval);
+  // Adds what the other gateways need to know.
+  void FillLoadMessage(LoadMessage& message, TimePoint now);
+  void OnPeerLoad(const LoadMessage& message, TimePoint now);
+
+  // Writes the totals to `metrics`; may be called repeatedly.
+  void Publish(Metrics& metrics, TimePoint now) const;
+
+ private:
+  void Evaluate(TimePoint now);
+  // Sends the causes again if the sender of a message has just started.
+  void NoteSender(const LoadMessage& message, TimePoint now);
+
+  std::function<void()> on_crash = [] {};
+  internal::CrashTracker tracker;
+  Duration news_repeat_time = milliseconds(150);
+  // When the causes were last sent, by scope, and last changed.
+  std::map<LoadScope, TimePoint> causes_sent_at;
+  TimePoint causes_changed_at;
+  // When each gateway was last heard, by its name in the messages.
+  std::unordered_map<std::string, TimePoint> senders;
+  std::uint64_t lost_requests = 0;
+  // By kind of the cause.
+  std::map<std::string, std::uint64_t> findings;
+  std::map<std::string, std::uint64_t> refused;
+};
+
+}  // namespace sycamorebend::gateway
+
+#endif  // SYCAMOREBEND_SRC_GATEWAY_CRASH_QUARANTINE_H_
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -70,8 +70,7 @@
     return names;
   }
   for (std::size_t i = 0; i + 1 < generation->prompt.size(); ++i) {
-    names +=
-        fmt::format("{}{:x}", i == 0 ? "" : ",", generation->prompt[i].id);
+    names += fmt::format("{}{:x}", i == 0 ? "" : ",", generation->prompt[i].id);
   }
   return names;
 }
@@ -123,6 +122,8 @@
     this->profile.max_first_byte_time =
         Scale(route.target, kMaxExpectedTargetFraction);
   }
+  this->content = ContentOf(this->job.exchange->Head(),
+                            this->job.exchange->Body(), this->job.fields);
   this->last_event = this->job.fields.resume_after;
   this->context.budgets.ForService(this->service)
       .CountRequest(this->started_at);
@@ -148,6 +149,9 @@
     this->OnDeadline();
     return;
   }
+  if (this->RefuseIfQuarantined(now)) {
+    return;
+  }
   const std::optional<Choice> selected =
       this->context.balancer.Choose(this->profile, now);
   if (!selected) {
@@ -178,6 +182,35 @@
   this->Send(*selected);
 }
 
+bool Forwarder::RefuseIfQuarantined(TimePoint now) {
+  const std::optional<internal::CrashCause> cause =
+      this->context.quarantine.Check(this->content, now);
+  if (!cause) {
+    return false;
+  }
+  const Duration left = cause->quarantined_until - now;
+  LogEvent(Severity::kWarning, Event::kRequestQuarantined,
+           {{"request_id", this->request_id},
+            {"route", this->job.route->name},
+            {"attempts", this->attempts},
+            {"request_hash", fmt::format("{:x}", cause->request)},
+            {"prompt_parts", FormatHashes(cause->parts)},
+            {"quarantine_ms", ToMilliseconds(left)}});
+  this->context.quarantine.CountRefused(*cause);
+  const std::string reason = cause->request != 0
+                                 ? "the request crashes servers"
+                                 : "a part of its prompt crashes servers";
+  if (this->job.exchange->Started()) {
+    this->job.exchange->Abort();
+    this->Finish(kBadGateway, "stream cut: " + reason);
+  } else if (this->may_have_run) {
+    this->RespondWithError(kBadGateway, reason);
+  } else {
+    this->RespondWithError(kUnavailable, reason, left);
+  }
+  return true;
+}
+
 bool Forwarder::WouldMissTarget(const Choice& selected) const {
   // A request that was already sent to a server or that resumes a stream is not
   // refused: its caller has waited, and it adds no new load.
@@ -257,19 +290,22 @@
        {"left_ms", ToMilliseconds(fields.deadline)}});
   this->call = this->context.pool.Start(request, *this);
   if (route.Repeatable() && this->attempts < route.max_attempts) {
-    this->SetAttemptTimer(std::max(
-        kMinFirstByteTimeout, Scale(route.target, kFirstByteTimeoutFactor)));
+    this->SetAttemptTimer(
+        std::max(kMinFirstByteTimeout,
+                 Scale(route.target, kFirstByteTimeoutFactor)),
+        &Forwarder::OnAttemptTimeout);
   }
 }
 
-void Forwarder::SetAttemptTimer(Duration wait) {
+void Forwarder::SetAttemptTimer(Duration wait,
+                                void (Forwarder::*on_timeout)()) {
   this->context.loop.Cancel(std::exchange(this->attempt_timer, 0));
   const std::weak_ptr<Forwarder> weak = this->weak_from_this();
-  this->attempt_timer =
-      this->context.loop.SubscribeOnce(this->context.loop.Now() + wait, [weak] {
+  this->attempt_timer = this->context.loop.SubscribeOnce(
+      this->context.loop.Now() + wait, [weak, on_timeout] {
         if (const auto forwarder = weak.lock()) {
           forwarder->attempt_timer = 0;
-          forwarder->OnAttemptTimeout();
+          (*forwarder.*on_timeout)();
         }
       });
 }
@@ -358,7 +394,10 @@
   bool progress = false;
   while (const auto event = this->splitter.Next()) {
     const bool comment = event->IsComment();
-    this->attempt_has_events = this->attempt_has_events || !comment;
+    if (!comment && !this->attempt_has_events) {
+      this->attempt_has_events = true;
+      this->context.quarantine.RecordServed(this->content, now);
+    }
     if (event->id) {
       if (this->last_event && *event->id <= *this->last_event) {
         continue;
@@ -399,7 +438,8 @@
   const Route& route = *this->job.route;
   if (progress && route.Repeatable() && this->attempts < route.max_attempts) {
     this->SetAttemptTimer(
-        std::max(kMinGapTimeout, Scale(route.gap_target, kGapTimeoutFactor)));
+        std::max(kMinGapTimeout, Scale(route.gap_target, kGapTimeoutFactor)),
+        &Forwarder::OnAttemptTimeout);
   }
 }
 
@@ -443,7 +483,7 @@
     return false;
   }
   this->EndCall(AttemptOutcome::kTruncated);
-  this->HandleFailedAttempt(std::string(truncation));
+  this->HandleLostConnection(std::string(truncation));
   return true;
 }
 
@@ -478,6 +518,10 @@
   }
   this->EndCall(error ? AttemptOutcome::kServerError
                       : AttemptOutcome::kAnswered);
+  if (success) {
+    this->context.quarantine.RecordServed(this->content,
+                                          this->context.loop.Now());
+  }
   if (this->job.exchange->Started()) {
     // The second server did not resume the stream.
     this->HandleFailedAttempt(fmt::format(
@@ -532,7 +576,56 @@
     this->Dispatch();
     return;
   }
-  this->HandleFailedAttempt(std::string(CallFailureName(failure)));
+  if (failure == CallFailure::kReset) {
+    this->HandleLostConnection(std::string(CallFailureName(failure)));
+  } else {
+    this->HandleFailedAttempt(std::string(CallFailureName(failure)));
+  }
+}
+
+void Forwarder::HandleLostConnection(const std::string& reason) {
+  if (this->attempt_has_events) {
+    // The server began to respond, so the request did not crash it.
+    this->HandleFailedAttempt(reason);
+    return;
+  }
+  const bool may_retry = this->CanRetry();
+  this->context.pool.CheckReachable(
+      this->choice.server_key, this->choice.address,
+      [weak = this->weak_from_this(), &context = this->context,
+       key = this->choice.server_key, content = this->content, may_retry,
+       reason](Reachability reachability) {
+        if (reachability == Reachability::kRefused) {
+          context.quarantine.RecordCrash(key, content, context.loop.Now());
+        }
+        const auto forwarder = weak.lock();
+        if (may_retry && forwarder) {
+          forwarder->RetryAfterCheck(reachability, reason);
+        }
+      });
+  if (!may_retry) {
+    this->HandleFailedAttempt(reason);
+  }
+}
+
+void Forwarder::RetryAfterCheck(Reachability reachability,
+                                const std::string& reason) {
+  LogEvent(Severity::kInfo, Event::kServerChecked,
+           {{"request_id", this->request_id},
+            {"server_id", this->choice.server_id},
+            {"result", ReachabilityName(reachability)}});
+  if (reachability != Reachability::kRefused ||
+      !this->context.quarantine.NeedsFinding(this->content)) {
+    this->HandleFailedAttempt(reason);
+    return;
+  }
+  this->failure_reason = reason;
+  this->SetAttemptTimer(kCrashReportWindow, &Forwarder::OnFindingDue);
+}
+
+void Forwarder::OnFindingDue() {
+  const auto keep = this->shared_from_this();
+  this->HandleFailedAttempt(this->failure_reason);
 }
 
 bool Forwarder::CanRetry() {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -11,6 +11,7 @@
 
 #include "gateway/balancer.h"
 #include "gateway/caller_connection.h"
+#include "gateway/crash_quarantine.h"
 #include "gateway/request_metrics.h"
 #include "gateway/routes.h"
 #include "gateway/server_pool.h"
@@ -40,6 +41,7 @@
   ServerPool& pool;
   RetryBudgets& budgets;
   RequestMetrics& metrics;
+  CrashQuarantine& quarantine;
   int open_requests = 0;
 };
 
@@ -79,13 +81,15 @@
   // Sends the request to the best server, or responds to the caller if there is
   // none.
   void Dispatch();
+  // @return true if the request crashes servers and was answered with an error.
+  bool RefuseIfQuarantined(TimePoint now);
   void Send(const Choice& selected);
   // Ends the call in progress, if there is one.
   void EndCall(AttemptOutcome outcome);
   // @return how the end of the server's response is marked, for logs and
   // metrics; "none" before its head.
   std::string ResponseFraming() const;
-  void SetAttemptTimer(Duration wait);
+  void SetAttemptTimer(Duration wait, void (Forwarder::*on_timeout)());
   void OnAttemptTimeout();
   void OnDeadline();
   void OnCallerDisconnected();
@@ -103,6 +107,12 @@
   void DeliverBufferedResponse();
   // Handles a response that guarantees that the request was not run.
   void HandleRefusal();
+  // Handles an attempt whose connection was lost. If the response had not
+  // begun, finds out first whether the server has crashed.
+  void HandleLostConnection(const std::string& reason);
+  void RetryAfterCheck(Reachability reachability, const std::string& reason);
+  // Called when the cause of repeated crashes should have been found.
+  void OnFindingDue();
   // Handles an attempt that failed after the request may have been run: retries
   // it, or responds with an error.
   void HandleFailedAttempt(const std::string& reason);
@@ -131,6 +141,7 @@
   TimerId attempt_timer = 0;
 
   RequestProfile profile;
+  internal::RequestContent content;
   Choice choice;
   std::unique_ptr<ServerCall> call;
   // Number of servers to which the request was sent.
@@ -138,6 +149,8 @@
   // True once a server may have started to run the request.
   bool may_have_run = false;
   TimePoint sent_at;
+  // Why the last attempt failed, while its retry waits.
+  std::string failure_reason;
   bool first_byte_seen = false;
 
   net::MessageHead response;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -49,8 +49,13 @@
       balancer({settings.failure_domain,
                 StableHash64(settings.entry_id + RandomId())}),
       pool(loop, format),
-      context{loop,       format,        this->balancer,
-              this->pool, this->budgets, this->request_metrics},
+      context{loop,
+              format,
+              this->balancer,
+              this->pool,
+              this->budgets,
+              this->request_metrics,
+              this->quarantine},
       handler(this->context),
       admin_handler(*this),
       started_at(loop.Now()) {
@@ -87,19 +92,22 @@
                                        this->admin_handler));
   this->admin = std::move(started_admin);
   this->ListenForMetrics();
-  BOOST_OUTCOME_TRY(started_exchange,
-                    LoadExchange::Start(
-                        this->loop, this->settings.exchange_address,
-                        this->settings.failure_domain,
-                        [this](LoadMessage& message) {
-                          this->balancer.FillLoadMessage(message,
-                                                         this->loop.Now());
-                        },
-                        [this](const LoadMessage& message) {
-                          this->balancer.OnPeerLoad(message, this->loop.Now());
-                        }));
+  BOOST_OUTCOME_TRY(
+      started_exchange,
+      LoadExchange::Start(
+          this->loop, this->settings.exchange_address,
+          this->settings.failure_domain,
+          [this](LoadMessage& message) {
+            this->balancer.FillLoadMessage(message, this->loop.Now());
+            this->quarantine.FillLoadMessage(message, this->loop.Now());
+          },
+          [this](const LoadMessage& message) {
+            this->balancer.OnPeerLoad(message, this->loop.Now());
+            this->quarantine.OnPeerLoad(message, this->loop.Now());
+          }));
   this->exchange = std::move(started_exchange);
   this->balancer.SetHeavyLoadCallback([this] { this->exchange->SendEarly(); });
+  this->quarantine.SetCrashCallback([this] { this->exchange->SendEarly(); });
   LogEvent(Severity::kInfo, Event::kListening,
            {{"address", this->callers->Address()},
             {"admin_address", this->admin->Address()}});
@@ -154,6 +162,7 @@
   }
   this->exchange->SetGateways(gateways);
   this->balancer.SetExchangeInterval(this->exchange->Interval());
+  this->quarantine.SetExchangeInterval(this->exchange->Interval());
   if (this->handler.Table() != nullptr) {
     this->ApplyConfiguration(*state);
   } else {
@@ -237,6 +246,7 @@
 void Gateway::PublishMetrics() {
   const TimePoint now = this->loop.Now();
   this->request_metrics.Publish(this->metrics);
+  this->quarantine.Publish(this->metrics, now);
   this->metrics.SetGauge("sycamorebend_gateway_open_requests",
                          "Requests without an end.", {},
                          this->context.open_requests);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -81,6 +81,7 @@
   const Clock& clock;
   Metrics metrics;
   RequestMetrics request_metrics;
+  CrashQuarantine quarantine;
   Balancer balancer;
   ServerPool pool;
   RetryBudgets budgets;
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -46,13 +46,30 @@
     std::tuple<std::uint32_t, std::uint64_t, std::uint64_t, std::uint64_t>;
 using EncodedDemand = std::tuple<std::uint32_t, std::vector<EncodedRoute>>;
 using EncodedPlacement = std::tuple<std::uint64_t, std::uint32_t>;
+using EncodedHashes = std::vector<std::uint64_t>;
+// Server, request and parts.
+using EncodedCandidate =
+    std::tuple<std::uint32_t, std::uint64_t, EncodedHashes>;
+// Request, parts, crashes, findings, and milliseconds of quarantine left.
+using EncodedCause =
+    std::tuple<std::uint64_t, EncodedHashes, int, int, std::uint32_t>;
+using EncodedNews = std::tuple<std::vector<EncodedCandidate>,
+                               EncodedHashes,
+                               std::vector<EncodedCause>>;
+// Members that are missing at the end are left empty, so that gateways of
+// different releases understand each other.
 using EncodedMessage = std::tuple<std::string,
                                   std::uint64_t,
                                   std::vector<EncodedLoad>,
                                   std::vector<EncodedDemand>,
                                   int,
                                   std::string,
-                                  std::vector<EncodedPlacement>>;
+                                  std::vector<EncodedPlacement>,
+                                  EncodedNews>;
+// Upper bound of the findings that a message reports for a cause; keeps corrupt
+// messages from prolonging a quarantine without limit.
+constexpr int kMaxFindings = 100;
+constexpr Duration kMaxQuarantine = std::chrono::hours(6);
 
 }  // namespace
 
@@ -98,6 +115,41 @@
   return routes;
 }
 
+EncodedNews EncodeNews(const CrashNews& news) {
+  EncodedNews encoded;
+  for (const internal::CrashCandidate& candidate : news.candidates) {
+    std::get<0>(encoded).emplace_back(
+        candidate.server, candidate.content.request, candidate.content.parts);
+  }
+  std::get<1>(encoded) = news.cleared;
+  for (const SharedCrashCause& shared : news.causes) {
+    std::get<2>(encoded).emplace_back(
+        shared.cause.request, shared.cause.parts, shared.cause.crashes,
+        shared.cause.findings,
+        static_cast<std::uint32_t>(ToMilliseconds(shared.time_left)));
+  }
+  return encoded;
+}
+
+CrashNews DecodeNews(const EncodedNews& encoded) {
+  CrashNews news;
+  for (const auto& [server, request, parts] : std::get<0>(encoded)) {
+    news.candidates.push_back({server, {request, parts}});
+  }
+  news.cleared = std::get<1>(encoded);
+  for (const auto& [request, parts, crashes, findings, left] :
+       std::get<2>(encoded)) {
+    SharedCrashCause shared;
+    shared.cause.request = request;
+    shared.cause.parts = parts;
+    shared.cause.crashes = crashes;
+    shared.cause.findings = std::clamp(findings, 1, kMaxFindings);
+    shared.time_left = std::min<Duration>(milliseconds(left), kMaxQuarantine);
+    news.causes.push_back(std::move(shared));
+  }
+  return news;
+}
+
 PendingTokens DecodePending(const std::vector<int>& encoded) {
   PendingTokens pending;
   for (std::size_t i = 0; i + 1 < encoded.size(); i += 2) {
@@ -109,9 +161,9 @@
 }  // namespace
 
 std::string EncodeLoadMessage(const LoadMessage& message) {
-  EncodedMessage encoded(message.sender, message.sequence, {}, {},
-                         static_cast<int>(message.scope),
-                         message.failure_domain, {});
+  EncodedMessage encoded(
+      message.sender, message.sequence, {}, {}, static_cast<int>(message.scope),
+      message.failure_domain, {}, EncodeNews(message.crash_news));
   for (const GatewayLoad& load : message.server_loads) {
     std::get<2>(encoded).emplace_back(load.server_hash, load.outstanding,
                                       EncodePending(load.pending));
@@ -153,6 +205,7 @@
     for (const auto& [block, server] : std::get<6>(encoded)) {
       message.placements.push_back({block, server});
     }
+    message.crash_news = DecodeNews(std::get<7>(encoded));
   } catch (const std::exception& error) {
     return MakeError(ResultCode::kProtocolError, error.what());
   }
@@ -426,7 +479,7 @@
   // Only the first message without load is sent: it clears this gateway's load
   // at the peers, where the entry expires later.
   bool& idle = this->idle_announced[scope];
-  if (message.server_loads.empty() && idle) {
+  if (message.server_loads.empty() && message.crash_news.Empty() && idle) {
     return;
   }
   idle = message.server_loads.empty();
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -18,6 +18,7 @@
 #include "gateway/pending_tokens.h"
 #include "net/datagram_socket.h"
 #include "net/event_loop.h"
+#include "routing/crash_tracker.h"
 #include "sycamorebend/base.h"
 
 namespace sycamorebend::gateway {
@@ -50,6 +51,25 @@
   kDomain = 2,         // Load of a failure domain, already relayed.
 };
 
+struct SharedCrashCause {
+  internal::CrashCause cause;  // Without the end of its quarantine.
+  Duration time_left{0};       // Of the quarantine.
+};
+
+// What a gateway knows of crashes, for the others.
+struct CrashNews {
+  // Requests that were running on a server that crashed.
+  std::vector<internal::CrashCandidate> candidates;
+  // Hashes of candidates that servers have run without a crash.
+  std::vector<std::uint64_t> cleared;
+  std::vector<SharedCrashCause> causes;
+
+  bool Empty() const {
+    return this->candidates.empty() && this->cleared.empty() &&
+           this->causes.empty();
+  }
+};
+
 // Datagram that gateways send to each other.
 struct LoadMessage {
   std::string sender;  // Random; changes with each restart of the process.
@@ -59,6 +79,7 @@
   std::vector<GatewayLoad> server_loads;
   std::vector<ServiceDemand> service_demands;
   std::vector<PromptPlacement> placements;  // Recent ones only.
+  CrashNews crash_news;
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
--- a/src/gateway/server_pool.cc
+++ b/src/gateway/server_pool.cc
@@ -20,6 +20,9 @@
 // close a connection while a request is in transit.
 constexpr Duration kKeepAliveMargin = milliseconds(800);
 constexpr Duration kSweepPeriod = milliseconds(500);
+constexpr Duration kReachabilityTimeout = milliseconds(100);
+constexpr std::array<std::string_view, 3> kReachabilityNames = {
+    "reachable", "refused", "unknown"};
 
 }  // namespace
 
@@ -27,6 +30,61 @@
   return kFailureNames[static_cast<std::size_t>(failure)];
 }
 
+std::string_view ReachabilityName(Reachability reachability) {
+  return kReachabilityNames[static_cast<std::size_t>(reachability)];
+}
+
+// Connects to a server, closes the connection and reports the result.
+class ReachabilityCheck
+    : public net::ConnectionObserver,
+      public std::enable_shared_from_this<ReachabilityCheck> {
+ public:
+  ReachabilityCheck(ServerPool& pool,
+                    std::string server_key,
+                    const std::string& address)
+      : pool(pool),
+        server_key(std::move(server_key)),
+        socket(
+            net::TcpConnection::Connect(pool.loop, address, net::TcpOptions())),
+        timer(pool.loop.SubscribeOnce(
+            pool.loop.Now() + kReachabilityTimeout,
+            [this] { this->Finish(Reachability::kUnknown); })) {
+    this->socket->SetObserver(this);
+  }
+  ~ReachabilityCheck() override { this->Close(); }
+
+  void AddCallback(std::function<void(Reachability)> callback) {
+    this->callbacks.push_back(std::move(callback));
+  }
+  void OnConnected() override { this->Finish(Reachability::kReachable); }
+  void OnData(std::string_view /*data*/) override {}
+  void OnEnd(net::ConnectionEnd /*end*/) override {
+    this->Finish(this->socket->Refused() ? Reachability::kRefused
+                                         : Reachability::kUnknown);
+  }
+
+ private:
+  void Close() {
+    this->pool.loop.Cancel(std::exchange(this->timer, 0));
+    this->socket->SetObserver(nullptr);
+    this->socket->Close();
+  }
+  void Finish(Reachability reachability) {
+    const auto self = this->shared_from_this();
+    this->Close();
+    this->pool.checks.erase(this->server_key);
+    for (const auto& callback : std::exchange(this->callbacks, {})) {
+      callback(reachability);
+    }
+  }
+
+  ServerPool& pool;
+  const std::string server_key;
+  const std::shared_ptr<net::TcpConnection> socket;
+  TimerId timer;
+  std::vector<std::function<void(Reachability)>> callbacks;
+};
+
 ServerCall::~ServerCall() {
   this->connection->Cancel();
 }
@@ -39,6 +97,7 @@
 
 ServerPool::~ServerPool() {
   this->loop.Cancel(this->sweep_timer);
+  this->checks.clear();
   auto open = std::move(this->idle);
   for (auto& [key, connections] : open) {
     for (const auto& connection : connections) {
@@ -61,6 +120,16 @@
   return std::make_unique<ServerCall>(connection);
 }
 
+void ServerPool::CheckReachable(const std::string& server_key,
+                                const std::string& address,
+                                std::function<void(Reachability)> callback) {
+  std::shared_ptr<ReachabilityCheck>& check = this->checks[server_key];
+  if (check == nullptr) {
+    check = std::make_shared<ReachabilityCheck>(*this, server_key, address);
+  }
+  check->AddCallback(std::move(callback));
+}
+
 std::shared_ptr<ServerConnection> ServerPool::TakeIdle(
     const std::string& server_key) {
   const auto found = this->idle.find(server_key);
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -4,6 +4,7 @@
 #ifndef SYCAMOREBEND_SRC_GATEWAY_SERVER_POOL_H_
 #define SYCAMOREBEND_SRC_GATEWAY_SERVER_POOL_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -56,7 +57,18 @@
   Duration connect_timeout = milliseconds(300);
 };
 
+// Result of an attempt to connect to a server.
+enum class Reachability {
+  kReachable = 0,
+  kRefused = 1,  // Nothing listens at its address: its process has ended.
+  kUnknown = 2,  // Neither, within the time limit.
+};
+
+// @return the name of `reachability` in logs.
+std::string_view ReachabilityName(Reachability reachability);
+
 class ServerConnection;
+class ReachabilityCheck;
 
 // A call in progress. Its destruction cancels the call and closes the
 // connection, unless the response was complete.
@@ -82,11 +94,18 @@
   std::unique_ptr<ServerCall> Start(const ServerRequest& request,
                                     CallObserver& observer);
 
+  // Connects to a server to find out whether it has crashed or only lost a
+  // connection. Checks of the same server at the same time share a connection.
+  void CheckReachable(const std::string& server_key,
+                      const std::string& address,
+                      std::function<void(Reachability)> callback);
+
   // Closes the idle connections to a server, which has been removed.
   void CloseIdleConnections(const std::string& server_key);
 
  private:
   friend class ServerConnection;
+  friend class ReachabilityCheck;
 
   std::shared_ptr<ServerConnection> TakeIdle(const std::string& server_key);
   void PutIdle(std::shared_ptr<ServerConnection> connection);
@@ -101,6 +120,8 @@
   std::unordered_map<std::string,
                      std::vector<std::shared_ptr<ServerConnection>>>
       idle;
+  // Checks in progress by server key.
+  std::unordered_map<std::string, std::shared_ptr<ReachabilityCheck>> checks;
 };
 
 class ServerConnection : public net::ConnectionObserver,
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -81,6 +81,7 @@
         errno == EINPROGRESS;
   }
   if (!started) {
+    connection->refused = errno == ECONNREFUSED;
     loop.Post([connection] { connection->End(ConnectionEnd::kConnectFailed); });
     return connection;
   }
@@ -177,6 +178,7 @@
   socklen_t size = sizeof(error);
   getsockopt(this->fd, SOL_SOCKET, SO_ERROR, &error, &size);
   if (error != 0) {
+    this->refused = error == ECONNREFUSED;
     this->End(ConnectionEnd::kConnectFailed);
     return;
   }
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -70,6 +70,8 @@
 
   bool Connected() const { return this->connected; }
   bool Closed() const { return this->fd < 0; }
+  // @return true if connecting failed because nothing listens at the address.
+  bool Refused() const { return this->refused; }
   std::size_t UnsentBytes() const { return this->out.size() - this->out_sent; }
 
   void OnReadable() override;
@@ -90,6 +92,7 @@
   bool connected;
   bool reading = true;
   bool ended = false;
+  bool refused = false;
   bool reset_unless_flushed = false;
   // Set while the connection flushes before it closes.
   std::shared_ptr<TcpConnection> closing_self;
--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -23,9 +23,10 @@
                           : static_cast<std::size_t>(found - list.data());
 }
 
-bool SchedulerImpl::IsQuarantined(const std::string& fingerprint) const {
-  return this->quarantine.count(fingerprint) > 0 ||
-         this->crashes.CausesCrashes(fingerprint);
+bool SchedulerImpl::IsQuarantined(const RequestInfo& info,
+                                  TimePoint now) const {
+  return this->quarantine.count(info.fingerprint) > 0 ||
+         this->crashes.FindCause(ContentOf(info), now);
 }
 
 ResultCode SchedulerImpl::Admit(const Request& request, TimePoint now) const {
@@ -34,7 +35,7 @@
   if (customer.policy.tiers.count(class_state.policy.tier) == 0) {
     return ResultCode::kTierNotGranted;
   }
-  if (this->IsQuarantined(request.info.fingerprint)) {
+  if (this->IsQuarantined(request.info, now)) {
     return ResultCode::kRequestQuarantined;
   }
   if (customer.in_flight >= customer.policy.max_in_flight) {
@@ -73,7 +74,7 @@
     request.deadline = std::min(request.deadline, *info.deadline);
   }
   ++class_state.stats.submitted;
-  request.suspect = this->crashes.IsSuspect(info.fingerprint, now);
+  request.suspect = this->crashes.IsSuspect(ContentOf(info).request);
   const ResultCode code = this->Admit(request, now);
   if (code != ResultCode::kOk) {
     ++class_state.stats.refused;
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -50,6 +50,8 @@
     return;
   }
   request->first_token_seen = true;
+  // The request as a whole may still crash its server.
+  this->crashes.RecordServed({0, ContentOf(request->info).parts}, now);
   // The start time is unknown. The earliest possible one is used, so that the
   // class's maximum wait is not exceeded.
   ClassState& class_state = this->ClassOf(*request);
@@ -168,8 +170,8 @@
       result.delivered_tokens > 0 || request.attempt >= kMaxAttempts) {
     return result.code;
   }
-  if (this->IsQuarantined(request.info.fingerprint) ||
-      this->crashes.Crashes(request.info.fingerprint) >= kMaxCrashes) {
+  if (this->IsQuarantined(request.info, now) ||
+      this->crashes.Crashes(ContentOf(request.info).request) >= kMaxCrashes) {
     return ResultCode::kRequestQuarantined;
   }
   return this->retries.TryRetry(now) ? ResultCode::kOk
@@ -190,6 +192,7 @@
 
 void SchedulerImpl::CompleteRequest(Request& request, TimePoint now) {
   ClassState& class_state = this->ClassOf(request);
+  this->crashes.RecordServed(ContentOf(request.info), now);
   const auto tokens = static_cast<std::uint64_t>(request.tokens);
   ++class_state.stats.finished;
   class_state.stats.output_tokens += tokens;
@@ -242,12 +245,22 @@
   CrashReport report;
   report.server_id = state.server_id;
   report.incarnation = state.incarnation;
+  const auto hash = static_cast<std::uint32_t>(
+      StableHash64(state.server_id + "#" + state.incarnation));
   for (Request* request : this->servers.At(server).own_requests) {
+    RequestContent content = ContentOf(request->info);
+    if (request->first_token_seen) {
+      content.parts.clear();  // The server has begun to respond to them.
+    }
+    this->crashes.RecordCrash({hash, std::move(content)}, NewsSource::kOwn,
+                              now);
     if (!request->info.fingerprint.empty()) {
       report.fingerprints.push_back(request->info.fingerprint);
     }
   }
-  this->crashes.OnCrash(report.fingerprints, now);
+  if (!this->crashes.Evaluate(now).empty()) {
+    this->RefuseQuarantined(now);
+  }
   this->servers.MarkSuspects(server);
   this->crash_reports.push_back(std::move(report));
 }
--- a/src/routing/crash_tracker.cc
+++ b/src/routing/crash_tracker.cc
@@ -1,63 +1,555 @@
 #include "routing/crash_tracker.h"
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 namespace sycamorebend::internal {
 
 namespace {
 
-// A suspect without a further crash is dropped after this time, unless it was
-// identified as the cause of crashes.
-constexpr std::chrono::minutes kSuspectRetention(10);
-constexpr std::size_t kMaxSuspects = 4096;
+// A crash without a known cause is evidence for this long.
+constexpr Duration kCrashRetention = std::chrono::minutes(10);
+constexpr std::size_t kMaxCrashes = 256;
+constexpr std::size_t kMaxCandidatesPerCrash = 256;
+// What a server ran without a crash this long before another one crashed is not
+// a candidate.
+constexpr Duration kServedRetention = seconds(10);
+// Entries of `served` beyond this are dropped, at the price of more candidates.
+constexpr std::size_t kMaxServed = 1 << 16;
+// Servers that crash within this time have crashed at the same moment. Longer
+// than daemons need to tell each other.
+constexpr Duration kSameMoment = milliseconds(250);
+
+constexpr std::size_t kCrashesOfRequest = 2;
+// Crashes of a part of different requests, if nothing else was running during
+// all of them, and otherwise.
+constexpr std::size_t kCrashesOfPart = 2;
+constexpr std::size_t kCrashesOfPartWithRivals = 3;
+constexpr std::size_t kDifferentRequests = 2;
+
+constexpr Duration kFirstQuarantine = std::chrono::minutes(10);
+constexpr int kMaxDoublings = 4;
+// A former cause is quarantined again by a single crash.
+constexpr Duration kCauseRetention = std::chrono::hours(6);
+constexpr std::size_t kMaxCauses = 64;
+// How long news for other daemons are kept.
+constexpr Duration kNewsRetention = seconds(5);
+
+bool Contains(const std::vector<std::uint64_t>& sorted, std::uint64_t value) {
+  return std::binary_search(sorted.begin(), sorted.end(), value);
+}
+
+bool Includes(const std::vector<std::uint64_t>& all,
+              const std::vector<std::uint64_t>& part) {
+  return std::includes(all.begin(), all.end(), part.begin(), part.end());
+}
+
+bool Matches(const CrashCause& cause, const RequestContent& content) {
+  return cause.request != 0
+             ? cause.request == content.request
+             : !cause.parts.empty() && Includes(content.parts, cause.parts);
+}
+
+bool SameContent(const CrashCause& a, const CrashCause& b) {
+  return a.request == b.request && a.parts == b.parts;
+}
+
+bool InScope(NewsSource source, NewsScope scope) {
+  return scope == NewsScope::kAll || source == NewsSource::kOwn;
+}
+
+template <typename Value>
+std::vector<Value> Intersection(const std::vector<Value>& a,
+                                const std::vector<Value>& b) {
+  std::vector<Value> both;
+  std::set_intersection(a.begin(), a.end(), b.begin(), b.end(),
+                        std::back_inserter(both));
+  return both;
+}
 
 }  // namespace
 
-void CrashTracker::OnCrash(const std::vector<std::string>& candidates,
-                           TimePoint now) {
-  const std::set<std::string> unique(candidates.begin(), candidates.end());
-  this->EvictOld(now);
-  for (const std::string& fingerprint : unique) {
-    if (fingerprint.empty()) {
+bool CrashTracker::ServedRecently(std::uint64_t hash, TimePoint now) const {
+  const auto found = this->served.find(hash);
+  return found != this->served.end() && now - found->second <= kServedRetention;
+}
+
+void CrashTracker::RecordServed(const RequestContent& content, TimePoint now) {
+  const auto record = [&](std::uint64_t hash) {
+    this->served[hash] = now;
+    if (!this->suspects.empty() || !this->causes.empty()) {
+      this->Clear(hash, NewsSource::kOwn, now);
+    }
+  };
+  if (content.request != 0) {
+    record(content.request);
+  }
+  for (const std::uint64_t part : content.parts) {
+    record(part);
+  }
+  if (now >= this->next_served_prune || this->served.size() > kMaxServed) {
+    this->next_served_prune = now + kServedRetention;
+    const bool full = this->served.size() > kMaxServed;
+    for (auto it = this->served.begin(); it != this->served.end();) {
+      const Duration age = now - it->second;
+      it = age > (full ? kServedRetention / 2 : kServedRetention)
+               ? this->served.erase(it)
+               : std::next(it);
+    }
+    if (this->served.size() > kMaxServed) {
+      this->served.clear();
+    }
+  }
+}
+
+void CrashTracker::RecordCleared(const std::vector<std::uint64_t>& hashes,
+                                 TimePoint now) {
+  for (const std::uint64_t hash : hashes) {
+    if (hash != 0) {
+      this->served[hash] = now;
+      this->Clear(hash, NewsSource::kPeer, now);
+    }
+  }
+}
+
+void CrashTracker::Clear(std::uint64_t hash, NewsSource source, TimePoint now) {
+  const bool suspect = this->suspects.erase(hash) > 0;
+  if (suspect) {
+    for (Crash& crash : this->crashes) {
+      for (Candidate& candidate : crash.candidates) {
+        RequestContent& content = candidate.content;
+        if (content.request == hash) {
+          content.request = 0;
+        }
+        const auto part =
+            std::lower_bound(content.parts.begin(), content.parts.end(), hash);
+        if (part != content.parts.end() && *part == hash) {
+          content.parts.erase(part);
+        }
+      }
+    }
+  }
+  bool cause_changed = false;
+  for (auto cause = this->causes.begin(); cause != this->causes.end();) {
+    const auto part =
+        std::lower_bound(cause->parts.begin(), cause->parts.end(), hash);
+    if (part != cause->parts.end() && *part == hash) {
+      cause->parts.erase(part);
+      cause_changed = true;
+    }
+    const bool refuted =
+        cause->request == hash || (cause->request == 0 && cause->parts.empty());
+    cause_changed = cause_changed || refuted;
+    cause = refuted ? this->causes.erase(cause) : std::next(cause);
+  }
+  if (suspect || cause_changed) {
+    this->cleared.push_back({hash, now, source});
+  }
+}
+
+void CrashTracker::Prune(TimePoint now) {
+  const auto forget = [this](std::uint64_t hash) {
+    const auto found = this->suspects.find(hash);
+    if (found != this->suspects.end() && --found->second <= 0) {
+      this->suspects.erase(found);
+    }
+  };
+  while (!this->crashes.empty() &&
+         (now - this->crashes.front().at > kCrashRetention ||
+          this->crashes.size() > kMaxCrashes)) {
+    for (const Candidate& candidate : this->crashes.front().candidates) {
+      forget(candidate.content.request);
+      for (const std::uint64_t part : candidate.content.parts) {
+        forget(part);
+      }
+    }
+    this->crashes.pop_front();
+  }
+  while (!this->cleared.empty() &&
+         now - this->cleared.front().at > kNewsRetention) {
+    this->cleared.pop_front();
+  }
+  this->causes.erase(std::remove_if(this->causes.begin(), this->causes.end(),
+                                    [now](const CrashCause& cause) {
+                                      return now - cause.quarantined_until >
+                                             kCauseRetention;
+                                    }),
+                     this->causes.end());
+}
+
+bool CrashTracker::RecordCrash(const CrashCandidate& reported,
+                               NewsSource source,
+                               TimePoint now) {
+  this->Prune(now);
+  auto crash = std::find_if(
+      this->crashes.begin(), this->crashes.end(),
+      [&](const Crash& known) { return known.server == reported.server; });
+  if (crash == this->crashes.end()) {
+    this->crashes.push_back({reported.server, now, {}});
+    crash = std::prev(this->crashes.end());
+  }
+  const bool known = std::any_of(
+      crash->candidates.begin(), crash->candidates.end(),
+      [&](const Candidate& candidate) {
+        return candidate.reported.request == reported.content.request &&
+               candidate.reported.parts == reported.content.parts;
+      });
+  if (known || crash->candidates.size() >= kMaxCandidatesPerCrash) {
+    return false;
+  }
+  Candidate candidate;
+  candidate.reported = reported.content;
+  candidate.at = now;
+  candidate.source = source;
+  const auto add = [&](std::uint64_t hash) {
+    if (this->ServedRecently(hash, now)) {
+      this->cleared.push_back({hash, now, NewsSource::kOwn});
+      return false;
+    }
+    ++this->suspects[hash];
+    return true;
+  };
+  if (reported.content.request != 0 && add(reported.content.request)) {
+    candidate.content.request = reported.content.request;
+  }
+  for (const std::uint64_t part : reported.content.parts) {
+    if (add(part)) {
+      candidate.content.parts.push_back(part);
+    }
+  }
+  crash->candidates.push_back(std::move(candidate));
+  this->next_evaluation =
+      std::min(this->next_evaluation,
+               std::max(now, crash->at + this->options.report_window));
+  return true;
+}
+
+std::vector<const CrashTracker::Crash*> CrashTracker::DueCrashes(
+    TimePoint now) const {
+  std::vector<const Crash*> due;
+  for (const Crash& crash : this->crashes) {
+    if (crash.at + this->options.report_window <= now) {
+      due.push_back(&crash);
+    }
+  }
+  return due;
+}
+
+std::vector<const CrashTracker::Candidate*> CrashTracker::Unexplained(
+    const Crash& crash,
+    TimePoint now) const {
+  std::vector<const Candidate*> all;
+  std::vector<const Candidate*> repeated;
+  for (const Candidate& candidate : crash.candidates) {
+    for (const CrashCause& cause : this->causes) {
+      if (now >= cause.quarantined_until ||
+          !Matches(cause, candidate.reported)) {
+        continue;
+      }
+      if (cause.request == 0) {
+        return {};
+      }
+      // One of its parts may be the cause.
+      repeated.push_back(&candidate);
+      break;
+    }
+    all.push_back(&candidate);
+  }
+  return repeated.empty() ? all : repeated;
+}
+
+std::size_t CrashTracker::Moments(const std::vector<const Crash*>& due,
+                                  const std::set<std::size_t>& indices) {
+  // Ordered by time, as are the crashes.
+  std::size_t moments = 0;
+  TimePoint last;
+  for (const std::size_t index : indices) {
+    if (moments == 0 || due[index]->at - last > kSameMoment) {
+      ++moments;
+      last = due[index]->at;
+    }
+  }
+  return moments;
+}
+
+CrashTracker::EvidenceTable CrashTracker::CollectEvidence(
+    const std::vector<const Crash*>& due,
+    TimePoint now) const {
+  EvidenceTable table;
+  for (std::size_t i = 0; i < due.size(); ++i) {
+    for (const Candidate* candidate : this->Unexplained(*due[i], now)) {
+      const RequestContent& content = candidate->content;
+      if (content.request != 0) {
+        Evidence& request = table.requests[content.request];
+        request.crashes.insert(i);
+        request.together = content.parts;
+      }
+      for (const std::uint64_t hash : content.parts) {
+        Evidence& part = table.parts[hash];
+        part.together = part.crashes.empty()
+                            ? content.parts
+                            : Intersection(part.together, content.parts);
+        part.crashes.insert(i);
+        part.requests.insert(candidate->reported.request);
+      }
+    }
+  }
+  return table;
+}
+
+bool CrashTracker::HasRivals(const EvidenceTable& table,
+                             const Evidence& suspect) {
+  const auto covers = [&](const Evidence& other) {
+    return &other != &suspect &&
+           std::includes(other.crashes.begin(), other.crashes.end(),
+                         suspect.crashes.begin(), suspect.crashes.end());
+  };
+  return std::any_of(table.parts.begin(), table.parts.end(),
+                     [&](const auto& part) {
+                       return !Contains(suspect.together, part.first) &&
+                              covers(part.second);
+                     }) ||
+         std::any_of(table.requests.begin(), table.requests.end(),
+                     [&](const auto& request) {
+                       return suspect.requests.count(request.first) == 0 &&
+                              covers(request.second);
+                     });
+}
+
+std::optional<CrashCause> CrashTracker::FindRequestCause(
+    const EvidenceTable& table,
+    TimePoint now) const {
+  for (const auto& [request, evidence] : table.requests) {
+    CrashCause cause;
+    cause.request = request;
+    cause.crashes = static_cast<int>(evidence.crashes.size());
+    const bool known = std::any_of(
+        this->causes.begin(), this->causes.end(), [&](const CrashCause& other) {
+          return SameContent(other, cause) && now < other.quarantined_until;
+        });
+    if (!known && evidence.crashes.size() >= kCrashesOfRequest &&
+        !HasRivals(table, evidence)) {
+      return cause;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<CrashCause> CrashTracker::FindPartCause(
+    const std::vector<const Crash*>& due,
+    const EvidenceTable& table) {
+  std::optional<CrashCause> best;
+  for (const auto& [hash, evidence] : table.parts) {
+    const std::size_t moments = Moments(due, evidence.crashes);
+    const int count = static_cast<int>(evidence.crashes.size());
+    if (moments < kCrashesOfPart ||
+        evidence.requests.size() < kDifferentRequests ||
+        (best && count <= best->crashes)) {
       continue;
     }
-    Suspect& suspect = this->suspects[fingerprint];
-    if (suspect.crashes++ == 0) {
-      suspect.common_fingerprints = unique;
-    } else {
-      for (auto it = suspect.common_fingerprints.begin();
-           it != suspect.common_fingerprints.end();) {
-        it = unique.count(*it) > 0 ? std::next(it)
-                                   : suspect.common_fingerprints.erase(it);
+    if (moments >= kCrashesOfPartWithRivals || !HasRivals(table, evidence)) {
+      best = CrashCause{0, evidence.together, count, 1, {}};
+    }
+  }
+  return best;
+}
+
+std::optional<CrashCause> CrashTracker::FindRelapse(
+    const std::vector<const Crash*>& due,
+    TimePoint now) const {
+  for (const CrashCause& cause : this->causes) {
+    if (now < cause.quarantined_until) {
+      continue;
+    }
+    for (const Crash* crash : due) {
+      if (crash->at < cause.quarantined_until) {
+        continue;
+      }
+      for (const Candidate* candidate : this->Unexplained(*crash, now)) {
+        if (Matches(cause, candidate->content)) {
+          CrashCause again = cause;
+          again.crashes = 1;
+          ++again.findings;
+          return again;
+        }
       }
     }
-    suspect.last_crash = now;
   }
+  return std::nullopt;
 }
 
-void CrashTracker::EvictOld(TimePoint now) {
-  for (auto it = this->suspects.begin(); it != this->suspects.end();) {
-    const bool old = now - it->second.last_crash > kSuspectRetention;
-    const bool crowded = this->suspects.size() > kMaxSuspects;
-    const bool drop = (old || crowded) && !this->CausesCrashes(it->first);
-    it = drop ? this->suspects.erase(it) : std::next(it);
+CrashCause& CrashTracker::Quarantine(const CrashCause& cause, TimePoint now) {
+  // A cause with fewer parts takes the place of those that contain it.
+  this->causes.erase(
+      std::remove_if(this->causes.begin(), this->causes.end(),
+                     [&](const CrashCause& other) {
+                       return cause.request != 0
+                                  ? other.request == cause.request
+                                  : other.request == 0 &&
+                                        Includes(other.parts, cause.parts);
+                     }),
+      this->causes.end());
+  if (this->causes.size() >= kMaxCauses) {
+    this->causes.erase(
+        std::min_element(this->causes.begin(), this->causes.end(),
+                         [](const CrashCause& a, const CrashCause& b) {
+                           return a.quarantined_until < b.quarantined_until;
+                         }));
+  }
+  this->causes.push_back(cause);
+  CrashCause& added = this->causes.back();
+  if (added.quarantined_until <= now) {
+    added.quarantined_until =
+        now +
+        kFirstQuarantine * (1 << std::min(added.findings - 1, kMaxDoublings));
   }
+  return added;
 }
 
-bool CrashTracker::IsSuspect(const std::string& fingerprint,
-                             TimePoint now) const {
-  const auto found = this->suspects.find(fingerprint);
-  return found != this->suspects.end() &&
-         now - found->second.last_crash <= kSuspectRetention;
+bool CrashTracker::AddCause(const CrashCause& cause, TimePoint now) {
+  if (now >= cause.quarantined_until ||
+      (cause.request == 0 && cause.parts.empty())) {
+    return false;
+  }
+  // Sent before one of the parts was cleared.
+  const bool refuted =
+      cause.request != 0 ? this->ServedRecently(cause.request, now)
+                         : std::any_of(cause.parts.begin(), cause.parts.end(),
+                                       [&](std::uint64_t part) {
+                                         return this->ServedRecently(part, now);
+                                       });
+  if (refuted) {
+    return false;
+  }
+  for (CrashCause& known : this->causes) {
+    const bool covers =
+        cause.request != 0
+            ? known.request == cause.request
+            : known.request == 0 && Includes(cause.parts, known.parts);
+    if (covers && now < known.quarantined_until) {
+      if (SameContent(known, cause)) {
+        known.quarantined_until =
+            std::max(known.quarantined_until, cause.quarantined_until);
+        known.findings = std::max(known.findings, cause.findings);
+      }
+      return false;
+    }
+  }
+  this->Quarantine(cause, now);
+  return true;
+}
+
+std::vector<CrashCause> CrashTracker::Evaluate(TimePoint now) {
+  std::vector<CrashCause> found;
+  if (now < this->next_evaluation) {
+    return found;
+  }
+  this->Prune(now);
+  const std::vector<const Crash*> due = this->DueCrashes(now);
+  while (found.size() < kMaxCauses) {
+    std::optional<CrashCause> cause = this->FindRelapse(due, now);
+    if (!cause) {
+      const EvidenceTable table = this->CollectEvidence(due, now);
+      cause = FindPartCause(due, table);
+      if (!cause) {
+        cause = this->FindRequestCause(table, now);
+      }
+    }
+    if (!cause) {
+      break;
+    }
+    found.push_back(this->Quarantine(*cause, now));
+  }
+  this->next_evaluation = TimePoint::max();
+  for (const Crash& crash : this->crashes) {
+    if (crash.at + this->options.report_window > now) {
+      this->next_evaluation = std::min(this->next_evaluation,
+                                       crash.at + this->options.report_window);
+    }
+  }
+  return found;
+}
+
+std::optional<CrashCause> CrashTracker::FindCause(const RequestContent& content,
+                                                  TimePoint now) const {
+  for (const CrashCause& cause : this->causes) {
+    if (now < cause.quarantined_until && Matches(cause, content)) {
+      return cause;
+    }
+  }
+  return std::nullopt;
 }
 
-bool CrashTracker::CausesCrashes(const std::string& fingerprint) const {
-  const auto found = this->suspects.find(fingerprint);
-  return found != this->suspects.end() && found->second.crashes >= 2 &&
-         found->second.common_fingerprints.size() == 1;
+bool CrashTracker::IsSuspect(std::uint64_t request) const {
+  return request != 0 && this->suspects.count(request) > 0;
 }
 
-int CrashTracker::Crashes(const std::string& fingerprint) const {
-  const auto found = this->suspects.find(fingerprint);
-  return found == this->suspects.end() ? 0 : found->second.crashes;
+bool CrashTracker::InSeveralCrashes(const RequestContent& content) const {
+  const auto several = [this](const auto& has) {
+    int count = 0;
+    for (const Crash& crash : this->crashes) {
+      count += std::any_of(
+          crash.candidates.begin(), crash.candidates.end(),
+          [&](const Candidate& candidate) { return has(candidate.content); });
+    }
+    return count > 1;
+  };
+  return several([&](const RequestContent& seen) {
+           return content.request != 0 && seen.request == content.request;
+         }) ||
+         std::any_of(content.parts.begin(), content.parts.end(),
+                     [&](std::uint64_t part) {
+                       return several([part](const RequestContent& seen) {
+                         return Contains(seen.parts, part);
+                       });
+                     });
+}
+
+std::size_t CrashTracker::Crashes(std::uint64_t request) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
+        return std::any_of(crash.candidates.begin(), crash.candidates.end(),
+                           [&](const Candidate& candidate) {
+                             return request != 0 &&
+                                    candidate.content.request == request;
+                           });
+      }));
+}
+
+std::vector<CrashCause> CrashTracker::Causes(TimePoint now) const {
+  std::vector<CrashCause> active;
+  std::copy_if(
+      this->causes.begin(), this->causes.end(), std::back_inserter(active),
+      [now](const CrashCause& cause) { return now < cause.quarantined_until; });
+  return active;
+}
+
+std::vector<CrashCandidate> CrashTracker::CandidatesSince(
+    TimePoint since,
+    NewsScope scope) const {
+  std::vector<CrashCandidate> recent;
+  for (const Crash& crash : this->crashes) {
+    for (const Candidate& candidate : crash.candidates) {
+      if (candidate.at >= since && InScope(candidate.source, scope)) {
+        recent.push_back({crash.server, candidate.reported});
+      }
+    }
+  }
+  return recent;
+}
+
+std::vector<std::uint64_t> CrashTracker::ClearedSince(TimePoint since,
+                                                      NewsScope scope) const {
+  std::vector<std::uint64_t> hashes;
+  for (const Cleared& entry : this->cleared) {
+    if (entry.at >= since && InScope(entry.source, scope)) {
+      hashes.push_back(entry.hash);
+    }
+  }
+  std::sort(hashes.begin(), hashes.end());
+  hashes.erase(std::unique(hashes.begin(), hashes.end()), hashes.end());
+  return hashes;
 }
 
 }  // namespace sycamorebend::internal
--- a/src/routing/crash_tracker.h
+++ b/src/routing/crash_tracker.h
@@ -1,45 +1,175 @@
-// Identifies requests that crash servers.
+// Identifies requests, and parts of prompts, that crash servers.
 #ifndef ROUTING_CRASH_TRACKER_H_
 #define ROUTING_CRASH_TRACKER_H_
 
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <optional>
 #include <set>
-#include <string>
 #include <unordered_map>
 #include <vector>
 
-#include "sycamorebend/routing.h"
+#include "sycamorebend/base.h"
 
 namespace sycamorebend::internal {
 
-// A fingerprint that was in flight during a crash is a suspect. It is
-// identified as the cause once it was in flight during at least two crashes and
-// is the only fingerprint common to all of them. The scheduler does not send a
-// suspect to a server that runs another one, so that a further crash identifies
-// one of them.
+// What a request consists of, as hashes.
+struct RequestContent {
+  std::uint64_t request = 0;  // Of the whole content; 0 if unknown.
+  // Parts of its prompt that other requests may share, sorted.
+  std::vector<std::uint64_t> parts;
+};
+
+// A request that ran on a server when it crashed and may be the cause.
+struct CrashCandidate {
+  std::uint32_t server = 0;  // Hash that identifies the server's incarnation.
+  RequestContent content;
+};
+
+// Content that crashes servers: the whole request or, if `request` is 0, all of
+// `parts` together.
+struct CrashCause {
+  std::uint64_t request = 0;
+  std::vector<std::uint64_t> parts;  // Sorted.
+  int crashes = 0;                   // That led to the finding.
+  // Findings with this content so far. Each one doubles the quarantine.
+  int findings = 1;
+  TimePoint quarantined_until;
+};
+
+// Whether this daemon observed something or heard of it.
+enum class NewsSource { kOwn = 0, kPeer = 1 };
+// Which news are asked for.
+enum class NewsScope { kOwn = 0, kAll = 1 };
+
+struct CrashTrackerOptions {
+  // A crash is evaluated after this time, when all daemons have told each other
+  // what they ran on the server.
+  Duration report_window{0};
+};
+
+// Every request that was running during a crash is a candidate. A server that
+// runs one of its parts, or the whole of it, without a crash clears that part.
+// What was never cleared and was running during several crashes is their cause;
+// two crashes suffice for a repeated request, and for a part of different
+// requests, if nothing else was running during both. A crash with a known cause
+// is no evidence against the other candidates.
+//
+// Several servers that crash at the same moment count as one crash: they have
+// failed together, for another reason.
+//
+// No threads, no I/O; the current time is passed in.
 class CrashTracker {
  public:
-  // @param candidates fingerprints in flight on the server that crashed.
-  void OnCrash(const std::vector<std::string>& candidates, TimePoint now);
-  bool IsSuspect(const std::string& fingerprint, TimePoint now) const;
-  // @return true if the crashes seen by this daemon identify the fingerprint as
-  // the cause. The control state draws the same conclusion from the crashes
-  // reported by all daemons.
-  bool CausesCrashes(const std::string& fingerprint) const;
-  // @return the number of crashes during which the fingerprint was in flight.
-  int Crashes(const std::string& fingerprint) const;
+  explicit CrashTracker(const CrashTrackerOptions& options = {})
+      : options(options) {}
+
+  // Records that a server ran the content without a crash.
+  void RecordServed(const RequestContent& content, TimePoint now);
+  // The same, as reported by another daemon.
+  void RecordCleared(const std::vector<std::uint64_t>& hashes, TimePoint now);
+  // @return false if the candidate is already known.
+  bool RecordCrash(const CrashCandidate& reported,
+                   NewsSource source,
+                   TimePoint now);
+  // Adds a finding of another daemon, or prolongs it.
+  // @return false if it adds nothing.
+  bool AddCause(const CrashCause& cause, TimePoint now);
+
+  // Evaluates the crashes that are due.
+  // @return the new findings.
+  std::vector<CrashCause> Evaluate(TimePoint now);
+
+  // @return the cause that the content matches, or nothing if it may run. The
+  // caller calls Evaluate before.
+  std::optional<CrashCause> FindCause(const RequestContent& content,
+                                      TimePoint now) const;
+  // @return true if the whole request was running during a crash and was not
+  // cleared since.
+  bool IsSuspect(std::uint64_t request) const;
+  // @return true if the request or one of its parts was running during several
+  // crashes and was not cleared since.
+  bool InSeveralCrashes(const RequestContent& content) const;
+  // @return the number of crashes during which the request was running.
+  std::size_t Crashes(std::uint64_t request) const;
+
+  // @return the causes in quarantine.
+  std::vector<CrashCause> Causes(TimePoint now) const;
+  // @return the candidates recorded since `since`.
+  std::vector<CrashCandidate> CandidatesSince(TimePoint since,
+                                              NewsScope scope) const;
+  // @return the hashes of candidates that were cleared since `since`.
+  std::vector<std::uint64_t> ClearedSince(TimePoint since,
+                                          NewsScope scope) const;
+  std::size_t CrashCount() const { return this->crashes.size(); }
 
  private:
-  struct Suspect {
-    // Fingerprints in flight during every crash of this suspect, its own
-    // included.
-    std::set<std::string> common_fingerprints;
-    int crashes = 0;
-    TimePoint last_crash;
+  struct Candidate {
+    RequestContent content;  // Without what was cleared.
+    RequestContent reported;
+    TimePoint at;
+    NewsSource source = NewsSource::kOwn;
+  };
+  struct Crash {
+    std::uint32_t server = 0;
+    TimePoint at;
+    std::vector<Candidate> candidates;
+  };
+  // Against a request or a part.
+  struct Evidence {
+    std::set<std::size_t> crashes;  // During which it was running, as indices.
+    std::set<std::uint64_t> requests;  // That have the part.
+    // Parts of the request, or of all requests that have the part.
+    std::vector<std::uint64_t> together;
+  };
+  struct EvidenceTable {
+    std::unordered_map<std::uint64_t, Evidence> requests;
+    std::unordered_map<std::uint64_t, Evidence> parts;
+  };
+  struct Cleared {
+    std::uint64_t hash = 0;
+    TimePoint at;
+    NewsSource source = NewsSource::kOwn;
   };
 
-  void EvictOld(TimePoint now);
+  void Prune(TimePoint now);
+  // Removes the hash from the candidates and the causes.
+  void Clear(std::uint64_t hash, NewsSource source, TimePoint now);
+  bool ServedRecently(std::uint64_t hash, TimePoint now) const;
+  // @return the crashes that are evaluated.
+  std::vector<const Crash*> DueCrashes(TimePoint now) const;
+  // @return the candidates of the crash that may be its cause.
+  std::vector<const Candidate*> Unexplained(const Crash& crash,
+                                            TimePoint now) const;
+  // @return the number of crashes, counting those at the same moment once.
+  static std::size_t Moments(const std::vector<const Crash*>& due,
+                             const std::set<std::size_t>& indices);
+  EvidenceTable CollectEvidence(const std::vector<const Crash*>& due,
+                                TimePoint now) const;
+  // @return true if something else was running during the same crashes.
+  static bool HasRivals(const EvidenceTable& table, const Evidence& suspect);
+  std::optional<CrashCause> FindRequestCause(const EvidenceTable& table,
+                                             TimePoint now) const;
+  static std::optional<CrashCause> FindPartCause(
+      const std::vector<const Crash*>& due,
+      const EvidenceTable& table);
+  // @return a former cause that has crashed a server again.
+  std::optional<CrashCause> FindRelapse(const std::vector<const Crash*>& due,
+                                        TimePoint now) const;
+  CrashCause& Quarantine(const CrashCause& cause, TimePoint now);
 
-  std::unordered_map<std::string, Suspect> suspects;
+  const CrashTrackerOptions options;
+  // When a server last ran each part or request without a crash.
+  std::unordered_map<std::uint64_t, TimePoint> served;
+  TimePoint next_served_prune;
+  std::deque<Crash> crashes;  // The oldest first.
+  // Hashes of the candidates that were not cleared.
+  std::unordered_map<std::uint64_t, int> suspects;
+  std::deque<Cleared> cleared;
+  // In quarantine, or remembered after it.
+  std::vector<CrashCause> causes;
+  TimePoint next_evaluation = TimePoint::max();
 };
 
 }  // namespace sycamorebend::internal
--- a/src/routing/inspect.cc
+++ b/src/routing/inspect.cc
@@ -44,7 +44,7 @@
                                 ? a.rejection.empty()
                                 : a.score < b.score;
                    });
-  if (this->IsQuarantined(info.fingerprint)) {
+  if (this->IsQuarantined(info, now)) {
     trace.reason = "the request is quarantined";
   } else if (trace.candidates.empty()) {
     trace.reason = "no server matches the class";
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -133,12 +133,32 @@
   this->servers.SetEntryCount(entry_count);
 }
 
+RequestContent ContentOf(const RequestInfo& info) {
+  RequestContent content;
+  content.request =
+      info.fingerprint.empty() ? 0 : StableHash64(info.fingerprint);
+  if (!info.prefix_hashes.empty()) {
+    // The longest prefix may belong to this request alone.
+    content.parts.assign(info.prefix_hashes.begin(),
+                         std::prev(info.prefix_hashes.end()));
+    std::sort(content.parts.begin(), content.parts.end());
+    content.parts.erase(std::unique(content.parts.begin(), content.parts.end()),
+                        content.parts.end());
+  }
+  return content;
+}
+
 void SchedulerImpl::SetQuarantine(const std::set<std::string>& fingerprints,
                                   TimePoint now) {
   this->quarantine = fingerprints;
+  this->RefuseQuarantined(now);
+  this->ServeQueues(kNoServer, now);
+}
+
+void SchedulerImpl::RefuseQuarantined(TimePoint now) {
   std::vector<Request*> refused;
   for (const auto& [id, request] : this->requests) {
-    if (request->queued && fingerprints.count(request->info.fingerprint) > 0) {
+    if (request->queued && this->IsQuarantined(request->info, now)) {
       refused.push_back(request.get());
     }
   }
@@ -148,7 +168,6 @@
   for (Request* request : refused) {
     this->Refuse(*request, ResultCode::kRequestQuarantined, "", Duration{0});
   }
-  this->ServeQueues(kNoServer, now);
 }
 
 void SchedulerImpl::UpdateServer(const ServerState& server, TimePoint now) {
--- a/src/routing/scheduler_impl.h
+++ b/src/routing/scheduler_impl.h
@@ -77,6 +77,9 @@
   Candidate best[kAlternatives + 1];
 };
 
+// @return the content by which requests that crash servers are recognized.
+RequestContent ContentOf(const RequestInfo& info);
+
 class SchedulerImpl : public Scheduler {
  public:
   explicit SchedulerImpl(const SchedulerOptions& options);
@@ -118,7 +121,9 @@
   // Admission checks that do not depend on servers.
   // @return kOk, or why the request is refused.
   ResultCode Admit(const Request& request, TimePoint now) const;
-  bool IsQuarantined(const std::string& fingerprint) const;
+  bool IsQuarantined(const RequestInfo& info, TimePoint now) const;
+  // Refuses the queued requests that have been quarantined meanwhile.
+  void RefuseQuarantined(TimePoint now);
   // Sends, enqueues or refuses the request.
   void DispatchOrEnqueue(Request& request, TimePoint now);
   void DispatchOrEnqueueUrgent(Request& request, TimePoint now);
--- a/tests/gateway/crashing_content_test.cc
+++ b/tests/gateway/crashing_content_test.cc
@@ -47,9 +47,8 @@
   bool Serve(std::size_t index,
              const ReceivedRequest& request,
              Socket& socket) {
-    const bool marked =
-        request.head.find(this->marker) != std::string::npos ||
-        request.body.find(this->marker) != std::string::npos;
+    const bool marked = request.head.find(this->marker) != std::string::npos ||
+                        request.body.find(this->marker) != std::string::npos;
     if (!marked) {
       socket.Send(StreamResponseHead(request) + EventChunk(1, "one") +
                   std::string(net::kLastChunk));
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -50,10 +50,12 @@
   TestFormat format;
   std::unique_ptr<net::EventLoop> loop = net::EventLoop::Create(clock);
   RequestMetrics metrics;
+  CrashQuarantine quarantine;
   Balancer balancer{{"a", 1}};
   ServerPool pool{*loop, format};
   RetryBudgets budgets;
-  ForwardContext context{*loop, format, balancer, pool, budgets, metrics};
+  ForwardContext context{*loop,   format,  balancer,  pool,
+                         budgets, metrics, quarantine};
   RouteHandler handler{context};
   std::unique_ptr<CallerServer> callers;
   std::vector<std::string> addresses;
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
+#include <msgpack.hpp>
 
 namespace sycamorebend::gateway {
 
@@ -24,7 +25,8 @@
           "a",
           {{kServer, outstanding, {2, outstanding * 100}}},
           {{kServer, {{kRoute, 0.5, 1.5, 2}}}},
-          {{17, kServer}}};
+          {{17, kServer}},
+          {}};
 }
 
 LoadMessage DomainMessage(const std::string& sender, int outstanding) {
@@ -69,6 +71,48 @@
   BOOST_TEST(read.value().server_loads[0].pending.Total() == 300);
 }
 
+// Guards against findings about crashes that are lost on their way, and against
+// quarantines without an end.
+BOOST_AUTO_TEST_CASE(CrashNewsRoundTripThroughCodec) {
+  LoadMessage sent = Message("one", 7, 3);
+  sent.crash_news.candidates = {{kServer, {11, {12, 13}}}};
+  sent.crash_news.cleared = {14};
+  sent.crash_news.causes.resize(1);
+  sent.crash_news.causes[0].cause.parts = {15, 16};
+  sent.crash_news.causes[0].cause.findings = 2;
+  sent.crash_news.causes[0].time_left = std::chrono::hours(100);
+  const auto read = DecodeLoadMessage(EncodeLoadMessage(sent));
+  BOOST_REQUIRE(read);
+  const CrashNews& news = read.value().crash_news;
+  BOOST_REQUIRE(news.candidates.size() == 1U);
+  BOOST_TEST(news.candidates[0].server == kServer);
+  BOOST_TEST(news.candidates[0].content.request == 11U);
+  BOOST_TEST(
+      news.candidates[0].content.parts == std::vector<std::uint64_t>({12, 13}),
+      boost::test_tools::per_element());
+  BOOST_TEST(news.cleared == std::vector<std::uint64_t>{14},
+             boost::test_tools::per_element());
+  BOOST_REQUIRE(news.causes.size() == 1U);
+  BOOST_TEST(news.causes[0].cause.parts == std::vector<std::uint64_t>({15, 16}),
+             boost::test_tools::per_element());
+  BOOST_TEST(news.causes[0].cause.findings == 2);
+  BOOST_TEST((news.causes[0].time_left <= std::chrono::hours(6)));
+}
+
+// Guards against gateways of different releases that reject each other's
+// messages during an upgrade.
+BOOST_AUTO_TEST_CASE(MessageWithoutCrashNewsIsRead) {
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer,
+                std::make_tuple(std::string("old"), 3, std::vector<int>(),
+                                std::vector<int>(), 0, std::string("a"),
+                                std::vector<int>()));
+  const auto read = DecodeLoadMessage({buffer.data(), buffer.size()});
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().sender == "old");
+  BOOST_TEST(read.value().crash_news.Empty());
+}
+
 // Guards against a crash of the process by datagrams of other programs.
 BOOST_AUTO_TEST_CASE(InvalidDatagramsAreRejected) {
   std::mt19937 random(1);
--- /dev/null
+++ b/tests/routing/crash_tracker_test.cc
@@ -0,0 +1,152 @@
+// Finding the cause of crashes: repeated requests and shared parts of prompts.
+#include <boost/test/unit_test.hpp>
+
+#include "routing/crash_tracker.h"
+
+namespace sycamorebend::internal {
+
+namespace {
+
+constexpr std::uint64_t kShared = 1;
+constexpr std::uint64_t kBad = 66;
+
+struct Fixture {
+  // Records that requests were running on a server that crashed.
+  void Crash(std::initializer_list<RequestContent> candidates) {
+    ++this->server;
+    for (const RequestContent& content : candidates) {
+      this->tracker.RecordCrash({this->server, content}, NewsSource::kOwn,
+                                this->now);
+    }
+    this->now += seconds(1);
+    this->found = this->tracker.Evaluate(this->now);
+  }
+  bool Refused(const RequestContent& content) const {
+    return this->tracker.FindCause(content, this->now).has_value();
+  }
+
+  CrashTracker tracker{{milliseconds(150)}};
+  TimePoint now{seconds(100)};
+  std::uint32_t server = 0;
+  std::vector<CrashCause> found;
+};
+
+}  // namespace
+
+// Guards against prompt parts that crash servers in requests of which no two
+// are alike.
+BOOST_FIXTURE_TEST_CASE(PartOfDifferentRequestsIsFound, Fixture) {
+  this->Crash({{100, {kShared, kBad}}});
+  BOOST_TEST(this->found.empty());
+  this->tracker.RecordServed({200, {kShared}}, this->now);
+  this->Crash({{101, {kShared, kBad}}});
+  BOOST_REQUIRE(this->found.size() == 1U);
+  BOOST_TEST(this->found[0].parts == std::vector<std::uint64_t>{kBad},
+             boost::test_tools::per_element());
+  BOOST_TEST(this->Refused({102, {kShared, kBad}}));
+  BOOST_TEST(!this->Refused({201, {kShared}}));
+}
+
+// Guards against blaming a part that all requests have for the crash of one.
+BOOST_FIXTURE_TEST_CASE(RepeatedRequestDoesNotBlameItsParts, Fixture) {
+  this->tracker.RecordServed({200, {kShared, 7}}, this->now);
+  this->Crash({{100, {kShared, 7}}, {201, {kShared}}});
+  this->Crash({{100, {kShared, 7}}});
+  BOOST_REQUIRE(this->found.size() == 1U);
+  BOOST_TEST(this->found[0].request == 100U);
+  BOOST_TEST(this->Refused({100, {kShared, 7}}));
+  BOOST_TEST(!this->Refused({202, {kShared, 7}}));
+}
+
+// Guards against blaming shared parts for servers of a rack that fail together.
+BOOST_FIXTURE_TEST_CASE(ServersThatFailTogetherBlameNothing, Fixture) {
+  for (std::uint32_t i = 0; i < 10; ++i) {
+    this->tracker.RecordCrash({i, {100 + i, {kShared, 7}}}, NewsSource::kOwn,
+                              this->now);
+    this->now += milliseconds(10);
+  }
+  this->now += seconds(1);
+  BOOST_TEST(this->tracker.Evaluate(this->now).empty());
+  BOOST_TEST(!this->Refused({300, {kShared, 7}}));
+}
+
+// Guards against blaming a request that was taken along by another one twice.
+BOOST_FIXTURE_TEST_CASE(CompanionOfABadPartIsNotBlamed, Fixture) {
+  const RequestContent sound{200, {5}};
+  this->Crash({{100, {kBad}}, sound});
+  this->Crash({{101, {kBad}}, sound});
+  BOOST_TEST(this->found.empty());
+  this->Crash({{102, {kBad}}});
+  BOOST_REQUIRE(this->found.size() == 1U);
+  BOOST_TEST(this->found[0].parts == std::vector<std::uint64_t>{kBad},
+             boost::test_tools::per_element());
+  BOOST_TEST(!this->Refused(sound));
+}
+
+// Guards against refusing sound requests with a part that has so far only been
+// seen together with the cause.
+BOOST_FIXTURE_TEST_CASE(PartsSeenTogetherAreRefusedTogether, Fixture) {
+  this->Crash({{100, {7, kBad}}});
+  this->Crash({{101, {7, kBad}}});
+  BOOST_TEST(this->Refused({102, {7, kBad}}));
+  BOOST_TEST(!this->Refused({200, {7}}));
+  this->tracker.RecordServed({200, {7}}, this->now);
+  BOOST_TEST(this->Refused({103, {8, kBad}}));
+}
+
+// Guards against a second bad part that hides behind the first.
+BOOST_FIXTURE_TEST_CASE(TwoBadPartsAreBothFound, Fixture) {
+  constexpr std::uint64_t kOther = 77;
+  this->Crash({{100, {kBad}}, {200, {kOther}}});
+  this->Crash({{101, {kBad}}});
+  this->Crash({{201, {kOther}}});
+  this->Crash({{102, {kBad}}});
+  this->Crash({{202, {kOther}}});
+  this->Crash({{203, {kOther}}});
+  BOOST_TEST(this->Refused({300, {kBad}}));
+  BOOST_TEST(this->Refused({300, {kOther}}));
+}
+
+// Guards against a cause that is forgotten, and against one that is kept for
+// good after the servers were repaired.
+BOOST_FIXTURE_TEST_CASE(QuarantineEndsAndIsDoubledByARelapse, Fixture) {
+  this->Crash({{100, {kBad}}});
+  this->Crash({{101, {kBad}}});
+  const Duration first = this->found[0].quarantined_until - this->now;
+  this->now += first + seconds(1);
+  BOOST_TEST(!this->Refused({102, {kBad}}));
+  this->Crash({{102, {kBad}}});
+  BOOST_REQUIRE(this->found.size() == 1U);
+  BOOST_TEST((this->found[0].quarantined_until - this->now == 2 * first));
+  this->now += 2 * first + seconds(1);
+  this->tracker.RecordServed({103, {kBad}}, this->now);
+  this->now += seconds(60);
+  this->Crash({{104, {kBad}}});
+  BOOST_TEST(this->found.empty());
+}
+
+// Guards against findings of other daemons that were refuted here, and against
+// hashes without an end of their quarantine.
+BOOST_FIXTURE_TEST_CASE(RefutedFindingOfAnotherDaemonIsNotAdded, Fixture) {
+  this->tracker.RecordServed({200, {kShared}}, this->now);
+  CrashCause cause;
+  cause.parts = {kShared};
+  BOOST_TEST(!this->tracker.AddCause(cause, this->now));
+  cause.quarantined_until = this->now + seconds(60);
+  BOOST_TEST(!this->tracker.AddCause(cause, this->now));
+  cause.parts = {kBad};
+  BOOST_TEST(this->tracker.AddCause(cause, this->now));
+  BOOST_TEST(!this->tracker.AddCause(cause, this->now));
+  BOOST_TEST(this->Refused({300, {kShared, kBad}}));
+}
+
+// Guards against memory that grows with the number of requests and crashes.
+BOOST_FIXTURE_TEST_CASE(CrashesAndCausesAreBounded, Fixture) {
+  for (std::uint64_t i = 0; i < 2000; ++i) {
+    this->Crash({{10000 + i, {20000 + i / 2}}});
+  }
+  BOOST_TEST(this->tracker.CrashCount() <= 257U);
+  BOOST_TEST(this->tracker.Causes(this->now).size() <= 64U);
+}
+
+}  // namespace sycamorebend::internal
--- a/tests/routing/rules_test.cc
+++ b/tests/routing/rules_test.cc
@@ -259,6 +259,38 @@
   BOOST_TEST(Action().find("refuse bad2 305") != std::string::npos);
 }
 
+// Guards against prompts that crash one server after another because of a part
+// that they share, although no two requests are alike.
+BOOST_AUTO_TEST_CASE(CrashingPromptPrefixIsQuarantined) {
+  const auto submit = [&](const std::string& id,
+                          std::vector<std::uint64_t> prefixes) {
+    RequestInfo info = MakeInfo(id, "urgent");
+    info.prefix_hashes = std::move(prefixes);
+    scheduler->Submit(info, now);
+  };
+  for (int i = 1; i <= 3; ++i) {
+    Server("s" + std::to_string(i), 4);
+  }
+  submit("good", {1, 100});
+  Actions();
+  scheduler->OnFirstToken("good", 1, now);
+  Done("good", 1);
+  Actions();
+  submit("bad1", {1, 66, 101});
+  Done("bad1", 1, ResultCode::kServerCrashed);
+  Actions();
+  Step(seconds(1));
+  scheduler->Cancel("bad1", now);
+  Actions();
+  submit("bad2", {1, 66, 102});
+  Done("bad2", 1, ResultCode::kServerCrashed);
+  BOOST_TEST(Action().find("refuse bad2 305") != std::string::npos);
+  submit("bad3", {1, 66, 103});
+  BOOST_TEST(Action().find("refuse bad3 305") != std::string::npos);
+  submit("good2", {1, 104});
+  BOOST_TEST(Action().find("dispatch good2") != std::string::npos);
+}
+
 // Guards against crash suspects that run on the same server, so that a second
 // crash does not identify the one that causes it.
 BOOST_AUTO_TEST_CASE(SuspectsAreKeptApart) {
