Do not take an unidentified response on a reused connection for an answer

Copies with the request's ID were skipped already; one without it was taken for the response to the next request.

RepeatedRefusalIsNotTheNextResponse failed for the copy without an ID (503 for a request that had run once) and passes now. Such a response ends the attempt as malformed, and is logged as unidentified_answer. On the first response of a connection nothing earlier can be repeated, so that it is still accepted without an ID.

--- a/src/gateway/server_pool.cc
+++ b/src/gateway/server_pool.cc
@@ -149,6 +149,7 @@
 }
 
 void ServerPool::PutIdle(std::shared_ptr<ServerConnection> connection) {
+  connection->used_before = true;
   connection->idle_since = this->loop.Now();
   this->idle[connection->server_key].push_back(std::move(connection));
 }
@@ -307,6 +308,16 @@
     return false;
   }
   const ResponseFields fields = this->pool->format.ReadResponseFields(head);
+  // On a connection in reuse, a response without an ID may be a late copy of an
+  // earlier one: nothing in it says whose it is.
+  if (!fields.request_id && !this->request_id.empty() && this->used_before) {
+    LogEvent(Severity::kWarning, Event::kServerFailed,
+             {{"request_id", this->request_id},
+              {"server_key", this->server_key},
+              {"failure", "unidentified_answer"},
+              {"status", head.status}});
+    return false;
+  }
   this->skipping = fields.request_id && *fields.request_id != this->request_id;
   this->reusable = this->reusable && !this->skipping && head.keep_alive &&
                    head.framing != net::BodyFraming::kUntilClose;
--- /dev/null
+++ b/tests/gateway/faulty_answer_test.cc
@@ -0,0 +1,135 @@
+// Responses of faulty servers: repeated, in the middle of a stream, or cut off
+// in their head.
+#include <string>
+#include <thread>
+
+#include <fmt/format.h>
+#include <boost/test/unit_test.hpp>
+
+#include "gateway_fixture.h"
+
+namespace sycamorebend::gateway {
+
+namespace {
+
+std::string Refusal(const ReceivedRequest& request, bool with_id) {
+  const std::string id =
+      with_id ? fmt::format("Request-Id: {}\r\n", request.Header("Request-Id"))
+              : std::string();
+  return fmt::format(
+      "HTTP/1.1 503 Busy\r\n{}Not-Run: 1\r\nContent-Length: 4\r\n\r\nbusy", id);
+}
+
+// Refuses the first request on each connection. Before it responds to the
+// second one, it sends that refusal once more.
+struct RepeatsRefusal {
+  bool operator()(const ReceivedRequest& request, Socket& socket) {
+    if (request.preceding_requests == 0) {
+      *this->refusal = Refusal(request, this->with_id);
+      socket.Send(Refusal(request, true));
+      return true;
+    }
+    ++*this->runs;
+    socket.Send(*this->refusal);
+    std::this_thread::sleep_for(milliseconds(20));
+    return Echo(request, socket);
+  }
+
+  bool with_id;
+  std::string* refusal;
+  std::atomic<int>* runs;
+};
+
+}  // namespace
+
+// Guards against taking an earlier refusal that is sent once more for the
+// response to the next request, which the server is running.
+BOOST_AUTO_TEST_CASE(RepeatedRefusalIsNotTheNextResponse) {
+  for (const bool with_id : {true, false}) {
+    BOOST_TEST_CONTEXT("with id " << with_id) {
+      GatewayFixture gateway;
+      std::string refusal;
+      std::atomic<int> runs{0};
+      ScriptedServer server(RepeatsRefusal{with_id, &refusal, &runs});
+      gateway.AddServer(server);
+      RawCaller caller(gateway.Address());
+      caller.Send(Request("r1", "/once/x", "first"));
+      BOOST_TEST(Contains(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 503"));
+      std::this_thread::sleep_for(milliseconds(200));
+      caller.Send(Request("r2", "/once/x", "second"));
+      const std::string response = caller.ReadUntil("\r\n\r\n", 2000);
+      BOOST_TEST(runs == 1);
+      BOOST_TEST(!Contains(response, "HTTP/1.1 503"));
+      BOOST_TEST(!Contains(response, "busy"));
+    }
+  }
+}
+
+// Guards against an error of the second server, or its head, that appears in
+// the middle of a stream, and against a stream that then ends as complete.
+BOOST_AUTO_TEST_CASE(ErrorInsteadOfTheRestOfAStreamCutsIt) {
+  const std::string answers[] = {
+      "HTTP/1.1 500 Error\r\nRequest-Id: r1\r\nSigned: yes\r\n"
+      "Content-Length: 5\r\n\r\nerror",
+      "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Run: 1\r\n"
+      "Content-Length: 5\r\n\r\nerror",
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: yes\r\n"
+      "Content-Length: 5\r\n\r\nerror",
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
+      "Content-Type: text/event-stream\r\nContent-Length: 20\r\n\r\n"
+      "id: 2\ndata: error\n\n\n",
+      "HTTP/1.1 400 Bad\r\nRequest-Id: r1\r\nConnection: close\r\n\r\nerror",
+      "no answer at all: error\r\n\r\n"};
+  for (const std::string& answer : answers) {
+    BOOST_TEST_CONTEXT(answer) {
+      GatewayFixture gateway;
+      std::atomic<int> count{0};
+      const auto script = [&](const ReceivedRequest& request, Socket& socket) {
+        if (++count == 1) {
+          socket.Send(StreamResponseHead(request) + EventChunk(1, "one"));
+          std::this_thread::sleep_for(milliseconds(20));
+          socket.Reset();
+          return false;
+        }
+        socket.Send(answer);
+        return false;
+      };
+      ScriptedServer first(script);
+      ScriptedServer second(script);
+      gateway.AddServer(first);
+      gateway.AddServer(second);
+      RawCaller caller(gateway.Address());
+      caller.Send(Request("r1", "/stream/x", "ask"));
+      const std::string received = caller.ReadToEnd();
+      BOOST_TEST(count == 2);
+      BOOST_TEST(Contains(received, "data: one"));
+      BOOST_TEST(!Contains(received, "error"));
+      BOOST_TEST(received.find("HTTP/1.1", 1) == std::string::npos);
+      BOOST_TEST(!Contains(received, "\r\n0\r\n"));
+    }
+  }
+}
+
+// Guards against a response that is cut off in its head and reaches the caller
+// as a complete one with an empty body.
+BOOST_AUTO_TEST_CASE(ResponseCutInItsHeadIsAFailure) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: yes\r\n"
+      "Content-Length: 4\r\n\r\n";
+  GatewayFixture gateway;
+  std::atomic<std::size_t> cut{0};
+  ScriptedServer server([&](const ReceivedRequest& /*request*/,
+                            Socket& socket) {
+    socket.Send(head.substr(0, cut));
+    return false;
+  });
+  gateway.AddServer(server);
+  for (; cut < head.size(); ++cut) {
+    RawCaller caller(gateway.Address());
+    caller.Send(Request("r1", cut % 2 == 0 ? "/once/x" : "/live/x", "order"));
+    const std::string response = caller.ReadUntil("\r\n\r\n");
+    BOOST_TEST(Contains(response, "HTTP/1.1 502"), "cut after " << cut);
+  }
+}
+
+}  // namespace sycamorebend::gateway
