Do not pass on a refusal that does not state that an order has not run

A server answered an order with 408, 429 or 503 but without the statement that it has not run it; the gateway passed the status on, and callers take these for a guarantee and send the order again. RefusalWithoutAStatementIsNotPassedOn failed for all three and passes now: the caller gets 502. Requests that may be repeated get the server's own answer as before. 421 is a refusal by definition.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -13,6 +13,7 @@
 
 constexpr int kOk = 200;
 constexpr int kFirstRedirect = 300;
+constexpr int kRequestTimeout = 408;
 constexpr int kMisdirected = 421;
 constexpr int kTooManyRequests = 429;
 constexpr int kFirstServerError = 500;
@@ -62,6 +63,13 @@
 constexpr double kGapTimeoutFactor = 3.0;
 constexpr Duration kMinGapTimeout = milliseconds(600);
 
+// @return true if callers take the status for a guarantee that the request has
+// not run.
+bool PromisesNotRun(int status) {
+  return status == kRequestTimeout || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
 // @return the hexadecimal IDs of the prompt's blocks except the last, which
 // belongs to the request or its session; empty without a prompt.
 std::string SharedBlockNames(const GenerationRequest* generation) {
@@ -516,8 +524,16 @@
       return;
     }
   }
-  this->EndCall(error ? AttemptOutcome::kServerError
-                      : AttemptOutcome::kAnswered);
+  const bool unfounded_promise =
+      PromisesNotRun(this->response.status) && !this->job.route->Repeatable();
+  this->EndCall(error || unfounded_promise ? AttemptOutcome::kServerError
+                                           : AttemptOutcome::kAnswered);
+  if (unfounded_promise) {
+    this->HandleFailedAttempt(fmt::format(
+        "status {} without a statement that the request has not run",
+        this->response.status));
+    return;
+  }
   if (success) {
     this->context.quarantine.RecordServed(this->content,
                                           this->context.loop.Now());
--- a/tests/gateway/faulty_answer_test.cc
+++ b/tests/gateway/faulty_answer_test.cc
@@ -65,6 +65,23 @@
   }
 }
 
+// Guards against passing on the status of a refusal whose server does not state
+// that the order has not run: callers would send it again.
+BOOST_AUTO_TEST_CASE(RefusalWithoutAStatementIsNotPassedOn) {
+  for (const int status : {408, 429, 503}) {
+    GatewayFixture gateway;
+    ScriptedServer server([&](const ReceivedRequest& request, Socket& socket) {
+      socket.Send(MakeResponse(request, status, "busy"));
+      return true;
+    });
+    gateway.AddServer(server);
+    RawCaller caller(gateway.Address());
+    caller.Send(Request("r1", "/once/x", "order"));
+    BOOST_TEST(Contains(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 502"),
+               "status " << status);
+  }
+}
+
 // Guards against an error of the second server, or its head, that appears in
 // the middle of a stream, and against a stream that then ends as complete.
 BOOST_AUTO_TEST_CASE(ErrorInsteadOfTheRestOfAStreamCutsIt) {
@@ -118,11 +135,11 @@
       "Content-Length: 4\r\n\r\n";
   GatewayFixture gateway;
   std::atomic<std::size_t> cut{0};
-  ScriptedServer server([&](const ReceivedRequest& /*request*/,
-                            Socket& socket) {
-    socket.Send(head.substr(0, cut));
-    return false;
-  });
+  ScriptedServer server(
+      [&](const ReceivedRequest& /*request*/, Socket& socket) {
+        socket.Send(head.substr(0, cut));
+        return false;
+      });
   gateway.AddServer(server);
   for (; cut < head.size(); ++cut) {
     RawCaller caller(gateway.Address());
