Obey servers that state that they are leaving or want no requests

New on the users' pages: an engine that leaves says so in all its answers, and a 503 with Retry-After asks for no requests from this gateway for so long. Gateways knew of leaving servers from the control replicas only, and came back to one that had refused after 150 ms.

Change: platform/ decodes both headers, the balancer keeps them for the server's incarnation, also while its record is missing from the feed, and answers in one place why a server is not used (usable, avoided, silent, leaving, quiet), for the choice, the metrics and the reason in the logs. A report that says ready does not undo what the server itself said; the next incarnation starts clean. A caller whose servers are all quiet gets 503 and the time of their end, spread over 400 ms, urgent routes first. Malformed, repeated and unsigned headers change nothing and are logged.

Weighed and left out: telling other gateways in the load exchange. The server reports its leaving to the replicas as well, which the feed has everywhere within tens of ms, and quiet is meant for one gateway.

--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -190,6 +190,7 @@
   kCacheEventGap = 507,
   kCrashCauseFound = 508,
   kServerChecked = 509,
+  kServerQuiet = 510,
   // 6xx: configuration and control.
   kConfigurationAccepted = 601,
   kConfigurationConflict = 602,
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -82,6 +82,8 @@
     {Event::kServerChecked, "server_checked",
      "A server that lost a request's connection was connected to, to find out "
      "whether it has crashed."},
+    {Event::kServerQuiet, "server_quiet",
+     "A backend server asked for no requests for a time."},
     {Event::kConfigurationAccepted, "configuration_accepted",
      "A configuration change was committed."},
     {Event::kConfigurationConflict, "configuration_conflict",
--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -88,6 +88,10 @@
 // A server that refused a request for lack of capacity is avoided for this
 // long.
 constexpr Duration kRefusalAvoidTime = milliseconds(150);
+// Upper bound of the time for which a server may want no requests.
+constexpr Duration kMaxQuietTime = std::chrono::hours(24);
+// Notices kept of servers whose records were removed.
+constexpr std::size_t kMaxRemovedNotices = 4096;
 // Penalty per unit of error rate above kToleratedErrorRate.
 constexpr double kErrorPenaltyMs = 400;
 // Error rates up to this do not affect the score.
@@ -139,6 +143,23 @@
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
+std::string_view ServerUseName(ServerUse use) {
+  constexpr std::array<std::string_view, kServerUses> kNames = {
+      "usable", "avoided", "silent", "leaving", "quiet"};
+  return kNames[static_cast<std::size_t>(use)];
+}
+
+std::string PoolState::Describe() const {
+  std::string text;
+  for (std::size_t i = 0; i < kServerUses; ++i) {
+    if (this->servers[i] > 0) {
+      text += fmt::format("{}{} {}", text.empty() ? "" : ", ", this->servers[i],
+                          ServerUseName(static_cast<ServerUse>(i)));
+    }
+  }
+  return text.empty() ? "no server is known" : text;
+}
+
 std::string ServerKey(const ServerRecord& record) {
   return fmt::format("{}@{}#{}", record.server_id, record.address,
                      record.incarnation);
@@ -165,6 +186,11 @@
       server->key_hash = StableHash64(key);
       server->key_hash32 = StableHash32(key);
       server->id_hash = StableHash64(record.server_id);
+      const auto notice = this->removed_notices.find(key);
+      if (notice != this->removed_notices.end()) {
+        server->notice = notice->second;
+        this->removed_notices.erase(notice);
+      }
       this->servers_by_hash[server->key_hash32] = server.get();
     }
     server->record = record;
@@ -182,6 +208,9 @@
       ++it;
       continue;
     }
+    if (it->second->notice.at != TimePoint()) {
+      this->removed_notices[it->first] = it->second->notice;
+    }
     removed.push_back(it->first);
     this->Forget(*it->second);
     it = this->servers.erase(it);
@@ -293,7 +322,7 @@
   placement.unique_tokens = profile.generation->prompt.back().tokens;
   this->UpdatePartition(pool, profile.service, now);
   placement.engines = pool.partition.EnginesOf(profile.route);
-  this->FindPreferredServers(pool, placement);
+  FindPreferredServers(pool, placement, now);
   this->FindHolders(pool, placement);
   return placement;
 }
@@ -352,14 +381,59 @@
   return server.record.failure_domain == this->options.failure_domain;
 }
 
+Balancer::Notice& Balancer::NoticeOf(const std::string& server_key,
+                                     TimePoint now) {
+  Server* const server = this->FindServer(server_key);
+  if (server != nullptr) {
+    server->notice.at = now;
+    return server->notice;
+  }
+  if (this->removed_notices.size() >= kMaxRemovedNotices) {
+    this->removed_notices.erase(std::min_element(
+        this->removed_notices.begin(), this->removed_notices.end(),
+        [](const auto& a, const auto& b) {
+          return a.second.at < b.second.at;
+        }));
+  }
+  Notice& notice = this->removed_notices[server_key];
+  notice.at = now;
+  return notice;
+}
+
+bool Balancer::OnServerLeaving(const std::string& server_key, TimePoint now) {
+  return !std::exchange(this->NoticeOf(server_key, now).leaving, true);
+}
+
+void Balancer::OnServerQuiet(const std::string& server_key,
+                             Duration quiet_time,
+                             TimePoint now) {
+  Notice& notice = this->NoticeOf(server_key, now);
+  notice.quiet_until =
+      std::max(notice.quiet_until, now + std::min(quiet_time, kMaxQuietTime));
+}
+
+ServerUse Balancer::UseOf(const Server& server, TimePoint now) {
+  return server.record.leaving || server.notice.leaving ? ServerUse::kLeaving
+         : now < server.notice.quiet_until              ? ServerUse::kQuiet
+         : server.record.silent                         ? ServerUse::kSilent
+         : now < server.avoid_until                     ? ServerUse::kAvoided
+                                                        : ServerUse::kUsable;
+}
+
+bool Balancer::MayUse(const Server& server, TimePoint now) {
+  const ServerUse use = UseOf(server, now);
+  return use != ServerUse::kLeaving && use != ServerUse::kQuiet;
+}
+
 void Balancer::FindPreferredServers(const Pool& pool,
-                                    Placement& placement) const {
+                                    Placement& placement,
+                                    TimePoint now) {
   const std::uint64_t block = AffinityBlock(*placement.generation);
   std::vector<std::pair<std::uint64_t, std::size_t>> weights;
   const EngineRange& range = placement.engines.own;
   for (std::size_t i = range.begin; i < range.end; ++i) {
     const Server& server = *pool.servers[i];
-    if (!server.record.leaving && !server.record.silent) {
+    if (MayUse(server, now) && !server.record.silent) {
       weights.emplace_back(RendezvousWeight(block, server.id_hash), i);
     }
   }
@@ -443,7 +517,7 @@
   Candidate candidate;
   candidate.index = index;
   // A silent server is used only if no other one is usable.
-  candidate.avoided = now < server.avoid_until || server.record.silent;
+  candidate.avoided = UseOf(server, now) != ServerUse::kUsable;
   candidate.score = this->Score(
       server, expected_ms, uncached,
       kDomainPenaltyMs + kDomainPenaltyMsPerKb * placement.request_kb,
@@ -495,7 +569,7 @@
   std::optional<Candidate> best;
   for (const std::size_t index : indices) {
     const Server& server = *pool.servers[index];
-    if (server.record.leaving ||
+    if (!MayUse(server, now) ||
         std::find(profile.excluded.begin(), profile.excluded.end(),
                   server.key) != profile.excluded.end()) {
       continue;
@@ -515,11 +589,12 @@
     return state;
   }
   for (const Server* server : found->second.servers) {
-    const bool avoided = now < server->avoid_until;
-    ++(server->record.leaving  ? state.leaving
-       : server->record.silent ? state.silent
-       : avoided               ? state.avoided
-                               : state.usable);
+    const ServerUse use = UseOf(*server, now);
+    ++state.servers[static_cast<std::size_t>(use)];
+    if (use == ServerUse::kQuiet) {
+      const Duration left = server->notice.quiet_until - now;
+      state.quiet_time = std::min(state.quiet_time.value_or(left), left);
+    }
     state.outstanding += server->outstanding;
   }
   return state;
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -4,6 +4,8 @@
 #ifndef SYCAMOREBEND_SRC_GATEWAY_BALANCER_H_
 #define SYCAMOREBEND_SRC_GATEWAY_BALANCER_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -82,13 +84,32 @@
 // @return the name of `outcome` in logs.
 std::string_view AttemptOutcomeName(AttemptOutcome outcome);
 
-// Number of servers of one service by state, as seen by this gateway.
+// Whether this gateway sends requests to a server.
+enum class ServerUse {
+  kUsable = 0,
+  kAvoided = 1,  // Only if no other is usable: after failures or refusals.
+  kSilent =
+      2,  // Only if no other is usable: no longer reports to the replicas.
+  kLeaving = 3,  // Never.
+  kQuiet = 4,    // Not before the time that it has stated has passed.
+};
+inline constexpr std::size_t kServerUses = 5;
+
+// @return the name of `use` in logs and metrics.
+std::string_view ServerUseName(ServerUse use);
+
+// Servers of one service, as seen by this gateway.
 struct PoolState {
-  int usable = 0;
-  int avoided = 0;  // Temporarily, after failures or refusals.
-  int silent = 0;   // No longer reports to the replicas.
-  int leaving = 0;
+  std::array<int, kServerUses> servers{};  // By ServerUse.
   int outstanding = 0;  // Requests of this gateway at all of them.
+  // Time until the first of the quiet servers may be used.
+  std::optional<Duration> quiet_time;
+
+  int Count(ServerUse use) const {
+    return this->servers[static_cast<std::size_t>(use)];
+  }
+  // @return the counts, for messages.
+  std::string Describe() const;
 };
 
 struct BalancerOptions {
@@ -133,6 +154,16 @@
                     const LoadReport& report,
                     TimePoint now);
 
+  // Records that the server has stated that it is leaving. Holds for its
+  // incarnation, whatever its reports to the replicas say.
+  // @return false if that is known.
+  bool OnServerLeaving(const std::string& server_key, TimePoint now);
+  // Records that the server has stated that it wants no requests from this
+  // gateway for a time. A longer time that it stated before holds on.
+  void OnServerQuiet(const std::string& server_key,
+                     Duration quiet_time,
+                     TimePoint now);
+
   // @return the names of all services that have had servers or are configured.
   std::vector<std::string> Services() const;
   PoolState StateOf(const std::string& service, TimePoint now) const;
@@ -156,6 +187,12 @@
     TimePoint at;
     TimePoint announced_at;  // To the other gateways.
   };
+  // What a server has stated about itself.
+  struct Notice {
+    bool leaving = false;
+    TimePoint quiet_until;
+    TimePoint at;
+  };
   struct Server {
     ServerRecord record;
     std::string key;
@@ -176,6 +213,7 @@
     int consecutive_connect_failures = 0;
     double error_rate = 0;
     TimePoint avoid_until;
+    Notice notice;
     // Prefix blocks that this or another gateway sent to the server.
     std::unordered_map<std::uint64_t, SentBlock> sent_blocks;
   };
@@ -214,6 +252,10 @@
   };
 
   Server* FindServer(const std::string& key);
+  // @return the notice of the server, which need not be known at present.
+  Notice& NoticeOf(const std::string& server_key, TimePoint now);
+  static ServerUse UseOf(const Server& server, TimePoint now);
+  static bool MayUse(const Server& server, TimePoint now);
   // @return the number of requests that one server of the pool runs
   // concurrently.
   int SlotsPerServer(const Pool& pool) const;
@@ -274,7 +316,9 @@
                      TimePoint now);
   bool IsLocal(const Server& server) const;
   // Sets `preferred_servers` from the servers of the request's partition.
-  void FindPreferredServers(const Pool& pool, Placement& placement) const;
+  static void FindPreferredServers(const Pool& pool,
+                                   Placement& placement,
+                                   TimePoint now);
   void FindHolders(const Pool& pool, Placement& placement) const;
   // Updates how long blocks stay cached, from the tokens that all gateways send
   // to the servers of the pool.
@@ -312,6 +356,8 @@
   PeerLoads peer_loads;
   std::unordered_map<std::string, std::unique_ptr<Server>> servers;
   std::unordered_map<std::uint32_t, Server*> servers_by_hash;
+  // Notices of servers whose records were removed: a record may return.
+  std::unordered_map<std::string, Notice> removed_notices;
   // Placements made or heard of in the last moments, the oldest first.
   std::deque<RecentPlacement> recent_placements;
   Duration placement_repeat_time = milliseconds(120);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -39,6 +39,10 @@
 // Retry-After times of error responses.
 constexpr Duration kRetryAfterRefusal = milliseconds(300);
 constexpr Duration kRetryAfterNoServer = milliseconds(500);
+// Callers whose servers want no requests come back within this time after its
+// end, and as much later for each step of their route's priority.
+constexpr Duration kQuietReturnSpread = milliseconds(400);
+constexpr Duration kMalformedLogInterval = seconds(10);
 
 // A generation is refused if its first event is expected later than this
 // fraction of the target. A longer queue does not increase the prefill
@@ -163,12 +167,7 @@
   const std::optional<Choice> selected =
       this->context.balancer.Choose(this->profile, now);
   if (!selected) {
-    if (this->may_have_run) {
-      this->RespondWithError(kBadGateway, "no other server is usable");
-    } else {
-      this->RespondWithError(kUnavailable, "no server is usable",
-                             kRetryAfterNoServer);
-    }
+    this->RefuseWithoutServer(now);
     return;
   }
   if (this->WouldMissTarget(*selected)) {
@@ -190,6 +189,30 @@
   this->Send(*selected);
 }
 
+void Forwarder::RefuseWithoutServer(TimePoint now) {
+  const PoolState state = this->context.balancer.StateOf(this->service, now);
+  if (this->may_have_run) {
+    this->RespondWithError(
+        kBadGateway,
+        fmt::format("no other server is usable: {}", state.Describe()));
+    return;
+  }
+  Duration retry_after = kRetryAfterNoServer;
+  if (state.quiet_time) {
+    // Callers come back one after the other, those of urgent routes first.
+    const double point =
+        static_cast<double>(StableHash64(this->request_id) % kRetryAfterSteps) /
+        kRetryAfterSteps;
+    retry_after =
+        std::max(retry_after,
+                 *state.quiet_time + Scale(kQuietReturnSpread,
+                                           this->job.route->priority + point));
+  }
+  this->RespondWithError(
+      kUnavailable, fmt::format("no server is usable: {}", state.Describe()),
+      retry_after);
+}
+
 bool Forwarder::RefuseIfQuarantined(TimePoint now) {
   const std::optional<internal::CrashCause> cause =
       this->context.quarantine.Check(this->content, now);
@@ -356,6 +379,32 @@
   this->may_have_run = true;
 }
 
+void Forwarder::HandleNotices(const ResponseFields& fields, TimePoint now) {
+  const std::string& key = this->choice.server_key;
+  if (!fields.malformed_header.empty() &&
+      now - this->context.malformed_logged_at > kMalformedLogInterval) {
+    this->context.malformed_logged_at = now;
+    LogEvent(Severity::kWarning, Event::kReportRejected,
+             {{"source", "response header"},
+              {"server_id", this->choice.server_id},
+              {"reason", fields.malformed_header + " has an invalid value"}});
+  }
+  if (!fields.authentic && !fields.not_executed) {
+    return;
+  }
+  if (fields.leaving && this->context.balancer.OnServerLeaving(key, now)) {
+    LogEvent(Severity::kInfo, Event::kServerLeft,
+             {{"server_id", this->choice.server_id}, {"source", "response"}});
+    this->context.pool.CloseIdleConnections(key);
+  }
+  if (fields.quiet_time && this->response.status == kUnavailable) {
+    LogEvent(Severity::kInfo, Event::kServerQuiet,
+             {{"server_id", this->choice.server_id},
+              {"quiet_ms", ToMilliseconds(*fields.quiet_time)}});
+    this->context.balancer.OnServerQuiet(key, *fields.quiet_time, now);
+  }
+}
+
 void Forwarder::OnResponseHead(const net::MessageHead& head,
                                const ResponseFields& fields) {
   const TimePoint now = this->context.loop.Now();
@@ -365,6 +414,7 @@
     this->context.balancer.OnLoadReport(this->choice.server_key, *fields.load,
                                         now);
   }
+  this->HandleNotices(fields, now);
   const bool success = head.status >= kOk && head.status < kFirstRedirect;
   this->response_is_stream = this->job.route->kind == RouteKind::kStream &&
                              success && fields.authentic &&
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -43,6 +43,8 @@
   RequestMetrics& metrics;
   CrashQuarantine& quarantine;
   int open_requests = 0;
+  // When a response with a malformed header was last logged.
+  TimePoint malformed_logged_at = TimePoint();
 };
 
 // An admitted request with its parsed fields, route and tenant.
@@ -84,6 +86,10 @@
   // @return true if the request crashes servers and was answered with an error.
   bool RefuseIfQuarantined(TimePoint now);
   void Send(const Choice& selected);
+  // Acts on what a server states about itself in its response.
+  void HandleNotices(const ResponseFields& fields, TimePoint now);
+  // Responds that no server may be used.
+  void RefuseWithoutServer(TimePoint now);
   // Ends the call in progress, if there is one.
   void EndCall(AttemptOutcome outcome);
   // @return how the end of the server's response is marked, for logs and
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -262,14 +262,11 @@
   }
   for (const std::string& service : this->balancer.Services()) {
     const PoolState state = this->balancer.StateOf(service, now);
-    const std::pair<const char*, int> counts[] = {{"usable", state.usable},
-                                                  {"avoided", state.avoided},
-                                                  {"silent", state.silent},
-                                                  {"leaving", state.leaving}};
-    for (const auto& [name, count] : counts) {
-      this->metrics.SetGauge("sycamorebend_gateway_servers",
-                             "Backend servers by state.",
-                             {{"service", service}, {"state", name}}, count);
+    for (std::size_t i = 0; i < kServerUses; ++i) {
+      const std::string name(ServerUseName(static_cast<ServerUse>(i)));
+      this->metrics.SetGauge(
+          "sycamorebend_gateway_servers", "Backend servers by state.",
+          {{"service", service}, {"state", name}}, state.servers[i]);
     }
     this->metrics.SetGauge("sycamorebend_gateway_server_requests",
                            "Own requests at the servers of a service.",
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -75,6 +75,12 @@
   std::optional<LoadReport> load;
   // Time for which the server keeps an idle connection open.
   std::optional<Duration> keep_alive;
+  // The server is leaving and wants no new requests.
+  bool leaving = false;
+  // Time for which the server wants no requests from this gateway.
+  std::optional<Duration> quiet_time;
+  // Name of a header above whose value cannot be read; empty if there is none.
+  std::string malformed_header;
 };
 
 class WireFormat {
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -63,6 +63,12 @@
   fields.request_id = FindHeader(head.headers, "Request-Id");
   fields.authentic = FindHeader(head.headers, "Signed").has_value();
   fields.not_executed = FindHeader(head.headers, "Not-Run").has_value();
+  fields.leaving = FindHeader(head.headers, "Leaving") == "1";
+  const auto quiet = FindHeader(head.headers, "Retry-After");
+  if (quiet) {
+    fields.quiet_time = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::stod(*quiet)));
+  }
   return fields;
 }
 
@@ -113,7 +119,7 @@
   for (const std::string& address : list) {
     ServerRecord record;
     record.server_id = "at-" + address;
-    record.incarnation = 1;
+    record.incarnation = this->incarnation;
     record.service = "app";
     record.address = address;
     record.failure_domain = "a";
--- a/tests/platform/http_format_test.cc
+++ b/tests/platform/http_format_test.cc
@@ -83,6 +83,39 @@
   BOOST_TEST(ToMilliseconds(*fields.keep_alive) == 7000);
 }
 
+// Guards against notices of servers that are not read, and against malformed
+// ones that are obeyed.
+BOOST_AUTO_TEST_CASE(NoticesOfServersAreRead) {
+  const auto read = [](HttpHeaders headers) {
+    net::MessageHead head;
+    head.headers = std::move(headers);
+    return HttpFormat().ReadResponseFields(head);
+  };
+  BOOST_TEST(read({{"Server-Leaving", "1"}}).leaving);
+  BOOST_TEST(read({{"Server-Leaving", "1"}}).malformed_header.empty());
+  BOOST_TEST(!read({}).leaving);
+  for (const char* const value : {"0", "true", "", "11"}) {
+    BOOST_TEST(!read({{"Server-Leaving", value}}).leaving);
+    BOOST_TEST(read({{"Server-Leaving", value}}).malformed_header ==
+               "Server-Leaving");
+  }
+  BOOST_TEST(!read({{"Server-Leaving", "1"}, {"server-leaving", "1"}}).leaving);
+  const auto quiet_ms = [&](const char* value) {
+    const auto time = read({{"Retry-After", value}}).quiet_time;
+    return time ? ToMilliseconds(*time) : -1;
+  };
+  BOOST_TEST(quiet_ms("0") == 0);
+  BOOST_TEST(quiet_ms("0.5") == 500);
+  BOOST_TEST(quiet_ms("3") == 3000);
+  BOOST_TEST(quiet_ms("3600") == 3600000);
+  for (const char* const value : {"-1", "soon", "", "nan", "inf", "1e300",
+                                  "3 s", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+    BOOST_TEST(quiet_ms(value) == -1, value);
+    BOOST_TEST(read({{"Retry-After", value}}).malformed_header ==
+               "Retry-After");
+  }
+}
+
 // Guards against malformed headers that crash the process or fail a request.
 // Only a malformed deadline is rejected.
 BOOST_AUTO_TEST_CASE(MalformedOptionalHeadersAreIgnored) {
