--- a/src/logs/request_diagnosis.cc
+++ b/src/logs/request_diagnosis.cc
@@ -40,6 +40,7 @@
     std::pair(Cause::kNoServer, std::string_view("no_server")),
     std::pair(Cause::kStreamTooSlow, std::string_view("stream_too_slow")),
     std::pair(Cause::kUnexplained, std::string_view("unexplained")),
+    std::pair(Cause::kQuarantined, std::string_view("quarantined")),
 };
 
 bool IsAttempt(const LogLine& line) {
@@ -104,6 +105,8 @@
         this->end_line = &line;
       } else if (line.event == "request_refused") {
         this->refused_line = &line;
+      } else if (line.event == "request_quarantined") {
+        this->quarantined_line = &line;
       }
     }
   }
@@ -146,6 +149,8 @@
                       outcome));
     } else if (status < kFirstFailureStatus) {
       this->ExplainServed();
+    } else if (this->quarantined_line != nullptr) {
+      this->ExplainQuarantined();
     } else if (this->refused_line != nullptr) {
       this->SetConclusion(
           Cause::kRefusedUnderLoad,
@@ -167,6 +172,31 @@
     }
   }
 
+  void ExplainQuarantined() {
+    const std::string parts = this->quarantined_line->Text("prompt_parts");
+    const std::string cause =
+        parts.empty()
+            ? fmt::format("Requests with this content (hash {}) crash servers",
+                          this->quarantined_line->Text("request_hash"))
+            : fmt::format("Prompts with the parts {} crash servers", parts);
+    for (const LogLine& line : this->logs.lines) {
+      const bool found =
+          line.event == "crash_cause_found" &&
+          line.Text("prompt_parts") == parts &&
+          (!parts.empty() || line.Text("request_hash") ==
+                                 this->quarantined_line->Text("request_hash"));
+      if (found && line.process == this->quarantined_line->process) {
+        this->diagnosis.lines.push_back(line);
+      }
+    }
+    this->SetConclusion(
+        Cause::kQuarantined,
+        fmt::format("{}; they are refused for another {} s. Attempts before: {}.",
+                    cause,
+                    this->quarantined_line->Number("quarantine_ms") / 1000,
+                    this->quarantined_line->Number("attempts")));
+  }
+
   void ExplainServed() {
     const std::int64_t target = this->end_line->Number("target_ms");
     const bool stream = this->end_line->Number("events") > 0;
@@ -355,6 +385,7 @@
   std::vector<const LogLine*> request_lines;
   const LogLine* attempt = nullptr;
   const LogLine* refused_line = nullptr;
+  const LogLine* quarantined_line = nullptr;
   const LogLine* end_line = nullptr;
   std::size_t supporting_lines = 0;
 };
--- a/src/logs/request_diagnosis.h
+++ b/src/logs/request_diagnosis.h
@@ -28,6 +28,7 @@
   kNoServer = 13,
   kStreamTooSlow = 14,  // Events arrived, but not all before the deadline.
   kUnexplained = 15,
+  kQuarantined = 16,  // Such requests crash servers.
 };
 
 std::string_view CauseName(Cause cause);
--- a/tests/logs/request_diagnosis_test.cc
+++ b/tests/logs/request_diagnosis_test.cc
@@ -171,6 +171,20 @@
   BOOST_TEST((this->CauseOf("c") == Cause::kServed));
 }
 
+// Guards against a refused request whose cause, found from crashes under other
+// requests, is not named.
+BOOST_FIXTURE_TEST_CASE(QuarantinedRequestNamesThePart, Fixture) {
+  this->Line(100, "crash_cause_found",
+             R"("kind":"prompt_part","request_hash":"0","prompt_parts":"a1")");
+  this->Line(200, "request_quarantined",
+             R"("request_id":"r1","attempts":0,"request_hash":"0",)"
+             R"("prompt_parts":"a1","quarantine_ms":600000)");
+  this->Finish(200, "r1", "", 503, "a part of its prompt crashes servers");
+  BOOST_TEST((this->CauseOf("r1") == Cause::kQuarantined));
+  BOOST_TEST(this->diagnosis.conclusion.find("a1") != std::string::npos);
+  BOOST_TEST(this->diagnosis.lines.size() == 3U);
+}
+
 // Guards against a diagnosis of a request that no log mentions.
 BOOST_FIXTURE_TEST_CASE(UnknownRequestIsNotInTheLogs, Fixture) {
   this->Dispatch(100, "a", "s1");
