Keep the findings of gateways about crashes in the control replicas

Findings lived in the gateways only: if all of them ended at the same moment, servers had to crash anew until the cause was found again.

Reported by those gateways only, so that hundreds of others do not call the leader at once.

Ruled out: letting the control replicas draw the conclusion from finding.report (there would be none without a quorum, and they do not know what servers have run without a crash); a file at gateways (entry VMs have no disk).

--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -58,6 +58,15 @@
 // @return the record, or kMalformedRequest naming the field.
 Result<ServerRecord> ServerRecordFromJson(const Json::Value& value);
 
+// What gateways found to crash backend servers.
+struct CrashFinding {
+  // Identifies the requests; only gateways interpret it.
+  std::string content;
+  std::int64_t until_ms = 0;  // End of the quarantine, Unix time.
+  // Number of findings with this content so far.
+  std::uint64_t findings = 1;
+};
+
 // One version of the state that all entry daemons share.
 struct SharedState {
   // Identifies the control state of the deployment. Versions from different
@@ -76,6 +85,8 @@
   std::set<std::string> drained_servers;
   // Fingerprints of requests that must not be executed.
   std::set<std::string> quarantined;
+  // Found by gateways, by content.
+  std::vector<CrashFinding> crash_findings;
   // Addresses of the control replicas.
   std::vector<std::string> replicas;
 };
@@ -118,6 +129,8 @@
   std::int64_t crash_retention_ms = 3600LL * 1000;
   std::size_t crashes = 1000;
   std::size_t quarantined = 10000;
+  std::size_t crash_findings = 256;
+  std::int64_t max_quarantine_ms = 24LL * 3600 * 1000;
 };
 
 // The state machine of the control replicas. Commands are JSON objects with a
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -300,6 +300,7 @@
     counts["order_response_bytes"] = count(state_tables.orders.ResponseBytes());
     counts["crashes"] = count(state_tables.findings.Crashes());
     counts["quarantined"] = count(state_tables.findings.Quarantined().size());
+    counts["crash_findings"] = count(state_tables.findings.Recorded().size());
     counts["entries"] = count(state_tables.entries.size());
     counts["servers"] = count(state_tables.servers.Records().size());
     counts["fence"] = count(state_tables.fence);
@@ -309,7 +310,8 @@
   bool NeedsTick(std::int64_t now_ms) const override {
     std::lock_guard lock(this->mutex);
     return this->tables->orders.HasExpired(now_ms) ||
-           this->tables->findings.HasCrashesToEvaluate(now_ms);
+           this->tables->findings.HasCrashesToEvaluate(now_ms) ||
+           this->tables->findings.HasExpiredRecorded(now_ms);
   }
 
  private:
@@ -327,7 +329,8 @@
       LogEvent(Severity::kWarning, Event::kFindingRecorded,
                {{"fingerprint", fingerprint}, {"quarantined", true}});
     }
-    return !newly_quarantined.empty();
+    const bool expired = this->tables->findings.ExpireRecorded(now_ms);
+    return expired || !newly_quarantined.empty();
   }
 
   std::shared_ptr<const SharedState> RebuildSharedState() {
@@ -344,6 +347,7 @@
     }
     state->drained_servers = this->tables->drained_servers;
     state->quarantined = this->tables->findings.Quarantined();
+    state->crash_findings = this->tables->findings.Recorded();
     state->replicas = this->tables->replicas;
     this->shared = state;
     return state;
@@ -370,6 +374,7 @@
         {"order.begin", &TableControlState::BeginOrder},
         {"order.finish", &TableControlState::FinishOrder},
         {"finding.report", &TableControlState::ReportFinding},
+        {"finding.record", &TableControlState::RecordFinding},
         {"fence.take", &TableControlState::TakeFence},
         {"cluster.init", &TableControlState::InitCluster},
         {"replicas.set", &TableControlState::SetReplicas},
@@ -571,6 +576,18 @@
     return this->tables->findings.Report(command, now_ms);
   }
 
+  Result<Json::Value> RecordFinding(const Json::Value& command,
+                                    std::int64_t now_ms) {
+    BOOST_OUTCOME_TRY(response, this->tables->findings.Record(command, now_ms));
+    if (response["changed"].asBool()) {
+      this->shared_state_changed = true;
+      LogEvent(Severity::kWarning, Event::kFindingRecorded,
+               {{"content", command["content"].asString()},
+                {"quarantine_ms", command["quarantine_ms"].asUInt64()}});
+    }
+    return response;
+  }
+
   Result<Json::Value> TakeFence(const Json::Value& command,
                                 std::int64_t /*now_ms*/) {
     FieldReader reader(command);
--- a/src/control/finding_table.cc
+++ b/src/control/finding_table.cc
@@ -13,6 +13,12 @@
 namespace {
 
 constexpr std::size_t kMinCrashesToQuarantine = 2;
+constexpr std::size_t kMaxContentBytes = 4096;
+// Findings whose quarantines end within this time of each other are the same.
+constexpr std::int64_t kSameFindingMs = 60LL * 1000;
+// Begins the record of a finding of a gateway in a snapshot. The ID of a crash
+// begins with a digit.
+constexpr std::string_view kRecordedTag = "recorded";
 
 }  // namespace
 
@@ -42,6 +48,64 @@
   return result;
 }
 
+Result<Json::Value> FindingTable::Record(const Json::Value& command,
+                                         std::int64_t now_ms) {
+  FieldReader reader(command);
+  CrashFinding finding;
+  finding.content = reader.Name("content", kMaxContentBytes);
+  const std::uint64_t quarantine_ms = reader.Unsigned("quarantine_ms");
+  finding.findings = reader.Unsigned("findings");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  const auto longest =
+      static_cast<std::uint64_t>(this->limits.max_quarantine_ms);
+  finding.until_ms =
+      now_ms + static_cast<std::int64_t>(std::min(quarantine_ms, longest));
+  Json::Value result;
+  const auto known = this->recorded.find(finding.content);
+  // Several gateways report the same finding.
+  result["changed"] =
+      known == this->recorded.end() ||
+      known->second.until_ms + kSameFindingMs < finding.until_ms;
+  if (!result["changed"].asBool()) {
+    return result;
+  }
+  if (known == this->recorded.end() &&
+      this->recorded.size() >= this->limits.crash_findings) {
+    this->recorded.erase(
+        std::min_element(this->recorded.begin(), this->recorded.end(),
+                         [](const auto& a, const auto& b) {
+                           return a.second.until_ms < b.second.until_ms;
+                         }));
+  }
+  this->recorded[finding.content] = finding;
+  return result;
+}
+
+bool FindingTable::ExpireRecorded(std::int64_t now_ms) {
+  const std::size_t before = this->recorded.size();
+  for (auto it = this->recorded.begin(); it != this->recorded.end();) {
+    it = it->second.until_ms <= now_ms ? this->recorded.erase(it)
+                                       : std::next(it);
+  }
+  return this->recorded.size() != before;
+}
+
+bool FindingTable::HasExpiredRecorded(std::int64_t now_ms) const {
+  return std::any_of(this->recorded.begin(), this->recorded.end(),
+                     [now_ms](const auto& finding) {
+                       return finding.second.until_ms <= now_ms;
+                     });
+}
+
+std::vector<CrashFinding> FindingTable::Recorded() const {
+  std::vector<CrashFinding> findings;
+  findings.reserve(this->recorded.size());
+  for (const auto& [content, finding] : this->recorded) {
+    findings.push_back(finding);
+  }
+  return findings;
+}
+
 bool FindingTable::HasQuarantinedCandidate(const Crash& crash) const {
   return std::any_of(crash.candidates.begin(), crash.candidates.end(),
                      [this](const std::string& candidate) {
@@ -129,6 +193,15 @@
     }
     write(bytes);
   }
+  for (const auto& [content, finding] : this->recorded) {
+    bytes.clear();
+    RecordWriter record(bytes);
+    record.Text(kRecordedTag);
+    record.Text(content);
+    record.Number(static_cast<std::uint64_t>(finding.until_ms));
+    record.Number(finding.findings);
+    write(bytes);
+  }
   // A record with a single text is a quarantined fingerprint.
   for (const std::string& fingerprint : this->quarantined_oldest_first) {
     bytes.clear();
@@ -146,6 +219,14 @@
     this->quarantined_oldest_first.push_back(std::move(crash.id));
     return true;
   }
+  if (crash.id == kRecordedTag) {
+    CrashFinding finding;
+    finding.content = reader.Text();
+    finding.until_ms = reader.Signed();
+    finding.findings = reader.Number();
+    this->recorded[finding.content] = finding;
+    return !reader.Failed();
+  }
   crash.time_ms = reader.Signed();
   crash.evaluated = reader.Number() != 0;
   while (!reader.AtEnd() && !reader.Failed()) {
--- a/src/control/finding_table.h
+++ b/src/control/finding_table.h
@@ -30,6 +30,16 @@
   // @return {quarantined}: true if the fingerprint is already quarantined.
   Result<Json::Value> Report(const Json::Value& command, std::int64_t now_ms);
 
+  // Applies `finding.record`: keeps what a gateway found until its quarantine
+  // ends, or prolongs it.
+  // @return {changed}: false if it was known.
+  Result<Json::Value> Record(const Json::Value& command, std::int64_t now_ms);
+  // Removes the findings whose quarantine has ended.
+  // @return true if there were any.
+  bool ExpireRecorded(std::int64_t now_ms);
+  bool HasExpiredRecorded(std::int64_t now_ms) const;
+  std::vector<CrashFinding> Recorded() const;
+
   // Evaluates crashes that all entry daemons have had time to report, and
   // removes crashes that are older than the retention time.
   // @return the newly quarantined fingerprints.
@@ -55,6 +65,8 @@
 
   // Oldest first. Few enough for a linear search.
   std::vector<Crash> crashes;
+  // Findings of gateways by content.
+  std::map<std::string, CrashFinding> recorded;
   std::set<std::string> quarantined;
   std::vector<std::string> quarantined_oldest_first;
   const ControlLimits& limits;
--- a/src/control/shared_state.cc
+++ b/src/control/shared_state.cc
@@ -37,6 +37,27 @@
   return Success();
 }
 
+Status ReadFindings(const Json::Value& findings, SharedState& state) {
+  if (!findings.isObject()) {
+    return MakeError(ResultCode::kProtocolError,
+                     "\"crash_findings\" must be an object");
+  }
+  for (const std::string& content : findings.getMemberNames()) {
+    internal::FieldReader reader(findings[content]);
+    CrashFinding finding;
+    finding.content = content;
+    finding.until_ms = static_cast<std::int64_t>(reader.Unsigned("until_ms"));
+    finding.findings = reader.Unsigned("findings");
+    const Status checked = reader.Finish();
+    if (!checked) {
+      return MakeError(ResultCode::kProtocolError,
+                       "finding " + content + ": " + checked.error().message);
+    }
+    state.crash_findings.push_back(std::move(finding));
+  }
+  return Success();
+}
+
 Status ReadServers(const Json::Value& servers, SharedState& state) {
   if (!servers.isObject()) {
     return MakeError(ResultCode::kProtocolError,
@@ -76,6 +97,13 @@
   }
   value["drained_servers"] = ToArray(state.drained_servers);
   value["quarantined"] = ToArray(state.quarantined);
+  Json::Value& findings = value["crash_findings"] =
+      Json::Value(Json::objectValue);
+  for (const CrashFinding& finding : state.crash_findings) {
+    Json::Value& item = findings[finding.content];
+    item["until_ms"] = Json::Int64(finding.until_ms);
+    item["findings"] = Json::UInt64(finding.findings);
+  }
   value["replicas"] = ToArray(state.replicas);
   return value;
 }
@@ -98,6 +126,9 @@
   state.quarantined.insert(quarantined.begin(), quarantined.end());
   BOOST_OUTCOME_TRY(ReadEntries(value["entries"], state));
   // Absent in the state of an earlier release.
+  if (value.isMember("crash_findings")) {
+    BOOST_OUTCOME_TRY(ReadFindings(value["crash_findings"], state));
+  }
   if (value.isMember("servers")) {
     BOOST_OUTCOME_TRY(ReadServers(value["servers"], state));
   }
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -87,6 +87,7 @@
       {"order.finish", &ControlService::FinishOrder},
       {"order.get", &ControlService::GetOrder},
       {"finding.report", &ControlService::ReportFinding},
+      {"finding.record", &ControlService::RecordFinding},
       {"fence.take", &ControlService::TakeFence},
   };
   return kMethods;
@@ -347,6 +348,10 @@
   return this->Propose("finding.report", params);
 }
 
+Result<Json::Value> ControlService::RecordFinding(const Json::Value& params) {
+  return this->Propose("finding.record", params);
+}
+
 Result<Json::Value> ControlService::TakeFence(const Json::Value& params) {
   return this->Propose("fence.take", params);
 }
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -81,6 +81,7 @@
   Result<Json::Value> FinishOrder(const Json::Value& params);
   Result<Json::Value> GetOrder(const Json::Value& params);
   Result<Json::Value> ReportFinding(const Json::Value& params);
+  Result<Json::Value> RecordFinding(const Json::Value& params);
   Result<Json::Value> TakeFence(const Json::Value& params);
 
   // Proposes `params` as a command of `type` and waits for its result.
--- a/src/gateway/crash_quarantine.cc
+++ b/src/gateway/crash_quarantine.cc
@@ -1,6 +1,8 @@
 #include "gateway/crash_quarantine.h"
 
 #include <algorithm>
+#include <charconv>
+#include <iterator>
 #include <utility>
 
 #include <fmt/format.h>
@@ -31,6 +33,16 @@
   return cause.request != 0 ? "request" : "prompt_part";
 }
 
+// Bounds of what the control replicas have recorded.
+constexpr int kMaxFindings = 100;
+constexpr Duration kMaxQuarantine = std::chrono::hours(24);
+// Wall clocks of VMs may differ by as much.
+constexpr Duration kMaxClockDifference = std::chrono::minutes(5);
+
+constexpr std::string_view kRequestPrefix = "request:";
+constexpr std::string_view kPartsPrefix = "parts:";
+constexpr int kHexBase = 16;
+
 template <typename Value>
 void KeepNewest(std::vector<Value>& values, std::size_t count) {
   if (values.size() > count) {
@@ -83,6 +95,42 @@
   return text;
 }
 
+std::string FormatCause(const CrashCause& cause) {
+  return cause.request != 0
+             ? fmt::format("{}{:x}", kRequestPrefix, cause.request)
+             : fmt::format("{}{}", kPartsPrefix, FormatHashes(cause.parts));
+}
+
+std::optional<CrashCause> ParseCause(std::string_view text) {
+  const bool request = text.substr(0, kRequestPrefix.size()) == kRequestPrefix;
+  if (!request && text.substr(0, kPartsPrefix.size()) != kPartsPrefix) {
+    return std::nullopt;
+  }
+  text.remove_prefix(request ? kRequestPrefix.size() : kPartsPrefix.size());
+  std::vector<std::uint64_t> hashes;
+  while (!text.empty()) {
+    const std::size_t comma = std::min(text.find(','), text.size());
+    std::uint64_t hash = 0;
+    const char* const end = text.data() + comma;
+    const auto parsed = std::from_chars(text.data(), end, hash, kHexBase);
+    if (parsed.ec != std::errc() || parsed.ptr != end || hash == 0) {
+      return std::nullopt;
+    }
+    hashes.push_back(hash);
+    text.remove_prefix(std::min(comma + 1, text.size()));
+  }
+  CrashCause cause;
+  if (request && hashes.size() == 1) {
+    cause.request = hashes.front();
+  } else if (!request && !hashes.empty()) {
+    cause.parts = std::move(hashes);
+    std::sort(cause.parts.begin(), cause.parts.end());
+  } else {
+    return std::nullopt;
+  }
+  return cause;
+}
+
 CrashQuarantine::CrashQuarantine() : tracker({kCrashReportWindow}) {}
 
 void CrashQuarantine::Evaluate(TimePoint now) {
@@ -117,6 +165,45 @@
   this->news_repeat_time = Scale(interval, kNewsRounds);
 }
 
+void CrashQuarantine::SetRecorded(const std::vector<CrashFinding>& findings,
+                                  std::int64_t wall_time_ms,
+                                  TimePoint now) {
+  this->recorded.clear();
+  for (const CrashFinding& finding : findings) {
+    std::optional<CrashCause> cause = ParseCause(finding.content);
+    if (!cause) {
+      LogEvent(Severity::kWarning, Event::kReportRejected,
+               {{"source", "crash finding of the control replicas"},
+                {"reason", "unknown content: " + finding.content}});
+      continue;
+    }
+    cause->findings = static_cast<int>(
+        std::min<std::uint64_t>(finding.findings, kMaxFindings));
+    cause->quarantined_until =
+        now +
+        std::clamp<Duration>(milliseconds(finding.until_ms - wall_time_ms),
+                             Duration{0}, kMaxQuarantine);
+    this->recorded[finding.content] = cause->quarantined_until;
+    if (this->tracker.AddCause(*cause, now)) {
+      LogFinding(*cause, "control replicas", now);
+    }
+  }
+}
+
+std::vector<CrashCause> CrashQuarantine::Unrecorded(TimePoint now) const {
+  std::vector<CrashCause> unrecorded;
+  for (const CrashCause& cause : this->tracker.Causes(now)) {
+    const auto known = this->recorded.find(FormatCause(cause));
+    const bool recorded_so_long =
+        known != this->recorded.end() &&
+        known->second + kMaxClockDifference >= cause.quarantined_until;
+    if (!recorded_so_long && this->tracker.HasOwnCandidate(cause)) {
+      unrecorded.push_back(cause);
+    }
+  }
+  return unrecorded;
+}
+
 void CrashQuarantine::FillLoadMessage(LoadMessage& message, TimePoint now) {
   this->Evaluate(now);
   const NewsScope scope =
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -18,6 +18,7 @@
 #include "net/http_reader.h"
 #include "routing/crash_tracker.h"
 #include "sycamorebend/base.h"
+#include "sycamorebend/control.h"
 #include "sycamorebend/metrics.h"
 
 namespace sycamorebend::gateway {
@@ -34,6 +35,10 @@
 // @return the hashes in hexadecimal, separated by commas, for logs.
 std::string FormatHashes(const std::vector<std::uint64_t>& hashes);
 
+// @return the cause as text, and back; nothing if the text is no cause.
+std::string FormatCause(const internal::CrashCause& cause);
+std::optional<internal::CrashCause> ParseCause(std::string_view text);
+
 // No threads, no I/O; the current time is passed in.
 class CrashQuarantine {
  public:
@@ -67,6 +72,15 @@
 
   // @param interval time between two messages to the same gateway.
   void SetExchangeInterval(Duration interval);
+  // Adds what the control replicas have recorded, which outlives all gateways.
+  // @param wall_time_ms Unix time.
+  void SetRecorded(const std::vector<CrashFinding>& findings,
+                   std::int64_t wall_time_ms,
+                   TimePoint now);
+  // @return findings to which requests of this gateway have led and that the
+  // control replicas have not recorded.
+  std::vector<internal::CrashCause> Unrecorded(TimePoint now) const;
+
   // Adds what the other gateways need to know.
   void FillLoadMessage(LoadMessage& message, TimePoint now);
   void OnPeerLoad(const LoadMessage& message, TimePoint now);
@@ -87,6 +101,9 @@
   TimePoint causes_changed_at;
   // When each gateway was last heard, by its name in the messages.
   std::unordered_map<std::string, TimePoint> senders;
+  // Causes that the control replicas have recorded, as text, and the end of
+  // their quarantine there.
+  std::map<std::string, TimePoint, std::less<>> recorded;
   std::uint64_t lost_requests = 0;
   // By kind of the cause.
   std::map<std::string, std::uint64_t> findings;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -28,6 +28,9 @@
 constexpr Duration kFirstConfigurationCheckInterval = milliseconds(20);
 // An older confirmation may date from before a restart of the replica.
 constexpr Duration kMaxConfirmationAge = seconds(2);
+// Interval at which findings that the control replicas do not have are
+// reported.
+constexpr Duration kFindingsInterval = seconds(2);
 // Fraction of the shared retry slack that is distributed, so that the total is
 // not exceeded while gateways have an outdated view of their number.
 constexpr double kRetrySlackFraction = 0.8;
@@ -58,11 +61,14 @@
               this->quarantine},
       handler(this->context),
       admin_handler(*this),
+      timers(clock),
       started_at(loop.Now()) {
   this->SetRetryLimits(1);
 }
 
 Gateway::~Gateway() {
+  this->loop.Cancel(this->findings_timer);
+  this->timers.Stop();
   if (this->follower != nullptr) {
     this->follower->Stop();
   }
@@ -135,6 +141,11 @@
 void Gateway::StartFollower() {
   this->http_client = HttpClient::Create(kFeedThreads);
   this->rpc = RpcClient::Create(*this->http_client);
+  this->leader =
+      std::make_shared<LeaderRpcClient>([this] { return this->Replicas(); },
+                                        *this->rpc, this->timers, this->clock);
+  this->findings_timer = this->loop.SubscribePeriodic(
+      kFindingsInterval, [this] { this->ReportFindings(); });
   FeedFollowerOptions options;
   options.self.entry_id = this->settings.entry_id;
   options.self.address = this->callers->Address();
@@ -154,6 +165,8 @@
   for (const std::string& key : this->balancer.SetServers(state->servers)) {
     this->pool.CloseIdleConnections(key);
   }
+  this->quarantine.SetRecorded(state->crash_findings, this->clock.WallTimeMs(),
+                               this->loop.Now());
   this->SetRetryLimits(state->entries.size());
   std::vector<ExchangePeer> gateways;
   for (const EntryInfo& entry : state->entries) {
@@ -170,6 +183,33 @@
   }
 }
 
+std::vector<std::string> Gateway::Replicas() const {
+  const auto state = this->follower->Current();
+  return state != nullptr && !state->replicas.empty() ? state->replicas
+                                                      : this->settings.replicas;
+}
+
+void Gateway::ReportFindings() {
+  const TimePoint now = this->loop.Now();
+  for (const internal::CrashCause& cause : this->quarantine.Unrecorded(now)) {
+    Json::Value params;
+    params["content"] = FormatCause(cause);
+    params["quarantine_ms"] =
+        Json::Int64(ToMilliseconds(cause.quarantined_until - now));
+    params["findings"] = cause.findings;
+    this->leader->Call("finding.record", params, now + kFindingsInterval,
+                       [](const Result<Json::Value>& result) {
+                         if (!result) {
+                           // It is reported again while the state does not have
+                           // it.
+                           LogEvent(Severity::kWarning, Event::kRpcFailed,
+                                    {{"method", "finding.record"},
+                                     {"message", result.error().message}});
+                         }
+                       });
+  }
+}
+
 void Gateway::ApplyFirstConfiguration() {
   const std::shared_ptr<const SharedState> state = this->follower->Current();
   if (state != nullptr &&
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "control/leader_rpc_client.h"
 #include "gateway/balancer.h"
 #include "gateway/caller_connection.h"
 #include "gateway/forwarder.h"
@@ -71,6 +72,10 @@
   // MayApplyFirstConfiguration allows it.
   void ApplyFirstConfiguration();
   void SetRetryLimits(std::size_t gateways);
+  // @return the addresses of the control replicas.
+  std::vector<std::string> Replicas() const;
+  // Reports findings about crashes to the control replicas.
+  void ReportFindings();
   void AdvanceStop();
   // Copies the current values to `metrics`.
   void PublishMetrics();
@@ -92,8 +97,12 @@
   std::unique_ptr<CallerServer> admin;
   std::unique_ptr<CallerServer> metrics_server;
   std::unique_ptr<LoadExchange> exchange;
+  // Runs the timers of calls to the leader, which may be made on any thread.
+  ControlThread timers;
   std::unique_ptr<HttpClient> http_client;
   std::unique_ptr<RpcClient> rpc;
+  std::shared_ptr<ControlRpcClient> leader;
+  TimerId findings_timer = 0;
   std::unique_ptr<FeedFollower> follower;
   bool stopping = false;
   bool rejecting = false;
--- a/src/routing/crash_tracker.cc
+++ b/src/routing/crash_tracker.cc
@@ -539,6 +539,17 @@
   return recent;
 }
 
+bool CrashTracker::HasOwnCandidate(const CrashCause& cause) const {
+  return std::any_of(
+      this->crashes.begin(), this->crashes.end(), [&](const Crash& crash) {
+        return std::any_of(crash.candidates.begin(), crash.candidates.end(),
+                           [&](const Candidate& candidate) {
+                             return candidate.source == NewsSource::kOwn &&
+                                    Matches(cause, candidate.reported);
+                           });
+      });
+}
+
 std::vector<std::uint64_t> CrashTracker::ClearedSince(TimePoint since,
                                                       NewsScope scope) const {
   std::vector<std::uint64_t> hashes;
--- a/src/routing/crash_tracker.h
+++ b/src/routing/crash_tracker.h
@@ -102,6 +102,9 @@
   // @return the hashes of candidates that were cleared since `since`.
   std::vector<std::uint64_t> ClearedSince(TimePoint since,
                                           NewsScope scope) const;
+  // @return true if a request of this daemon was running during a crash that
+  // the cause explains.
+  bool HasOwnCandidate(const CrashCause& cause) const;
   std::size_t CrashCount() const { return this->crashes.size(); }
 
  private:
--- a/tests/control/service_test.cc
+++ b/tests/control/service_test.cc
@@ -100,6 +100,7 @@
       {"order.get", R"({"customer":"c"})", ResultCode::kMalformedRequest,
        "key"},
       {"finding.report", "{}", ResultCode::kMalformedRequest, "fingerprint"},
+      {"finding.record", "{}", ResultCode::kMalformedRequest, "content"},
       {"fence.take", "{}", ResultCode::kMalformedRequest, "holder"},
       {"feed.poll", R"({"entry_id":"e"})", ResultCode::kMalformedRequest,
        "address"},
--- a/tests/gateway/crash_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -307,6 +307,41 @@
   CheckFleet(options);
 }
 
+// Guards against findings that are lost when all gateways end at the same
+// moment, and against text that is no finding.
+BOOST_AUTO_TEST_CASE(RecordedFindingsOutliveTheGateways) {
+  const internal::RequestContent bad{7, {1, 66}};
+  TimePoint now{seconds(100)};
+  CrashQuarantine first;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    first.RecordCrash(fmt::format("server{}", i), {70 + i, bad.parts}, now);
+    now += seconds(1);
+  }
+  BOOST_TEST(first.Check(bad, now).has_value());
+  const auto unrecorded = first.Unrecorded(now);
+  BOOST_REQUIRE(unrecorded.size() == 1U);
+  const std::int64_t wall_ms = 1000000;
+  CrashFinding finding;
+  finding.content = FormatCause(unrecorded[0]);
+  finding.until_ms =
+      wall_ms + ToMilliseconds(unrecorded[0].quarantined_until - now);
+  first.SetRecorded({finding}, wall_ms, now);
+  BOOST_TEST(first.Unrecorded(now).empty());
+
+  CrashQuarantine second;
+  second.SetRecorded({finding,
+                      {"parts:", wall_ms + 1000, 1},
+                      {"parts:1,xyz", wall_ms + 1000, 1},
+                      {"other:1", wall_ms + 1000, 1}},
+                     wall_ms, now);
+  BOOST_TEST(second.Check(bad, now).has_value());
+  BOOST_TEST(!second.Check({8, {1}}, now).has_value());
+  // It has not seen the crashes itself and does not report them.
+  BOOST_TEST(second.Unrecorded(now).empty());
+  now += unrecorded[0].quarantined_until - now;
+  BOOST_TEST(!second.Check(bad, now).has_value());
+}
+
 // Guards against findings that take longer the more gateways there are.
 BOOST_AUTO_TEST_CASE(ManyGatewaysFindABadPartTogether) {
   FleetOptions options;
