Spend less on crash findings where nothing crashes; sort what peers send

The scheduler hashed all prefixes of a prompt for each admission, also without any finding; candidates were searched in each round of the exchange for ten minutes after a crash; parts from other gateways were trusted to be sorted. server_checked is logged for requests that are not repeated, too.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -660,7 +660,12 @@
       this->choice.server_key, this->choice.address,
       [weak = this->weak_from_this(), &context = this->context,
        key = this->choice.server_key, content = this->content, may_retry,
-       reason](Reachability reachability) {
+       reason, request_id = this->request_id,
+       server_id = this->choice.server_id](Reachability reachability) {
+        LogEvent(Severity::kInfo, Event::kServerChecked,
+                 {{"request_id", request_id},
+                  {"server_id", server_id},
+                  {"result", ReachabilityName(reachability)}});
         if (reachability == Reachability::kRefused) {
           context.quarantine.RecordCrash(key, content, context.loop.Now());
         }
@@ -676,10 +681,6 @@
 
 void Forwarder::RetryAfterCheck(Reachability reachability,
                                 const std::string& reason) {
-  LogEvent(Severity::kInfo, Event::kServerChecked,
-           {{"request_id", this->request_id},
-            {"server_id", this->choice.server_id},
-            {"result", ReachabilityName(reachability)}});
   if (reachability != Reachability::kRefused ||
       !this->context.quarantine.NeedsFinding(this->content)) {
     this->HandleFailedAttempt(reason);
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -133,15 +133,19 @@
 
 CrashNews DecodeNews(const EncodedNews& encoded) {
   CrashNews news;
+  const auto sorted = [](EncodedHashes hashes) {
+    std::sort(hashes.begin(), hashes.end());
+    return hashes;
+  };
   for (const auto& [server, request, parts] : std::get<0>(encoded)) {
-    news.candidates.push_back({server, {request, parts}});
+    news.candidates.push_back({server, {request, sorted(parts)}});
   }
   news.cleared = std::get<1>(encoded);
   for (const auto& [request, parts, crashes, findings, left] :
        std::get<2>(encoded)) {
     SharedCrashCause shared;
     shared.cause.request = request;
-    shared.cause.parts = parts;
+    shared.cause.parts = sorted(parts);
     shared.cause.crashes = crashes;
     shared.cause.findings = std::clamp(findings, 1, kMaxFindings);
     shared.time_left = std::min<Duration>(milliseconds(left), kMaxQuarantine);
--- a/src/logs/request_diagnosis.cc
+++ b/src/logs/request_diagnosis.cc
@@ -191,10 +191,10 @@
     }
     this->SetConclusion(
         Cause::kQuarantined,
-        fmt::format("{}; they are refused for another {} s. Attempts before: {}.",
-                    cause,
-                    this->quarantined_line->Number("quarantine_ms") / 1000,
-                    this->quarantined_line->Number("attempts")));
+        fmt::format(
+            "{}; they are refused for another {} s. Attempts before: {}.",
+            cause, this->quarantined_line->Number("quarantine_ms") / 1000,
+            this->quarantined_line->Number("attempts")));
   }
 
   void ExplainServed() {
--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -26,7 +26,8 @@
 bool SchedulerImpl::IsQuarantined(const RequestInfo& info,
                                   TimePoint now) const {
   return this->quarantine.count(info.fingerprint) > 0 ||
-         this->crashes.FindCause(ContentOf(info), now);
+         (this->crashes.HasCauses() &&
+          this->crashes.FindCause(ContentOf(info), now));
 }
 
 ResultCode SchedulerImpl::Admit(const Request& request, TimePoint now) const {
@@ -74,7 +75,7 @@
     request.deadline = std::min(request.deadline, *info.deadline);
   }
   ++class_state.stats.submitted;
-  request.suspect = this->crashes.IsSuspect(ContentOf(info).request);
+  request.suspect = this->crashes.IsSuspect(RequestHash(info));
   const ResultCode code = this->Admit(request, now);
   if (code != ResultCode::kOk) {
     ++class_state.stats.refused;
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -171,7 +171,7 @@
     return result.code;
   }
   if (this->IsQuarantined(request.info, now) ||
-      this->crashes.Crashes(ContentOf(request.info).request) >= kMaxCrashes) {
+      this->crashes.Crashes(RequestHash(request.info)) >= kMaxCrashes) {
     return ResultCode::kRequestQuarantined;
   }
   return this->retries.TryRetry(now) ? ResultCode::kOk
--- a/src/routing/crash_tracker.cc
+++ b/src/routing/crash_tracker.cc
@@ -219,6 +219,7 @@
     }
   }
   crash->candidates.push_back(std::move(candidate));
+  this->last_candidate_at = now;
   this->next_evaluation =
       std::min(this->next_evaluation,
                std::max(now, crash->at + this->options.report_window));
@@ -529,6 +530,9 @@
     TimePoint since,
     NewsScope scope) const {
   std::vector<CrashCandidate> recent;
+  if (this->last_candidate_at < since) {
+    return recent;
+  }
   for (const Crash& crash : this->crashes) {
     for (const Candidate& candidate : crash.candidates) {
       if (candidate.at >= since && InScope(candidate.source, scope)) {
--- a/src/routing/crash_tracker.h
+++ b/src/routing/crash_tracker.h
@@ -94,6 +94,8 @@
   // @return the number of crashes during which the request was running.
   std::size_t Crashes(std::uint64_t request) const;
 
+  // @return false if nothing was ever found, or all of it is forgotten.
+  bool HasCauses() const { return !this->causes.empty(); }
   // @return the causes in quarantine.
   std::vector<CrashCause> Causes(TimePoint now) const;
   // @return the candidates recorded since `since`.
@@ -173,6 +175,7 @@
   // In quarantine, or remembered after it.
   std::vector<CrashCause> causes;
   TimePoint next_evaluation = TimePoint::max();
+  TimePoint last_candidate_at;
 };
 
 }  // namespace sycamorebend::internal
--- a/src/routing/scheduler.cc
+++ b/src/routing/scheduler.cc
@@ -133,10 +133,13 @@
   this->servers.SetEntryCount(entry_count);
 }
 
+std::uint64_t RequestHash(const RequestInfo& info) {
+  return info.fingerprint.empty() ? 0 : StableHash64(info.fingerprint);
+}
+
 RequestContent ContentOf(const RequestInfo& info) {
   RequestContent content;
-  content.request =
-      info.fingerprint.empty() ? 0 : StableHash64(info.fingerprint);
+  content.request = RequestHash(info);
   if (!info.prefix_hashes.empty()) {
     // The longest prefix may belong to this request alone.
     content.parts.assign(info.prefix_hashes.begin(),
--- a/src/routing/scheduler_impl.h
+++ b/src/routing/scheduler_impl.h
@@ -77,6 +77,8 @@
   Candidate best[kAlternatives + 1];
 };
 
+// @return the hash of the whole request; 0 if its content is unknown.
+std::uint64_t RequestHash(const RequestInfo& info);
 // @return the content by which requests that crash servers are recognized.
 RequestContent ContentOf(const RequestInfo& info);
 
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -60,7 +60,7 @@
   std::unique_ptr<CallerServer> callers;
   std::vector<std::string> addresses;
   std::uint64_t incarnation = 1;  // Of all servers.
-  std::uint64_t sequence = 0;  // Of load messages from other gateways.
+  std::uint64_t sequence = 0;     // Of load messages from other gateways.
   std::thread thread;
 };
 
