Do not count the announced end of a server as a crash

A server that is leaving ends in time, also with requests: at gateways that was evidence against what these requests had in common, and a release or the removal of several servers could bring a new prompt part into quarantine. Only a server that is expected to run can crash.

EndOfALeavingServerIsNoCrash failed before (503 for a sound prompt after two servers had ended as announced) and passes now.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -412,6 +412,13 @@
       std::max(notice.quiet_until, now + std::min(quiet_time, kMaxQuietTime));
 }
 
+bool Balancer::IsExpectedToRun(const std::string& server_key,
+                               TimePoint now) const {
+  const auto server = this->servers.find(server_key);
+  return server != this->servers.end() &&
+         UseOf(*server->second, now) != ServerUse::kLeaving;
+}
+
 ServerUse Balancer::UseOf(const Server& server, TimePoint now) {
   return server.record.leaving || server.notice.leaving ? ServerUse::kLeaving
          : now < server.notice.quiet_until              ? ServerUse::kQuiet
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -164,6 +164,10 @@
                      Duration quiet_time,
                      TimePoint now);
 
+  // @return false if the end of the server was announced: it is leaving, or was
+  // removed.
+  bool IsExpectedToRun(const std::string& server_key, TimePoint now) const;
+
   // @return the names of all services that have had servers or are configured.
   std::vector<std::string> Services() const;
   PoolState StateOf(const std::string& service, TimePoint now) const;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -666,8 +666,10 @@
                  {{"request_id", request_id},
                   {"server_id", server_id},
                   {"result", ReachabilityName(reachability)}});
-        if (reachability == Reachability::kRefused) {
-          context.quarantine.RecordCrash(key, content, context.loop.Now());
+        const TimePoint now = context.loop.Now();
+        if (reachability == Reachability::kRefused &&
+            context.balancer.IsExpectedToRun(key, now)) {
+          context.quarantine.RecordCrash(key, content, now);
         }
         const auto forwarder = weak.lock();
         if (may_retry && forwarder) {
--- a/tests/gateway/crashing_content_test.cc
+++ b/tests/gateway/crashing_content_test.cc
@@ -115,4 +115,36 @@
   BOOST_TEST(servers.ArrivalsAfterLimit() <= kRequestsAfterLimit);
 }
 
+// Guards against blaming a prompt part for servers that end as announced while
+// they still have requests.
+BOOST_FIXTURE_TEST_CASE(EndOfALeavingServerIsNoCrash, GatewayFixture) {
+  constexpr int kServers = 6;
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  std::atomic<bool> end_all{true};
+  for (std::size_t i = 0; i < kServers; ++i) {
+    servers.push_back(std::make_unique<ScriptedServer>(
+        [&, i](const ReceivedRequest& request, Socket& socket) {
+          if (end_all) {
+            socket.Send("HTTP/1.1 200 OK\r\nRequest-Id: " +
+                        request.Header("Request-Id") +
+                        "\r\nSigned: yes\r\nLeaving: 1\r\n"
+                        "Content-Type: text/event-stream\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n");
+            servers[i]->Crash();
+            return false;
+          }
+          socket.Send(StreamResponseHead(request) + EventChunk(1, "one") +
+                      std::string(net::kLastChunk));
+          return true;
+        }));
+    this->AddServer(*servers.back());
+  }
+  for (int i = 0; i < 2; ++i) {
+    Ask(*this, fmt::format("lost{}", i), "a", fmt::format("1 2 {}", 10 + i));
+    std::this_thread::sleep_for(kPace);
+  }
+  end_all = false;
+  BOOST_TEST(Contains(Ask(*this, "next", "a", "1 2 20"), "200"));
+}
+
 }  // namespace sycamorebend::gateway
