--- a/tests/gateway/faulty_answer_test.cc
+++ b/tests/gateway/faulty_answer_test.cc
@@ -40,6 +40,14 @@
   std::atomic<int>* runs;
 };
 
+// @return a response to the request "r1".
+std::string Answer(const std::string& status,
+                   const std::string& headers,
+                   const std::string& body) {
+  return fmt::format("HTTP/1.1 {}\r\nRequest-Id: r1\r\n{}\r\n{}", status,
+                     headers, body);
+}
+
 }  // namespace
 
 // Guards against taking an earlier refusal that is sent once more for the
@@ -86,16 +94,14 @@
 // the middle of a stream, and against a stream that then ends as complete.
 BOOST_AUTO_TEST_CASE(ErrorInsteadOfTheRestOfAStreamCutsIt) {
   const std::string answers[] = {
-      "HTTP/1.1 500 Error\r\nRequest-Id: r1\r\nSigned: yes\r\n"
-      "Content-Length: 5\r\n\r\nerror",
-      "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Run: 1\r\n"
-      "Content-Length: 5\r\n\r\nerror",
-      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSigned: yes\r\n"
-      "Content-Length: 5\r\n\r\nerror",
-      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n"
-      "Content-Type: text/event-stream\r\nContent-Length: 20\r\n\r\n"
-      "id: 2\ndata: error\n\n\n",
-      "HTTP/1.1 400 Bad\r\nRequest-Id: r1\r\nConnection: close\r\n\r\nerror",
+      Answer("500 Error", "Signed: yes\r\nContent-Length: 5\r\n", "error"),
+      Answer("503 Busy", "Not-Run: 1\r\nContent-Length: 5\r\n", "error"),
+      Answer("200 OK", "Signed: yes\r\nContent-Length: 5\r\n", "error"),
+      // Unsigned.
+      Answer("200 OK",
+             "Content-Type: text/event-stream\r\nContent-Length: 20\r\n",
+             "id: 2\ndata: error\n\n\n"),
+      Answer("400 Bad", "Connection: close\r\n", "error"),
       "no answer at all: error\r\n\r\n"};
   for (const std::string& answer : answers) {
     BOOST_TEST_CONTEXT(answer) {
--- a/tests/gateway/server_notice_test.cc
+++ b/tests/gateway/server_notice_test.cc
@@ -197,6 +197,7 @@
     }
     const auto end = Clock::now() + milliseconds(1500);
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([&, i] {
         for (int n = 0; Clock::now() < end; ++n) {
