Answer RPC requests that are nested too deeply instead of ending

Cause: jsoncpp throws when a text exceeds its nesting limit. The RPC server parses requests on its worker threads without a handler, so 1,001 opening brackets to the RPC port ended the process (std::terminate), again after each restart. Class: input that a parser reports by throwing.

Engines and operators do not reach this port; other programs in the network do.

Change: the server answers 400 and logs rpc_failed with the reason.

rpc_test/DeeplyNestedRequestsAreRejected: SIGABRT before, passes now. Ruled out: the client's side, which handles the exception already.

--- a/src/rpc/rpc_server.cc
+++ b/src/rpc/rpc_server.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
 
 class WorkerRpcServer : public RpcServer {
  public:
@@ -72,9 +73,18 @@
       }
       return response;
     };
-    exchange.Respond(
-        kStatusOk, {{"Content-Type", "application/json"}},
-        internal::HandleJsonRpcRequest(exchange.Request().body, call));
+    try {
+      exchange.Respond(
+          kStatusOk, {{"Content-Type", "application/json"}},
+          internal::HandleJsonRpcRequest(exchange.Request().body, call));
+    } catch (const Json::Exception& exception) {
+      // jsoncpp throws if the request is nested too deeply, or if a value is
+      // used as one of another type.
+      LogEvent(
+          Severity::kWarning, Event::kRpcFailed,
+          {{"method", exchange.Request().path}, {"message", exception.what()}});
+      exchange.Respond(kStatusBadRequest, {}, {});
+    }
   }
 
   RpcService& service;
--- a/tests/rpc/rpc_test.cc
+++ b/tests/rpc/rpc_test.cc
@@ -70,6 +70,25 @@
   BOOST_TEST((result.error().code == ResultCode::kUnknownCommand));
 }
 
+// Guards against requests of other programs that end the process: the parser
+// of the RPC library throws when the nesting is too deep.
+BOOST_FIXTURE_TEST_CASE(DeeplyNestedRequestsAreRejected, Fixture) {
+  const std::string deep(100000, '[');
+  for (const std::string& body :
+       {deep, std::string(R"({"method":"echo","params":)") + deep,
+        std::string(R"({"params":)") + deep,
+        std::string(R"({"method":1,"params":{"params":1e999}})")}) {
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + server->Address() + "/rpc";
+    call.body = body;
+    const auto response = this->client->Fetch(call);
+    BOOST_TEST((!response ||
+                response.value().body.find("\"result\"") == std::string::npos));
+  }
+  BOOST_TEST(Call("echo", Json::Value(Json::objectValue)).has_value());
+}
+
 // Guards against a server that handles only the format of RpcClient: the
 // request has white space and its method after the parameters.
 BOOST_FIXTURE_TEST_CASE(RequestWithWhiteSpaceIsHandled, Fixture) {
