--- a/include/sycamorebend/settings.h
+++ b/include/sycamorebend/settings.h
@@ -27,6 +27,10 @@
 // keys, at most 64 levels deep.
 Result<Json::Value> ParseJson(std::string_view text);
 
+// The same for text that this system has written and that may contain input: at
+// most 256 levels deep, so that whatever was accepted can be read again.
+Result<Json::Value> ParseStoredJson(std::string_view text);
+
 // @return compact JSON text without a trailing newline; keys are sorted, so
 // that equal values have equal text.
 std::string WriteJson(const Json::Value& value);
--- a/src/control/configuration_history.cc
+++ b/src/control/configuration_history.cc
@@ -95,7 +95,7 @@
   Json::Value found = this->document;
   for (auto newer = this->changes.rbegin();
        newer != this->changes.rend() && newer->version > wanted; ++newer) {
-    BOOST_OUTCOME_TRY(reverse_patch, ParseJson(newer->reverse_patch));
+    BOOST_OUTCOME_TRY(reverse_patch, ParseStoredJson(newer->reverse_patch));
     BOOST_OUTCOME_TRY(older, PatchJson(std::move(found), reverse_patch));
     found = std::move(older);
   }
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -128,7 +128,7 @@
 }
 
 Status LoadHeaderRecord(std::string_view record, Tables& tables) {
-  BOOST_OUTCOME_TRY(header, ParseJson(record));
+  BOOST_OUTCOME_TRY(header, ParseStoredJson(record));
   const Json::Value& format =
       header.isObject() ? header["format"] : Json::Value::nullSingleton();
   if (!format.isInt() || format.asInt() != kSnapshotFormat) {
--- a/src/settings/json_text.cc
+++ b/src/settings/json_text.cc
@@ -7,10 +7,15 @@
 
 namespace {
 
+// Of input.
 constexpr int kMaxJsonDepth = 64;
+// Of text that this system has written. A patch has two levels for each one of
+// the documents that it compares, and both are members of other objects.
+constexpr int kMaxStoredJsonDepth = 4 * kMaxJsonDepth;
 
 Result<Json::Value> ParseWith(std::string_view text,
                               bool comments,
+                              int max_depth,
                               const std::string& origin,
                               ResultCode code) {
   Json::CharReaderBuilder builder;
@@ -19,7 +24,7 @@
   builder["strictRoot"] = false;
   builder["failIfExtra"] = true;
   builder["rejectDupKeys"] = true;
-  builder["stackLimit"] = kMaxJsonDepth;
+  builder["stackLimit"] = max_depth;
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value value;
   std::string errors;
@@ -41,11 +46,18 @@
 
 Result<Json::Value> ParseJsonWithComments(std::string_view text,
                                           const std::string& origin) {
-  return ParseWith(text, true, origin, ResultCode::kSettingsSyntax);
+  return ParseWith(text, true, kMaxJsonDepth, origin,
+                   ResultCode::kSettingsSyntax);
 }
 
 Result<Json::Value> ParseJson(std::string_view text) {
-  return ParseWith(text, false, "JSON", ResultCode::kMalformedRequest);
+  return ParseWith(text, false, kMaxJsonDepth, "JSON",
+                   ResultCode::kMalformedRequest);
+}
+
+Result<Json::Value> ParseStoredJson(std::string_view text) {
+  return ParseWith(text, false, kMaxStoredJsonDepth, "stored JSON",
+                   ResultCode::kMalformedRequest);
 }
 
 std::string WriteJson(const Json::Value& value) {
