Leave out single odd records of the shared state

Cause: a reader of the shared state refused all of it if one record of a server, an entry daemon or a finding had a missing or mistyped field, or a number out of range. Gateways then kept their last state and never got another: keys, departures and configurations included. Records are checked before they are stored, so that this takes a replica of another release or a record of an earlier one.

Change: such records are left out, named in SharedState::unreadable and logged once by a follower.

--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -58,6 +59,11 @@
 // @return the record, or kMalformedRequest naming the field.
 Result<ServerRecord> ServerRecordFromJson(const Json::Value& value);
 
+// Checks a record before it is proposed; what is stored already is not checked
+// again, since replicas of different releases must agree on it.
+// @return kMalformedRequest naming the field.
+Status CheckAnnouncement(const ServerRecord& record);
+
 // What gateways found to crash backend servers.
 struct CrashFinding {
   // Identifies the requests; only gateways interpret it.
@@ -89,9 +95,13 @@
   std::vector<CrashFinding> crash_findings;
   // Addresses of the control replicas.
   std::vector<std::string> replicas;
+  // Records that SharedStateFromJson has left out, "LIST/ID", with the reason.
+  std::map<std::string, std::string> unreadable;
 };
 
 Json::Value SharedStateToJson(const SharedState& state);
+// Leaves out single records that cannot be read, so that one odd record does
+// not keep readers from all others.
 // @return the state, or kProtocolError naming the field.
 Result<SharedState> SharedStateFromJson(const Json::Value& value);
 
--- a/src/control/shared_state.cc
+++ b/src/control/shared_state.cc
@@ -1,5 +1,6 @@
 #include "control/field_reader.h"
 #include "sycamorebend/control.h"
+#include "sycamorebend/settings.h"
 
 namespace sycamorebend {
 
@@ -14,63 +15,62 @@
   return array;
 }
 
-Status ReadEntries(const Json::Value& entries, SharedState& state) {
-  if (!entries.isObject()) {
+// Reads the members of `records`, which is named `list`, with `read`. Those
+// that cannot be read are left out and named in `state.unreadable`.
+// @return kProtocolError if `records` is no object.
+template <typename Read>
+Status ReadRecords(const Json::Value& records,
+                   const std::string& list,
+                   SharedState& state,
+                   const Read& read) {
+  if (!records.isObject()) {
     return MakeError(ResultCode::kProtocolError,
-                     "\"entries\" must be an object");
+                     "\"" + list + "\" must be an object");
   }
-  for (const std::string& id : entries.getMemberNames()) {
-    internal::FieldReader reader(entries[id]);
-    EntryInfo entry;
-    entry.entry_id = id;
-    entry.address = reader.Name("address");
-    entry.failure_domain = reader.OptionalString("failure_domain");
-    entry.incarnation = reader.OptionalString("incarnation");
-    entry.draining = reader.OptionalBool("draining");
-    const Status checked = reader.Finish();
+  for (const std::string& id : records.getMemberNames()) {
+    const Status checked = read(id, records[id]);
     if (!checked) {
-      return MakeError(ResultCode::kProtocolError,
-                       "entry " + id + ": " + checked.error().message);
+      state.unreadable[list + "/" + id] = checked.error().message;
     }
-    state.entries.push_back(std::move(entry));
   }
   return Success();
 }
 
-Status ReadFindings(const Json::Value& findings, SharedState& state) {
-  if (!findings.isObject()) {
-    return MakeError(ResultCode::kProtocolError,
-                     "\"crash_findings\" must be an object");
-  }
-  for (const std::string& content : findings.getMemberNames()) {
-    internal::FieldReader reader(findings[content]);
-    CrashFinding finding;
-    finding.content = content;
-    finding.until_ms = static_cast<std::int64_t>(reader.Unsigned("until_ms"));
-    finding.findings = reader.Unsigned("findings");
-    const Status checked = reader.Finish();
-    if (!checked) {
-      return MakeError(ResultCode::kProtocolError,
-                       "finding " + content + ": " + checked.error().message);
-    }
-    state.crash_findings.push_back(std::move(finding));
-  }
+Status ReadEntry(const std::string& id,
+                 const Json::Value& value,
+                 SharedState& state) {
+  internal::FieldReader reader(value);
+  EntryInfo entry;
+  entry.entry_id = id;
+  entry.address = reader.Name("address");
+  entry.failure_domain = reader.OptionalString("failure_domain");
+  entry.incarnation = reader.OptionalString("incarnation");
+  entry.draining = reader.OptionalBool("draining");
+  BOOST_OUTCOME_TRYV(reader.Finish());
+  state.entries.push_back(std::move(entry));
   return Success();
 }
 
-Status ReadServers(const Json::Value& servers, SharedState& state) {
-  if (!servers.isObject()) {
-    return MakeError(ResultCode::kProtocolError,
-                     "\"servers\" must be an object");
-  }
-  for (const std::string& id : servers.getMemberNames()) {
-    Result<ServerRecord> record = ServerRecordFromJson(servers[id]);
-    if (!record) {
-      return MakeError(ResultCode::kProtocolError,
-                       "server " + id + ": " + record.error().message);
-    }
-    state.servers.push_back(std::move(record.value()));
+Status ReadFinding(const std::string& content,
+                   const Json::Value& value,
+                   SharedState& state) {
+  internal::FieldReader reader(value);
+  CrashFinding finding;
+  finding.content = content;
+  finding.until_ms = static_cast<std::int64_t>(reader.Unsigned("until_ms"));
+  finding.findings = reader.Unsigned("findings");
+  BOOST_OUTCOME_TRYV(reader.Finish());
+  state.crash_findings.push_back(std::move(finding));
+  return Success();
+}
+
+Status ReadServer(const Json::Value& value, SharedState& state) {
+  BOOST_OUTCOME_TRY(record, ServerRecordFromJson(value));
+  if (!IsAddress(record.address)) {
+    return MakeError(ResultCode::kMalformedRequest,
+                     "\"address\" must be \"IP:port\" with an IPv4 address");
   }
+  state.servers.push_back(std::move(record));
   return Success();
 }
 
@@ -124,13 +124,25 @@
   state.configuration = value["configuration"];
   state.drained_servers.insert(drained.begin(), drained.end());
   state.quarantined.insert(quarantined.begin(), quarantined.end());
-  BOOST_OUTCOME_TRY(ReadEntries(value["entries"], state));
+  BOOST_OUTCOME_TRYV(
+      ReadRecords(value["entries"], "entries", state,
+                  [&state](const std::string& id, const Json::Value& entry) {
+                    return ReadEntry(id, entry, state);
+                  }));
   // Absent in the state of an earlier release.
   if (value.isMember("crash_findings")) {
-    BOOST_OUTCOME_TRY(ReadFindings(value["crash_findings"], state));
+    BOOST_OUTCOME_TRYV(ReadRecords(
+        value["crash_findings"], "crash_findings", state,
+        [&state](const std::string& content, const Json::Value& finding) {
+          return ReadFinding(content, finding, state);
+        }));
   }
   if (value.isMember("servers")) {
-    BOOST_OUTCOME_TRY(ReadServers(value["servers"], state));
+    BOOST_OUTCOME_TRYV(ReadRecords(
+        value["servers"], "servers", state,
+        [&state](const std::string& /*id*/, const Json::Value& server) {
+          return ReadServer(server, state);
+        }));
   }
   return state;
 }
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -187,8 +187,9 @@
     Renewal own{this->options.self, now};
     own.entry.draining = this->draining;
     Json::Value params = internal::RenewalToJson(own, now);
-    params["have_epoch"] = base ? base->epoch : std::string();
-    params["have_version"] = Json::UInt64(base ? base->version : 0);
+    const bool use_base = base != nullptr && !this->needs_snapshot;
+    params["have_epoch"] = use_base ? base->epoch : std::string();
+    params["have_version"] = Json::UInt64(use_base ? base->version : 0);
     params["wait_ms"] = Json::Int64(ToMilliseconds(this->options.poll_wait));
     params["relayed_renewals"] = this->renewals.ToJson(now);
     return params;
@@ -225,13 +226,18 @@
                        const std::shared_ptr<const SharedState>& base,
                        TimePoint sent) {
     BOOST_OUTCOME_TRY(this->CheckOrigin(response, base));
-    BOOST_OUTCOME_TRY(state, internal::ReadFeedResponse(response, base));
+    Result<std::shared_ptr<const SharedState>> read =
+        internal::ReadFeedResponse(response, base);
+    // Changes of a record that is missing here cannot be applied.
+    this->needs_snapshot = !read;
+    BOOST_OUTCOME_TRY(state, std::move(read));
     const Json::Int64 age_ms = response["confirmed_age_ms"].asInt64();
     {
       std::lock_guard lock(this->mutex);
       this->path = response["path"];
     }
     if (state != base) {
+      LogUnreadable(*state, base);
       this->buffer.Publish(state);
     }
     if (age_ms >= 0) {
@@ -288,11 +294,27 @@
     return Success();
   }
 
+  // Logs each record that cannot be read once.
+  static void LogUnreadable(const SharedState& state,
+                            const std::shared_ptr<const SharedState>& base) {
+    for (const auto& [record, reason] : state.unreadable) {
+      if (base == nullptr || base->unreadable.count(record) == 0) {
+        LogEvent(Severity::kWarning, Event::kReportRejected,
+                 {{"source", "shared state"},
+                  {"record", record},
+                  {"reason", reason}});
+      }
+    }
+  }
+
   const FeedFollowerOptions options;
   RpcClient& rpc;
   const Clock& clock;
   const UpdateCallback on_update;
-  SourceList sources;  // Used only by the follower's thread.
+  // Used only by the follower's thread.
+  SourceList sources;
+  // The last response could not be applied to the current state.
+  bool needs_snapshot = false;
   FeedBuffer buffer;
   mutable std::mutex mutex;
   std::condition_variable wake;
--- a/tests/control/odd_input_test.cc
+++ b/tests/control/odd_input_test.cc
@@ -1,4 +1,5 @@
-// Input that is valid as JSON but odd: deep nesting, numbers out of range.
+// Input that is valid as JSON but odd: deep nesting, numbers out of range, and
+// records with missing or mistyped fields.
 #include <boost/test/unit_test.hpp>
 
 #include "control_fixture.h"
@@ -16,6 +17,16 @@
   return text + "1" + std::string(static_cast<std::size_t>(depth), '}');
 }
 
+Json::Value ServerNamed(const std::string& id) {
+  ServerRecord record;
+  record.server_id = id;
+  record.incarnation = 1;
+  record.service = "app";
+  record.address = "10.0.0.1:80";
+  record.slots = 4;
+  return ServerRecordToJson(record);
+}
+
 }  // namespace
 
 // Guards against an accepted configuration that no replica can restore from its
@@ -45,4 +56,42 @@
   BOOST_TEST(!this->Run(WriteJson(command)).has_value());
 }
 
+// Guards against followers that stop following because one record of the shared
+// state cannot be read.
+BOOST_AUTO_TEST_CASE(OddRecordsOfTheSharedStateAreDropped) {
+  SharedState state;
+  state.epoch = "e";
+  state.version = 7;
+  state.entries = {{"entry1", "10.0.1.1:80", "a", "1", false}};
+  state.crash_findings = {{"request:1", 5, 1}};
+  Json::Value json = SharedStateToJson(state);
+  const std::vector<std::string> odd = {
+      "null", "1", "[]", "\"text\"", "{}", Nested(60), "{\"slots\":1}"};
+  for (std::size_t i = 0; i < odd.size(); ++i) {
+    const Json::Value record = ParseJson(odd[i]).value();
+    const std::string name = "odd" + std::to_string(i);
+    json["servers"][name] = record;
+    json["entries"][name] = record;
+    json["crash_findings"][name] = record;
+  }
+  for (int i = 0; i < 100; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    json["servers"][id] = ServerNamed(id);
+  }
+  for (const std::string& field : ServerNamed("s").getMemberNames()) {
+    for (const char* value :
+         {"-1", "1.5", "1e30", "18446744073709551615", "[1]", "{\"a\":1}"}) {
+      const std::string name = field + value;
+      json["servers"][name] = ServerNamed(name);
+      json["servers"][name][field] = ParseJson(value).value();
+    }
+  }
+  const auto read = SharedStateFromJson(json);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().servers.size() == 100U);
+  BOOST_TEST(read.value().entries.size() == 1U);
+  BOOST_TEST(read.value().crash_findings.size() == 1U);
+  BOOST_TEST(read.value().version == 7U);
+}
+
 }  // namespace sycamorebend
--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -530,4 +530,39 @@
   BOOST_TEST((response.error().code == ResultCode::kShuttingDown));
 }
 
+// Guards against a follower that never gets another version after one record
+// that it cannot read has changed.
+BOOST_FIXTURE_TEST_CASE(ChangeOfAnOddRecordIsFollowed, Fixture) {
+  std::atomic<bool> changed{false};
+  rpc.Serve(kReplica1, [&](const Json::Value& params) -> Result<Json::Value> {
+    const auto state_of = [](int version) {
+      SharedState state;
+      state.epoch = "x";
+      state.version = static_cast<std::uint64_t>(version);
+      Json::Value json = SharedStateToJson(state);
+      json["servers"]["odd"]["slots"] = -version;
+      return json;
+    };
+    const int version = changed ? 2 : 1;
+    Json::Value response = FakeResponse("x", version, 0);
+    response["snapshot"] = state_of(version);
+    if (params["have_version"].asUInt64() == 1) {
+      response.removeMember("snapshot");
+      if (changed) {
+        response["deltas"][0]["from"] = 1;
+        response["deltas"][0]["patch"] = DiffJson(state_of(1), state_of(2));
+      } else {
+        std::this_thread::sleep_for(milliseconds(5));
+      }
+    }
+    return response;
+  });
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 1; }));
+  changed = true;
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 2; }));
+  BOOST_TEST(follower->Current()->unreadable.size() == 1U);
+  follower->Stop();
+}
+
 }  // namespace sycamorebend
