Refuse announcements with odd names and addresses where they arrive

Cause: the API checked the types of a heartbeat's fields; bounds were checked by the leader only, and not all: a failure domain of any length (up to the limit of a body) was stored and sent to every gateway, and an address with a NUL character passed as the address before it.

Stored records are not checked again, since replicas of different releases must agree on them.

Open: an entry that names an existing server with a later start takes its place until its lease ends.

--- a/src/control/server_directory.cc
+++ b/src/control/server_directory.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 
 #include "control/field_reader.h"
+#include "sycamorebend/settings.h"
 
 namespace sycamorebend {
 
@@ -54,6 +55,17 @@
   return record;
 }
 
+Status CheckAnnouncement(const ServerRecord& record) {
+  const Json::Value value = ServerRecordToJson(record);
+  BOOST_OUTCOME_TRYV(ServerRecordFromJson(value));
+  internal::FieldReader reader(value);
+  reader.Name("failure_domain");
+  if (!IsAddress(record.address)) {
+    reader.Reject("address", "\"IP:port\" with an IPv4 address");
+  }
+  return reader.Finish();
+}
+
 namespace internal {
 
 namespace {
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -228,6 +228,7 @@
 
 Result<Json::Value> ControlService::Heartbeat(const Json::Value& params) {
   BOOST_OUTCOME_TRY(record, ServerRecordFromJson(params));
+  BOOST_OUTCOME_TRYV(CheckAnnouncement(record));
   const ReplicatedLog::LogStatus status = this->log.load()->GetStatus();
   if (!status.is_leader) {
     return MakeError(ResultCode::kNotLeader, status.leader_address);
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -55,7 +55,8 @@
   }
   const std::string host(text.substr(0, colon));
   in_addr parsed{};
-  if (inet_pton(AF_INET, host.c_str(), &parsed) != 1) {
+  if (host.find('\0') != std::string::npos ||
+      inet_pton(AF_INET, host.c_str(), &parsed) != 1) {
     return false;
   }
   int port = 0;
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -1,5 +1,6 @@
 #include "gateway/load_exchange.h"
 
+#include <limits>
 #include <map>
 #include <random>
 #include <set>
@@ -130,6 +131,36 @@
   }
 }
 
+// Guards against datagrams that exhaust the stack or the memory: deep nesting,
+// and sizes far beyond the data.
+BOOST_AUTO_TEST_CASE(NestedAndOversizedDatagramsAreRejected) {
+  const std::string prefix("\x98\xa3one\x07", 6);
+  for (const std::string& odd :
+       {std::string(60000, '\x91'), std::string("\xdd\xff\xff\xff\xff", 5),
+        std::string("\xdf\xff\xff\xff\xff", 5),
+        std::string("\xdb\xff\xff\xff\xff", 5),
+        std::string("\xc9\xff\xff\xff\xff\x01", 6)}) {
+    BOOST_TEST(!DecodeLoadMessage(odd));
+    BOOST_TEST(!DecodeLoadMessage(prefix + odd));
+  }
+}
+
+// Guards against sums that overflow because of one message.
+BOOST_AUTO_TEST_CASE(HugeLoadsOfAMessageAreBounded) {
+  PeerLoads peers;
+  const TimePoint now{seconds(10)};
+  for (const char* sender : {"one", "two", "three"}) {
+    LoadMessage sent = Message(sender, 1, std::numeric_limits<int>::max());
+    sent.server_loads[0].pending =
+        PendingTokens(2, std::numeric_limits<int>::max());
+    const auto read = DecodeLoadMessage(EncodeLoadMessage(sent));
+    BOOST_REQUIRE(read);
+    peers.Update(read.value(), now);
+  }
+  BOOST_TEST(peers.Total(kServer, now).outstanding > 0);
+  BOOST_TEST(peers.Total(kServer, now).pending.Total() > 0);
+}
+
 // Guards against load that is counted twice or overwritten by an older message.
 BOOST_AUTO_TEST_CASE(NewestMessageOfEachGatewayCounts) {
   PeerLoads peers;
--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -113,6 +113,59 @@
   BOOST_TEST(this->leader.calls.empty());
 }
 
+// Guards against an entry of another writer that ends the process, or is
+// recorded as a server: nested too deeply, with numbers out of range, or longer
+// than any name.
+BOOST_FIXTURE_TEST_CASE(OddHeartbeatsNameNoServer, Fixture) {
+  const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+  const std::string long_text = "\"" + std::string(1000, 'z') + "\"";
+  const std::vector<std::pair<const char*, std::string>> odd_values = {
+      {"slots", "0"},
+      {"slots", "-1"},
+      {"slots", "1.5"},
+      {"slots", "1e30"},
+      {"slots", "1e999"},
+      {"slots", "18446744073709551616"},
+      {"sequence", "-1"},
+      {"sequence", "9007199254740992"},
+      {"born", "18446744073709551615"},
+      {"born", "123456789012345678901234567890"},
+      {"born", "0.5"},
+      {"address", R"("10.0.0.9:0")"},
+      {"address", R"("10.0.0.9:-1")"},
+      {"address", R"("10.0.0.9:65536")"},
+      {"address", R"("10.0.0.9:99999999999999999999")"},
+      {"address", R"("10.0.0.9:80.5")"},
+      {"address", R"("10.0.0.9")"},
+      {"address", R"("10.0.0.256:80")"},
+      {"address", R"("10.0.0.9\u0000:80")"},
+      {"address", R"("")"},
+      {"backend", long_text},
+      {"zone", long_text},
+      {"zone", deep},
+      {"other", deep},
+  };
+  for (const auto& [key, value] : odd_values) {
+    std::string body(kHeartbeatBody);
+    Json::Value beat = ParseJson(body).value();
+    beat.removeMember(key);
+    body = WriteJson(beat);
+    body.insert(1, std::string("\"") + key + "\":" + value + ",");
+    BOOST_TEST(
+        this->Send("POST", "/api/instances/i-7/heartbeat", body)->status == 400,
+        key << " " << value.substr(0, 40));
+  }
+  for (const std::string& id : {std::string(), std::string(1000, 'i')}) {
+    BOOST_TEST(this->Send("POST", "/api/instances/" + id + "/heartbeat",
+                          kHeartbeatBody)
+                   ->status == 400);
+  }
+  this->Send("POST", "/api/instances/i-7/deregister", deep);
+  for (const auto& [method, params] : this->leader.calls) {
+    BOOST_TEST(method == "server.leave");
+  }
+}
+
 // Guards against an acknowledgement of a change that may not be committed.
 BOOST_FIXTURE_TEST_CASE(UncertainOutcomeIsNotAcknowledged, Fixture) {
   this->leader.result = MakeError(ResultCode::kNoQuorum);
