Answer every request before a planned stop of a gateway ends

What callers saw: requests that were open at the end of the grace were cut with no answer, among them some that may not be sent again, so that their callers could not know whether they had run. With a grace of less than 3.2 s also requests that came late in it were taken and passed on, and the process lived past its grace: the time in which it accepts requests, 2.8 s, did not follow the grace.

Cause: the end of the grace stopped the event loop whatever was open.

Change: requests are accepted for at most 0.35 of the grace (2.8 s of 8 s, as before). 0.4 s before its end every open request is ended as at its deadline: 502 if a server may have run it, 503 with Retry-After if none was sent it, a cut if its stream has begun. The process ends when that is sent, 0.15 s before the end of the grace at the latest.

Ruled out by reading: the entry daemon waits for its last request, it has no such end. A streams' cut stays a cut: nothing else would be true.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -114,7 +114,7 @@
 
 void Forwarder::Begin() {
   const Route& route = *this->job.route;
-  ++this->context.open_requests;
+  this->context.open.insert(this);
   this->service = route.PickService(StableHash64(this->request_id));
   this->deadline =
       this->started_at +
@@ -734,17 +734,24 @@
 }
 
 void Forwarder::OnDeadline() {
+  this->EndUnfinished(kGatewayTimeout, "its time is up");
+}
+
+void Forwarder::EndForStop() {
+  this->EndUnfinished(kBadGateway, "this gateway is stopping");
+}
+
+void Forwarder::EndUnfinished(int status_if_sent, const std::string& reason) {
   const auto keep = this->shared_from_this();
-  const bool never_sent = !this->may_have_run;
   this->EndCall(AttemptOutcome::kCancelled);
   if (this->job.exchange->Started()) {
     this->job.exchange->Abort();
-    this->Finish(kGatewayTimeout, "stream cut: its time is up");
-  } else if (never_sent) {
-    this->RespondWithError(kUnavailable, "no server could be reached in time",
-                           kRetryAfterNoServer);
+    this->Finish(status_if_sent, "stream cut: " + reason);
+  } else if (this->may_have_run) {
+    this->RespondWithError(status_if_sent, "no answer: " + reason);
   } else {
-    this->RespondWithError(kGatewayTimeout, "no answer in time");
+    this->RespondWithError(kUnavailable, "not sent to a server: " + reason,
+                           kRetryAfterNoServer);
   }
 }
 
@@ -772,7 +779,7 @@
   this->EndCall(AttemptOutcome::kCancelled);
   this->context.loop.Cancel(std::exchange(this->deadline_timer, 0));
   this->job.exchange->OnDisconnect(nullptr);
-  --this->context.open_requests;
+  this->context.open.erase(this);
   const TimePoint now = this->context.loop.Now();
   const Route& route = *this->job.route;
   const bool failed = status >= kFirstRedirect;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,8 @@
   std::map<std::string, internal::RetryBudget> budgets;
 };
 
+class Forwarder;
+
 // State shared by all requests of a gateway.
 struct ForwardContext {
   net::EventLoop& loop;
@@ -42,7 +45,8 @@
   RetryBudgets& budgets;
   RequestMetrics& metrics;
   CrashQuarantine& quarantine;
-  int open_requests = 0;
+  // Requests without an end.
+  std::set<Forwarder*> open;
   // When a response with a malformed header was last logged.
   TimePoint malformed_logged_at = TimePoint();
 };
@@ -65,6 +69,9 @@
   // Starts forwarding. The forwarder keeps itself alive until it is finished.
   static void Start(ForwardContext& context, ForwardJob job);
 
+  // Ends the request because the gateway is about to end.
+  void EndForStop();
+
   void OnConnected(bool reused) override;
   void OnResponseHead(const net::MessageHead& head,
                       const ResponseFields& fields) override;
@@ -98,6 +105,8 @@
   void SetAttemptTimer(Duration wait, void (Forwarder::*on_timeout)());
   void OnAttemptTimeout();
   void OnDeadline();
+  // Ends the request with an error that says whether it may have run.
+  void EndUnfinished(int status_if_sent, const std::string& reason);
   void OnCallerDisconnected();
 
   void HandleEvents();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,8 +18,13 @@
 // that resolved the addresses just before the signal keep using them for a
 // while.
 constexpr Duration kAcceptDuringStop = milliseconds(2800);
-// Open requests are aborted this long before the end of stop_grace.
+// Upper bound of that time as a fraction of stop_grace, so that accepted
+// requests have time to finish.
+constexpr double kMaxAcceptFraction = 0.35;
+// Open requests are ended with an error this long before the end of stop_grace,
+// and the process ends this long before it.
 constexpr Duration kStopAbortMargin = milliseconds(400);
+constexpr Duration kStopExitMargin = milliseconds(150);
 constexpr Duration kStopCheckInterval = milliseconds(50);
 // The first configuration is applied after this time even if no quorum has
 // confirmed it: on a VM that is partitioned from the replicas, a possibly
@@ -289,7 +294,7 @@
   this->quarantine.Publish(this->metrics, now);
   this->metrics.SetGauge("sycamorebend_gateway_open_requests",
                          "Requests without an end.", {},
-                         this->context.open_requests);
+                         static_cast<double>(this->context.open.size()));
   const auto& table = this->handler.Table();
   if (table != nullptr) {
     this->metrics.SetGauge("sycamorebend_gateway_configuration_version",
@@ -324,7 +329,7 @@
   }
   this->stop_began = this->loop.Now();
   LogEvent(Severity::kInfo, Event::kProcessStopping,
-           {{"open_requests", this->context.open_requests}});
+           {{"open_requests", this->context.open.size()}});
   this->follower->SetDraining();
   this->loop.SubscribePeriodic(kStopCheckInterval,
                                [this] { this->AdvanceStop(); });
@@ -332,7 +337,8 @@
 
 void Gateway::AdvanceStop() {
   const Duration elapsed = this->loop.Now() - this->stop_began;
-  if (elapsed < kAcceptDuringStop) {
+  const Duration grace = this->settings.stop_grace;
+  if (elapsed < std::min(kAcceptDuringStop, Scale(grace, kMaxAcceptFraction))) {
     return;
   }
   if (!std::exchange(this->rejecting, true)) {
@@ -340,13 +346,15 @@
     this->callers->StopAccepting();
   }
   this->callers->CloseIdle();
-  const bool grace_over =
-      elapsed > this->settings.stop_grace - kStopAbortMargin;
-  const bool finished =
-      this->context.open_requests == 0 && this->callers->Quiet();
-  if (finished || grace_over) {
+  if (elapsed >= grace - kStopAbortMargin && !this->context.open.empty()) {
+    // The answers are sent before the next check.
+    this->handler.EndOpenRequests();
+    return;
+  }
+  const bool finished = this->context.open.empty() && this->callers->Quiet();
+  if (finished || elapsed >= grace - kStopExitMargin) {
     LogEvent(Severity::kInfo, Event::kProcessStopped,
-             {{"open_requests", this->context.open_requests}});
+             {{"open_requests", this->context.open.size()}});
     this->loop.Stop();
   }
 }
--- a/src/gateway/route_handler.cc
+++ b/src/gateway/route_handler.cc
@@ -37,6 +37,14 @@
   exchange.Respond(status, headers, {});
 }
 
+void RouteHandler::EndOpenRequests() {
+  // Each one removes itself.
+  const std::set<Forwarder*> open = this->context.open;
+  for (Forwarder* forwarder : open) {
+    forwarder->EndForStop();
+  }
+}
+
 void RouteHandler::Handle(std::shared_ptr<CallerExchange> exchange) {
   Result<RequestFields> read =
       this->context.format.ReadRequestFields(exchange->Head());
--- a/src/gateway/route_handler.h
+++ b/src/gateway/route_handler.h
@@ -26,6 +26,8 @@
 
   // Rejects requests that arrive from now on, since the process is stopping.
   void RejectNewRequests() { this->rejecting = true; }
+  // Ends all requests without an end, since the process is about to end.
+  void EndOpenRequests();
 
   void Handle(std::shared_ptr<CallerExchange> exchange) override;
 
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -22,6 +22,28 @@
   return prompt;
 }
 
+RouteTable MakeRouteTable() {
+  RouteTable table;
+  const auto add = [&](const std::string& name, RouteKind kind, int attempts) {
+    Route route;
+    route.name = name;
+    route.host = "shop.example";
+    route.path_prefix = "/" + name + "/";
+    route.kind = kind;
+    route.services = {{"app", 1}};
+    route.timeout = seconds(5);
+    route.max_attempts = attempts;
+    route.open = true;
+    table.routes.push_back(std::move(route));
+  };
+  add("safe", RouteKind::kIdempotent, 2);
+  add("once", RouteKind::kNonIdempotent, 2);
+  add("stream", RouteKind::kStream, 2);
+  table.routes.back().resumable = true;
+  add("live", RouteKind::kStream, 1);
+  return table;
+}
+
 }  // namespace
 
 Result<RequestFields> TestFormat::ReadRequestFields(
@@ -74,7 +96,7 @@
 
 Result<RouteTable> TestFormat::ReadConfiguration(
     const Json::Value& /*document*/) const {
-  return RouteTable();
+  return MakeRouteTable();
 }
 
 GatewayFixture::GatewayFixture() {
@@ -103,9 +125,9 @@
   done.get_future().wait();
 }
 
-int GatewayFixture::OpenRequests() {
-  int open = 0;
-  this->OnLoop([&] { open = this->context.open_requests; });
+std::size_t GatewayFixture::OpenRequests() {
+  std::size_t open = 0;
+  this->OnLoop([&] { open = this->context.open.size(); });
   return open;
 }
 
@@ -130,24 +152,7 @@
 }
 
 void GatewayFixture::SetTable(const std::function<void(RouteTable&)>& change) {
-  auto table = std::make_shared<RouteTable>();
-  const auto add = [&](const std::string& name, RouteKind kind, int attempts) {
-    Route route;
-    route.name = name;
-    route.host = "shop.example";
-    route.path_prefix = "/" + name + "/";
-    route.kind = kind;
-    route.services = {{"app", 1}};
-    route.timeout = seconds(5);
-    route.max_attempts = attempts;
-    route.open = true;
-    table->routes.push_back(std::move(route));
-  };
-  add("safe", RouteKind::kIdempotent, 2);
-  add("once", RouteKind::kNonIdempotent, 2);
-  add("stream", RouteKind::kStream, 2);
-  table->routes.back().resumable = true;
-  add("live", RouteKind::kStream, 1);
+  auto table = std::make_shared<RouteTable>(MakeRouteTable());
   if (change) {
     change(*table);
   }
--- a/tests/gateway/start_test.cc
+++ b/tests/gateway/start_test.cc
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/gateway.h"
@@ -19,8 +21,106 @@
   return settings;
 }
 
+// A control replica whose state never changes.
+class FakeReplica : public RpcService, public HttpHandler {
+ public:
+  explicit FakeReplica(const std::string& server_address) {
+    ServerRecord record;
+    record.server_id = "s1";
+    record.incarnation = 1;
+    record.service = "app";
+    record.address = server_address;
+    record.slots = 8;
+    this->state.epoch = "x";
+    this->state.version = 1;
+    this->state.configuration_version = 1;
+    this->state.configuration = Json::Value(Json::objectValue);
+    this->state.servers = {record};
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    this->server = std::move(HttpServer::Start(options, *this).value());
+  }
+  ~FakeReplica() override { this->server->Stop(); }
+
+  std::string Address() const { return this->server->Address(); }
+
+  Result<Json::Value> Call(const std::string& /*method*/,
+                           const Json::Value& params) override {
+    Json::Value response;
+    response["epoch"] = this->state.epoch;
+    response["version"] = Json::UInt64(this->state.version);
+    response["confirmed_age_ms"] = 0;
+    response["path"] = Json::Value(Json::arrayValue);
+    if (params["have_version"].asUInt64() != this->state.version) {
+      response["snapshot"] = SharedStateToJson(this->state);
+    } else {
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+    return response;
+  }
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    this->calls->Handle(std::move(exchange));
+  }
+
+ private:
+  SharedState state;
+  std::unique_ptr<RpcServer> calls = RpcServer::Create(*this, 2);
+  std::unique_ptr<HttpServer> server;
+};
+
 }  // namespace
 
+// Guards against requests that are taken too late in a planned stop to finish,
+// and against requests that get no answer at the end of its time. Some may not
+// be sent again, so their callers have to know whether they may have run.
+BOOST_AUTO_TEST_CASE(PlannedStopAnswersEveryRequest) {
+  ScriptedServer server([](const ReceivedRequest& request, Socket& socket) {
+    if (request.head.find("/live/") != std::string::npos) {
+      socket.Send(StreamResponseHead(request) + EventChunk(1, "one"));
+    }
+    return true;  // The rest never comes.
+  });
+  FakeReplica replica(server.Address());
+  const SystemClock clock;
+  const TestFormat format;
+  const auto loop = net::EventLoop::Create(clock);
+  GatewaySettings settings = MakeSettings();
+  settings.replicas = {replica.Address()};
+  settings.stop_grace = seconds(2);
+  const auto gateway = Gateway::Start(settings, format, *loop, clock);
+  BOOST_REQUIRE(gateway);
+  const std::string address = gateway.value()->CallerAddress();
+  std::thread thread([&] { loop->Run(); });
+  const auto ask = [&](const std::string& id, const std::string& path) {
+    auto caller = std::make_unique<RawCaller>(address);
+    caller->Send(Request(id, path));
+    return caller;
+  };
+  while (!Contains(ask("first", "/live/x")->ReadUntil("one", 100), "one")) {
+  }
+  const auto once = ask("once", "/once/x");
+  const auto safe = ask("safe", "/safe/x");
+  const auto live = ask("live", "/live/x");
+  BOOST_TEST(Contains(live->ReadUntil("one"), "one"));
+  loop->Post([&] { gateway.value()->BeginStop(); });
+  const auto early = ask("early", "/once/x");
+  // A caller that sends on an open connection.
+  RawCaller kept(address);
+  std::this_thread::sleep_for(milliseconds(1100));
+  kept.Send(Request("late", "/once/x"));
+  const std::string late_answer = kept.ReadToEnd();
+  BOOST_TEST((late_answer.empty() || Contains(late_answer, "HTTP/1.1 503")),
+             late_answer);
+  BOOST_TEST(Contains(once->ReadToEnd(), "HTTP/1.1 502"));
+  BOOST_TEST(Contains(safe->ReadToEnd(), "HTTP/1.1 502"));
+  BOOST_TEST(Contains(early->ReadToEnd(), "HTTP/1.1 502"));
+  BOOST_TEST(!Contains(live->ReadToEnd(), "\r\n0\r\n"));
+  thread.join();
+  for (const ReceivedRequest& request : server.Requests()) {
+    BOOST_TEST(request.Header("Request-Id") != "late");
+  }
+}
+
 // Guards against a gateway that does not start because its metrics port is in
 // use, and against one that ignores that its caller address is in use.
 BOOST_AUTO_TEST_CASE(MetricsPortInUseDoesNotStopTheGateway) {
