Hand leadership over when the leader's disk is full

What callers saw: while the disk of the leader is full, every change is refused, for as long as it is full, although a majority could take it: orders of operators, announcements of servers and findings.

Cause: a leader refuses proposals while its disk is full and keeps the lead, as its lease does not depend on its disk.

Change: it hands over once entries are committed that are not durable at itself, which shows that a majority without it can write. If the others cannot write either it keeps its lease, so that reads and the feed go on. Calls to the leader go on after storage_full, since another replica leads a moment later; it still promises that nothing was executed.

consensus_service_test/DisksFullInTurnDoNotStopChanges failed before: no change in 20 s in the first round; six rounds, leader and follower by turns, pass now. leader_rpc_client_test/LeaderWithAFullDiskIsNotFinal.

Ruled out by reading: the write queue retries every 100 ms and clears the flag with the first write; a proposal has a deadline of its own; resent entries acknowledge what is durable.

--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -98,6 +98,11 @@
   // no such follower.
   void TransferLeadership(TimePoint now);
 
+  // Transfers leadership from a replica that cannot write, if the others can:
+  // entries are committed that are not durable here. Otherwise the lease is
+  // kept, so that reads are still served.
+  void TransferFromFullDisk(TimePoint now);
+
   // Stores a snapshot and drops old log entries.
   // @param state the state machine's snapshot after the last committed entry
   // that TakeOutput returned.
--- a/src/consensus/core_election.cc
+++ b/src/consensus/core_election.cc
@@ -222,6 +222,19 @@
   this->Send(this->MakeMessage(MessageType::kTimeoutNow, target));
 }
 
+void Core::TransferFromFullDisk(TimePoint now) {
+  if (this->role != Role::kLeader || this->transferring_leadership) {
+    return;
+  }
+  if (this->commit_index > this->durable_index) {
+    this->TransferLeadership(now);
+  } else if (this->durable_index == this->LastIndex()) {
+    // Only a snapshot waits for space. The others show with this entry whether
+    // they can write.
+    this->AppendAsLeader(EntryKind::kNoOp, {}, now, this->last_time_ms);
+  }
+}
+
 TimePoint Core::LeaseStart(TimePoint now) const {
   std::vector<TimePoint> times;
   for (const Member& member : this->Replicas().members) {
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -190,6 +190,9 @@
   }
   const TimePoint now = this->Now();
   this->core->Tick(now);
+  if (this->storage->Full()) {
+    this->core->TransferFromFullDisk(now);
+  }
   // Expire proposals that were not committed in time, for instance because the
   // disk is full.
   for (auto it = this->proposals.begin(); it != this->proposals.end();) {
--- a/src/control/leader_rpc_client.cc
+++ b/src/control/leader_rpc_client.cc
@@ -16,13 +16,16 @@
          code == ResultCode::kShuttingDown ||
          code == ResultCode::kConnectFailed ||
          code == ResultCode::kTransportTimeout ||
-         code == ResultCode::kProtocolError;
+         code == ResultCode::kProtocolError ||
+         // A leader with a full disk hands its leadership over.
+         code == ResultCode::kStorageFull;
 }
 
 }  // namespace
 
 bool MayHaveExecuted(ResultCode code) {
-  return IsRetryable(code) || code == ResultCode::kCancelled;
+  return code == ResultCode::kCancelled ||
+         (IsRetryable(code) && code != ResultCode::kStorageFull);
 }
 
 std::string FindAddress(const std::string& text) {
--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include <atomic>
+#include <cerrno>
 #include <filesystem>
 #include <future>
 #include <map>
@@ -15,12 +16,23 @@
 #include <thread>
 #include <vector>
 
+#include "consensus/file_storage.h"
+#include "consensus/service.h"
 #include "sycamorebend/consensus.h"
 #include "sycamorebend/http.h"
 #include "sycamorebend/rpc.h"
 
 namespace sycamorebend {
 
+// A disk that is full on demand.
+class FullDiskCalls : public internal::FileCalls {
+ public:
+  int Write(int file, std::string_view data) override {
+    return this->full ? ENOSPC : FileCalls::Write(file, data);
+  }
+  std::atomic<bool> full = false;
+};
+
 // A directory that is deleted by the destructor.
 class TemporaryDirectory {
  public:
@@ -140,10 +152,20 @@
     options.address = this->Address();
     this->state_machine = std::make_unique<RecordingStateMachine>();
     this->control = std::make_unique<ControlThread>(this->clock);
-    BOOST_OUTCOME_TRY(
-        started,
-        CreateReplicatedLog(options, *this->state_machine, this->outgoing_rpc,
-                            *this->control, this->clock));
+    internal::ServiceDependencies dependencies{
+        *this->state_machine, *this->control, this->clock,
+        internal::CreateRpcTransport(this->outgoing_rpc, options.address,
+                                     options.timings.election_timeout_min / 2),
+        [&](std::function<void(std::uint64_t)> on_durable) {
+          internal::FileStorageOptions storage;
+          storage.directory = options.data_directory;
+          storage.replica_id = options.id;
+          storage.calls = &this->disk;
+          storage.on_durable = std::move(on_durable);
+          return internal::CreateFileStorage(std::move(storage));
+        }};
+    BOOST_OUTCOME_TRY(started,
+                      internal::StartService(options, std::move(dependencies)));
     std::lock_guard lock(this->mutex);
     this->log = std::move(started);
     return Success();
@@ -205,6 +227,7 @@
   }
 
   SystemClock clock;
+  FullDiskCalls disk;
   // Fails incoming calls.
   std::atomic<bool> refuse_incoming = false;
   // Fails outgoing calls.
--- a/tests/consensus/service_test.cc
+++ b/tests/consensus/service_test.cc
@@ -1,16 +1,19 @@
 #define BOOST_TEST_MODULE consensus_service
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
-#include <cerrno>
+#include <set>
 
 #include "cluster.h"
-#include "consensus/service.h"
 
 namespace sycamorebend {
 
 namespace {
 
+// Well above the time of any step, so that only a failed condition reaches it.
+constexpr Duration kTestTimeout = seconds(20);
+
 // Waits until every running node has applied `count` commands.
 void WaitApplied(const Cluster& cluster, std::size_t count) {
   for (const auto& node : cluster.nodes) {
@@ -21,14 +24,6 @@
   }
 }
 
-class FullDiskCalls : public internal::FileCalls {
- public:
-  int Write(int file, std::string_view data) override {
-    return this->full ? ENOSPC : FileCalls::Write(file, data);
-  }
-  std::atomic<bool> full = false;
-};
-
 }  // namespace
 
 // Guards against replicas that apply commands in different orders, lose an
@@ -241,4 +236,52 @@
   log->Stop();
 }
 
+// Guards against changes that are refused while the disk of one replica is
+// full, or stay so after the disks were full one after the other.
+BOOST_AUTO_TEST_CASE(DisksFullInTurnDoNotStopChanges) {
+  Cluster cluster(3);
+  std::set<std::string> accepted;
+  int sent = 0;
+  // Proposes a command until it is accepted, as operators do.
+  const auto change = [&](std::chrono::steady_clock::time_point deadline) {
+    const std::string command = "c" + std::to_string(++sent);
+    while (std::chrono::steady_clock::now() < deadline) {
+      for (const auto& node : cluster.nodes) {
+        if (node->Propose(command)) {
+          accepted.insert(command);
+          return true;
+        }
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+  };
+  for (std::size_t round = 0; round < 6; ++round) {
+    // The leader's disk and another one by turns.
+    Node* full = &cluster.Leader();
+    if (round % 2 == 1) {
+      full = cluster.nodes[0].get() == full ? cluster.nodes[1].get()
+                                            : cluster.nodes[0].get();
+    }
+    full->disk.full = true;
+    const auto deadline = std::chrono::steady_clock::now() + kTestTimeout;
+    // The first one may be written before the disk is found to be full.
+    for (int i = 0; i < 3; ++i) {
+      BOOST_TEST_REQUIRE(change(deadline), "round " << round);
+    }
+    full->disk.full = false;
+  }
+  const auto deadline = std::chrono::steady_clock::now() + kTestTimeout;
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST_REQUIRE(change(deadline));
+  }
+  Node& leader = cluster.Leader();
+  for (const std::string& command : accepted) {
+    const auto commands = leader.state_machine->Commands();
+    BOOST_TEST((std::find(commands.begin(), commands.end(), command) !=
+                commands.end()),
+               command);
+  }
+}
+
 }  // namespace sycamorebend
--- a/tests/control/leader_rpc_client_test.cc
+++ b/tests/control/leader_rpc_client_test.cc
@@ -105,4 +105,21 @@
   BOOST_TEST(FindAddress("") == "");
 }
 
+// Guards against a refused call while the leader, whose disk is full, hands its
+// leadership over.
+BOOST_FIXTURE_TEST_CASE(LeaderWithAFullDiskIsNotFinal, Fixture) {
+  int refused = 0;
+  rpc.respond = [&](const std::string& address) -> Result<Json::Value> {
+    if (address == "10.0.0.1:1") {
+      ++refused;
+      return MakeError(ResultCode::kStorageFull);
+    }
+    return refused < 2 ? Result<Json::Value>(
+                             MakeError(ResultCode::kNotLeader, "10.0.0.1:1"))
+                       : Result<Json::Value>(Json::Value(5));
+  };
+  BOOST_TEST((Run().value() == Json::Value(5)));
+  BOOST_TEST(!MayHaveExecuted(ResultCode::kStorageFull));
+}
+
 }  // namespace sycamorebend
