Wait for space also where names of files change

Cause: a full disk delayed writes only.

Change: one function retries all of them, and it clears the flag that refuses proposals whichever of them succeeds. A frame that was partly written is removed before the next attempt instead of after the failed one, so that a refused truncation does not leave it in the log.

FileCalls got the calls that it overrides. A failed sync ends the process as before.

--- a/src/consensus/file_storage.cc
+++ b/src/consensus/file_storage.cc
@@ -228,6 +228,14 @@
   bool StoreSnapshot(const SnapshotData& snapshot);
   bool StartSegment();
   bool WriteFileAtomically(const fs::path& path, std::string_view content);
+  // Calls `call`, which returns 0 or an errno value, until it succeeds or fails
+  // for another reason than a full disk.
+  // @return true if it succeeded.
+  bool RetryWhileFull(std::string_view action,
+                      const fs::path& path,
+                      const std::function<int()>& call);
+  // @return an empty file opened for appending, or no file after a failure.
+  FileDescriptor Create(const fs::path& path);
   bool Append(int file, std::uint64_t& size, std::string_view data);
   bool SyncFile(int file, const fs::path& path);
   bool SyncDirectory();
@@ -593,19 +601,9 @@
   PutU8(header, static_cast<std::uint8_t>(RecordType::kHardState));
   PutU64(header, this->hard_state.term);
   PutU64(header, this->hard_state.vote);
-  FileDescriptor file(::open(
-      path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
-  while (file.Get() < 0) {
-    const int error = errno;
-    if (error != ENOSPC && error != EDQUOT) {
-      return this->HandleFailure("open", path, error);
-    }
-    if (!this->WaitForSpace(path)) {
-      return false;
-    }
-    file = FileDescriptor(
-        ::open(path.c_str(),
-               O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
+  FileDescriptor file = this->Create(path);
+  if (file.Get() < 0) {
+    return false;
   }
   std::uint64_t size = 0;
   // The header is synced before the first frame of records, so after a crash a
@@ -663,45 +661,67 @@
 bool FileStorage::WriteFileAtomically(const fs::path& path,
                                       std::string_view content) {
   const fs::path temporary = path.string() + std::string(kTemporarySuffix);
-  const FileDescriptor file(
-      ::open(temporary.c_str(),
-             O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600));
+  const FileDescriptor file = this->Create(temporary);
   if (file.Get() < 0) {
-    return this->HandleFailure("open", temporary, errno);
+    return false;
   }
   std::uint64_t size = 0;
   if (!this->Append(file.Get(), size, content) ||
       !this->SyncFile(file.Get(), temporary)) {
     return false;
   }
-  if (::rename(temporary.c_str(), path.c_str()) != 0) {
-    return this->HandleFailure("rename", temporary, errno);
-  }
-  return this->SyncDirectory();
+  return this->RetryWhileFull("rename", temporary, [&] {
+    return this->options.calls->Rename(temporary.string(), path.string());
+  }) && this->SyncDirectory();
 }
 
-bool FileStorage::Append(int file, std::uint64_t& size, std::string_view data) {
+bool FileStorage::RetryWhileFull(std::string_view action,
+                                 const fs::path& path,
+                                 const std::function<int()>& call) {
   for (;;) {
-    const int error = this->options.calls->Write(file, data);
+    const int error = call();
     if (error == 0) {
-      size += data.size();
       this->full = false;
       return true;
     }
     if (error != ENOSPC && error != EDQUOT) {
-      return this->HandleFailure("write", this->directory, error);
-    }
-    // Remove the partial write, so that the retry appends after the last
-    // complete frame.
-    if (::ftruncate(file, static_cast<off_t>(size)) != 0) {
-      return this->HandleFailure("truncate", this->directory, errno);
+      return this->HandleFailure(action, path, error);
     }
-    if (!this->WaitForSpace(this->directory)) {
+    if (!this->WaitForSpace(path)) {
       return false;
     }
   }
 }
 
+FileDescriptor FileStorage::Create(const fs::path& path) {
+  FileDescriptor file;
+  this->RetryWhileFull("open", path, [&] {
+    file = FileDescriptor(this->options.calls->Create(path.string()));
+    return file.Get() < 0 ? errno : 0;
+  });
+  return file;
+}
+
+bool FileStorage::Append(int file, std::uint64_t& size, std::string_view data) {
+  bool partial = false;
+  const auto append = [&] {
+    // The retry must append after the last complete frame.
+    if (partial) {
+      const int error = this->options.calls->Truncate(file, size);
+      if (error != 0) {
+        return error;
+      }
+    }
+    partial = true;
+    return this->options.calls->Write(file, data);
+  };
+  if (!this->RetryWhileFull("write", this->directory, append)) {
+    return false;
+  }
+  size += data.size();
+  return true;
+}
+
 bool FileStorage::WaitForSpace(const fs::path& path) {
   if (!this->thread.joinable()) {
     return false;
@@ -739,6 +759,19 @@
 
 }  // namespace
 
+int FileCalls::Create(const std::string& path) {
+  return ::open(path.c_str(),
+                O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
+}
+
+int FileCalls::Rename(const std::string& from, const std::string& to) {
+  return ::rename(from.c_str(), to.c_str()) == 0 ? 0 : errno;
+}
+
+int FileCalls::Truncate(int file, std::uint64_t size) {
+  return ::ftruncate(file, static_cast<off_t>(size)) == 0 ? 0 : errno;
+}
+
 int FileCalls::Write(int file, std::string_view data) {
   while (!data.empty()) {
     const ssize_t written = ::write(file, data.data(), data.size());
--- a/src/consensus/file_storage.h
+++ b/src/consensus/file_storage.h
@@ -18,11 +18,17 @@
 
 namespace sycamorebend::internal {
 
-// Writes and syncs files. Tests override this to simulate a full or failing
-// disk.
+// Changes files. Tests override this to simulate a full or failing disk.
 class FileCalls {
  public:
   virtual ~FileCalls() = default;
+  // Opens an empty file for appending.
+  // @return the descriptor, or -1 with errno set.
+  virtual int Create(const std::string& path);
+  // @return 0 or an errno value.
+  virtual int Rename(const std::string& from, const std::string& to);
+  // @return 0 or an errno value.
+  virtual int Truncate(int file, std::uint64_t size);
   // Writes all of `data` at the end of the file.
   // @return 0, or an errno value if the write failed; part of the data may have
   // been written then.
--- a/tests/consensus/storage_test.cc
+++ b/tests/consensus/storage_test.cc
@@ -35,12 +35,25 @@
     }
     return FileCalls::Write(file, data);
   }
+  int Create(const std::string& path) override {
+    errno = ENOSPC;
+    return this->full ? -1 : FileCalls::Create(path);
+  }
+  int Rename(const std::string& from, const std::string& to) override {
+    return this->full || this->full_for_names ? ENOSPC
+                                              : FileCalls::Rename(from, to);
+  }
+  int Truncate(int file, std::uint64_t size) override {
+    return this->full_for_names ? ENOSPC : FileCalls::Truncate(file, size);
+  }
   int Sync(int file) override {
     return this->sync_error != 0 ? this->sync_error.load()
                                  : FileCalls::Sync(file);
   }
 
   std::atomic<bool> full = false;
+  // Names and sizes of files cannot be changed.
+  std::atomic<bool> full_for_names = false;
   std::atomic<int> sync_error = 0;
 };
 
@@ -320,6 +333,53 @@
   BOOST_TEST(failure.empty());
 }
 
+// Guards against a full disk that ends the process while a snapshot or a new
+// segment is written, and against a partial frame that stays in the log.
+BOOST_FIXTURE_TEST_CASE(FullDiskDelaysSnapshotsAndSegments, Fixture) {
+  this->segment_bytes = 100;
+  Open().value();
+  const auto wait_until_full = [this] {
+    while (!storage->Full()) {
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+  };
+  const auto submit_while_full = [&](const Write& write, bool data,
+                                     bool names) {
+    calls.full = data;
+    calls.full_for_names = names;
+    Submit(write);
+    wait_until_full();
+    calls.full = false;
+    std::this_thread::sleep_for(milliseconds(20));
+    calls.full_for_names = false;
+    WaitDone();
+    BOOST_TEST(!storage->Full());
+  };
+  const std::vector<std::pair<bool, bool>> kinds = {
+      {true, false}, {false, true}, {true, true}};
+  LogIndex last = 0;
+  for (const auto& [data, names] : kinds) {
+    AppendEntries(last + 1, last + 4);
+    last += 5;
+    Write entry;
+    entry.entries = {MakeEntry(last, 1)};
+    submit_while_full(entry, true, names);
+    auto snapshot = std::make_shared<internal::SnapshotData>();
+    snapshot->index = last;
+    snapshot->term = 1;
+    snapshot->state = "state";
+    Write write;
+    write.snapshot = snapshot;
+    submit_while_full(write, data, names);
+  }
+  BOOST_TEST(failure.empty(), failure);
+  AppendEntries(16, 20);
+  const StoredState state = Open().value();
+  BOOST_TEST_REQUIRE((state.snapshot != nullptr));
+  BOOST_TEST(state.snapshot->index == 15u);
+  BOOST_TEST(state.entries.size() == 5u);
+}
+
 // Guards against acknowledging a write after a failed sync, whether at once or
 // after a retry.
 BOOST_FIXTURE_TEST_CASE(FailedSyncIsFatal, Fixture) {
