--- a/tests/gateway/crashing_content_test.cc
+++ b/tests/gateway/crashing_content_test.cc
@@ -115,6 +115,73 @@
   BOOST_TEST(servers.ArrivalsAfterLimit() <= kRequestsAfterLimit);
 }
 
+// Guards against a third server that crashes while the gateways still tell each
+// other what was running on the second one.
+BOOST_FIXTURE_TEST_CASE(RepeatedRequestWaitsForTheFinding, GatewayFixture) {
+  CrashableServers servers(*this, 8, "crash me");
+  Ask(*this, "first", "crash me", "1 100 1000");
+  BOOST_TEST(servers.Crashes() == 2);
+  std::this_thread::sleep_for(milliseconds(20));
+  BOOST_TEST(Contains(Ask(*this, "again", "crash me", "1 100 1000"), " 503 "));
+  BOOST_TEST(servers.Crashes() == 2);
+}
+
+// Guards against servers that crash by requests that they had received before
+// the cause was found.
+BOOST_FIXTURE_TEST_CASE(QueuedRequestsAreWithdrawnWhenTheCauseIsFound,
+                        GatewayFixture) {
+  std::atomic<bool> withdrawn{false};
+  ScriptedServer queueing(
+      [&](const ReceivedRequest& /*request*/, Socket& socket) {
+        withdrawn = socket.WaitForPeerClose(5000);
+        return false;
+      });
+  this->AddServer(queueing);
+  std::string queued_answer;
+  std::thread queued([&] {
+    RawCaller caller(this->Address());
+    caller.Send(Request("queued", "/live/x", "crash me"));
+    queued_answer = caller.ReadUntil("\r\n\r\n");
+  });
+  while (queueing.Requests().empty()) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  this->addresses.clear();
+  CrashableServers servers(*this, 4, "crash me");
+  for (int i = 0; i < 3; ++i) {
+    RawCaller caller(this->Address());
+    caller.Send(Request(fmt::format("bad{}", i), "/live/x", "crash me"));
+    caller.ReadUntil("\r\n\r\n");
+    std::this_thread::sleep_for(2 * kCrashReportWindow);
+  }
+  queued.join();
+  BOOST_TEST(withdrawn);
+  BOOST_TEST(Contains(queued_answer, " 502 "), queued_answer);
+  BOOST_TEST(servers.Crashes() == 2);
+}
+
+// Guards against a caller that sends a request that crashes servers with
+// another of its keys.
+BOOST_FIXTURE_TEST_CASE(OtherKeyOfTheSameTenantIsTheSameRequest,
+                        GatewayFixture) {
+  CrashableServers servers(*this, 2 * kRounds + 2, "crash me");
+  this->SetTable([](RouteTable& table) {
+    table.tenants.resize(1);
+    table.tenants[0].name = "one";
+    for (int i = 0; i < kRounds; ++i) {
+      table.keys[fmt::format("key{}", i)] = 0;
+    }
+  });
+  for (int i = 0; i < kRounds; ++i) {
+    RawCaller caller(this->Address());
+    caller.Send(Request(fmt::format("bad{}", i), "/stream/x", "crash me",
+                        fmt::format("Key: key{}\r\n", i)));
+    caller.ReadUntil("\r\n\r\n");
+    std::this_thread::sleep_for(kPace);
+  }
+  BOOST_TEST(servers.Crashes() <= kCrashesUntilLimit);
+}
+
 // Guards against blaming a prompt part for servers that end as announced while
 // they still have requests.
 BOOST_FIXTURE_TEST_CASE(EndOfALeavingServerIsNoCrash, GatewayFixture) {
