Recognize a request that crashes servers with any key of its caller

What callers saw: nothing of it; servers ended one after the other under one request. A request that had crashed three servers was sent to more of them.

Cause: the hash of a whole request held the API key of its caller. A tenant has several keys and changes them; each key made another request of it, with two crashes and two retries of its own.

Change: the hash holds the name of the tenant. Findings of earlier releases about whole requests do not match and are made again.

The entry daemon's fingerprint has no key in it (read).

--- a/src/gateway/crash_quarantine.cc
+++ b/src/gateway/crash_quarantine.cc
@@ -66,12 +66,13 @@
 
 RequestContent ContentOf(const net::MessageHead& head,
                          std::string_view body,
-                         const RequestFields& fields) {
+                         std::string_view caller,
+                         const std::optional<GenerationRequest>& generation) {
   RequestContent content;
   std::string text = fmt::format("{} {}\n{}\n{:x}", head.method, head.target,
-                                 fields.api_key, StableHash64(body));
-  if (fields.generation) {
-    const std::vector<PromptBlock>& prompt = fields.generation->prompt;
+                                 caller, StableHash64(body));
+  if (generation) {
+    const std::vector<PromptBlock>& prompt = generation->prompt;
     for (std::size_t i = 0; i < prompt.size(); ++i) {
       text += fmt::format(",{:x}", prompt[i].id);
       // The last block belongs to the request or its session.
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -27,10 +27,13 @@
 // crashed.
 inline constexpr Duration kCrashReportWindow = milliseconds(150);
 
+// @param caller identifies the caller; the same with each of its API keys.
 // @return the hashes by which requests with the same content are recognized.
-internal::RequestContent ContentOf(const net::MessageHead& head,
-                                   std::string_view body,
-                                   const RequestFields& fields);
+internal::RequestContent ContentOf(
+    const net::MessageHead& head,
+    std::string_view body,
+    std::string_view caller,
+    const std::optional<GenerationRequest>& generation);
 
 // @return the hashes in hexadecimal, separated by commas, for logs.
 std::string FormatHashes(const std::vector<std::uint64_t>& hashes);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -134,8 +134,10 @@
     this->profile.max_first_byte_time =
         Scale(route.target, kMaxExpectedTargetFraction);
   }
-  this->content = ContentOf(this->job.exchange->Head(),
-                            this->job.exchange->Body(), this->job.fields);
+  this->content = ContentOf(
+      this->job.exchange->Head(), this->job.exchange->Body(),
+      this->job.tenant != nullptr ? this->job.tenant->name : std::string(),
+      this->job.fields.generation);
   this->last_event = this->job.fields.resume_after;
   this->context.budgets.ForService(this->service)
       .CountRequest(this->started_at);
