Hold a request while it is found out whether it crashes servers

What callers saw: requests beside a repeated request that crashes servers were lost with a third server, although two crashes show the cause.

Cause: a crash is evaluated 150 ms after it, when all gateways have told each other what they ran there. Only the retry of the gateway that lost the request waited for that; a repeat that came to any gateway in this time was sent.

Change: whatever is about to be sent waits if something in it was running during several crashes of which one is not evaluated yet, at most 150 ms; request_queued says so. The retry's own wait is gone with it.

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -40,7 +40,7 @@
     {Event::kRequestDispatched, "request_dispatched",
      "Routing decision: a request was sent to a backend server."},
     {Event::kRequestQueued, "request_queued",
-     "Routing decision: a request waits in its class's queue."},
+     "Routing decision: a request waits before it is sent."},
     {Event::kRequestRefused, "request_refused",
      "Routing decision: a request was refused."},
     {Event::kRequestRetried, "request_retried",
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -59,10 +59,11 @@
       TimePoint now);
   // Counts a request that was not sent.
   void CountRefused(const internal::CrashCause& cause);
-  // @return true if something in the request was running during several
-  // crashes: it should not be sent again before kCrashReportWindow has passed.
-  bool NeedsFinding(const internal::RequestContent& content) const {
-    return this->tracker.InSeveralCrashes(content);
+  // @return when it is known whether the request crashes servers, if something
+  // in it was running during several crashes: it should not be sent before.
+  std::optional<TimePoint> FindingDue(const internal::RequestContent& content,
+                                      TimePoint now) const {
+    return this->tracker.EvaluationDue(content, now);
   }
   // Records that a server began to respond to the request.
   void RecordServed(const internal::RequestContent& content, TimePoint now) {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -163,7 +163,7 @@
     this->OnDeadline();
     return;
   }
-  if (this->RefuseIfQuarantined(now)) {
+  if (this->RefuseIfQuarantined(now) || this->WaitForFinding(now)) {
     return;
   }
   const std::optional<Choice> selected =
@@ -215,6 +215,27 @@
       retry_after);
 }
 
+bool Forwarder::WaitForFinding(TimePoint now) {
+  const std::optional<TimePoint> due =
+      this->context.quarantine.FindingDue(this->content, now);
+  if (!due) {
+    return false;
+  }
+  LogEvent(Severity::kInfo, Event::kRequestQueued,
+           {{"request_id", this->request_id},
+            {"route", this->job.route->name},
+            {"attempts", this->attempts},
+            {"reason", "something in it was running during several crashes"},
+            {"wait_ms", ToMilliseconds(*due - now)}});
+  this->SetAttemptTimer(*due - now, &Forwarder::DispatchAgain);
+  return true;
+}
+
+void Forwarder::DispatchAgain() {
+  const auto keep = this->shared_from_this();
+  this->Dispatch();
+}
+
 bool Forwarder::RefuseIfQuarantined(TimePoint now) {
   const std::optional<internal::CrashCause> cause =
       this->context.quarantine.Check(this->content, now);
@@ -675,7 +696,7 @@
         }
         const auto forwarder = weak.lock();
         if (may_retry && forwarder) {
-          forwarder->RetryAfterCheck(reachability, reason);
+          forwarder->HandleFailedAttempt(reason);
         }
       });
   if (!may_retry) {
@@ -683,22 +704,6 @@
   }
 }
 
-void Forwarder::RetryAfterCheck(Reachability reachability,
-                                const std::string& reason) {
-  if (reachability != Reachability::kRefused ||
-      !this->context.quarantine.NeedsFinding(this->content)) {
-    this->HandleFailedAttempt(reason);
-    return;
-  }
-  this->failure_reason = reason;
-  this->SetAttemptTimer(kCrashReportWindow, &Forwarder::OnFindingDue);
-}
-
-void Forwarder::OnFindingDue() {
-  const auto keep = this->shared_from_this();
-  this->HandleFailedAttempt(this->failure_reason);
-}
-
 bool Forwarder::CanRetry() {
   const Route& route = *this->job.route;
   const Duration left = this->deadline - this->context.loop.Now();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -90,6 +90,10 @@
   // Sends the request to the best server, or responds to the caller if there is
   // none.
   void Dispatch();
+  // Dispatches later if it is about to be known whether the request crashes
+  // servers.
+  // @return true if it does.
+  bool WaitForFinding(TimePoint now);
   // @return true if the request crashes servers and was answered with an error.
   bool RefuseIfQuarantined(TimePoint now);
   void Send(const Choice& selected);
@@ -103,6 +107,7 @@
   // metrics; "none" before its head.
   std::string ResponseFraming() const;
   void SetAttemptTimer(Duration wait, void (Forwarder::*on_timeout)());
+  void DispatchAgain();
   void OnAttemptTimeout();
   void OnDeadline();
   // Ends the request with an error that says whether it may have run.
@@ -125,9 +130,6 @@
   // Handles an attempt whose connection was lost. If the response had not
   // begun, finds out first whether the server has crashed.
   void HandleLostConnection(const std::string& reason);
-  void RetryAfterCheck(Reachability reachability, const std::string& reason);
-  // Called when the cause of repeated crashes should have been found.
-  void OnFindingDue();
   // Handles an attempt that failed after the request may have been run: retries
   // it, or responds with an error.
   void HandleFailedAttempt(const std::string& reason);
@@ -164,8 +166,6 @@
   // True once a server may have started to run the request.
   bool may_have_run = false;
   TimePoint sent_at;
-  // Why the last attempt failed, while its retry waits.
-  std::string failure_reason;
   bool first_byte_seen = false;
 
   net::MessageHead response;
--- a/src/routing/crash_tracker.cc
+++ b/src/routing/crash_tracker.cc
@@ -486,25 +486,41 @@
   return request != 0 && this->suspects.count(request) > 0;
 }
 
-bool CrashTracker::InSeveralCrashes(const RequestContent& content) const {
-  const auto several = [this](const auto& has) {
+std::optional<TimePoint> CrashTracker::EvaluationDue(
+    const RequestContent& content,
+    TimePoint now) const {
+  if (this->next_evaluation == TimePoint::max()) {
+    return std::nullopt;
+  }
+  std::optional<TimePoint> due;
+  const auto check = [&](std::uint64_t hash, const auto& has) {
+    if (hash == 0 || this->suspects.count(hash) == 0) {
+      return;
+    }
     int count = 0;
+    TimePoint last;
     for (const Crash& crash : this->crashes) {
-      count += std::any_of(
-          crash.candidates.begin(), crash.candidates.end(),
-          [&](const Candidate& candidate) { return has(candidate.content); });
+      if (std::any_of(crash.candidates.begin(), crash.candidates.end(),
+                      [&](const Candidate& candidate) {
+                        return has(candidate.content);
+                      })) {
+        ++count;
+        last = std::max(last, crash.at + this->options.report_window);
+      }
+    }
+    if (count > 1 && last > now) {
+      due = std::max(due.value_or(last), last);
     }
-    return count > 1;
   };
-  return several([&](const RequestContent& seen) {
-           return content.request != 0 && seen.request == content.request;
-         }) ||
-         std::any_of(content.parts.begin(), content.parts.end(),
-                     [&](std::uint64_t part) {
-                       return several([part](const RequestContent& seen) {
-                         return Contains(seen.parts, part);
-                       });
-                     });
+  check(content.request, [&](const RequestContent& seen) {
+    return seen.request == content.request;
+  });
+  for (const std::uint64_t part : content.parts) {
+    check(part, [part](const RequestContent& seen) {
+      return Contains(seen.parts, part);
+    });
+  }
+  return due;
 }
 
 std::size_t CrashTracker::Crashes(std::uint64_t request) const {
--- a/src/routing/crash_tracker.h
+++ b/src/routing/crash_tracker.h
@@ -88,9 +88,11 @@
   // @return true if the whole request was running during a crash and was not
   // cleared since.
   bool IsSuspect(std::uint64_t request) const;
-  // @return true if the request or one of its parts was running during several
-  // crashes and was not cleared since.
-  bool InSeveralCrashes(const RequestContent& content) const;
+  // @return when the last of the crashes is evaluated during which the request
+  // or one of its parts was running, if there were several and it is not
+  // cleared since; nothing if all of them are evaluated.
+  std::optional<TimePoint> EvaluationDue(const RequestContent& content,
+                                         TimePoint now) const;
   // @return the number of crashes during which the request was running.
   std::size_t Crashes(std::uint64_t request) const;
 
