Withdraw requests that crash servers once the cause is found

Cause: a finding kept requests from being sent. Those that waited at a server, in its queue or before their first token, stayed there and ended it.

Change: when a gateway learns of a cause, by itself, from another gateway or from the control replicas, it withdraws the requests that match it and have no response yet, and answers them like later ones: 502, since they may have run.

--- a/src/gateway/crash_quarantine.cc
+++ b/src/gateway/crash_quarantine.cc
@@ -51,17 +51,6 @@
   }
 }
 
-void LogFinding(const CrashCause& cause, const char* source, TimePoint now) {
-  LogEvent(Severity::kWarning, Event::kCrashCauseFound,
-           {{"kind", CauseKind(cause)},
-            {"request_hash", fmt::format("{:x}", cause.request)},
-            {"prompt_parts", FormatHashes(cause.parts)},
-            {"crashes", cause.crashes},
-            {"findings", cause.findings},
-            {"source", source},
-            {"quarantine_ms", ToMilliseconds(cause.quarantined_until - now)}});
-}
-
 }  // namespace
 
 RequestContent ContentOf(const net::MessageHead& head,
@@ -134,11 +123,25 @@
 
 CrashQuarantine::CrashQuarantine() : tracker({kCrashReportWindow}) {}
 
+void CrashQuarantine::AnnounceCause(const CrashCause& cause,
+                                    const char* source,
+                                    TimePoint now) {
+  LogEvent(Severity::kWarning, Event::kCrashCauseFound,
+           {{"kind", CauseKind(cause)},
+            {"request_hash", fmt::format("{:x}", cause.request)},
+            {"prompt_parts", FormatHashes(cause.parts)},
+            {"crashes", cause.crashes},
+            {"findings", cause.findings},
+            {"source", source},
+            {"quarantine_ms", ToMilliseconds(cause.quarantined_until - now)}});
+  this->on_found();
+}
+
 void CrashQuarantine::Evaluate(TimePoint now) {
   for (const CrashCause& cause : this->tracker.Evaluate(now)) {
     this->causes_changed_at = now;
     ++this->findings[CauseKind(cause)];
-    LogFinding(cause, "own", now);
+    this->AnnounceCause(cause, "own", now);
   }
 }
 
@@ -186,7 +189,7 @@
                              Duration{0}, kMaxQuarantine);
     this->recorded[finding.content] = cause->quarantined_until;
     if (this->tracker.AddCause(*cause, now)) {
-      LogFinding(*cause, "control replicas", now);
+      this->AnnounceCause(*cause, "control replicas", now);
     }
   }
 }
@@ -254,7 +257,7 @@
     cause.quarantined_until = now + shared.time_left;
     if (this->tracker.AddCause(cause, now)) {
       this->causes_changed_at = now;
-      LogFinding(cause, "another gateway", now);
+      this->AnnounceCause(cause, "another gateway", now);
     }
   }
 }
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -53,6 +53,12 @@
     this->on_crash = std::move(on_crash);
   }
 
+  // @param on_found called for each cause that is new here. It may be called by
+  // any method and must not call back.
+  void SetFoundCallback(std::function<void()> on_found) {
+    this->on_found = std::move(on_found);
+  }
+
   // @return why the request must not be sent, or nothing if it may.
   std::optional<internal::CrashCause> Check(
       const internal::RequestContent& content,
@@ -94,10 +100,14 @@
 
  private:
   void Evaluate(TimePoint now);
+  void AnnounceCause(const internal::CrashCause& cause,
+                     const char* source,
+                     TimePoint now);
   // Sends the causes again if the sender of a message has just started.
   void NoteSender(const LoadMessage& message, TimePoint now);
 
   std::function<void()> on_crash = [] {};
+  std::function<void()> on_found = [] {};
   internal::CrashTracker tracker;
   Duration news_repeat_time = milliseconds(150);
   // When the causes were last sent, by scope, and last changed.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -265,6 +265,18 @@
   return true;
 }
 
+void Forwarder::WithdrawIfQuarantined() {
+  const auto keep = this->shared_from_this();
+  const TimePoint now = this->context.loop.Now();
+  if (this->call == nullptr || this->first_byte_seen ||
+      this->attempt_has_events ||
+      !this->context.quarantine.Check(this->content, now)) {
+    return;
+  }
+  this->EndCall(AttemptOutcome::kCancelled);
+  this->RefuseIfQuarantined(now);
+}
+
 bool Forwarder::WouldMissTarget(const Choice& selected) const {
   // A request that was already sent to a server or that resumes a stream is not
   // refused: its caller has waited, and it adds no new load.
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -69,6 +69,9 @@
   // Starts forwarding. The forwarder keeps itself alive until it is finished.
   static void Start(ForwardContext& context, ForwardJob job);
 
+  // Ends the request if it crashes servers and its server has not begun to run
+  // it.
+  void WithdrawIfQuarantined();
   // Ends the request because the gateway is about to end.
   void EndForStop();
 
--- a/src/gateway/route_handler.cc
+++ b/src/gateway/route_handler.cc
@@ -17,6 +17,27 @@
 
 }  // namespace
 
+RouteHandler::RouteHandler(ForwardContext& context) : context(context) {
+  context.quarantine.SetFoundCallback([this] {
+    // Not at once: a request may be the caller.
+    this->context.loop.Post([this] { this->WithdrawQuarantined(); });
+  });
+}
+
+void RouteHandler::ForEachOpen(void (Forwarder::*end)()) {
+  // Those that end remove themselves.
+  const std::set<Forwarder*> all = this->context.open;
+  for (Forwarder* forwarder : all) {
+    if (this->context.open.count(forwarder) > 0) {
+      (forwarder->*end)();
+    }
+  }
+}
+
+void RouteHandler::WithdrawQuarantined() {
+  this->ForEachOpen(&Forwarder::WithdrawIfQuarantined);
+}
+
 void RouteHandler::Reject(CallerExchange& exchange,
                           const RequestFields& fields,
                           int status,
@@ -38,11 +59,7 @@
 }
 
 void RouteHandler::EndOpenRequests() {
-  // Each one removes itself.
-  const std::set<Forwarder*> open = this->context.open;
-  for (Forwarder* forwarder : open) {
-    forwarder->EndForStop();
-  }
+  this->ForEachOpen(&Forwarder::EndForStop);
 }
 
 void RouteHandler::Handle(std::shared_ptr<CallerExchange> exchange) {
--- a/src/gateway/route_handler.h
+++ b/src/gateway/route_handler.h
@@ -15,7 +15,7 @@
 class RouteHandler : public CallerHandler {
  public:
   // @param context must outlive the handler.
-  explicit RouteHandler(ForwardContext& context) : context(context) {}
+  explicit RouteHandler(ForwardContext& context);
 
   // Sets the table for requests that arrive from now on.
   void SetTable(std::shared_ptr<const RouteTable> new_table) {
@@ -38,6 +38,12 @@
               int status,
               const std::string& reason);
 
+  // Calls `end` for all requests without an end.
+  void ForEachOpen(void (Forwarder::*end)());
+  // Withdraws the requests that crash servers from those that have not begun to
+  // run them.
+  void WithdrawQuarantined();
+
   ForwardContext& context;
   std::shared_ptr<const RouteTable> table;
   bool rejecting = false;
