Suspect a repeated request for seconds only while others may be the cause

What callers saw (in a simulation of many gateways): a sound request that was lost with two servers, each of which another request crashed, was refused for ten minutes, with all that have the same content.

Cause: two crashes convicted a request if nothing else was running during both. That says nothing when each crash has a candidate of its own. And with rounds of the exchange longer than the 150 ms of the report window, as hundreds of gateways have, a request seemed to have been alone before the others were heard.

Change: a request that was never alone in two crashes is quarantined for 5 s and explains no crash. It is convicted when its companions have run elsewhere, or when it crashes a third server; a former suspect by one more crash. A crash shows that a request was alone only after two rounds of the exchange.

--- a/src/gateway/crash_quarantine.cc
+++ b/src/gateway/crash_quarantine.cc
@@ -19,6 +19,8 @@
 
 // Rounds of the exchange in which news are sent, in case datagrams are lost.
 constexpr double kNewsRounds = 3;
+// Rounds after which all gateways have heard of a crash.
+constexpr double kGatherRounds = 2;
 // Interval at which known causes are sent again, for gateways that have just
 // started or were cut off.
 constexpr Duration kCauseInterval = seconds(1);
@@ -132,6 +134,7 @@
             {"prompt_parts", FormatHashes(cause.parts)},
             {"crashes", cause.crashes},
             {"findings", cause.findings},
+            {"suspected", cause.suspected},
             {"source", source},
             {"quarantine_ms", ToMilliseconds(cause.quarantined_until - now)}});
   this->on_found();
@@ -167,6 +170,7 @@
 
 void CrashQuarantine::SetExchangeInterval(Duration interval) {
   this->news_repeat_time = Scale(interval, kNewsRounds);
+  this->tracker.SetGatherTime(Scale(interval, kGatherRounds));
 }
 
 void CrashQuarantine::SetRecorded(const std::vector<CrashFinding>& findings,
@@ -201,7 +205,8 @@
     const bool recorded_so_long =
         known != this->recorded.end() &&
         known->second + kMaxClockDifference >= cause.quarantined_until;
-    if (!recorded_so_long && this->tracker.HasOwnCandidate(cause)) {
+    if (!cause.suspected && !recorded_so_long &&
+        this->tracker.HasOwnCandidate(cause)) {
       unrecorded.push_back(cause);
     }
   }
--- a/src/routing/crash_tracker.cc
+++ b/src/routing/crash_tracker.cc
@@ -29,6 +29,9 @@
 constexpr std::size_t kDifferentRequests = 2;
 
 constexpr Duration kFirstQuarantine = std::chrono::minutes(10);
+// Of a request that is only suspected. Long enough for its companions to run
+// elsewhere, or to crash other servers.
+constexpr Duration kSuspectedQuarantine = seconds(5);
 constexpr int kMaxDoublings = 4;
 // A former cause is quarantined again by a single crash.
 constexpr Duration kCauseRetention = std::chrono::hours(6);
@@ -146,6 +149,12 @@
   if (suspect || cause_changed) {
     this->cleared.push_back({hash, now, source});
   }
+  // A suspected request may have been alone after all.
+  if (suspect &&
+      std::any_of(this->causes.begin(), this->causes.end(),
+                  [](const CrashCause& cause) { return cause.suspected; })) {
+    this->next_evaluation = now;
+  }
 }
 
 void CrashTracker::Prune(TimePoint now) {
@@ -237,6 +246,10 @@
   return due;
 }
 
+bool CrashTracker::MayBeCause(const Candidate& candidate) {
+  return candidate.content.request != 0 || !candidate.content.parts.empty();
+}
+
 std::vector<const CrashTracker::Candidate*> CrashTracker::Unexplained(
     const Crash& crash,
     TimePoint now) const {
@@ -244,7 +257,7 @@
   std::vector<const Candidate*> repeated;
   for (const Candidate& candidate : crash.candidates) {
     for (const CrashCause& cause : this->causes) {
-      if (now >= cause.quarantined_until ||
+      if (now >= cause.quarantined_until || cause.suspected ||
           !Matches(cause, candidate.reported)) {
         continue;
       }
@@ -279,12 +292,20 @@
     TimePoint now) const {
   EvidenceTable table;
   for (std::size_t i = 0; i < due.size(); ++i) {
-    for (const Candidate* candidate : this->Unexplained(*due[i], now)) {
+    const std::vector<const Candidate*> candidates =
+        this->Unexplained(*due[i], now);
+    const bool alone = now >= due[i]->at + this->gather_time &&
+                       std::count_if(candidates.begin(), candidates.end(),
+                                     [](const Candidate* candidate) {
+                                       return MayBeCause(*candidate);
+                                     }) == 1;
+    for (const Candidate* candidate : candidates) {
       const RequestContent& content = candidate->content;
       if (content.request != 0) {
         Evidence& request = table.requests[content.request];
         request.crashes.insert(i);
         request.together = content.parts;
+        request.alone = request.alone || alone;
       }
       for (const std::uint64_t hash : content.parts) {
         Evidence& part = table.parts[hash];
@@ -325,9 +346,16 @@
     CrashCause cause;
     cause.request = request;
     cause.crashes = static_cast<int>(evidence.crashes.size());
+    cause.suspected =
+        !evidence.alone && evidence.crashes.size() == kCrashesOfRequest;
+    if (cause.suspected) {
+      cause.quarantined_until = now + kSuspectedQuarantine;
+    }
     const bool known = std::any_of(
         this->causes.begin(), this->causes.end(), [&](const CrashCause& other) {
-          return SameContent(other, cause) && now < other.quarantined_until;
+          return SameContent(other, cause) &&
+                 (other.suspected ? cause.suspected
+                                  : now < other.quarantined_until);
         });
     if (!known && evidence.crashes.size() >= kCrashesOfRequest &&
         !HasRivals(table, evidence)) {
@@ -370,6 +398,7 @@
       for (const Candidate* candidate : this->Unexplained(*crash, now)) {
         if (Matches(cause, candidate->content)) {
           CrashCause again = cause;
+          again.suspected = false;
           again.crashes = 1;
           ++again.findings;
           return again;
@@ -430,6 +459,7 @@
             : known.request == 0 && Includes(cause.parts, known.parts);
     if (covers && now < known.quarantined_until) {
       if (SameContent(known, cause)) {
+        known.suspected = known.suspected && cause.suspected;
         known.quarantined_until =
             std::max(known.quarantined_until, cause.quarantined_until);
         known.findings = std::max(known.findings, cause.findings);
@@ -464,9 +494,12 @@
   }
   this->next_evaluation = TimePoint::max();
   for (const Crash& crash : this->crashes) {
-    if (crash.at + this->options.report_window > now) {
-      this->next_evaluation = std::min(this->next_evaluation,
-                                       crash.at + this->options.report_window);
+    for (const Duration wait :
+         {this->options.report_window, this->gather_time}) {
+      if (crash.at + wait > now) {
+        this->next_evaluation =
+            std::min(this->next_evaluation, crash.at + wait);
+      }
     }
   }
   return found;
--- a/src/routing/crash_tracker.h
+++ b/src/routing/crash_tracker.h
@@ -2,6 +2,7 @@
 #ifndef ROUTING_CRASH_TRACKER_H_
 #define ROUTING_CRASH_TRACKER_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -36,6 +37,9 @@
   // Findings with this content so far. Each one doubles the quarantine.
   int findings = 1;
   TimePoint quarantined_until;
+  // Others were running during each of two crashes and may be their causes.
+  // Such a request is quarantined for seconds only, and explains no crash.
+  bool suspected = false;
 };
 
 // Whether this daemon observed something or heard of it.
@@ -53,8 +57,9 @@
 // runs one of its parts, or the whole of it, without a crash clears that part.
 // What was never cleared and was running during several crashes is their cause;
 // two crashes suffice for a repeated request, and for a part of different
-// requests, if nothing else was running during both. A crash with a known cause
-// is no evidence against the other candidates.
+// requests, if nothing else was running during both. A repeated request that
+// was never alone is only suspected then: each crash may have another cause. A
+// crash with a known cause is no evidence against the other candidates.
 //
 // Several servers that crash at the same moment count as one crash: they have
 // failed together, for another reason.
@@ -63,7 +68,15 @@
 class CrashTracker {
  public:
   explicit CrashTracker(const CrashTrackerOptions& options = {})
-      : options(options) {}
+      : options(options), gather_time(options.report_window) {}
+
+  // @param time after which all daemons have told each other what they ran on a
+  // server that crashed, also if a message was lost. If that is longer than
+  // report_window, a request that seems to have been alone is only suspected
+  // until then.
+  void SetGatherTime(Duration time) {
+    this->gather_time = std::max(time, this->options.report_window);
+  }
 
   // Records that a server ran the content without a crash.
   void RecordServed(const RequestContent& content, TimePoint now);
@@ -129,6 +142,8 @@
     std::set<std::uint64_t> requests;  // That have the part.
     // Parts of the request, or of all requests that have the part.
     std::vector<std::uint64_t> together;
+    // Nothing else was running during one of the crashes.
+    bool alone = false;
   };
   struct EvidenceTable {
     std::unordered_map<std::uint64_t, Evidence> requests;
@@ -146,6 +161,8 @@
   bool ServedRecently(std::uint64_t hash, TimePoint now) const;
   // @return the crashes that are evaluated.
   std::vector<const Crash*> DueCrashes(TimePoint now) const;
+  // @return true if something in the candidate was not cleared.
+  static bool MayBeCause(const Candidate& candidate);
   // @return the candidates of the crash that may be its cause.
   std::vector<const Candidate*> Unexplained(const Crash& crash,
                                             TimePoint now) const;
@@ -167,6 +184,7 @@
   CrashCause& Quarantine(const CrashCause& cause, TimePoint now);
 
   const CrashTrackerOptions options;
+  Duration gather_time;
   // When a server last ran each part or request without a crash.
   std::unordered_map<std::uint64_t, TimePoint> served;
   TimePoint next_served_prune;
--- a/tests/gateway/crash_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include <fmt/format.h>
@@ -22,6 +23,8 @@
 constexpr int kCrashesUntilLimit = 5;
 constexpr int kRequestsAfterLimit = 3;
 constexpr int kMaxAttempts = 2;
+constexpr std::uint64_t kFirstBadRequest = 900;
+constexpr std::uint64_t kFirstSoundRequest = 1000000;
 
 struct FleetOptions {
   int gateways = 8;
@@ -31,6 +34,10 @@
   // the prompt or as a whole.
   double bad_fraction = 0.05;
   bool bad_request = false;
+  // Number of different requests that crash servers as a whole.
+  int bad_requests = 1;
+  // Interval at which a gateway sends to the others.
+  Duration round = kRound;
   // Crashes of a third of the servers at once, for other reasons.
   Duration rack_failure_interval{0};
   // A random gateway starts anew, or hears nothing for two seconds.
@@ -55,6 +62,7 @@
       : options(options), random(seed) {
     for (int i = 0; i < options.gateways; ++i) {
       this->gateways.push_back(std::make_unique<CrashQuarantine>());
+      this->gateways.back()->SetExchangeInterval(options.round);
     }
     this->out_of_touch_until.resize(this->gateways.size());
     this->deaf_until.resize(this->gateways.size());
@@ -73,6 +81,19 @@
     }
   }
 
+  // @return the sound requests that a gateway has found to crash servers.
+  std::set<std::uint64_t> SoundFindings() const {
+    std::set<std::uint64_t> sound_findings;
+    for (const auto& gateway : this->gateways) {
+      for (const internal::CrashCause& cause : gateway->Unrecorded(this->now)) {
+        if (cause.request >= kFirstSoundRequest) {
+          sound_findings.insert(cause.request);
+        }
+      }
+    }
+    return sound_findings;
+  }
+
   int crashes = 0;
   int arrivals_after_limit = 0;
   int sound = 0;
@@ -114,7 +135,13 @@
     if (!this->Due(kRound)) {
       return;
     }
+    const auto rounds = static_cast<std::size_t>(this->options.round / kRound);
+    const std::size_t turn =
+        static_cast<std::size_t>(this->now.time_since_epoch() / kRound);
     for (std::size_t from = 0; from < this->gateways.size(); ++from) {
+      if ((turn + from) % rounds != 0) {
+        continue;
+      }
       LoadMessage message;
       message.sender = fmt::format("{}.{}", from, this->incarnation);
       this->gateways[from]->FillLoadMessage(message, this->now);
@@ -143,9 +170,11 @@
     run.gateway = static_cast<int>(this->Draw(this->gateways.size()));
     // One of four parts that all requests have, and one of a session.
     run.content.parts = {1 + this->Draw(4), 100 + this->Draw(30)};
-    run.content.request = 1000000 + ++this->serial;
+    run.content.request = kFirstSoundRequest + ++this->serial;
     if (run.bad && this->options.bad_request) {
-      run.content = {999, {1, 100}};
+      run.content = {kFirstBadRequest + this->Draw(static_cast<std::size_t>(
+                                            this->options.bad_requests)),
+                     {1, 100}};
     } else if (run.bad) {
       run.content.parts.push_back(666);
     }
@@ -286,6 +315,30 @@
   CheckFleet(options);
 }
 
+// Guards against blaming a sound request that was lost with two servers, each
+// of which another request crashed.
+BOOST_AUTO_TEST_CASE(CompanionsOfSeveralBadRequestsAreNotBlamed) {
+  FleetOptions options;
+  options.bad_request = true;
+  options.bad_requests = 5;
+  FleetOptions frequent = options;
+  frequent.bad_fraction = 0.2;
+  FleetOptions slow = frequent;
+  slow.gateways = 24;
+  slow.servers = 60;
+  slow.requests_per_s = 100;
+  slow.round = milliseconds(700);
+  for (const FleetOptions& fleet_options : {options, frequent, slow}) {
+    for (std::uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+      Fleet fleet(fleet_options, seed);
+      fleet.Play(seconds(40));
+      BOOST_TEST_CONTEXT("seed " << seed << ", crashes " << fleet.crashes) {
+        BOOST_TEST(fleet.SoundFindings().size() == 0U);
+      }
+    }
+  }
+}
+
 // Guards against findings that are lost with a gateway's process, and against
 // gateways that hear nothing of a finding for a while.
 BOOST_AUTO_TEST_CASE(RestartedAndSilentGatewaysLearnTheFindings) {
