--- a/src/gateway/route_handler.cc
+++ b/src/gateway/route_handler.cc
@@ -19,7 +19,7 @@
 
 RouteHandler::RouteHandler(ForwardContext& context) : context(context) {
   context.quarantine.SetFoundCallback([this] {
-    // Not at once: a request may be the caller.
+    // Posted, since a request that is being dispatched may have asked.
     this->context.loop.Post([this] { this->WithdrawQuarantined(); });
   });
 }
