--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -46,7 +46,7 @@
   RequestMetrics& metrics;
   CrashQuarantine& quarantine;
   // Requests without an end.
-  std::set<Forwarder*> open;
+  std::set<Forwarder*> open = std::set<Forwarder*>();
   // When a response with a malformed header was last logged.
   TimePoint malformed_logged_at = TimePoint();
 };
