--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -24,8 +24,8 @@
                             const AttemptFields& fields) const override;
   ResponseFields ReadResponseFields(
       const net::MessageHead& head) const override;
-  // @return the routes /safe/ (idempotent), /once/ (non-idempotent), /stream/ (a
-  // resumable stream) and /live/ (a stream that is not resumable).
+  // @return the routes /safe/ (idempotent), /once/ (non-idempotent), /stream/
+  // (a resumable stream) and /live/ (a stream that is not resumable).
   Result<RouteTable> ReadConfiguration(
       const Json::Value& document) const override;
 };
@@ -38,8 +38,8 @@
   // Adds a server to the service "app".
   void AddServer(const ScriptedServer& server);
   void SetServers(const std::vector<std::string>& list);
-  // Sets the routes of TestFormat::ReadConfiguration, after applying `change` to
-  // them.
+  // Sets the routes of TestFormat::ReadConfiguration, after applying `change`
+  // to them.
   void SetTable(const std::function<void(RouteTable&)>& change = {});
   std::string Address() const { return this->callers->Address(); }
   // Runs `task` on the thread of the loop and waits until it is done.
