--- a/src/control/shared_state.cc
+++ b/src/control/shared_state.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include "control/field_reader.h"
 #include "sycamorebend/control.h"
 #include "sycamorebend/settings.h"
@@ -30,7 +32,8 @@
   for (const std::string& id : records.getMemberNames()) {
     const Status checked = read(id, records[id]);
     if (!checked) {
-      state.unreadable[list + "/" + id] = checked.error().message;
+      state.unreadable[fmt::format("{}/{}", list, id)] =
+          checked.error().message;
     }
   }
   return Success();
--- a/src/routing/crash_tracker.cc
+++ b/src/routing/crash_tracker.cc
@@ -448,21 +448,21 @@
       this->causes.end());
 }
 
-bool CrashTracker::AddCause(const CrashCause& added, TimePoint now) {
-  CrashCause cause = added;
-  cause.reported = cause.suspected;
-  if (cause.reported) {
-    cause.quarantined_until =
-        std::min(cause.quarantined_until, now + kReportedSuspicion);
-  }
-  if (now >= cause.quarantined_until ||
-      (cause.request == 0 && cause.parts.empty())) {
+bool CrashTracker::AddCause(const CrashCause& cause, TimePoint now) {
+  CrashCause added = cause;
+  added.reported = added.suspected;
+  if (added.reported) {
+    added.quarantined_until =
+        std::min(added.quarantined_until, now + kReportedSuspicion);
+  }
+  if (now >= added.quarantined_until ||
+      (added.request == 0 && added.parts.empty())) {
     return false;
   }
   // Sent before one of the parts was cleared.
   const bool refuted =
-      cause.request != 0 ? this->ServedRecently(cause.request, now)
-                         : std::any_of(cause.parts.begin(), cause.parts.end(),
+      added.request != 0 ? this->ServedRecently(added.request, now)
+                         : std::any_of(added.parts.begin(), added.parts.end(),
                                        [&](std::uint64_t part) {
                                          return this->ServedRecently(part, now);
                                        });
@@ -471,24 +471,24 @@
   }
   for (CrashCause& known : this->causes) {
     const bool covers =
-        cause.request != 0
-            ? known.request == cause.request
-            : known.request == 0 && Includes(cause.parts, known.parts);
+        added.request != 0
+            ? known.request == added.request
+            : known.request == 0 && Includes(added.parts, known.parts);
     if (covers && now < known.quarantined_until) {
-      if (SameContent(known, cause)) {
-        known.suspected = known.suspected && cause.suspected;
-        known.reported = known.reported && cause.reported;
+      if (SameContent(known, added)) {
+        known.suspected = known.suspected && added.suspected;
+        known.reported = known.reported && added.reported;
         known.quarantined_until =
-            std::max(known.quarantined_until, cause.quarantined_until);
-        known.findings = std::max(known.findings, cause.findings);
+            std::max(known.quarantined_until, added.quarantined_until);
+        known.findings = std::max(known.findings, added.findings);
       }
       return false;
     }
   }
-  if (!cause.suspected && this->HasSuspects()) {
+  if (!added.suspected && this->HasSuspects()) {
     this->next_evaluation = now;
   }
-  this->Quarantine(cause, now);
+  this->Quarantine(added, now);
   return true;
 }
 
