Log and count what gateways learn from the feed

configuration_in_force says accepted_ms, state_version, source and confirmed_age_ms; feed_resumed is new (1.5 s or more without a response that was applied). Metrics: polls by outcome, longest gap, age of the confirmation. The shared state carries the time at which its configuration was accepted. No decision depends on any of this.

--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -201,6 +201,7 @@
   kEntryDraining = 607,
   kFeedUpstreamChanged = 608,
   kFindingRecorded = 609,
+  kFeedResumed = 610,
   // 7xx: consensus and storage.
   kLeaderElected = 701,
   kLeadershipLost = 702,
--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -84,6 +84,9 @@
   // version 0 is null.
   std::uint64_t configuration_version = 0;
   Json::Value configuration;
+  // When the leader accepted that version, Unix milliseconds by its clock; 0 if
+  // unknown. For logs only.
+  std::int64_t configuration_time_ms = 0;
   std::vector<EntryInfo> entries;
   // Backend servers that announced themselves to the control replicas.
   std::vector<ServerRecord> servers;
--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -3,7 +3,9 @@
 #ifndef SYCAMOREBEND_FEED_H_
 #define SYCAMOREBEND_FEED_H_
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -40,6 +42,29 @@
   std::size_t max_followers = 32;
 };
 
+// What became of a poll.
+enum class FeedPollOutcome {
+  // The response was applied, with or without news.
+  kApplied,
+  // The source has its maximum number of followers.
+  kRedirected,
+  // No response, an error, or a response that was refused.
+  kFailed,
+};
+inline constexpr std::size_t kFeedPollOutcomes = 3;
+
+std::string_view FeedPollOutcomeName(FeedPollOutcome outcome);
+
+// State of a follower, for logs and metrics.
+struct FeedFollowerStatus {
+  // Source of the newest response that was applied; empty before the first.
+  std::string source;
+  // Polls since the start, by outcome.
+  std::array<std::uint64_t, kFeedPollOutcomes> polls{};
+  // Longest time without a response that was applied, since the first one.
+  Duration longest_gap{0};
+};
+
 // Polls one source of the feed at a time, changes to another one when it fails,
 // and serves the feed to other daemons. Methods may be called from any thread.
 class FeedFollower {
@@ -63,6 +88,8 @@
   // was the newest state; Duration::max() if it never was.
   virtual Duration ConfirmationAge() const = 0;
 
+  virtual FeedFollowerStatus GetStatus() const = 0;
+
   // Reports with the following polls that this daemon is draining.
   virtual void SetDraining() = 0;
 
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -101,6 +101,8 @@
      "This entry daemon follows another source of the feed."},
     {Event::kFindingRecorded, "finding_recorded",
      "A crash finding was recorded."},
+    {Event::kFeedResumed, "feed_resumed",
+     "A source of the feed answers after a time without news."},
     {Event::kLeaderElected, "leader_elected", "This replica is the leader."},
     {Event::kLeadershipLost, "leadership_lost",
      "This replica is no longer the leader."},
--- a/src/control/configuration_history.h
+++ b/src/control/configuration_history.h
@@ -29,6 +29,11 @@
 
   std::uint64_t Version() const { return this->version; }
   const Json::Value& Document() const { return this->document; }
+  // @return when the newest version was accepted, Unix milliseconds; 0 without
+  // a change.
+  std::int64_t TimeMs() const {
+    return this->changes.empty() ? 0 : this->changes.back().time_ms;
+  }
 
   // @return a description of the change that conflicts with a change that was
   // based on version `expected`.
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -338,6 +338,7 @@
     state->epoch = this->tables->epoch;
     state->version = this->tables->shared_version;
     state->configuration_version = this->tables->history.Version();
+    state->configuration_time_ms = this->tables->history.TimeMs();
     state->configuration = this->tables->history.Document();
     for (const auto& [id, entry] : this->tables->entries) {
       state->entries.push_back(entry);
--- a/src/control/shared_state.cc
+++ b/src/control/shared_state.cc
@@ -85,6 +85,7 @@
   value["version"] = Json::UInt64(state.version);
   value["configuration_version"] = Json::UInt64(state.configuration_version);
   value["configuration"] = state.configuration;
+  value["configuration_time_ms"] = Json::Int64(state.configuration_time_ms);
   // Keyed by ID, so that a patch names only the entry daemons that changed.
   Json::Value& entries = value["entries"] = Json::Value(Json::objectValue);
   for (const EntryInfo& entry : state.entries) {
@@ -117,6 +118,8 @@
   state.epoch = reader.OptionalString("epoch");
   state.version = reader.Unsigned("version");
   state.configuration_version = reader.Unsigned("configuration_version");
+  state.configuration_time_ms = static_cast<std::int64_t>(
+      reader.OptionalUnsigned("configuration_time_ms").value_or(0));
   const std::vector<std::string> drained = reader.Names("drained_servers");
   const std::vector<std::string> quarantined = reader.Names("quarantined");
   state.replicas = reader.Names("replicas");
--- a/src/entry/shared_view.cc
+++ b/src/entry/shared_view.cc
@@ -42,7 +42,8 @@
       policy = std::move(new_policy);
       LogEvent(Severity::kInfo, Event::kConfigurationInForce,
                {{"version", state->configuration_version},
-                {"state_version", state->version}});
+                {"state_version", state->version},
+                {"accepted_ms", state->configuration_time_ms}});
     }
   }
   std::lock_guard lock(this->mutex);
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <condition_variable>
 #include <optional>
 #include <thread>
@@ -33,6 +34,11 @@
 // expired.
 constexpr Json::ArrayIndex kMaxPathLength = 4;
 
+// A longer time without a response that could be applied is logged when it
+// ends. A poll that is held until its wait is over, and one change of the
+// source, are shorter.
+constexpr Duration kLoggedGap = milliseconds(1500);
+
 // Call to a source that the follower's thread waits for.
 struct PollCall {
   std::mutex mutex;
@@ -69,6 +75,11 @@
                            : Duration::max();
   }
 
+  FeedFollowerStatus GetStatus() const override {
+    std::lock_guard lock(this->mutex);
+    return this->status;
+  }
+
   void SetDraining() override {
     std::lock_guard lock(this->mutex);
     this->draining = true;
@@ -165,6 +176,42 @@
   // Polls `source` once and applies its response.
   // @return an error if another source must be tried.
   Status Poll(const std::string& source) {
+    bool redirected = false;
+    const Status polled = this->SendPoll(source, redirected);
+    const FeedPollOutcome outcome = redirected ? FeedPollOutcome::kRedirected
+                                    : polled   ? FeedPollOutcome::kApplied
+                                               : FeedPollOutcome::kFailed;
+    this->RecordOutcome(source, outcome);
+    return polled;
+  }
+
+  // Counts the poll, and logs the end of a time without news.
+  void RecordOutcome(const std::string& source, FeedPollOutcome outcome) {
+    const TimePoint now = this->clock.Now();
+    Duration gap{0};
+    std::uint64_t failed_polls = 0;
+    {
+      std::lock_guard lock(this->mutex);
+      ++this->status.polls[static_cast<std::size_t>(outcome)];
+      if (outcome != FeedPollOutcome::kApplied) {
+        ++this->failed_in_gap;
+        return;
+      }
+      gap = now - this->last_applied.value_or(now);
+      failed_polls = std::exchange(this->failed_in_gap, 0);
+      this->last_applied = now;
+      this->status.source = source;
+      this->status.longest_gap = std::max(this->status.longest_gap, gap);
+    }
+    if (gap >= kLoggedGap) {
+      LogEvent(Severity::kWarning, Event::kFeedResumed,
+               {{"source", source},
+                {"gap_ms", ToMilliseconds(gap)},
+                {"failed_polls", failed_polls}});
+    }
+  }
+
+  Status SendPoll(const std::string& source, bool& redirected) {
     const std::shared_ptr<const SharedState> base = this->buffer.Current();
     const TimePoint sent = this->clock.Now();
     BOOST_OUTCOME_TRY(response, this->Call(source, this->Params(base, sent)));
@@ -173,6 +220,7 @@
                        "the feed response is not an object");
     }
     if (response["busy"] == Json::Value(true)) {
+      redirected = true;
       this->sources.AddRedirects(response["relays"]);
       return MakeError(ResultCode::kQueueFull,
                        "the source has its maximum number of followers");
@@ -325,6 +373,10 @@
   std::shared_ptr<PollCall> call;
   // A quorum confirmed the current state at this time or later.
   std::optional<TimePoint> confirmed;
+  FeedFollowerStatus status;
+  std::optional<TimePoint> last_applied;
+  // Polls without an applied response since `last_applied`.
+  std::uint64_t failed_in_gap = 0;
   // Entry daemons between the control replicas and this one.
   Json::Value path = Json::Value(Json::arrayValue);
   std::thread thread;
@@ -332,6 +384,12 @@
 
 }  // namespace
 
+std::string_view FeedPollOutcomeName(FeedPollOutcome outcome) {
+  static constexpr std::array<std::string_view, kFeedPollOutcomes> kNames = {
+      "applied", "redirected", "failed"};
+  return kNames.at(static_cast<std::size_t>(outcome));
+}
+
 std::unique_ptr<FeedFollower> FeedFollower::Start(FeedFollowerOptions options,
                                                   RpcClient& rpc,
                                                   const Clock& clock,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -257,7 +257,16 @@
   this->balancer.SetServices(table->services);
   LogEvent(Severity::kInfo, Event::kConfigurationInForce,
            {{"version", table->version},
-            {"routes", static_cast<std::uint64_t>(table->routes.size())}});
+            {"routes", static_cast<std::uint64_t>(table->routes.size())},
+            {"accepted_ms", state.configuration_time_ms},
+            {"state_version", state.version},
+            {"source", this->follower->GetStatus().source},
+            {"confirmed_age_ms", this->ConfirmationAgeMs()}});
+}
+
+std::int64_t Gateway::ConfirmationAgeMs() const {
+  const Duration age = this->follower->ConfirmationAge();
+  return age == Duration::max() ? -1 : ToMilliseconds(age);
 }
 
 void Gateway::SetRetryLimits(std::size_t gateways) {
@@ -305,6 +314,7 @@
         "Time since the configuration came into force.", {},
         std::chrono::duration<double>(now - this->configured_at).count());
   }
+  this->PublishFeedMetrics();
   for (const std::string& service : this->balancer.Services()) {
     const PoolState state = this->balancer.StateOf(service, now);
     for (std::size_t i = 0; i < kServerUses; ++i) {
@@ -323,6 +333,26 @@
   }
 }
 
+void Gateway::PublishFeedMetrics() {
+  const FeedFollowerStatus feed = this->follower->GetStatus();
+  for (std::size_t i = 0; i < kFeedPollOutcomes; ++i) {
+    const std::string outcome(
+        FeedPollOutcomeName(static_cast<FeedPollOutcome>(i)));
+    this->metrics.SetTotal("sycamorebend_gateway_feed_polls_total",
+                           "Polls of the control replicas by outcome.",
+                           {{"outcome", outcome}},
+                           static_cast<double>(feed.polls[i]));
+  }
+  this->metrics.SetGauge(
+      "sycamorebend_gateway_feed_longest_gap_seconds",
+      "Longest time without news from the control replicas.", {},
+      std::chrono::duration<double>(feed.longest_gap).count());
+  this->metrics.SetGauge(
+      "sycamorebend_gateway_state_confirmed_age_seconds",
+      "Time since a quorum confirmed the shared state; negative if never.", {},
+      static_cast<double>(this->ConfirmationAgeMs()) / 1000);
+}
+
 void Gateway::BeginStop() {
   if (std::exchange(this->stopping, true)) {
     return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -76,9 +76,13 @@
   std::vector<std::string> Replicas() const;
   // Reports findings about crashes to the control replicas.
   void ReportFindings();
+  // @return the age of the shared state's confirmation; -1 if no quorum has
+  // confirmed it.
+  std::int64_t ConfirmationAgeMs() const;
   void AdvanceStop();
   // Copies the current values to `metrics`.
   void PublishMetrics();
+  void PublishFeedMetrics();
 
   const GatewaySettings settings;
   const WireFormat& format;
--- a/tests/entry/daemon_fixture.h
+++ b/tests/entry/daemon_fixture.h
@@ -24,6 +24,7 @@
     return nullptr;
   }
   Duration ConfirmationAge() const override { return this->age.load(); }
+  FeedFollowerStatus GetStatus() const override { return {}; }
   void SetDraining() override { this->draining.store(true); }
   Result<Json::Value> ServePoll(const Json::Value& params) override {
     return params;
