--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -63,6 +63,21 @@
     this->log.Commit(R"({"type":"server.drain","change_id":"d-)" + server +
                      R"(","server_id":")" + server + "\"}");
   }
+  // @return parameters of a poll that does not wait.
+  static Json::Value PollParams(const std::string& entry_id,
+                                std::uint64_t have_version) {
+    Json::Value params;
+    params["entry_id"] = entry_id;
+    params["address"] = "127.0.0.1:8001";
+    params["incarnation"] = "1";
+    params["wait_ms"] = 0;
+    params["have_epoch"] = have_version == 0 ? "" : "x";
+    params["have_version"] = Json::UInt64(have_version);
+    return params;
+  }
+  Json::Value Poll(const std::string& entry_id, std::uint64_t have_version) {
+    return this->source->ServePoll(PollParams(entry_id, have_version)).value();
+  }
   std::size_t Entries() const { return this->state->Shared()->entries.size(); }
 
   LocalRpc& rpc;
@@ -80,7 +95,8 @@
 
   std::shared_ptr<FeedFollower> Follow(const std::string& id,
                                        std::vector<std::string> replicas,
-                                       std::vector<std::string> relays = {}) {
+                                       std::vector<std::string> relays = {},
+                                       bool serves_feed = true) {
     FeedFollowerOptions options;
     options.self.entry_id = id;
     options.self.address = "127.0.0.1:" + std::to_string(this->next_port++);
@@ -95,9 +111,11 @@
           std::lock_guard lock(this->mutex);
           this->updates.push_back(state->version);
         });
-    this->rpc.Serve(address, [follower](const Json::Value& params) {
-      return follower->ServePoll(params);
-    });
+    if (serves_feed) {
+      this->rpc.Serve(address, [follower](const Json::Value& params) {
+        return follower->ServePoll(params);
+      });
+    }
     return follower;
   }
 
@@ -359,6 +377,84 @@
   first->Stop();
 }
 
+// Guards against referring followers to daemons that do not serve the feed:
+// each of these costs a failed poll, during which no change arrives.
+BOOST_FIXTURE_TEST_CASE(RedirectNamesOnlyDaemonsThatServeTheFeed, Fixture) {
+  FeedSourceOptions options;
+  options.max_followers = 1;
+  Replica replica(rpc, clock, kReplica1, options);
+  replica.Init();
+  BOOST_TEST(replica.Poll("e1", 0).isMember("snapshot"));
+  const Json::Value redirect = replica.Poll("e2", 0);
+  BOOST_TEST(redirect["busy"] == Json::Value(true));
+  BOOST_TEST(redirect["relays"].empty());
+}
+
+// Guards against changes that do not reach a follower while every source that
+// it knows is full.
+BOOST_FIXTURE_TEST_CASE(FullSourceSendsChanges, Fixture) {
+  FeedSourceOptions options;
+  options.max_followers = 1;
+  Replica replica(rpc, clock, kReplica1, options);
+  replica.Init();
+  replica.Poll("e1", 0);
+  const Json::Value first = replica.Poll("e2", 0);
+  BOOST_TEST(first["version"] == 1);
+  BOOST_TEST(first.isMember("snapshot"));
+  replica.Drain("s1");
+  const Json::Value second = replica.Poll("e2", 1);
+  BOOST_TEST(second["version"] == 2);
+  BOOST_TEST(second["deltas"].size() == 1U);
+  BOOST_TEST(second["confirmed_age_ms"].isInt64());
+}
+
+// Guards against a replica that is full of followers which left it at once,
+// because it had no state for them.
+BOOST_FIXTURE_TEST_CASE(FollowersWithoutAnAnswerAreNotCounted, Fixture) {
+  FeedSourceOptions options;
+  options.max_followers = 1;
+  Replica replica(rpc, clock, kReplica1, options);
+  for (const char* id : {"e1", "e2", "e3"}) {
+    Json::Value params = Replica::PollParams(id, 0);
+    BOOST_TEST((replica.source->ServePoll(params).error().code ==
+                ResultCode::kConfigurationUnconfirmed));
+  }
+  replica.Init();
+  BOOST_TEST(!replica.Poll("e4", 0).isMember("busy"));
+}
+
+// Guards against followers that miss changes, or ask each other, when the
+// replicas that are left have fewer places than there are followers.
+BOOST_FIXTURE_TEST_CASE(FollowersBeyondAllPlacesGetEveryChange, Fixture) {
+  FeedSourceOptions options;
+  options.max_followers = 2;
+  Replica first(rpc, clock, kReplica1, options);
+  Replica second(rpc, clock, kReplica2, options);
+  first.Init();
+  second.Init();
+  std::vector<std::shared_ptr<FeedFollower>> followers;
+  for (int i = 0; i < 6; ++i) {
+    followers.push_back(this->Follow("e" + std::to_string(i),
+                                     {kReplica1, kReplica2}, {},
+                                     /*serves_feed=*/false));
+  }
+  rpc.DropCalls(kReplica2);
+  for (int change = 0; change < 3; ++change) {
+    first.Drain("s" + std::to_string(change));
+    for (const auto& follower : followers) {
+      BOOST_TEST(Eventually([&] {
+        return VersionOf(*follower) == first.state->Shared()->version;
+      }));
+    }
+  }
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(rpc.Calls("127.0.0.1:" + std::to_string(8001 + i)) == 0);
+  }
+  for (const auto& follower : followers) {
+    follower->Stop();
+  }
+}
+
 // Guards against expiring live entry daemons when the leader changes, and
 // against keeping a dead one in the shared state, from which callers get their
 // addresses.
--- /dev/null
+++ b/tests/platform/rendered_settings.cc
@@ -0,0 +1,54 @@
+#include "platform/rendered_settings.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include <boost/test/unit_test.hpp>
+
+namespace sycamorebend::platform {
+
+const TemplateFields& DefaultTemplateFields() {
+  static const TemplateFields kFields = {
+      {"ip", "10.1.0.19"},
+      {"node_name|json", "\"edge-a-1\""},
+      {"zone|json", "\"a\""},
+      {"listen.frontend|json", "\"10.1.0.19:8740\""},
+      {"listen.readiness|json", "\"10.1.0.19:8749\""},
+      {"listen.control_plane|json", "\"10.1.0.19:8748\""},
+      {"listen.registry|json", "\"10.1.0.19:8747\""},
+      {"internal_ports.0", "7200"},
+      {"seed_nodes|json", R"(["10.1.0.22:8748", "10.2.0.16:8748"])"},
+      {"data_dir|json", "\"/data\""},
+      {"bootstrap", "true"},
+      {"fault_tolerance.nodes", "1"},
+      {"bounds.grace_s", "8"},
+      {"bounds.retry_budget_ratio", "0.2"},
+      {"bounds.budget_slack", "56"}};
+  return kFields;
+}
+
+std::string RenderTemplate(const std::string& name,
+                           const TemplateFields& changes) {
+  const char* const root = std::getenv("SB_SOURCE_DIR");
+  BOOST_REQUIRE(root != nullptr);
+  std::ostringstream file;
+  file << std::ifstream(std::string(root) + "/deploy/" + name).rdbuf();
+  std::string text = file.str();
+  for (auto begin = text.find("{{"); begin != std::string::npos;
+       begin = text.find("{{", begin)) {
+    const auto end = text.find("}}", begin);
+    BOOST_REQUIRE(end != std::string::npos);
+    const std::string field = text.substr(begin + 2, end - begin - 2);
+    const auto changed = changes.find(field);
+    const bool is_default = changed == changes.end();
+    const auto known =
+        is_default ? DefaultTemplateFields().find(field) : changed;
+    BOOST_REQUIRE_MESSAGE(!is_default || known != DefaultTemplateFields().end(),
+                          field);
+    text.replace(begin, end + 2 - begin, known->second);
+  }
+  return text;
+}
+
+}  // namespace sycamorebend::platform
