Send changes from full sources, and name as relays only what serves the feed

Cause: a replica that had its maximum number of followers referred a gateway to all of these, by the addresses at which they serve callers. Gateways do not serve the feed: each answered 404 or 503, 53 ms apart, 200 in a row, and a gateway tried them before the replicas it had not asked yet. Meanwhile it got no change and renewed no lease. A follower counted as one for 2 s although it had left with an error, so the first replica to listen at a start was full of gateways that it had no state for.

Change: a poll carries the address at which its sender serves the feed, if it does; only such daemons are named as relays or recorded as such, four at a time. A full source answers at once with what is new, so that changes do not wait for a place; a follower that finds none comes back after 250 ms. A place is given back when there is no state. Serving a poll is one class for replicas and relays. A source makes one patch in 100 ms, as each change goes to all followers.

Ruled out: gateways as relays. Their VMs have a fifth of the processor and a hundredth of the bandwidth of a control VM. A higher limit: the next fleet is larger. Waiting polls beyond the limit: each holds a thread.

--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -30,6 +30,8 @@
   std::string failure_domain;
   std::string incarnation;
   bool draining = false;
+  // "IP:port" at which it serves the feed to others; empty if it does not.
+  std::string feed_address;
 };
 
 // A backend server that announced itself to the control replicas.
--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -44,9 +44,10 @@
 
 // What became of a poll.
 enum class FeedPollOutcome {
-  // The response was applied, with or without news.
+  // The response was applied, and the source has a place for this daemon.
   kApplied,
-  // The source has its maximum number of followers.
+  // The source has its maximum number of followers. Its response was applied
+  // unless it is of an earlier release.
   kRedirected,
   // No response, an error, or a response that was refused.
   kFailed,
@@ -102,10 +103,19 @@
   virtual void Stop() = 0;
 };
 
+// State of a source, for logs and metrics.
+struct FeedSourceStatus {
+  // Daemons whose polls wait at this source for changes.
+  std::size_t followers = 0;
+  // Polls since the start of daemons for which there was no place.
+  std::uint64_t redirects = 0;
+};
+
 struct FeedSourceOptions {
   // An entry daemon expires when its newest renewal is older than this.
   Duration entry_lease = seconds(3);
-  // Maximum number of direct followers; further ones are redirected to these.
+  // Maximum number of daemons whose polls wait for changes. Further ones get
+  // what is new at once and are referred to relays.
   std::size_t max_followers = 64;
 };
 
@@ -136,6 +146,8 @@
   // 200 ms.
   virtual void Tick() = 0;
 
+  virtual FeedSourceStatus GetStatus() const = 0;
+
   // Wakes blocked polls and refuses new ones.
   virtual void Stop() = 0;
 };
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -98,7 +98,7 @@
     {Event::kEntryDraining, "entry_draining",
      "An entry daemon drains and is no longer given to callers."},
     {Event::kFeedUpstreamChanged, "feed_upstream_changed",
-     "This entry daemon follows another source of the feed."},
+     "This entry daemon polls another source of the feed."},
     {Event::kFindingRecorded, "finding_recorded",
      "A crash finding was recorded."},
     {Event::kFeedResumed, "feed_resumed",
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -85,6 +85,7 @@
     item["failure_domain"] = entry.failure_domain;
     item["incarnation"] = entry.incarnation;
     item["draining"] = entry.draining;
+    item["feed_address"] = entry.feed_address;
     entries.append(item);
   }
   header["servers"] = tables.servers.Save();
@@ -112,6 +113,7 @@
     entry.failure_domain = item["failure_domain"].asString();
     entry.incarnation = item["incarnation"].asString();
     entry.draining = item["draining"].asBool();
+    entry.feed_address = item["feed_address"].asString();
     tables.entries[entry.entry_id] = std::move(entry);
   }
   tables.servers.Load(header["servers"]);
@@ -522,6 +524,7 @@
     entry.failure_domain = reader.OptionalString("failure_domain");
     entry.incarnation = reader.Name("incarnation");
     entry.draining = reader.OptionalBool("draining");
+    entry.feed_address = reader.OptionalString("feed_address");
     BOOST_OUTCOME_TRY(reader.Finish());
     this->shared_state_changed = true;
     this->tables->entries[entry.entry_id] = std::move(entry);
--- a/src/control/shared_state.cc
+++ b/src/control/shared_state.cc
@@ -49,6 +49,7 @@
   entry.failure_domain = reader.OptionalString("failure_domain");
   entry.incarnation = reader.OptionalString("incarnation");
   entry.draining = reader.OptionalBool("draining");
+  entry.feed_address = reader.OptionalString("feed_address");
   BOOST_OUTCOME_TRYV(reader.Finish());
   state.entries.push_back(std::move(entry));
   return Success();
@@ -94,6 +95,9 @@
     item["failure_domain"] = entry.failure_domain;
     item["incarnation"] = entry.incarnation;
     item["draining"] = entry.draining;
+    if (!entry.feed_address.empty()) {
+      item["feed_address"] = entry.feed_address;
+    }
   }
   Json::Value& servers = value["servers"] = Json::Value(Json::objectValue);
   for (const ServerRecord& server : state.servers) {
--- a/src/controld/control_http.cc
+++ b/src/controld/control_http.cc
@@ -106,6 +106,12 @@
     AddGauge(registry, "confirmation_age_seconds",
              "Time since a quorum confirmed the state; negative if never.",
              report["confirmation_age_ms"].asDouble() / 1000);
+    prometheus::BuildCounter()
+        .Name("sycamorebend_control_feed_redirects_total")
+        .Help("Polls of daemons for which there was no place.")
+        .Register(registry)
+        .Add({})
+        .Increment(report["feed_redirects"].asDouble());
     const Json::Value& counts = report["counts"];
     for (const std::string& name : counts.getMemberNames()) {
       AddGauge(registry, name, "Size of the control state.", counts[name]);
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -476,6 +476,9 @@
   response["drained_servers"] = visible["drained_servers"];
   response["quarantined"] = visible["quarantined"];
   response["counts"] = this->state.Counts();
+  const FeedSourceStatus feed_status = this->feed.GetStatus();
+  response["counts"]["feed_followers"] = Json::UInt64(feed_status.followers);
+  response["feed_redirects"] = Json::UInt64(feed_status.redirects);
   return response;
 }
 
--- a/src/entry/daemon.cc
+++ b/src/entry/daemon.cc
@@ -101,6 +101,7 @@
   FeedFollowerOptions options;
   options.self.entry_id = this->settings.entry_id;
   options.self.address = this->settings.address;
+  options.self.feed_address = this->settings.address;
   options.self.failure_domain = this->settings.failure_domain;
   options.self.incarnation = RandomId();
   options.replicas = this->settings.replicas;
--- a/src/feed/feed_buffer.cc
+++ b/src/feed/feed_buffer.cc
@@ -1,5 +1,6 @@
 #include "feed/feed_buffer.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "sycamorebend/settings.h"
@@ -9,17 +10,31 @@
 
 namespace {
 
-// A reader that polls every 0.5 s falls 256 versions behind only at 512 changes
-// per second. A reader that is further behind gets a snapshot.
+// A reader that gets an update every 0.1 s falls 256 encoded versions behind
+// only when it has missed 25 s. A reader that is further behind gets a
+// snapshot.
 constexpr std::size_t kMaxDeltas = 256;
 constexpr std::size_t kMaxDeltaBytes = 2 << 20;
 
+// Minimum time between two updates of a reader. Encoding and reading an update
+// takes milliseconds, and each change goes to all readers: when many daemons
+// restart at once, a response for each change would take more processor time
+// than small VMs have.
+constexpr milliseconds kMinUpdateInterval{100};
+
 // Compares by value, because Json::Value::operator== treats a signed and an
 // unsigned number as different.
 bool IsNumber(const Json::Value& value, std::uint64_t number) {
   return value.isUInt64() && value.asUInt64() == number;
 }
 
+bool IsNewer(const std::shared_ptr<const SharedState>& state,
+             const std::string& epoch,
+             std::uint64_t version) {
+  return state != nullptr && !state->epoch.empty() &&
+         (state->epoch != epoch || state->version > version);
+}
+
 }  // namespace
 
 void FeedBuffer::Publish(std::shared_ptr<const SharedState> state) {
@@ -34,17 +49,14 @@
   this->changed.notify_all();
 }
 
-void FeedBuffer::Encode() const {
-  if (this->encoded == this->current) {
-    return;
-  }
-  Json::Value json = SharedStateToJson(*this->current);
-  if (this->encoded != nullptr &&
-      this->encoded->epoch == this->current->epoch) {
+void FeedBuffer::Encode(const std::shared_ptr<const SharedState>& state) {
+  auto json = std::make_shared<const Json::Value>(SharedStateToJson(*state));
+  if (this->encoded != nullptr && this->encoded->epoch == state->epoch) {
     Delta delta;
     delta.from = this->encoded->version;
-    delta.patch = DiffJson(this->encoded_json, json);
-    delta.bytes = WriteJson(delta.patch).size();
+    delta.patch = std::make_shared<const Json::Value>(
+        DiffJson(*this->encoded_json, *json));
+    delta.bytes = WriteJson(*delta.patch).size();
     this->bytes += delta.bytes;
     this->deltas.push_back(std::move(delta));
   } else {
@@ -55,8 +67,13 @@
     this->bytes -= this->deltas.front().bytes;
     this->deltas.pop_front();
   }
-  this->encoded = this->current;
   this->encoded_json = std::move(json);
+  {
+    std::lock_guard lock(this->mutex);
+    this->encoded = state;
+    this->next_encoding = SteadyClock::now() + kMinUpdateInterval;
+  }
+  this->changed.notify_all();
 }
 
 std::shared_ptr<const SharedState> FeedBuffer::Current() const {
@@ -64,46 +81,86 @@
   return this->current;
 }
 
+bool FeedBuffer::HasUpdate(const std::string& epoch,
+                           std::uint64_t version) const {
+  return IsNewer(this->current, epoch, version) &&
+         (IsNewer(this->encoded, epoch, version) ||
+          SteadyClock::now() >= this->next_encoding);
+}
+
 bool FeedBuffer::Wait(const std::string& epoch,
                       std::uint64_t version,
                       Duration wait) {
   std::unique_lock lock(this->mutex);
-  this->changed.wait_for(lock, wait, [&] {
-    return this->stopped ||
-           (this->current != nullptr && (this->current->epoch != epoch ||
-                                         this->current->version > version));
-  });
+  const SteadyClock::time_point end = SteadyClock::now() + wait;
+  while (!this->stopped && !this->HasUpdate(epoch, version) &&
+         SteadyClock::now() < end) {
+    const bool held_back = IsNewer(this->current, epoch, version);
+    this->changed.wait_until(
+        lock, held_back ? std::min(end, this->next_encoding) : end);
+  }
   return !this->stopped;
 }
 
 bool FeedBuffer::WriteUpdate(const std::string& epoch,
                              std::uint64_t version,
-                             Json::Value& response) const {
-  std::lock_guard lock(this->mutex);
-  if (this->current == nullptr || this->current->epoch.empty()) {
-    return false;
+                             bool newest,
+                             std::optional<TimePoint>& confirmed_at,
+                             Json::Value& response) {
+  std::shared_ptr<const Json::Value> snapshot;
+  std::vector<Delta> updates;
+  {
+    std::lock_guard encode_lock(this->encode_mutex);
+    std::shared_ptr<const SharedState> state;
+    bool due = false;
+    {
+      std::lock_guard lock(this->mutex);
+      state = this->current;
+      due = SteadyClock::now() >= this->next_encoding;
+    }
+    if (state == nullptr || state->epoch.empty()) {
+      return false;
+    }
+    const bool comparable =
+        this->encoded != nullptr && this->encoded->epoch == state->epoch;
+    const bool same_epoch = epoch == state->epoch;
+    const bool has_update =
+        comparable && IsNewer(this->encoded, epoch, version);
+    const bool ahead =
+        comparable && same_epoch && version > this->encoded->version;
+    if (this->encoded != state &&
+        (!comparable || due || ahead || (newest && !has_update))) {
+      this->Encode(state);
+    }
+    if (this->encoded == state) {
+      this->encoded_confirmed_at = confirmed_at;
+    } else {
+      // Changes that are not in the response were committed since.
+      confirmed_at = this->encoded_confirmed_at;
+    }
+    response["epoch"] = state->epoch;
+    response["version"] = Json::UInt64(this->encoded->version);
+    if (same_epoch && version >= this->encoded->version) {
+      return true;
+    }
+    if (same_epoch) {
+      const auto first = std::find_if(
+          this->deltas.begin(), this->deltas.end(),
+          [&](const Delta& delta) { return delta.from == version; });
+      updates.assign(first, this->deltas.end());
+    }
+    snapshot = this->encoded_json;
   }
-  response["epoch"] = this->current->epoch;
-  response["version"] = Json::UInt64(this->current->version);
-  if (epoch == this->current->epoch && version >= this->current->version) {
+  if (updates.empty()) {
+    response["snapshot"] = *snapshot;
     return true;
   }
-  this->Encode();
-  Json::Value list(Json::arrayValue);
-  if (epoch == this->current->epoch) {
-    for (const Delta& delta : this->deltas) {
-      if (delta.from == version || !list.empty()) {
-        Json::Value item;
-        item["from"] = Json::UInt64(delta.from);
-        item["patch"] = delta.patch;
-        list.append(std::move(item));
-      }
-    }
-  }
-  if (list.empty()) {
-    response["snapshot"] = this->encoded_json;
-  } else {
-    response["deltas"] = std::move(list);
+  Json::Value& list = response["deltas"] = Json::Value(Json::arrayValue);
+  for (const Delta& delta : updates) {
+    Json::Value item;
+    item["from"] = Json::UInt64(delta.from);
+    item["patch"] = *delta.patch;
+    list.append(std::move(item));
   }
   return true;
 }
--- a/src/feed/feed_buffer.h
+++ b/src/feed/feed_buffer.h
@@ -3,15 +3,19 @@
 #ifndef SYCAMOREBEND_SRC_FEED_FEED_BUFFER_H_
 #define SYCAMOREBEND_SRC_FEED_FEED_BUFFER_H_
 
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include <json/value.h>
 
+#include "sycamorebend/base.h"
 #include "sycamorebend/control.h"
 
 namespace sycamorebend {
@@ -27,40 +31,62 @@
   // @return the newest state, or nullptr.
   std::shared_ptr<const SharedState> Current() const;
 
-  // Waits until the state is newer than `version` of `epoch`, for at most
-  // `wait`, or until Stop.
+  // Waits until there is an update for a reader that has `version` of `epoch`,
+  // for at most `wait`, or until Stop. Changes in quick succession become one
+  // update.
   // @return false after Stop.
   bool Wait(const std::string& epoch, std::uint64_t version, Duration wait);
 
   // Adds epoch, version, and `deltas` or `snapshot` to `response`, for a reader
   // that has `version` of `epoch`.
+  // @param confirmed_at when a quorum confirmed that Current() is the newest
+  // state, read before this call; empty if it never did. Set to that time for
+  // the state in the response.
+  // @param newest the response must have the newest state, even if changes
+  // follow each other so quickly that it has to be encoded for this reader.
   // @return false if there is no state.
   bool WriteUpdate(const std::string& epoch,
                    std::uint64_t version,
-                   Json::Value& response) const;
+                   bool newest,
+                   std::optional<TimePoint>& confirmed_at,
+                   Json::Value& response);
 
   void Stop();
 
  private:
+  using SteadyClock = std::chrono::steady_clock;
+
   struct Delta {
     std::uint64_t from = 0;
-    Json::Value patch;
+    std::shared_ptr<const Json::Value> patch;
     std::size_t bytes = 0;
   };
 
-  // Updates the JSON form and the patches to `current`. Done only when a reader
+  // @return true if WriteUpdate has something for a reader that has `version`
+  // of `epoch`. `mutex` must be held.
+  bool HasUpdate(const std::string& epoch, std::uint64_t version) const;
+
+  // Updates the JSON form and the patches to `state`. Done only when a reader
   // needs them, and for several versions at once: a replica that replays its
   // log would otherwise spend most of its start on patches that no reader
-  // requests.
-  void Encode() const;
+  // requests. `encode_mutex` must be held.
+  void Encode(const std::shared_ptr<const SharedState>& state);
+
+  // Held while a state is encoded, which takes milliseconds; never locked with
+  // `mutex` held.
+  std::mutex encode_mutex;
+  std::shared_ptr<const Json::Value> encoded_json;
+  std::deque<Delta> deltas;
+  std::size_t bytes = 0;
+  std::optional<TimePoint> encoded_confirmed_at;
 
   mutable std::mutex mutex;
   std::condition_variable changed;
   std::shared_ptr<const SharedState> current;
-  mutable std::shared_ptr<const SharedState> encoded;
-  mutable Json::Value encoded_json;
-  mutable std::deque<Delta> deltas;
-  mutable std::size_t bytes = 0;
+  // The state in `encoded_json`; changed with both mutexes held.
+  std::shared_ptr<const SharedState> encoded;
+  // Readers that have `encoded` get no update before this time.
+  SteadyClock::time_point next_encoding;
   bool stopped = false;
 };
 
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -7,7 +7,7 @@
 #include <thread>
 #include <utility>
 
-#include "feed/feed_buffer.h"
+#include "feed/feed_server.h"
 #include "feed/renewals.h"
 #include "feed/source_list.h"
 #include "sycamorebend/feed.h"
@@ -17,9 +17,6 @@
 
 namespace {
 
-using internal::FeedBuffer;
-using internal::FeedPoll;
-using internal::FollowerTable;
 using internal::Renewal;
 using internal::RenewalTable;
 using internal::SourceList;
@@ -27,6 +24,11 @@
 // Delay after a failed poll, so that unreachable sources are not polled in a
 // busy loop.
 constexpr Duration kRetryDelay = milliseconds(50);
+// Delay after a response of a source that has no place. Limits both the time
+// until the next change arrives and the load on a replica that many daemons
+// poll in this way.
+constexpr Duration kFullSourceDelay = milliseconds(250);
+constexpr Duration kLogInterval = seconds(1);
 // Renewals older than the lease of entry daemons are not forwarded.
 constexpr Duration kMaxRenewalAge = seconds(3);
 // Maximum number of entry daemons in a chain of relays, including this one.
@@ -58,7 +60,7 @@
         clock(clock),
         on_update(std::move(on_update)),
         sources(this->options),
-        followers(this->options.max_followers),
+        server(this->options.max_followers, clock),
         draining(this->options.self.draining) {
     this->thread = std::thread([this] { this->Run(); });
   }
@@ -66,7 +68,7 @@
   ~ThreadFeedFollower() override { this->Stop(); }
 
   std::shared_ptr<const SharedState> Current() const override {
-    return this->buffer.Current();
+    return this->server.Current();
   }
 
   Duration ConfirmationAge() const override {
@@ -92,15 +94,17 @@
       for (const Renewal& renewal : poll.renewals) {
         this->renewals.Add(renewal);
       }
-      if (!this->followers.Admit(poll, this->clock.Now())) {
-        return this->followers.MakeRedirect();
-      }
     }
-    if (!this->buffer.Wait(poll.have_epoch, poll.have_version, poll.wait)) {
-      return MakeError(ResultCode::kShuttingDown,
-                       "this entry daemon is stopping");
+    Json::Value path_to_caller;
+    {
+      std::lock_guard lock(this->mutex);
+      path_to_caller = this->path;
     }
-    return this->MakeResponse(poll);
+    path_to_caller.append(this->options.self.entry_id);
+    return this->server.Serve(poll, path_to_caller, [this] {
+      std::lock_guard lock(this->mutex);
+      return this->confirmed;
+    });
   }
 
   void Stop() override {
@@ -114,92 +118,108 @@
       }
     }
     this->wake.notify_all();
-    this->buffer.Stop();
+    this->server.Stop();
     if (this->thread.joinable()) {
       this->thread.join();
     }
   }
 
  private:
-  Result<Json::Value> MakeResponse(const FeedPoll& poll) const {
-    Json::Value response;
-    std::optional<TimePoint> confirmed_at;
-    {
-      // Read before the state, which can only become newer in between.
-      std::lock_guard lock(this->mutex);
-      confirmed_at = this->confirmed;
-      response["path"] = this->path;
-    }
-    response["path"].append(this->options.self.entry_id);
-    if (!this->buffer.WriteUpdate(poll.have_epoch, poll.have_version,
-                                  response)) {
-      return MakeError(ResultCode::kConfigurationUnconfirmed,
-                       "this entry daemon has no shared state yet");
-    }
-    response["confirmed_age_ms"] = Json::Int64(
-        confirmed_at ? ToMilliseconds(this->clock.Now() - *confirmed_at) + 1
-                     : -1);
-    return response;
-  }
-
   void Run() {
     std::string source = this->sources.Next(nullptr);
     while (!this->Stopping()) {
-      const Status polled = source.empty()
-                                ? MakeError(ResultCode::kConnectFailed)
-                                : this->Poll(source);
-      if (polled) {
+      std::string reason;
+      const FeedPollOutcome outcome = this->Poll(source, reason);
+      this->CountPoll(outcome);
+      if (outcome == FeedPollOutcome::kApplied) {
         continue;
       }
-      const std::string failed = source;
-      source = this->sources.Next(this->buffer.Current());
-      if (source != failed && !this->Stopping()) {
-        LogEvent(Severity::kInfo, Event::kFeedUpstreamChanged,
-                 {{"from", failed},
-                  {"to", source},
-                  {"reason", polled.error().message}});
-      }
-      this->WaitBeforeRetry();
+      const std::string next = this->ChooseNext(source);
+      this->LogChange(source, next, reason);
+      source = next;
+      this->WaitBeforeRetry(outcome == FeedPollOutcome::kRedirected
+                                ? kFullSourceDelay
+                                : kRetryDelay);
     }
   }
 
+  // @return the source to try after `source`, which did not admit this daemon.
+  std::string ChooseNext(const std::string& source) {
+    // The search for a place must not hold up changes.
+    const bool late =
+        this->last_news.has_value() &&
+        this->clock.Now() - *this->last_news >= this->options.poll_wait;
+    if (late && !this->full_source.empty() && source != this->full_source) {
+      return this->full_source;
+    }
+    return this->sources.Next(this->server.Current());
+  }
+
+  // Logs that another source is tried, at most once in kLogInterval.
+  void LogChange(const std::string& from,
+                 const std::string& to,
+                 const std::string& reason) {
+    ++this->changes_not_logged;
+    const TimePoint now = this->clock.Now();
+    if (from == to || now < this->next_log || this->Stopping()) {
+      return;
+    }
+    this->next_log = now + kLogInterval;
+    LogEvent(Severity::kInfo, Event::kFeedUpstreamChanged,
+             {{"from", from},
+              {"to", to},
+              {"reason", reason},
+              {"changes", std::exchange(this->changes_not_logged, 0)}});
+  }
+
   bool Stopping() const {
     std::lock_guard lock(this->mutex);
     return this->stopping;
   }
 
-  void WaitBeforeRetry() {
+  void WaitBeforeRetry(Duration delay) {
     std::unique_lock lock(this->mutex);
-    this->wake.wait_for(lock, kRetryDelay, [this] { return this->stopping; });
+    this->wake.wait_for(lock, delay, [this] { return this->stopping; });
   }
 
   // Polls `source` once and applies its response.
-  // @return an error if another source must be tried.
-  Status Poll(const std::string& source) {
-    bool redirected = false;
-    const Status polled = this->SendPoll(source, redirected);
-    const FeedPollOutcome outcome = redirected ? FeedPollOutcome::kRedirected
-                                    : polled   ? FeedPollOutcome::kApplied
-                                               : FeedPollOutcome::kFailed;
-    this->RecordOutcome(source, outcome);
-    return polled;
+  // @param reason set if another source must be tried.
+  FeedPollOutcome Poll(const std::string& source, std::string& reason) {
+    bool full = false;
+    const Status polled = source.empty()
+                              ? MakeError(ResultCode::kConnectFailed,
+                                          "no source of the feed is known")
+                              : this->SendPoll(source, full);
+    if (polled && !full) {
+      this->followed = source;
+      this->full_source.clear();
+      return FeedPollOutcome::kApplied;
+    }
+    this->followed.clear();
+    if (!polled && source == this->full_source) {
+      this->full_source.clear();
+    }
+    reason = polled ? "the source has its maximum number of followers"
+                    : polled.error().message;
+    return polled ? FeedPollOutcome::kRedirected : FeedPollOutcome::kFailed;
   }
 
-  // Counts the poll, and logs the end of a time without news.
-  void RecordOutcome(const std::string& source, FeedPollOutcome outcome) {
+  void CountPoll(FeedPollOutcome outcome) {
+    std::lock_guard lock(this->mutex);
+    ++this->status.polls[static_cast<std::size_t>(outcome)];
+    this->failed_in_gap += outcome == FeedPollOutcome::kFailed ? 1 : 0;
+  }
+
+  // Logs the end of a time without news.
+  void RecordNews(const std::string& source) {
     const TimePoint now = this->clock.Now();
     Duration gap{0};
     std::uint64_t failed_polls = 0;
     {
       std::lock_guard lock(this->mutex);
-      ++this->status.polls[static_cast<std::size_t>(outcome)];
-      if (outcome != FeedPollOutcome::kApplied) {
-        ++this->failed_in_gap;
-        return;
-      }
-      gap = now - this->last_applied.value_or(now);
+      gap = now - this->last_news.value_or(now);
+      this->last_news = now;
       failed_polls = std::exchange(this->failed_in_gap, 0);
-      this->last_applied = now;
       this->status.source = source;
       this->status.longest_gap = std::max(this->status.longest_gap, gap);
     }
@@ -211,40 +231,54 @@
     }
   }
 
-  Status SendPoll(const std::string& source, bool& redirected) {
-    const std::shared_ptr<const SharedState> base = this->buffer.Current();
+  // @param full set if the source has no place for this daemon.
+  Status SendPoll(const std::string& source, bool& full) {
+    const std::shared_ptr<const SharedState> base = this->server.Current();
     const TimePoint sent = this->clock.Now();
-    BOOST_OUTCOME_TRY(response, this->Call(source, this->Params(base, sent)));
+    const bool snapshot = base == nullptr || this->needs_snapshot;
+    const Duration wait = this->options.poll_wait;
+    const Duration timeout = wait + this->options.poll_timeout_margin;
+    BOOST_OUTCOME_TRY(
+        response,
+        this->Call(source, this->Params(snapshot ? nullptr : base, wait, sent),
+                   timeout));
     if (!response.isObject()) {
       return MakeError(ResultCode::kProtocolError,
                        "the feed response is not an object");
     }
-    if (response["busy"] == Json::Value(true)) {
-      redirected = true;
+    full = response["busy"] == Json::Value(true);
+    if (full) {
       this->sources.AddRedirects(response["relays"]);
-      return MakeError(ResultCode::kQueueFull,
-                       "the source has its maximum number of followers");
+      if (!response.isMember("epoch")) {
+        // A source of an earlier release sends no changes then.
+        return Success();
+      }
+      this->full_source = source;
     }
-    return this->ApplyResponse(response, base, sent);
+    BOOST_OUTCOME_TRYV(this->ApplyResponse(response, base, sent));
+    this->RecordNews(source);
+    return Success();
   }
 
+  // @param base state that the response may refer to, or nullptr.
   Json::Value Params(const std::shared_ptr<const SharedState>& base,
+                     Duration wait,
                      TimePoint now) {
     std::lock_guard lock(this->mutex);
     this->renewals.DropBefore(now - kMaxRenewalAge);
     Renewal own{this->options.self, now};
     own.entry.draining = this->draining;
     Json::Value params = internal::RenewalToJson(own, now);
-    const bool use_base = base != nullptr && !this->needs_snapshot;
-    params["have_epoch"] = use_base ? base->epoch : std::string();
-    params["have_version"] = Json::UInt64(use_base ? base->version : 0);
-    params["wait_ms"] = Json::Int64(ToMilliseconds(this->options.poll_wait));
+    params["have_epoch"] = base != nullptr ? base->epoch : std::string();
+    params["have_version"] = Json::UInt64(base != nullptr ? base->version : 0);
+    params["wait_ms"] = Json::Int64(ToMilliseconds(wait));
     params["relayed_renewals"] = this->renewals.ToJson(now);
     return params;
   }
 
   Result<Json::Value> Call(const std::string& source,
-                           const Json::Value& params) {
+                           const Json::Value& params,
+                           Duration timeout) {
     auto started = std::make_shared<PollCall>();
     {
       std::lock_guard lock(this->mutex);
@@ -253,14 +287,12 @@
       }
       this->call = started;
     }
-    this->rpc.CallAsync(
-        source, std::string(kFeedPollMethod), params,
-        this->options.poll_wait + this->options.poll_timeout_margin,
-        [started](Result<Json::Value> result) {
-          std::lock_guard lock(started->mutex);
-          started->result.emplace(std::move(result));
-          started->changed.notify_all();
-        });
+    this->rpc.CallAsync(source, std::string(kFeedPollMethod), params, timeout,
+                        [started](Result<Json::Value> result) {
+                          std::lock_guard lock(started->mutex);
+                          started->result.emplace(std::move(result));
+                          started->changed.notify_all();
+                        });
     std::unique_lock lock(started->mutex);
     started->changed.wait(
         lock, [&] { return started->stopped || started->result.has_value(); });
@@ -286,7 +318,7 @@
     }
     if (state != base) {
       LogUnreadable(*state, base);
-      this->buffer.Publish(state);
+      this->server.Publish(state);
     }
     if (age_ms >= 0) {
       // Measured from when the poll was sent, so that the age includes the time
@@ -363,19 +395,28 @@
   SourceList sources;
   // The last response could not be applied to the current state.
   bool needs_snapshot = false;
-  FeedBuffer buffer;
+  // Source that has a place for this daemon and responded to the last poll;
+  // empty while one is searched.
+  std::string followed;
+  // Source that responds but has no place; empty if none is known.
+  std::string full_source;
+  // Changes of the source since the last one that was logged.
+  std::uint64_t changes_not_logged = 0;
+  TimePoint next_log;
+  internal::FeedServer server;
   mutable std::mutex mutex;
   std::condition_variable wake;
   RenewalTable renewals;
-  FollowerTable followers;
   bool draining;
   bool stopping = false;
   std::shared_ptr<PollCall> call;
   // A quorum confirmed the current state at this time or later.
   std::optional<TimePoint> confirmed;
   FeedFollowerStatus status;
-  std::optional<TimePoint> last_applied;
-  // Polls without an applied response since `last_applied`.
+  // Time of the last response that was applied. Changed by the follower's
+  // thread only.
+  std::optional<TimePoint> last_news;
+  // Failed polls since `last_news`.
   std::uint64_t failed_in_gap = 0;
   // Entry daemons between the control replicas and this one.
   Json::Value path = Json::Value(Json::arrayValue);
--- a/src/feed/feed_source.cc
+++ b/src/feed/feed_source.cc
@@ -1,8 +1,9 @@
 #include <atomic>
+#include <optional>
 #include <set>
 #include <utility>
 
-#include "feed/feed_buffer.h"
+#include "feed/feed_server.h"
 #include "feed/renewals.h"
 #include "sycamorebend/feed.h"
 #include "sycamorebend/settings.h"
@@ -11,9 +12,6 @@
 
 namespace {
 
-using internal::FeedBuffer;
-using internal::FeedPoll;
-using internal::FollowerTable;
 using internal::Renewal;
 using internal::RenewalTable;
 
@@ -38,12 +36,12 @@
       : options(options),
         rpc(rpc),
         clock(clock),
-        followers(options.max_followers) {}
+        server(options.max_followers, clock) {}
 
   void SetLog(ReplicatedLog& new_log) override { this->log = &new_log; }
 
   void Publish(std::shared_ptr<const SharedState> state) override {
-    this->buffer.Publish(std::move(state));
+    this->server.Publish(std::move(state));
   }
 
   Result<Json::Value> ServePoll(const Json::Value& params) override {
@@ -52,36 +50,28 @@
       return MakeError(ResultCode::kConfigurationUnconfirmed,
                        "this replica is starting");
     }
-    const TimePoint now = this->clock.Now();
-    BOOST_OUTCOME_TRY(poll, internal::ReadFeedPoll(params, now));
+    BOOST_OUTCOME_TRY(poll, internal::ReadFeedPoll(params, this->clock.Now()));
     {
       std::lock_guard lock(this->mutex);
       for (const Renewal& renewal : poll.renewals) {
         this->renewals.Add(renewal);
       }
-      if (!this->followers.Admit(poll, now)) {
-        return this->followers.MakeRedirect();
-      }
     }
-    if (!this->buffer.Wait(poll.have_epoch, poll.have_version, poll.wait)) {
-      return MakeError(ResultCode::kShuttingDown, "this replica is stopping");
-    }
-    // The age is read before the state: any state read later contains what was
-    // committed when the quorum confirmed it.
-    const TimePoint read = this->clock.Now();
-    const Duration age = replica_log->ConfirmationAge();
-    Json::Value response;
-    if (!this->buffer.WriteUpdate(poll.have_epoch, poll.have_version,
-                                  response)) {
-      return MakeError(ResultCode::kConfigurationUnconfirmed,
-                       "there is no shared state yet");
+    if (poll.renewals_only) {
+      return Json::Value(Json::objectValue);
     }
-    response["path"] = Json::Value(Json::arrayValue);
-    response["confirmed_age_ms"] =
-        Json::Int64(age == Duration::max()
-                        ? -1
-                        : ToMilliseconds(age + (this->clock.Now() - read)) + 1);
-    return response;
+    return this->server.Serve(
+        poll, Json::Value(Json::arrayValue),
+        [this, replica_log]() -> std::optional<TimePoint> {
+          const Duration age = replica_log->ConfirmationAge();
+          return age == Duration::max()
+                     ? std::nullopt
+                     : std::make_optional(this->clock.Now() - age);
+        });
+  }
+
+  FeedSourceStatus GetStatus() const override {
+    return this->server.GetStatus();
   }
 
   void Tick() override {
@@ -107,7 +97,7 @@
     this->ProposeEntryChanges(*replica_log, now);
   }
 
-  void Stop() override { this->buffer.Stop(); }
+  void Stop() override { this->server.Stop(); }
 
  private:
   // Forwards the renewals received by this replica to the leader.
@@ -129,11 +119,13 @@
       }
       this->pending->forwarding = true;
     }
-    // Names the newest version, so that the response contains no state.
-    const std::shared_ptr<const SharedState> state = this->buffer.Current();
+    // A leader of an earlier release ignores the mark; naming the newest
+    // version keeps its response short.
+    const std::shared_ptr<const SharedState> state = this->server.Current();
     params["have_epoch"] = state ? state->epoch : std::string();
     params["have_version"] = Json::UInt64(state ? state->version : 0);
     params["wait_ms"] = 0;
+    params["renewals_only"] = true;
     this->rpc.CallAsync(status.leader_address, std::string(kFeedPollMethod),
                         params, kForwardTimeout,
                         [pending = this->pending](Result<Json::Value>) {
@@ -143,7 +135,7 @@
   }
 
   void ProposeEntryChanges(ReplicatedLog& replica_log, TimePoint now) {
-    const std::shared_ptr<const SharedState> state = this->buffer.Current();
+    const std::shared_ptr<const SharedState> state = this->server.Current();
     if (state == nullptr || state->epoch.empty()) {
       return;
     }
@@ -180,7 +172,8 @@
   static bool Differs(const EntryInfo& known, const EntryInfo& renewed) {
     return known.incarnation != renewed.incarnation ||
            known.address != renewed.address ||
-           known.failure_domain != renewed.failure_domain;
+           known.failure_domain != renewed.failure_domain ||
+           known.feed_address != renewed.feed_address;
   }
 
   void Propose(ReplicatedLog& replica_log,
@@ -199,6 +192,7 @@
     command["failure_domain"] = entry.failure_domain;
     command["incarnation"] = entry.incarnation;
     command["draining"] = entry.draining;
+    command["feed_address"] = entry.feed_address;
     replica_log.Propose(
         WriteJson(command),
         [pending = this->pending, type, entry](Result<std::string> response) {
@@ -222,11 +216,10 @@
   RpcClient& rpc;
   const Clock& clock;
   std::atomic<ReplicatedLog*> log{nullptr};
-  FeedBuffer buffer;
+  internal::FeedServer server;
   const std::shared_ptr<Pending> pending = std::make_shared<Pending>();
   std::mutex mutex;
   RenewalTable renewals;
-  FollowerTable followers;
   // Used by Tick only. Terms start at 1.
   Term leader_term = 0;
   TimePoint leader_since;
--- a/src/feed/renewals.cc
+++ b/src/feed/renewals.cc
@@ -16,6 +16,11 @@
 // limit.
 constexpr Duration kFollowerIdleTimeout = seconds(2);
 
+constexpr const char* kAddressFormat = "\"IP:port\" with an IPv4 address";
+// Relays that one response names. A follower tries them before the other
+// sources that it knows.
+constexpr Json::ArrayIndex kMaxNamedRelays = 4;
+
 Result<Renewal> ReadRenewal(const Json::Value& value, TimePoint now) {
   FieldReader reader(value);
   Renewal renewal;
@@ -24,9 +29,14 @@
   renewal.entry.failure_domain = reader.OptionalString("failure_domain");
   renewal.entry.incarnation = reader.Name("incarnation");
   renewal.entry.draining = reader.OptionalBool("draining");
+  renewal.entry.feed_address = reader.OptionalString("feed_address");
   const std::uint64_t age_ms = reader.OptionalUnsigned("age_ms").value_or(0);
   if (reader.Finish() && !IsAddress(renewal.entry.address)) {
-    reader.Reject("address", "\"IP:port\" with an IPv4 address");
+    reader.Reject("address", kAddressFormat);
+  }
+  if (reader.Finish() && !renewal.entry.feed_address.empty() &&
+      !IsAddress(renewal.entry.feed_address)) {
+    reader.Reject("feed_address", kAddressFormat);
   }
   constexpr std::uint64_t kMaxAgeMs = 3600ULL * 1000;
   renewal.sent = now - milliseconds(std::min(age_ms, kMaxAgeMs));
@@ -46,6 +56,7 @@
   poll.wait = std::min(
       milliseconds(std::min<std::uint64_t>(wait_ms, kMaxPollWait.count())),
       kMaxPollWait);
+  poll.renewals_only = reader.OptionalBool("renewals_only");
   poll.entry_id = reader.OptionalString("entry_id");
   BOOST_OUTCOME_TRY(reader.Finish());
   if (!poll.entry_id.empty()) {
@@ -71,6 +82,9 @@
   value["failure_domain"] = renewal.entry.failure_domain;
   value["incarnation"] = renewal.entry.incarnation;
   value["draining"] = renewal.entry.draining;
+  if (!renewal.entry.feed_address.empty()) {
+    value["feed_address"] = renewal.entry.feed_address;
+  }
   // Rounded up, so that rounding never makes a renewal appear newer.
   value["age_ms"] = Json::Int64(ToMilliseconds(now - renewal.sent) + 1);
   return value;
@@ -113,18 +127,31 @@
   if (known == this->followers.end() && this->followers.size() >= this->limit) {
     return false;
   }
-  this->followers[poll.entry_id] = {poll.renewals.front().entry.address, now};
+  this->followers[poll.entry_id] = {poll.renewals.front().entry.feed_address,
+                                    now};
   return true;
 }
 
-Json::Value FollowerTable::MakeRedirect() const {
-  Json::Value response;
-  response["busy"] = true;
-  response["relays"] = Json::Value(Json::arrayValue);
-  for (const auto& [id, follower] : this->followers) {
-    response["relays"].append(follower.address);
+void FollowerTable::Remove(const std::string& entry_id) {
+  this->followers.erase(entry_id);
+}
+
+Json::Value FollowerTable::NameRelays() {
+  Json::Value relays(Json::arrayValue);
+  // Starts behind the last one named, so that followers are spread over all.
+  auto next = this->followers.upper_bound(this->last_named);
+  for (std::size_t i = 0;
+       i < this->followers.size() && relays.size() < kMaxNamedRelays; ++i) {
+    if (next == this->followers.end()) {
+      next = this->followers.begin();
+    }
+    if (!next->second.feed_address.empty()) {
+      relays.append(next->second.feed_address);
+      this->last_named = next->first;
+    }
+    ++next;
   }
-  return response;
+  return relays;
 }
 
 }  // namespace internal
--- a/src/feed/renewals.h
+++ b/src/feed/renewals.h
@@ -27,6 +27,8 @@
   std::string have_epoch;
   std::uint64_t have_version = 0;
   Duration wait{0};
+  // The caller needs no state.
+  bool renewals_only = false;
   // The caller's entry_id; empty for a control replica that forwards renewals.
   std::string entry_id;
   // The caller's own renewal, if it is an entry daemon, and those that it
@@ -64,18 +66,26 @@
   // has its maximum number of followers.
   bool Admit(const FeedPoll& poll, TimePoint now);
 
-  // @return the response to a poll that was not admitted: {busy, relays}, where
-  // `relays` are the addresses of the followers.
-  Json::Value MakeRedirect() const;
+  // Frees the place of a follower that was admitted and got no state.
+  void Remove(const std::string& entry_id);
+
+  // @return addresses of some followers that serve the feed, for a caller that
+  // was not admitted.
+  Json::Value NameRelays();
+
+  std::size_t Size() const { return this->followers.size(); }
 
  private:
   struct Follower {
-    std::string address;
+    // Empty if it does not serve the feed.
+    std::string feed_address;
     TimePoint last_poll;
   };
 
   const std::size_t limit;
   std::map<std::string, Follower> followers;
+  // ID of the last follower that NameRelays has named.
+  std::string last_named;
 };
 
 }  // namespace internal
--- a/src/feed/source_list.cc
+++ b/src/feed/source_list.cc
@@ -13,6 +13,9 @@
 // relays while the control replicas are down would delay the next attempt to
 // reach these.
 constexpr std::size_t kMaxRelaysPerRound = 6;
+// Relays of one redirect that are tried before the other sources, for the same
+// reason.
+constexpr std::size_t kMaxRedirects = 6;
 
 }  // namespace
 
@@ -34,10 +37,11 @@
   std::vector<std::string> addresses;
   for (const Json::Value& relay : relays) {
     if (relay.isString() && IsAddress(relay.asString()) &&
-        relay.asString() != this->options.self.address) {
+        relay.asString() != this->options.self.feed_address) {
       addresses.push_back(relay.asString());
     }
   }
+  addresses.resize(std::min(addresses.size(), kMaxRedirects));
   std::vector<std::string> other_sources;
   std::swap(other_sources, this->remaining);
   this->Append(std::move(addresses));
@@ -53,8 +57,9 @@
   if (state != nullptr) {
     this->Append(state->replicas);
     for (const EntryInfo& entry : state->entries) {
-      if (!entry.draining && entry.entry_id != this->options.self.entry_id) {
-        entries.push_back(entry.address);
+      if (!entry.draining && IsAddress(entry.feed_address) &&
+          entry.entry_id != this->options.self.entry_id) {
+        entries.push_back(entry.feed_address);
       }
     }
   }
--- a/tests/platform/fleet_feed_test.cc
+++ b/tests/platform/fleet_feed_test.cc
@@ -144,6 +144,20 @@
     return response ? response.value()["snapshot"] : Json::Value();
   }
 
+  // @return number of voters in the replica set.
+  std::size_t Voters() {
+    const Result<Json::Value> status = this->rpc->Call(
+        this->ReplicaAddress(this->replica_count - 1), "control.status",
+        Json::Value(Json::objectValue), kFetchTimeout);
+    std::size_t voters = 0;
+    if (status) {
+      for (const Json::Value& replica : status.value()["replicas"]) {
+        voters += replica["voter"].asBool() ? 1 : 0;
+      }
+    }
+    return voters;
+  }
+
   std::string ReplicaAddress(std::size_t replica) const {
     return this->machines.at(replica).ip + ":" + this->internal_port;
   }
@@ -259,6 +273,9 @@
   BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(1); }, kStepTimeout));
   BOOST_TEST(
       WaitFor([&] { return fleet.InForce(1) == kGateways; }, kStepTimeout));
+  // The loss of two replicas is borne once all are voters.
+  BOOST_REQUIRE(
+      WaitFor([&] { return fleet.Voters() == kReplicas; }, kStepTimeout));
   // One of the two lost replicas refuses connections, the other is silent.
   fleet.Replica(0).Kill();
   fleet.Replica(1).Signal(SIGSTOP);
