Try all control replicas in an order of the daemon's own

Cause: the configured replicas came first for every daemon.

Change: configured replicas and those that the state names are one group.

feed_test/AllReplicasAreFirstChoiceOfSomeDaemons fails without it: two of five are the first choice of none of 200 daemons.

--- a/src/feed/source_list.cc
+++ b/src/feed/source_list.cc
@@ -52,10 +52,11 @@
 }
 
 void SourceList::Refill(const std::shared_ptr<const SharedState>& state) {
-  this->Append(this->options.replicas);
+  std::vector<std::string> replicas = this->options.replicas;
   std::vector<std::string> entries;
   if (state != nullptr) {
-    this->Append(state->replicas);
+    replicas.insert(replicas.end(), state->replicas.begin(),
+                    state->replicas.end());
     for (const EntryInfo& entry : state->entries) {
       if (!entry.draining && IsAddress(entry.feed_address) &&
           entry.entry_id != this->options.self.entry_id) {
@@ -63,6 +64,9 @@
       }
     }
   }
+  // Those that were configured are not tried first: all daemons know the same
+  // few.
+  this->Append(std::move(replicas));
   this->Append(this->options.relays);
   const std::size_t before = this->remaining.size();
   this->Append(std::move(entries));
--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -6,8 +6,10 @@
 #include <algorithm>
 #include <atomic>
 #include <functional>
+#include <map>
 
 #include "../control/memory_log.h"
+#include "feed/source_list.h"
 #include "local_rpc.h"
 #include "sycamorebend/feed.h"
 #include "sycamorebend/settings.h"
@@ -463,6 +465,28 @@
   }
 }
 
+// Guards against daemons that all go to the few configured replicas, although
+// the state names more: those that are left of the few are full then.
+BOOST_AUTO_TEST_CASE(AllReplicasAreFirstChoiceOfSomeDaemons) {
+  const auto state = std::make_shared<SharedState>();
+  for (int i = 1; i <= 5; ++i) {
+    state->replicas.push_back("127.0.0.1:700" + std::to_string(i));
+  }
+  constexpr int kDaemons = 200;
+  std::map<std::string, int> first_choices;
+  for (int i = 0; i < kDaemons; ++i) {
+    FeedFollowerOptions options;
+    options.self.entry_id = "e" + std::to_string(i);
+    options.replicas.assign(state->replicas.begin(),
+                            state->replicas.begin() + 3);
+    internal::SourceList sources(options);
+    ++first_choices[sources.Next(state)];
+  }
+  for (const std::string& replica : state->replicas) {
+    BOOST_TEST(first_choices[replica] > kDaemons / 5 / 2, replica);
+  }
+}
+
 // Guards against expiring live entry daemons when the leader changes, and
 // against keeping a dead one in the shared state, from which callers get their
 // addresses.
