Poll an untried source of the feed without a wait

Cause: each source was given 0.9 s, the time for which a poll may be held and 400 ms more. Two silent replicas after a lost one delayed changes by 2.8 s; a configuration is to be in force within 3 s.

Change: the first poll of a source does not wait for a change, so that one that does not respond is left after 0.4 s.

feed_test/UntriedSourceIsPolledWithoutAWait fails without it.

--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -236,8 +236,12 @@
     const std::shared_ptr<const SharedState> base = this->server.Current();
     const TimePoint sent = this->clock.Now();
     const bool snapshot = base == nullptr || this->needs_snapshot;
-    const Duration wait = this->options.poll_wait;
-    const Duration timeout = wait + this->options.poll_timeout_margin;
+    // A source that did not respond to the last poll is asked without a wait,
+    // so that it is known soon whether it is silent.
+    const Duration wait =
+        source == this->followed ? this->options.poll_wait : Duration(0);
+    const Duration timeout = (snapshot ? this->options.poll_wait : wait) +
+                             this->options.poll_timeout_margin;
     BOOST_OUTCOME_TRY(
         response,
         this->Call(source, this->Params(snapshot ? nullptr : base, wait, sent),
--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -487,6 +487,23 @@
   }
 }
 
+// Guards against waiting for a silent source as long as for one that holds a
+// poll until there is a change: several silent ones in a row would delay
+// changes for seconds.
+BOOST_FIXTURE_TEST_CASE(UntriedSourceIsPolledWithoutAWait, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  rpc.DropCalls(kReplica2);
+  const auto follower = this->Follow("e1", {kReplica1, kReplica2});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 1; }));
+  rpc.Refuse(kReplica1);
+  const int before = rpc.Calls(kReplica2);
+  BOOST_TEST(Eventually([&] { return rpc.Calls(kReplica2) > before; }));
+  BOOST_TEST((rpc.LastTimeout(kReplica2) ==
+              FeedFollowerOptions().poll_timeout_margin));
+  follower->Stop();
+}
+
 // Guards against expiring live entry daemons when the leader changes, and
 // against keeping a dead one in the shared state, from which callers get their
 // addresses.
--- a/tests/feed/local_rpc.h
+++ b/tests/feed/local_rpc.h
@@ -58,6 +58,12 @@
     return this->calls[address];
   }
 
+  // Timeout of the newest call to `address`.
+  Duration LastTimeout(const std::string& address) {
+    std::lock_guard lock(this->mutex);
+    return this->timeouts[address];
+  }
+
   void CallAsync(const std::string& address,
                  const std::string& /*method*/,
                  const Json::Value& params,
@@ -68,6 +74,7 @@
       return;
     }
     ++this->calls[address];
+    this->timeouts[address] = timeout;
     this->threads.emplace_back(
         [this, address, params, timeout, callback = std::move(callback)] {
           callback(this->RunCall(address, params, timeout));
@@ -99,6 +106,7 @@
   std::map<std::string, Service> services;
   std::set<std::string> dropped;
   std::map<std::string, int> calls;
+  std::map<std::string, Duration> timeouts;
   std::vector<std::thread> threads;
   bool joined = false;
 };
