--- a/tests/control/odd_input_test.cc
+++ b/tests/control/odd_input_test.cc
@@ -62,7 +62,7 @@
   SharedState state;
   state.epoch = "e";
   state.version = 7;
-  state.entries = {{"entry1", "10.0.1.1:80", "a", "1", false}};
+  state.entries = {{"entry1", "10.0.1.1:80", "a", "1", false, ""}};
   state.crash_findings = {{"request:1", 5, 1}};
   Json::Value json = SharedStateToJson(state);
   const std::vector<std::string> odd = {
--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -442,8 +442,10 @@
   Replica second(rpc, clock, kReplica2, options);
   first.Init();
   second.Init();
+  constexpr int kFollowers = 6;
   std::vector<std::shared_ptr<FeedFollower>> followers;
-  for (int i = 0; i < 6; ++i) {
+  followers.reserve(kFollowers);
+  for (int i = 0; i < kFollowers; ++i) {
     followers.push_back(this->Follow("e" + std::to_string(i),
                                      {kReplica1, kReplica2}, {},
                                      /*serves_feed=*/false));
@@ -457,7 +459,7 @@
       }));
     }
   }
-  for (int i = 0; i < 6; ++i) {
+  for (int i = 0; i < kFollowers; ++i) {
     BOOST_TEST(rpc.Calls("127.0.0.1:" + std::to_string(8001 + i)) == 0);
   }
   for (const auto& follower : followers) {
