Spread relayed sums over gateways and over half a round

Cause: gateways that start together count the same rounds, and the turn to relay came to the same index in all domains, for the sums of all four other domains at once. Each sum of 256 engines goes to 59 gateways: about a megabyte on a link of 10 Mbit/s, 0.8 s (computed).

Change: the domains use different relays in a round, and a relay sends a sum to a few gateways every 50 ms, over half a round. Sums get older by 0.15 s on average; a load is dropped after 1.5 s.

gateway_test/SumsOfOneRoundGoToDifferentRelays fails with the offset taken out (605 checks); RelayedSumsAreSpreadOverARound tests the queue, which is new.

--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -1,6 +1,8 @@
 #include "gateway/load_exchange.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -34,6 +36,10 @@
 // With two of them, the loss of one datagram has no effect.
 constexpr std::size_t kDomainSumsPerRound = 2;
 
+// Fraction of a round in which a sum is relayed. News of crashes in it must
+// arrive within two rounds.
+constexpr double kRelayFraction = 0.5;
+
 // Server, outstanding requests, and pairs of priority level and pending tokens.
 using EncodedLoad = std::tuple<std::uint32_t, int, std::vector<int>>;
 // Upper bound of the tokens that one gateway reports at one level; keeps sums
@@ -325,7 +331,12 @@
   // often.
   const std::uint64_t start = round / this->period + this->domain_index;
   for (const std::vector<std::string>& ips : this->domains) {
-    relays.push_back(ips[start % ips.size()]);
+    // The senders of a domain in one round are about ips.size() /
+    // kDomainSumsPerRound apart. The domains share that range, so that each
+    // relay gets one sum.
+    const std::uint64_t offset = this->domain_rank * ips.size() /
+                                 (this->domain_count * kDomainSumsPerRound);
+    relays.push_back(ips[(start + offset) % ips.size()]);
   }
   return relays;
 }
@@ -347,6 +358,13 @@
     std::sort(ips.begin(), ips.end());
     plan.domains.push_back(std::move(ips));
   }
+  std::set<std::string> names{self.failure_domain};
+  for (const ExchangePeer& gateway : gateways) {
+    names.insert(gateway.failure_domain);
+  }
+  plan.domain_count = names.size();
+  plan.domain_rank = static_cast<std::uint64_t>(
+      std::distance(names.begin(), names.find(self.failure_domain)));
   std::sort(plan.direct.begin(), plan.direct.end());
   plan.domain_index = static_cast<std::uint64_t>(
       std::lower_bound(plan.direct.begin(), plan.direct.end(), self.ip) -
@@ -356,6 +374,41 @@
   return plan;
 }
 
+void RelayQueue::Add(std::vector<std::string> ips,
+                     std::string data,
+                     std::size_t ticks) {
+  if (ips.empty()) {
+    return;
+  }
+  Batch batch;
+  batch.per_tick = (ips.size() + ticks - 1) / ticks;
+  std::rotate(
+      ips.begin(),
+      ips.begin() + static_cast<std::ptrdiff_t>(this->next_start++ *
+                                                batch.per_tick % ips.size()),
+      ips.end());
+  std::reverse(ips.begin(), ips.end());
+  batch.ips = std::move(ips);
+  batch.data = std::make_shared<const std::string>(std::move(data));
+  this->batches.push_back(std::move(batch));
+}
+
+std::vector<RelayQueue::Datagram> RelayQueue::TakeForTick() {
+  std::vector<Datagram> datagrams;
+  for (Batch& batch : this->batches) {
+    for (std::size_t i = 0; i < batch.per_tick && !batch.ips.empty(); ++i) {
+      datagrams.push_back({std::move(batch.ips.back()), batch.data});
+      batch.ips.pop_back();
+    }
+  }
+  // Later batches may have fewer recipients left than earlier ones.
+  this->batches.erase(
+      std::remove_if(this->batches.begin(), this->batches.end(),
+                     [](const Batch& batch) { return batch.ips.empty(); }),
+      this->batches.end());
+  return datagrams;
+}
+
 Duration RoundInterval(std::size_t direct_peers) {
   if (direct_peers <= kMaxDirectGateways) {
     const std::size_t intervals =
@@ -405,8 +458,10 @@
                                   raw->Receive(data);
                                 }));
   exchange->socket = std::move(socket);
-  exchange->timer =
-      loop.SubscribePeriodic(kRoundInterval, [raw] { raw->SendRound(); });
+  exchange->timer = loop.SubscribePeriodic(kRoundInterval, [raw] {
+    raw->SendRelayed();
+    raw->SendRound();
+  });
   return exchange;
 }
 
@@ -434,7 +489,16 @@
 
 void LoadExchange::RelayInDomain(LoadMessage message) {
   message.scope = LoadScope::kDomain;
-  this->SendTo(this->plan.direct, message);
+  const auto ticks = static_cast<std::size_t>(
+      Scale(this->Interval(), kRelayFraction) / kRoundInterval);
+  this->relayed.Add(this->plan.direct, EncodeLoadMessage(message),
+                    std::max<std::size_t>(1, ticks));
+}
+
+void LoadExchange::SendRelayed() {
+  for (const RelayQueue::Datagram& datagram : this->relayed.TakeForTick()) {
+    this->socket->Send(datagram.ip + this->port, *datagram.data);
+  }
 }
 
 void LoadExchange::SendTo(const std::vector<std::string>& ips,
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -4,6 +4,7 @@
 #define SYCAMOREBEND_SRC_GATEWAY_LOAD_EXCHANGE_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -144,6 +145,9 @@
   // domain in the rounds that equal it modulo `period`.
   std::uint64_t domain_index = 0;
   std::uint64_t period = 1;  // Number of rounds between two turns.
+  // Index of the own failure domain among all, and their number.
+  std::uint64_t domain_rank = 0;
+  std::uint64_t domain_count = 1;
 
   // @return IPs of the relays that receive the sum of the domain in `round`.
   std::vector<std::string> RelaysForRound(std::uint64_t round) const;
@@ -162,6 +166,34 @@
 std::vector<std::string> EarlyPeers(const std::vector<std::string>& peers,
                                     std::uint64_t turn);
 
+// Datagrams that are relayed to many gateways a few at a time, so that requests
+// do not wait behind them on the link of a small VM.
+class RelayQueue {
+ public:
+  struct Datagram {
+    std::string ip;
+    std::shared_ptr<const std::string> data;
+  };
+
+  // Sends `data` to each of `ips` within `ticks`.
+  void Add(std::vector<std::string> ips, std::string data, std::size_t ticks);
+
+  // @return the datagrams to be sent in this tick.
+  std::vector<Datagram> TakeForTick();
+
+ private:
+  struct Batch {
+    // Remaining recipients, next one last.
+    std::vector<std::string> ips;
+    std::shared_ptr<const std::string> data;
+    std::size_t per_tick = 1;
+  };
+
+  std::deque<Batch> batches;
+  // Where the next batch starts in its list of recipients.
+  std::size_t next_start = 0;
+};
+
 // Sends this gateway's load to the other gateways and receives theirs.
 class LoadExchange {
  public:
@@ -196,8 +228,10 @@
                MessageSink sink);
 
   void Receive(std::string_view data);
-  // Relays the sum of another failure domain to the gateways of this domain.
+  // Relays the sum of another failure domain to the gateways of this domain,
+  // within a part of a round.
   void RelayInDomain(LoadMessage message);
+  void SendRelayed();
   void SendRound();
   void SendGatewayLoad(TimePoint now);
   void SendLoad(LoadScope scope, const std::vector<std::string>& ips);
@@ -211,6 +245,7 @@
   const MessageSink sink;
   std::unique_ptr<net::DatagramSocket> socket;
   ExchangePlan plan;
+  RelayQueue relayed;
   TimerId timer = 0;
   TimePoint next_round;
   // Earliest time of the next SendEarly; rounds are sent regardless.
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -267,6 +267,64 @@
   }
 }
 
+// Guards against a gateway that relays the sums of all other domains in one
+// round. Gateways that were started together count the same rounds, so that the
+// same turn comes to all domains at once.
+BOOST_AUTO_TEST_CASE(SumsOfOneRoundGoToDifferentRelays) {
+  const std::vector<ExchangePeer> gateways = Gateways(5, 59);
+  std::vector<ExchangePlan> plans;
+  plans.reserve(gateways.size());
+  for (const ExchangePeer& gateway : gateways) {
+    plans.push_back(PlanExchange(gateway, gateways));
+  }
+  for (std::uint64_t round = 0; round < 59; ++round) {
+    std::map<std::string, int> relayed;
+    for (const ExchangePlan& plan : plans) {
+      for (const std::string& relay : plan.RelaysForRound(round)) {
+        ++relayed[relay];
+      }
+    }
+    for (const auto& [relay, count] : relayed) {
+      BOOST_TEST(count == 1, relay << " in round " << round);
+    }
+  }
+}
+
+// Guards against relaying a sum to all gateways of a domain at once: on the
+// link of a small VM, 60 datagrams of some kilobytes hold up requests for a
+// fifth of a second.
+BOOST_AUTO_TEST_CASE(RelayedSumsAreSpreadOverARound) {
+  std::vector<std::string> ips;
+  ips.reserve(59);
+  for (int i = 0; i < 59; ++i) {
+    ips.push_back(std::to_string(i));
+  }
+  constexpr std::size_t kTicks = 11;
+  RelayQueue queue;
+  queue.Add(ips, "a", kTicks);
+  queue.Add(ips, "b", kTicks);
+  std::map<std::string, std::set<std::string>> sent;
+  std::set<std::string> first;
+  for (std::size_t tick = 0; tick < kTicks; ++tick) {
+    std::map<std::string, int> in_tick;
+    for (const RelayQueue::Datagram& datagram : queue.TakeForTick()) {
+      BOOST_TEST(sent[*datagram.data].insert(datagram.ip).second);
+      ++in_tick[*datagram.data];
+      if (tick == 0) {
+        first.insert(datagram.ip);
+      }
+    }
+    for (const auto& [data, count] : in_tick) {
+      BOOST_TEST(count <= 6, data);
+    }
+  }
+  BOOST_TEST(sent["a"].size() == ips.size());
+  BOOST_TEST(sent["b"].size() == ips.size());
+  BOOST_TEST(queue.TakeForTick().empty());
+  // It is not always the same gateways that get the sums first.
+  BOOST_TEST(first.size() > 6U);
+}
+
 // Guards against relays in a fleet that is small enough for direct messages.
 BOOST_AUTO_TEST_CASE(SmallFleetNeedsNoRelay) {
   const std::vector<ExchangePeer> gateways = Gateways(3, 3);
