Bound the updates of a source of the feed

Cause: a benchmark with one replica, 300 followers and 160 changes a second took 1.1 cores of the replica. Each change woke every reader that waited, each poll looked through all followers, and a response was copied on its way into libjsonrpccpp.

Change: a change wakes readers only if they may get it now or don't know yet when they may; the interval between two updates grows with the followers (2 ms each, 100 to 500 ms); lost followers are looked for every 100 ms; the result of a call is moved.

--- a/src/feed/feed_buffer.cc
+++ b/src/feed/feed_buffer.cc
@@ -16,12 +16,6 @@
 constexpr std::size_t kMaxDeltas = 256;
 constexpr std::size_t kMaxDeltaBytes = 2 << 20;
 
-// Minimum time between two updates of a reader. Encoding and reading an update
-// takes milliseconds, and each change goes to all readers: when many daemons
-// restart at once, a response for each change would take more processor time
-// than small VMs have.
-constexpr milliseconds kMinUpdateInterval{100};
-
 // Compares by value, because Json::Value::operator== treats a signed and an
 // unsigned number as different.
 bool IsNumber(const Json::Value& value, std::uint64_t number) {
@@ -44,7 +38,14 @@
         state->version <= this->current->version) {
       return;
     }
+    // Readers that wait for the end of the interval need not be woken again by
+    // each change.
+    const bool known = this->current != this->encoded &&
+                       SteadyClock::now() < this->next_encoding;
     this->current = std::move(state);
+    if (known) {
+      return;
+    }
   }
   this->changed.notify_all();
 }
@@ -68,12 +69,14 @@
     this->deltas.pop_front();
   }
   this->encoded_json = std::move(json);
-  {
-    std::lock_guard lock(this->mutex);
-    this->encoded = state;
-    this->next_encoding = SteadyClock::now() + kMinUpdateInterval;
-  }
-  this->changed.notify_all();
+  std::lock_guard lock(this->mutex);
+  this->encoded = state;
+  this->next_encoding = SteadyClock::now() + this->update_interval;
+}
+
+void FeedBuffer::SetUpdateInterval(Duration interval) {
+  std::lock_guard lock(this->mutex);
+  this->update_interval = interval;
 }
 
 std::shared_ptr<const SharedState> FeedBuffer::Current() const {
--- a/src/feed/feed_buffer.h
+++ b/src/feed/feed_buffer.h
@@ -28,12 +28,15 @@
   // ignored.
   void Publish(std::shared_ptr<const SharedState> state);
 
+  // Sets the minimum time between two updates of a reader. Changes in between
+  // become one update.
+  void SetUpdateInterval(Duration interval);
+
   // @return the newest state, or nullptr.
   std::shared_ptr<const SharedState> Current() const;
 
   // Waits until there is an update for a reader that has `version` of `epoch`,
-  // for at most `wait`, or until Stop. Changes in quick succession become one
-  // update.
+  // for at most `wait`, or until Stop.
   // @return false after Stop.
   bool Wait(const std::string& epoch, std::uint64_t version, Duration wait);
 
@@ -87,6 +90,7 @@
   std::shared_ptr<const SharedState> encoded;
   // Readers that have `encoded` get no update before this time.
   SteadyClock::time_point next_encoding;
+  Duration update_interval{0};
   bool stopped = false;
 };
 
--- a/src/feed/feed_server.cc
+++ b/src/feed/feed_server.cc
@@ -1,12 +1,28 @@
 #include "feed/feed_server.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sycamorebend {
 namespace internal {
 
+namespace {
+
+// Minimum time between two updates of a follower. Encoding and reading an
+// update takes milliseconds, and each change goes to all followers: when many
+// daemons restart at once, a response for each change would take more processor
+// time than small VMs have. It grows with the number of followers, which bounds
+// the responses per second.
+constexpr Duration kMinUpdateInterval = milliseconds(100);
+constexpr Duration kUpdateTimePerFollower = milliseconds(2);
+constexpr Duration kMaxUpdateInterval = milliseconds(500);
+
+}  // namespace
+
 FeedServer::FeedServer(std::size_t max_followers, const Clock& clock)
-    : clock(clock), followers(max_followers) {}
+    : clock(clock), followers(max_followers) {
+  this->buffer.SetUpdateInterval(kMinUpdateInterval);
+}
 
 void FeedServer::Publish(std::shared_ptr<const SharedState> state) {
   this->buffer.Publish(std::move(state));
@@ -20,6 +36,9 @@
   std::lock_guard lock(this->mutex);
   const bool admitted = this->followers.Admit(poll, this->clock.Now());
   this->redirects += admitted ? 0 : 1;
+  this->buffer.SetUpdateInterval(std::clamp(
+      kUpdateTimePerFollower * static_cast<int>(this->followers.Size()),
+      kMinUpdateInterval, kMaxUpdateInterval));
   return admitted;
 }
 
--- a/src/feed/renewals.cc
+++ b/src/feed/renewals.cc
@@ -16,6 +16,8 @@
 // limit.
 constexpr Duration kFollowerIdleTimeout = seconds(2);
 
+// Interval at which such followers are looked for.
+constexpr Duration kFollowerExpiryInterval = milliseconds(100);
 constexpr const char* kAddressFormat = "\"IP:port\" with an IPv4 address";
 // Relays that one response names. A follower tries them before the other
 // sources that it knows.
@@ -118,10 +120,14 @@
   if (poll.entry_id.empty()) {
     return true;
   }
-  for (auto entry = this->followers.begin(); entry != this->followers.end();) {
-    entry = now - entry->second.last_poll > kFollowerIdleTimeout
-                ? this->followers.erase(entry)
-                : std::next(entry);
+  if (now >= this->next_expiry) {
+    this->next_expiry = now + kFollowerExpiryInterval;
+    for (auto entry = this->followers.begin();
+         entry != this->followers.end();) {
+      entry = now - entry->second.last_poll > kFollowerIdleTimeout
+                  ? this->followers.erase(entry)
+                  : std::next(entry);
+    }
   }
   const auto known = this->followers.find(poll.entry_id);
   if (known == this->followers.end() && this->followers.size() >= this->limit) {
--- a/src/feed/renewals.h
+++ b/src/feed/renewals.h
@@ -84,6 +84,7 @@
 
   const std::size_t limit;
   std::map<std::string, Follower> followers;
+  TimePoint next_expiry;
   // ID of the last follower that NameRelays has named.
   std::string last_named;
 };
--- a/src/rpc/jsonrpc_codec.cc
+++ b/src/rpc/jsonrpc_codec.cc
@@ -49,13 +49,14 @@
   void HandleMethodCall(jsonrpc::Procedure& procedure,
                         const Json::Value& params,
                         Json::Value& result) override {
-    const JsonRpcResponse response =
+    JsonRpcResponse response =
         this->call(procedure.GetProcedureName(), params[kParamsKey]);
     if (response.error_code != 0) {
       throw jsonrpc::JsonRpcException(response.error_code,
                                       response.error_message);
     }
-    result = response.result;
+    // Copying a large response takes longer than writing it.
+    result.swap(response.result);
   }
 
   void HandleNotificationCall(jsonrpc::Procedure& /*procedure*/,
