--- /dev/null
+++ b/tests/platform/platform_fleet.cc
@@ -0,0 +1,241 @@
+#include "platform/platform_fleet.h"
+
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdlib>
+
+#include <boost/test/unit_test.hpp>
+
+#include "platform/rendered_settings.h"
+#include "sycamorebend/feed.h"
+#include "sycamorebend/settings.h"
+
+namespace sycamorebend::platform {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr Duration kFetchTimeout = seconds(2);
+constexpr const char* kSettingsVariable = "SYCAMOREBEND_SETTINGS";
+constexpr const char* kVersionMetric =
+    "sycamorebend_gateway_configuration_version";
+
+std::string UnusedPort() {
+  const std::string address = FreeAddress();
+  return address.substr(address.find(':') + 1);
+}
+
+std::string Quoted(const std::string& text) {
+  return "\"" + text + "\"";
+}
+
+// @return the value of a metric without labels; -1 if the page lacks it.
+double ReadMetric(const std::string& page, const std::string& name) {
+  const auto found = page.find("\n" + name + " ");
+  return found == std::string::npos
+             ? -1
+             : std::strtod(page.c_str() + found + name.size() + 2, nullptr);
+}
+
+}  // namespace
+
+PlatformFleet::PlatformFleet(std::size_t replicas,
+                             std::size_t gateways,
+                             std::size_t max_followers)
+    : replica_count(replicas),
+      caller_port(UnusedPort()),
+      admin_port(UnusedPort()),
+      api_port(UnusedPort()),
+      directory_port(UnusedPort()),
+      internal_port(UnusedPort()) {
+  for (std::size_t i = 0; i < replicas + gateways; ++i) {
+    this->machines.push_back(
+        this->WriteMachine(i, i < replicas, max_followers));
+    this->Start(i);
+  }
+}
+
+void PlatformFleet::Start(std::size_t index) {
+  Machine& machine = this->machines[index];
+  setenv(kSettingsVariable, machine.settings_path.c_str(), 1);
+  machine.process = std::make_unique<ChildProcess>(
+      machine.program, std::vector<std::string>(),
+      machine.settings_path + ".log");
+}
+
+bool PlatformFleet::PostToReplicas(const std::string& path,
+                                   const Json::Value& body) {
+  for (std::size_t i = 0; i < this->replica_count; ++i) {
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + this->machines[i].ip + ":" + this->api_port + path;
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = WriteJson(body);
+    call.total_timeout = kFetchTimeout;
+    const Result<HttpResponse> response = this->client->Fetch(call);
+    if (response && response.value().status == kOk) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool PlatformFleet::Replace(std::uint64_t version) {
+  Json::Value document =
+      ParseJson(R"({"route_table": [{"name": "r", "hostname": "h.example",
+          "path_prefix": "/a/", "route_type": "idempotent",
+          "timeout_ms": 1500, "priority": 2, "backend": "app",
+          "max_attempts": 2, "public": true}],
+        "backends": [{"name": "app", "max_connections": 110}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "t", "api_keys": ["k1"], "priority": 1}]})")
+          .value();
+  document["version"] = Json::UInt64(version);
+  return this->PostToReplicas("/api/config/replace", document);
+}
+
+bool PlatformFleet::Announce(const std::string& engine,
+                             const std::string& address) {
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  Json::Value body;
+  body["backend"] = "app";
+  body["address"] = address;
+  body["zone"] = "a";
+  body["state"] = "ready";
+  body["slots"] = 8;
+  body["sequence"] = Json::UInt64(now / milliseconds(1));
+  body["born"] = 1;
+  return this->PostToReplicas("/api/instances/" + engine + "/heartbeat", body);
+}
+
+std::string PlatformFleet::Get(const std::string& url) {
+  HttpCall call;
+  call.method = "GET";
+  call.url = url;
+  call.total_timeout = kFetchTimeout;
+  const Result<HttpResponse> response = this->client->Fetch(call);
+  return response && response.value().status == kOk ? response.value().body
+                                                    : std::string();
+}
+
+bool PlatformFleet::Serves(const std::string& address) {
+  HttpCall call;
+  call.method = "GET";
+  call.url = "http://" + address + "/a/";
+  call.headers = {{"Host", "h.example"}};
+  call.total_timeout = kFetchTimeout;
+  return this->client->Fetch(call).has_value();
+}
+
+Json::Value PlatformFleet::LookUp(std::size_t replica) {
+  const Result<Json::Value> body =
+      ParseJson(this->Get("http://" + this->machines.at(replica).ip + ":" +
+                          this->directory_port + "/api/resolve"));
+  return body ? body.value()["addresses"] : Json::Value();
+}
+
+Json::Value PlatformFleet::SharedStateAt(const std::string& address) {
+  Json::Value params;
+  params["wait_ms"] = 0;
+  const Result<Json::Value> response = this->rpc->Call(
+      address, std::string(kFeedPollMethod), params, kFetchTimeout);
+  return response ? response.value()["snapshot"] : Json::Value();
+}
+
+std::size_t PlatformFleet::Voters() {
+  const Result<Json::Value> status = this->rpc->Call(
+      this->ReplicaAddress(this->replica_count - 1), "control.status",
+      Json::Value(Json::objectValue), kFetchTimeout);
+  std::size_t voters = 0;
+  if (status) {
+    for (const Json::Value& replica : status.value()["replicas"]) {
+      voters += replica["voter"].asBool() ? 1 : 0;
+    }
+  }
+  return voters;
+}
+
+std::string PlatformFleet::ReplicaAddress(std::size_t replica) const {
+  return this->machines.at(replica).ip + ":" + this->internal_port;
+}
+
+std::string PlatformFleet::CallerAddress(std::size_t gateway) const {
+  return this->machines.at(this->replica_count + gateway).ip + ":" +
+         this->caller_port;
+}
+
+std::string PlatformFleet::Metrics(std::size_t gateway) {
+  return this->Get("http://" +
+                   this->machines.at(this->replica_count + gateway).ip + ":" +
+                   this->admin_port + "/metrics");
+}
+
+std::size_t PlatformFleet::InForce(std::uint64_t version) {
+  std::size_t count = 0;
+  for (std::size_t i = 0; i < this->Gateways(); ++i) {
+    count += ReadMetric(this->Metrics(i), kVersionMetric) >=
+                     static_cast<double>(version)
+                 ? 1
+                 : 0;
+  }
+  return count;
+}
+
+std::string PlatformFleet::GatewayLogs() const {
+  std::string logs;
+  for (std::size_t i = this->replica_count; i < this->machines.size(); ++i) {
+    logs += ReadFile(this->machines[i].settings_path + ".log");
+  }
+  return logs;
+}
+
+std::string PlatformFleet::IpOf(std::size_t index) const {
+  return "127." + std::to_string(64 + getpid() % 128) + "." +
+         std::to_string(getpid() / 128 % 250) + "." + std::to_string(index + 1);
+}
+
+PlatformFleet::Machine PlatformFleet::WriteMachine(std::size_t index,
+                                                   bool is_replica,
+                                                   std::size_t max_followers) {
+  Machine machine;
+  machine.ip = this->IpOf(index);
+  machine.program = is_replica ? "sycamorebend-platform-control"
+                               : "sycamorebend-platform-gateway";
+  const std::string name =
+      (is_replica ? "control-" : "gateway-") + std::to_string(index);
+  machine.settings_path = this->directory.Path() + "/" + name;
+  const auto at = [&machine](const std::string& port) {
+    return Quoted(machine.ip + ":" + port);
+  };
+  // Three of the replicas are named at the start, however many there are.
+  const auto seed = [this](std::size_t i) {
+    return Quoted(this->IpOf(i) + ":" + this->api_port);
+  };
+  const TemplateFields fields = {
+      {"ip", machine.ip},
+      {"node_name|json", Quoted(name)},
+      {"listen.frontend|json", at(this->caller_port)},
+      {"listen.readiness|json", at(this->admin_port)},
+      {"listen.control_plane|json", at(this->api_port)},
+      {"listen.registry|json", at(this->directory_port)},
+      {"internal_ports.0", this->internal_port},
+      {"seed_nodes|json", "[" + seed(0) + "," + seed(1) + "," + seed(2) + "]"},
+      {"data_dir|json", Quoted(machine.settings_path + ".data")},
+      {"fault_tolerance.nodes", "2"}};
+  std::string text =
+      RenderTemplate(is_replica ? "control.json" : "gateway.json", fields);
+  const std::string limit = "\"max_followers\": ";
+  const auto found = text.find(limit);
+  if (is_replica) {
+    BOOST_REQUIRE(found != std::string::npos);
+    text.replace(found + limit.size(),
+                 text.find(',', found) - found - limit.size(),
+                 std::to_string(max_followers));
+  }
+  WriteFile(machine.settings_path, text);
+  return machine;
+}
+
+}  // namespace sycamorebend::platform
--- /dev/null
+++ b/tests/platform/platform_fleet.h
@@ -0,0 +1,104 @@
+// The programs of both roles as separate processes, with the settings that the
+// templates in deploy/ give them. Each has its own loopback address, as ports
+// are the same on all VMs.
+#ifndef SYCAMOREBEND_TESTS_PLATFORM_PLATFORM_FLEET_H_
+#define SYCAMOREBEND_TESTS_PLATFORM_PLATFORM_FLEET_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <json/value.h>
+
+#include "sycamorebend/http.h"
+#include "sycamorebend/rpc.h"
+#include "system/process.h"
+
+namespace sycamorebend::platform {
+
+// Well above the time of any step, so that only a failed condition reaches it.
+constexpr Duration kStepTimeout = seconds(30);
+
+class PlatformFleet {
+ public:
+  // Starts all processes.
+  // @param max_followers limit of each control replica.
+  PlatformFleet(std::size_t replicas,
+                std::size_t gateways,
+                std::size_t max_followers);
+
+  std::size_t Gateways() const {
+    return this->machines.size() - this->replica_count;
+  }
+  ChildProcess& Replica(std::size_t index) {
+    return *this->machines.at(index).process;
+  }
+  ChildProcess& Gateway(std::size_t index) {
+    return *this->machines.at(this->replica_count + index).process;
+  }
+  void StartReplica(std::size_t index) { this->Start(index); }
+  void StartGateway(std::size_t index) {
+    this->Start(this->replica_count + index);
+  }
+
+  // Sends a configuration with one open route "/a/" of host "h.example" to the
+  // service "app".
+  // @return true if a replica acknowledged it.
+  bool Replace(std::uint64_t version);
+  // Reports an engine of the service "app" as ready.
+  // @return true if a replica acknowledged it.
+  bool Announce(const std::string& engine, const std::string& address);
+
+  // @return true if callers get a response with an HTTP status at `address`.
+  bool Serves(const std::string& address);
+  // @return the addresses of gateways that a replica gives to callers.
+  Json::Value LookUp(std::size_t replica);
+  // @return the shared state that the control replica at `address` serves.
+  Json::Value SharedStateAt(const std::string& address);
+  // @return number of voters in the replica set.
+  std::size_t Voters();
+  std::string ReplicaAddress(std::size_t replica) const;
+  std::string CallerAddress(std::size_t gateway) const;
+  // @return the metrics page of a gateway; empty if it does not respond.
+  std::string Metrics(std::size_t gateway);
+  // @return number of gateways that have a version of the configuration, or a
+  // newer one, in force.
+  std::size_t InForce(std::uint64_t version);
+  // @return the logs of all gateways.
+  std::string GatewayLogs() const;
+
+ private:
+  struct Machine {
+    std::string ip;
+    std::string program;
+    std::string settings_path;
+    std::unique_ptr<ChildProcess> process;
+  };
+
+  void Start(std::size_t index);
+  std::string IpOf(std::size_t index) const;
+  Machine WriteMachine(std::size_t index,
+                       bool is_replica,
+                       std::size_t max_followers);
+  // @return true if a replica responded with success.
+  bool PostToReplicas(const std::string& path, const Json::Value& body);
+  // @return the body of a successful GET; empty if it failed.
+  std::string Get(const std::string& url);
+
+  const std::size_t replica_count;
+  const TemporaryDirectory directory;
+  const std::string caller_port;
+  const std::string admin_port;
+  const std::string api_port;
+  const std::string directory_port;
+  const std::string internal_port;
+  const std::unique_ptr<HttpClient> client = HttpClient::Create(1);
+  const std::unique_ptr<RpcClient> rpc = RpcClient::Create(*client);
+  std::vector<Machine> machines;
+};
+
+}  // namespace sycamorebend::platform
+
+#endif  // SYCAMOREBEND_TESTS_PLATFORM_PLATFORM_FLEET_H_
