--- a/tests/consensus/service_test.cc
+++ b/tests/consensus/service_test.cc
@@ -236,6 +236,80 @@
   log->Stop();
 }
 
+// Guards against a replica that, while it applies its log after a restart,
+// reports as confirmed a state that lacks the rest of the log: its followers
+// would use a configuration that was replaced long ago.
+BOOST_AUTO_TEST_CASE(RestartConfirmsNoStateBeforeTheLogIsApplied) {
+  constexpr std::size_t kCommandsBeforeChange = 10;
+  constexpr std::size_t kCommands = 20;
+  // Records whether the state was reported as confirmed between two commands.
+  class ObservedStateMachine : public RecordingStateMachine {
+   public:
+    std::string Apply(LogIndex index,
+                      std::int64_t leader_time_ms,
+                      std::string_view command) override {
+      const ReplicatedLog* const observed = this->log;
+      if (observed != nullptr &&
+          observed->ConfirmationAge() != Duration::max()) {
+        this->confirmed_sizes.push_back(this->Commands().size());
+      }
+      return RecordingStateMachine::Apply(index, leader_time_ms, command);
+    }
+    std::atomic<const ReplicatedLog*> log = nullptr;
+    // Numbers of commands that were applied at such times. Used on the control
+    // thread only until it has ended.
+    std::vector<std::size_t> confirmed_sizes;
+  };
+  TemporaryDirectory directory;
+  SystemClock clock;
+  const auto client = HttpClient::Create(1);
+  const auto rpc = RpcClient::Create(*client);
+  ReplicatedLogOptions options;
+  options.id = 1;
+  options.initial_replicas = {{1, "127.0.0.1:1"}};
+  options.data_directory = directory.path.string();
+  options.address = "127.0.0.1:1";
+  {
+    RecordingStateMachine machine;
+    ControlThread control(clock);
+    const auto log = std::move(
+        CreateReplicatedLog(options, machine, *rpc, control, clock).value());
+    const auto propose = [&log](std::size_t number) {
+      std::promise<Result<std::string>> result_promise;
+      log->Propose(std::to_string(number),
+                   [&result_promise](Result<std::string> result) {
+                     result_promise.set_value(std::move(result));
+                   });
+      return result_promise.get_future().get().has_value();
+    };
+    for (std::size_t i = 0; i < kCommands; ++i) {
+      if (i == kCommandsBeforeChange) {
+        BOOST_TEST_REQUIRE(Node::Wait([&](auto callback) {
+                             log->AddReplica(2, "127.0.0.1:2", callback);
+                           }).has_value());
+      }
+      while (!propose(i)) {
+        std::this_thread::sleep_for(milliseconds(5));
+      }
+    }
+    log->Stop();
+  }
+  ObservedStateMachine machine;
+  ControlThread control(clock);
+  const auto log = std::move(
+      CreateReplicatedLog(options, machine, *rpc, control, clock).value());
+  machine.log = log.get();
+  while (log->ConfirmationAge() == Duration::max()) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  BOOST_TEST(machine.Commands().size() == kCommands);
+  log->Stop();
+  control.Stop();
+  BOOST_TEST(machine.confirmed_sizes.empty(),
+             "confirmed after " << machine.confirmed_sizes.size()
+                                << " incomplete states");
+}
+
 // Guards against changes that are refused while the disk of one replica is
 // full, or stay so after the disks were full one after the other.
 BOOST_AUTO_TEST_CASE(DisksFullInTurnDoNotStopChanges) {
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -456,6 +456,9 @@
     }
     for (const EntryPtr& entry : output.committed) {
       this->Apply(replica, *entry);
+      // The state between two entries of a batch is visible to readers.
+      this->CheckReads(replica);
+      this->CheckConfirmation(replica);
     }
     if (replica.applied >= replica.core->SnapshotIndex() + kSnapshotEntries) {
       ++this->counts.snapshots;
