Confirm only what the state machine has applied

Callers saw: after a restart of all control replicas, gateways that restarted too refused requests for routes that had been acknowledged long before (404), until the next update of the feed.

Cause: Core counted entries as applied once it had handed them out, and hands out a whole batch at once; after a restart that is the whole log. Between two entries of the batch, Replica published the status for each change of the replica set, and with it the confirmation of the last entry. A gateway whose poll came then got a state of long ago with an age of some milliseconds, and used it as its first configuration.

A published confirmation no longer goes back while a leader has delivered more than it has applied: what was confirmed of a state holds for each later one.

--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -24,9 +24,9 @@
     this->base_index = this->snapshot->index;
     this->base_term = this->snapshot->term;
     this->last_time_ms = this->snapshot->leader_time_ms;
-    this->applied_time_ms = this->last_time_ms;
+    this->delivered_time_ms = this->last_time_ms;
     this->commit_index = this->base_index;
-    this->applied_index = this->base_index;
+    this->delivered_index = this->base_index;
     this->replica_sets.back() = {this->base_index, this->snapshot->replicas};
     // A snapshot at index 0 holds only the initial replica set, no state.
     if (this->base_index > 0) {
@@ -104,7 +104,7 @@
          this->replica_sets.back().index >= from) {
     this->replica_sets.pop_back();
   }
-  this->last_time_ms = this->log.empty() ? this->applied_time_ms
+  this->last_time_ms = this->log.empty() ? this->delivered_time_ms
                                          : this->log.back()->leader_time_ms;
   this->durable_index = std::min(this->durable_index, from - 1);
   for (PendingWrite& write : this->pending_writes) {
@@ -176,12 +176,16 @@
 
 void Core::CommitTo(LogIndex index) {
   this->commit_index = std::max(this->commit_index, index);
-  while (this->applied_index < this->commit_index) {
-    ++this->applied_index;
-    const EntryPtr& entry = this->EntryAt(this->applied_index);
-    this->applied_time_ms = entry->leader_time_ms;
+  while (this->delivered_index < this->commit_index) {
+    ++this->delivered_index;
+    const EntryPtr& entry = this->EntryAt(this->delivered_index);
+    this->delivered_time_ms = entry->leader_time_ms;
     this->output.committed.push_back(entry);
   }
+}
+
+void Core::SetApplied(LogIndex index) {
+  this->applied_index = index;
   this->UpdateConfirmedAt();
 }
 
@@ -199,7 +203,7 @@
   auto next = std::make_shared<SnapshotData>();
   next->index = this->applied_index;
   next->term = *this->TermAt(this->applied_index);
-  next->leader_time_ms = this->applied_time_ms;
+  next->leader_time_ms = this->EntryAt(this->applied_index)->leader_time_ms;
   next->replicas = this->ReplicasAt(this->applied_index);
   next->state = std::move(state);
   this->snapshot = next;
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -104,12 +104,17 @@
   void TransferFromFullDisk(TimePoint now);
 
   // Stores a snapshot and drops old log entries.
-  // @param state the state machine's snapshot after the last committed entry
-  // that TakeOutput returned.
+  // @param state the state machine's snapshot at AppliedIndex().
   void Compact(std::string state);
 
   CoreOutput TakeOutput();
 
+  // To be called after each entry that was applied and each snapshot that was
+  // restored: what is said of the state, to readers too, must not be ahead of
+  // it while a batch of entries is applied.
+  // @param index the entry, or the last one in the snapshot.
+  void SetApplied(LogIndex index);
+
   bool LeaseValid(TimePoint now) const;
   // @return the time at which the applied state was last confirmed as current
   // (see ReplicatedLog::ConfirmationAge), or TimePoint::min() if it never was.
@@ -268,11 +273,15 @@
   SnapshotPtr snapshot;
   std::uint64_t log_bytes = 0;
   std::int64_t last_time_ms = 0;
-  std::int64_t applied_time_ms = 0;
+  // Leader time of the entry at `delivered_index`.
+  std::int64_t delivered_time_ms = 0;
   // Replica sets with the index of the entry that set each; the last one is in
   // effect, even before it is committed.
   std::vector<IndexedReplicaSet> replica_sets;
   LogIndex commit_index = 0;
+  // Last entry that was handed out in `output`.
+  LogIndex delivered_index = 0;
+  // Last entry that is known to be in the state machine.
   LogIndex applied_index = 0;
   LogIndex durable_index = 0;
 
--- a/src/consensus/core_election.cc
+++ b/src/consensus/core_election.cc
@@ -7,10 +7,7 @@
 
 void Core::BecomeFollower(Term term, ReplicaId leader, TimePoint now) {
   if (this->role == Role::kLeader) {
-    const TimePoint confirmed = this->LeaseStart(now);
-    if (this->CommittedInCurrentTerm()) {
-      this->confirmed_at = std::max(this->confirmed_at, confirmed);
-    }
+    this->confirmed_at = this->ConfirmedAt(now);
     this->followers.clear();
     this->ResetElectionTimer(now);
   }
@@ -275,11 +272,11 @@
 }
 
 TimePoint Core::ConfirmedAt(TimePoint now) const {
-  TimePoint confirmed = this->confirmed_at;
-  if (this->CommittedInCurrentTerm()) {
-    confirmed = std::max(confirmed, this->LeaseStart(now));
+  if (this->CommittedInCurrentTerm() &&
+      this->applied_index >= this->commit_index) {
+    return std::max(this->confirmed_at, this->LeaseStart(now));
   }
-  return confirmed;
+  return this->confirmed_at;
 }
 
 Result<ReadPoint> Core::BeginRead(TimePoint now) const {
--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -394,17 +394,16 @@
   if (this->log.empty()) {
     this->last_time_ms = snapshot->leader_time_ms;
   }
-  this->applied_time_ms = snapshot->leader_time_ms;
+  this->delivered_time_ms = snapshot->leader_time_ms;
   this->log_bytes = 0;
   this->snapshot = std::move(snapshot);
   this->commit_index = this->snapshot->index;
-  this->applied_index = this->snapshot->index;
+  this->delivered_index = this->snapshot->index;
   this->output.committed.clear();
   this->output.restore = this->snapshot;
   const std::uint64_t id = this->AddWrite(std::move(write));
   // Writing the snapshot makes the entries that it covers durable.
   this->pending_writes.back().last_index = this->snapshot->index;
-  this->UpdateConfirmedAt();
   return id;
 }
 
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -314,6 +314,7 @@
                  {{"message", restored.error().message}});
         std::_Exit(EXIT_FAILURE);
       }
+      this->core->SetApplied(output.restore->index);
     }
     for (const EntryPtr& entry : output.committed) {
       this->Apply(*entry);
@@ -331,7 +332,9 @@
   if (entry.kind == EntryKind::kCommand) {
     command_result = this->dependencies.state_machine.Apply(
         entry.index, entry.leader_time_ms, entry.payload);
-  } else if (entry.kind == EntryKind::kReplicaSet) {
+  }
+  this->core->SetApplied(entry.index);
+  if (entry.kind == EntryKind::kReplicaSet) {
     // Update the status before the callback, so that the caller of the change
     // sees its effect.
     this->PublishStatus(true);
@@ -458,7 +461,9 @@
   status.applied_index = this->core->AppliedIndex();
   status.last_index = this->core->LastIndex();
   status.snapshot_index = this->core->SnapshotIndex();
-  this->confirmed_at = this->core->ConfirmedAt(now);
+  // What was confirmed of an earlier state holds for each later one.
+  this->confirmed_at =
+      std::max(this->confirmed_at, this->core->ConfirmedAt(now));
   if (!include_replicas) {
     return;
   }
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -533,6 +533,7 @@
         fmt::format("the leader time decreased at {}", entry.index));
   }
   replica.applied = entry.index;
+  replica.core->SetApplied(entry.index);
   replica.last_time_ms = entry.leader_time_ms;
   replica.history_hash = AppendToHash(replica.history_hash, entry.payload);
   if (entry.index == this->committed.size()) {
@@ -566,6 +567,7 @@
                                      replica.applied));
   }
   replica.applied = snapshot.index;
+  replica.core->SetApplied(snapshot.index);
   replica.history_hash = std::stoull(snapshot.state);
   replica.last_time_ms = snapshot.leader_time_ms;
   if (replica.history_hash != this->committed[snapshot.index].history_hash) {
