Test that a restart of all processes brings back no older configuration

Both programs as processes, five replicas and twelve gateways; one replica loses its disk and joins again, the configuration changes 25 times, and all processes are killed at once, four times over.

--- a/tests/platform/fleet_feed_test.cc
+++ b/tests/platform/fleet_feed_test.cc
@@ -33,6 +33,47 @@
              std::string::npos);
 }
 
+// Guards against a gateway that, after a restart of all processes, puts an
+// older configuration in force than the one that was acknowledged last, because
+// a replica confirms the states through which it applies its log.
+BOOST_AUTO_TEST_CASE(RestartOfAllProcessesBringsBackNoOlderConfiguration) {
+  constexpr std::size_t kReplicas = 5;
+  constexpr std::size_t kGateways = 12;
+  constexpr std::uint64_t kChangesBetweenFaults = 25;
+  constexpr int kRestarts = 4;
+  PlatformFleet fleet(kReplicas, kGateways, /*max_followers=*/64);
+  std::uint64_t version = 0;
+  const auto change = [&] {
+    ++version;
+    BOOST_TEST_REQUIRE(
+        WaitFor([&] { return fleet.Replace(version); }, kStepTimeout),
+        "version " << version << " is not acknowledged");
+  };
+  const auto all_vote = [&] { return fleet.Voters() == kReplicas; };
+  change();
+  BOOST_REQUIRE(WaitFor(all_vote, kStepTimeout));
+  for (int restart = 0; restart < kRestarts; ++restart) {
+    // The replica comes back under another ID: the log has changes of the
+    // replica set between those of the configuration.
+    fleet.LoseDisk(kReplicas - 1);
+    fleet.StartReplica(kReplicas - 1);
+    BOOST_REQUIRE(WaitFor(all_vote, kStepTimeout));
+    for (std::uint64_t i = 0; i < kChangesBetweenFaults; ++i) {
+      change();
+    }
+    fleet.RestartAll();
+    BOOST_TEST_REQUIRE(
+        WaitFor([&] { return fleet.InForce(version) == kGateways; },
+                kStepTimeout),
+        "version " << version << " is not in force everywhere");
+    for (const std::uint64_t used : fleet.VersionsInForceSinceStart()) {
+      BOOST_TEST(used >= version, "after restart " << restart << ", version "
+                                                   << used << " instead of "
+                                                   << version);
+    }
+  }
+}
+
 // Guards against an address in the shared state or in a look-up at which the
 // named program does not serve what the address is given out for.
 BOOST_AUTO_TEST_CASE(AddressesGivenOutAreServed) {
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -1,9 +1,12 @@
 #include "platform/platform_fleet.h"
 
+#include <signal.h>
 #include <unistd.h>
 
 #include <chrono>
 #include <cstdlib>
+#include <filesystem>
+#include <sstream>
 
 #include <boost/test/unit_test.hpp>
 
@@ -59,9 +62,27 @@
 void PlatformFleet::Start(std::size_t index) {
   Machine& machine = this->machines[index];
   setenv(kSettingsVariable, machine.settings_path.c_str(), 1);
+  machine.log_start = ReadFile(LogPath(machine)).size();
   machine.process = std::make_unique<ChildProcess>(
-      machine.program, std::vector<std::string>(),
-      machine.settings_path + ".log");
+      machine.program, std::vector<std::string>(), LogPath(machine));
+}
+
+void PlatformFleet::LoseDisk(std::size_t replica) {
+  Machine& machine = this->machines.at(replica);
+  machine.process->Kill();
+  std::filesystem::remove_all(DataPath(machine));
+}
+
+void PlatformFleet::RestartAll() {
+  for (const Machine& machine : this->machines) {
+    machine.process->Signal(SIGKILL);
+  }
+  for (std::size_t i = 0; i < this->machines.size(); ++i) {
+    this->machines[i].process->Kill();
+  }
+  for (std::size_t i = 0; i < this->machines.size(); ++i) {
+    this->Start(i);
+  }
 }
 
 bool PlatformFleet::PostToReplicas(const std::string& path,
@@ -186,11 +207,27 @@
 std::string PlatformFleet::GatewayLogs() const {
   std::string logs;
   for (std::size_t i = this->replica_count; i < this->machines.size(); ++i) {
-    logs += ReadFile(this->machines[i].settings_path + ".log");
+    logs += ReadFile(LogPath(this->machines[i]));
   }
   return logs;
 }
 
+std::vector<std::uint64_t> PlatformFleet::VersionsInForceSinceStart() const {
+  std::vector<std::uint64_t> versions;
+  for (std::size_t i = this->replica_count; i < this->machines.size(); ++i) {
+    const Machine& machine = this->machines[i];
+    std::istringstream lines(
+        ReadFile(LogPath(machine)).substr(machine.log_start));
+    for (std::string line; std::getline(lines, line);) {
+      const Result<Json::Value> event = ParseJson(line);
+      if (event && event.value()["name"] == "configuration_in_force") {
+        versions.push_back(event.value()["version"].asUInt64());
+      }
+    }
+  }
+  return versions;
+}
+
 std::string PlatformFleet::IpOf(std::size_t index) const {
   return "127." + std::to_string(64 + getpid() % 128) + "." +
          std::to_string(getpid() / 128 % 250) + "." + std::to_string(index + 1);
@@ -222,7 +259,7 @@
       {"listen.registry|json", at(this->directory_port)},
       {"internal_ports.0", this->internal_port},
       {"seed_nodes|json", "[" + seed(0) + "," + seed(1) + "," + seed(2) + "]"},
-      {"data_dir|json", Quoted(machine.settings_path + ".data")},
+      {"data_dir|json", Quoted(DataPath(machine))},
       {"fault_tolerance.nodes", "2"}};
   std::string text =
       RenderTemplate(is_replica ? "control.json" : "gateway.json", fields);
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -42,6 +42,10 @@
   void StartGateway(std::size_t index) {
     this->Start(this->replica_count + index);
   }
+  // Kills a replica and deletes its data directory.
+  void LoseDisk(std::size_t replica);
+  // Kills all processes at once and starts them again.
+  void RestartAll();
 
   // Sends a configuration with one open route "/a/" of host "h.example" to the
   // service "app".
@@ -68,6 +72,9 @@
   std::size_t InForce(std::uint64_t version);
   // @return the logs of all gateways.
   std::string GatewayLogs() const;
+  // @return the versions of the configuration that gateways have put in force,
+  // those of the current process of each.
+  std::vector<std::uint64_t> VersionsInForceSinceStart() const;
 
  private:
   struct Machine {
@@ -75,9 +82,17 @@
     std::string program;
     std::string settings_path;
     std::unique_ptr<ChildProcess> process;
+    // Size of the log when the process was started.
+    std::size_t log_start = 0;
   };
 
   void Start(std::size_t index);
+  static std::string DataPath(const Machine& machine) {
+    return machine.settings_path + ".data";
+  }
+  static std::string LogPath(const Machine& machine) {
+    return machine.settings_path + ".log";
+  }
   std::string IpOf(std::size_t index) const;
   Machine WriteMachine(std::size_t index,
                        bool is_replica,
