--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -213,6 +213,7 @@
   kReplicaRemoved = 708,
   kStorageFailed = 709,
   kReplicaPromoted = 710,
+  kStateConfirmed = 711,
   // 8xx: transport between processes.
   kRpcFailed = 801,
   kPeerUnreachable = 802,
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -119,6 +119,9 @@
      "A write to the data directory failed; the process ends."},
     {Event::kReplicaPromoted, "replica_promoted",
      "A learner has the log and may vote."},
+    {Event::kStateConfirmed, "state_confirmed",
+     "A quorum confirmed this replica's state for the first time since its "
+     "start."},
     {Event::kRpcFailed, "rpc_failed", "A call to another process failed."},
     {Event::kPeerUnreachable, "peer_unreachable",
      "Another process cannot be reached."},
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -97,6 +97,8 @@
   // replica's current replica set.
   std::map<ReplicaId, std::string> sender_addresses;
   bool was_leader = false;
+  // Last entry of the log at the start of this replica.
+  LogIndex start_index = 0;
 
   mutable std::mutex status_mutex;
   ReplicatedLog::LogStatus latest_status;
@@ -134,6 +136,7 @@
     this->core = std::make_unique<Core>(
         core_options, stored, empty && !this->options.join ? &initial : nullptr,
         this->Now());
+    this->start_index = this->core->LastIndex();
     this->ProcessOutput();
     this->PublishStatus(true);
   });
@@ -461,9 +464,18 @@
   status.applied_index = this->core->AppliedIndex();
   status.last_index = this->core->LastIndex();
   status.snapshot_index = this->core->SnapshotIndex();
+  const bool confirmed_before = this->confirmed_at != TimePoint::min();
   // What was confirmed of an earlier state holds for each later one.
   this->confirmed_at =
       std::max(this->confirmed_at, this->core->ConfirmedAt(now));
+  if (!confirmed_before && this->confirmed_at != TimePoint::min()) {
+    LogEvent(Severity::kInfo, Event::kStateConfirmed,
+             {{"replica", status.id},
+              {"term", status.term},
+              {"applied_index", status.applied_index},
+              {"commit_index", status.commit_index},
+              {"start_index", this->start_index}});
+  }
   if (!include_replicas) {
     return;
   }
