Test that queued updates do not lower a configuration (red)

ApplyFirstConfiguration takes the newest state of the follower, while updates before it still wait in the loop. ApplyConfiguration applies each that differs from the one in force. Seen: configurations 3, 2, 3 in force, in this order.

--- a/tests/gateway/start_test.cc
+++ b/tests/gateway/start_test.cc
@@ -1,5 +1,11 @@
+#include <algorithm>
+#include <atomic>
+#include <mutex>
 #include <thread>
+#include <vector>
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/gateway.h"
@@ -68,8 +74,118 @@
   std::unique_ptr<HttpServer> server;
 };
 
+// Records the number in each configuration that is put into force.
+class RecordingFormat : public TestFormat {
+ public:
+  Result<RouteTable> ReadConfiguration(
+      const Json::Value& document) const override {
+    std::lock_guard lock(this->mutex);
+    this->numbers.push_back(document["number"].asInt());
+    return TestFormat::ReadConfiguration(document);
+  }
+  std::vector<int> Numbers() const {
+    std::lock_guard lock(this->mutex);
+    return this->numbers;
+  }
+
+ private:
+  mutable std::mutex mutex;
+  mutable std::vector<int> numbers;
+};
+
+// A control replica that responds to each poll with the next of some versions.
+class VersionedReplica : public RpcService, public HttpHandler {
+ public:
+  // @param first_response nothing is responded before this time.
+  // @param ages confirmed_age_ms of the versions, which start at 1.
+  VersionedReplica(std::chrono::steady_clock::time_point first_response,
+                   std::vector<int> ages)
+      : first_response(first_response), ages(std::move(ages)) {
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    this->server = std::move(HttpServer::Start(options, *this).value());
+  }
+  ~VersionedReplica() override { this->server->Stop(); }
+
+  std::string Address() const { return this->server->Address(); }
+  // @return true if a follower has polled with the newest version.
+  bool NewestIsKnown() const { return this->newest_known; }
+
+  Result<Json::Value> Call(const std::string& /*method*/,
+                           const Json::Value& params) override {
+    if (std::chrono::steady_clock::now() < this->first_response) {
+      return MakeError(ResultCode::kConfigurationUnconfirmed, "starting");
+    }
+    const std::uint64_t newest = this->ages.size();
+    const std::uint64_t known = params["have_version"].asUInt64();
+    std::this_thread::sleep_for(milliseconds(known == newest ? 20 : 50));
+    this->newest_known = this->newest_known || known == newest;
+    SharedState state;
+    state.epoch = "x";
+    state.version = std::min(known + 1, newest);
+    state.configuration_version = state.version;
+    state.configuration["number"] = Json::UInt64(state.version);
+    Json::Value response;
+    response["epoch"] = state.epoch;
+    response["version"] = Json::UInt64(state.version);
+    response["confirmed_age_ms"] = this->ages[state.version - 1];
+    response["path"] = Json::Value(Json::arrayValue);
+    response["snapshot"] = SharedStateToJson(state);
+    return response;
+  }
+  void Handle(std::shared_ptr<HttpExchange> exchange) override {
+    this->calls->Handle(std::move(exchange));
+  }
+
+ private:
+  const std::chrono::steady_clock::time_point first_response;
+  const std::vector<int> ages;
+  std::atomic<bool> newest_known = false;
+  std::unique_ptr<RpcServer> calls = RpcServer::Create(*this, 2);
+  std::unique_ptr<HttpServer> server;
+};
+
+// @return the configurations that a gateway puts into force, in order.
+// @param run_late the gateway's loop runs only when its follower has the newest
+// version.
+std::vector<int> ConfigurationsInForce(VersionedReplica& replica,
+                                       bool run_late) {
+  const SystemClock clock;
+  const RecordingFormat format;
+  const auto loop = net::EventLoop::Create(clock);
+  GatewaySettings settings = MakeSettings();
+  settings.replicas = {replica.Address()};
+  const auto gateway = Gateway::Start(settings, format, *loop, clock);
+  BOOST_REQUIRE(gateway);
+  const auto wait = [&] {
+    while (!replica.NewestIsKnown()) {
+      std::this_thread::sleep_for(milliseconds(2));
+    }
+  };
+  if (run_late) {
+    wait();
+  }
+  std::thread thread([&] { loop->Run(); });
+  wait();
+  std::this_thread::sleep_for(milliseconds(200));
+  loop->Stop();
+  thread.join();
+  return format.Numbers();
+}
+
 }  // namespace
 
+// Guards against a gateway that puts an older configuration into force after a
+// newer one, because it applies updates that it had not handled yet when it
+// took the newest state.
+BOOST_AUTO_TEST_CASE(QueuedUpdatesDoNotReplaceANewerConfiguration) {
+  VersionedReplica replica(std::chrono::steady_clock::now(), {0, 0, 0});
+  const std::vector<int> numbers = ConfigurationsInForce(replica, true);
+  BOOST_TEST(!numbers.empty());
+  BOOST_TEST(std::is_sorted(numbers.begin(), numbers.end()),
+             "in force: " << fmt::format("{}", fmt::join(numbers, ", ")));
+}
+
 // Guards against requests that are taken too late in a planned stop to finish,
 // and against requests that get no answer at the end of its time. Some may not
 // be sent again, so their callers have to know whether they may have run.
