Test that a late source's unconfirmed state is not used (red)

The wait for a confirmation is counted from the start of the gateway, not from when it has a state: after 3 s without a source there is no wait at all. Seen: the unconfirmed configuration is put into force, then the confirmed one.

--- a/tests/gateway/start_test.cc
+++ b/tests/gateway/start_test.cc
@@ -186,6 +186,17 @@
              "in force: " << fmt::format("{}", fmt::join(numbers, ", ")));
 }
 
+// Guards against a gateway that finds no source for some seconds and then uses
+// the first state that it gets, which a replica that has just started has not
+// confirmed yet.
+BOOST_AUTO_TEST_CASE(UnconfirmedStateOfALateSourceIsNotUsed) {
+  VersionedReplica replica(
+      std::chrono::steady_clock::now() + milliseconds(3500), {-1, 0});
+  const std::vector<int> numbers = ConfigurationsInForce(replica, false);
+  const std::vector<int> expected = {2};
+  BOOST_TEST(numbers == expected, boost::test_tools::per_element());
+}
+
 // Guards against requests that are taken too late in a planned stop to finish,
 // and against requests that get no answer at the end of its time. Some may not
 // be sent again, so their callers have to know whether they may have run.
