Test that a repeated announcement waits for its commit (red)

ServerLiveness records an announcement before it is proposed, and a repetition with the same sequence is taken as known. LeaderRpcClient repeats a call whose connection was lost. Seen: the second call succeeds while the state has no server; if the leader is lost then, so is what it acknowledged.

--- a/tests/control/service_test.cc
+++ b/tests/control/service_test.cc
@@ -337,4 +337,31 @@
   }
 }
 
+// Guards against acknowledging a repeated announcement while the first one is
+// not committed: a server that was told that its draining is known would get
+// requests again after the loss of the leader.
+BOOST_FIXTURE_TEST_CASE(RepeatedAnnouncementWaitsForItsCommit, Fixture) {
+  const std::string params =
+      R"({"server_id":"s","incarnation":1,"sequence":5,"service":"app",)"
+      R"("address":"127.0.0.1:9000","failure_domain":"a","slots":1,)"
+      R"("leaving":true})";
+  this->clock.Advance(seconds(1));
+  std::promise<void> commit;
+  this->node.control_thread.Post(
+      [allowed = commit.get_future().share()] { allowed.wait(); });
+  auto first = std::async(std::launch::async, [&] {
+    return this->Call("server.heartbeat", params);
+  });
+  while (this->node.log.largest_command == 0) {
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  const Result<Json::Value> repeated =
+      this->rpc->Call(this->node.Address(), "server.heartbeat",
+                      ParseJson(params).value(), milliseconds(300));
+  BOOST_TEST(this->node.state->Shared()->servers.empty());
+  BOOST_TEST(!repeated.has_value(), "acknowledged before the commit");
+  commit.set_value();
+  BOOST_TEST(first.get().has_value());
+}
+
 }  // namespace sycamorebend
