Test that an uncommitted removal is not reported to the replica (red)

CheckMember waits until the state machine has what is committed, and then reads a replica set that is in effect from when its entry is appended. The replica erases its log then; another leader may replace the entry.

--- a/tests/control/service_test.cc
+++ b/tests/control/service_test.cc
@@ -7,8 +7,10 @@
 #include <future>
 #include <thread>
 
+#include "../consensus/cluster.h"
 #include "control_node.h"
 #include "controld/control_settings.h"
+#include "controld/replica_manager.h"
 #include "sycamorebend/settings.h"
 
 namespace sycamorebend {
@@ -364,4 +366,44 @@
   BOOST_TEST(first.get().has_value());
 }
 
+// Guards against reporting a replica as removed while its removal is not
+// committed: it would erase its log, and stay a member if another leader
+// replaces the entry.
+BOOST_AUTO_TEST_CASE(UncommittedRemovalIsNotReported) {
+  TemporaryDirectory directory;
+  Node node;
+  ReplicatedLogOptions options;
+  options.id = 1;
+  options.initial_replicas = {{1, node.Address()}};
+  options.data_directory = directory.path.string();
+  options.timings.request_timeout = milliseconds(400);
+  BOOST_REQUIRE(node.Start(options).has_value());
+  while (!node.Propose("a")) {
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  const auto log = node.Log();
+  BOOST_REQUIRE(Node::Wait([&](auto callback) {
+                  log->AddReplica(2, "127.0.0.1:1", callback);
+                }).has_value());
+  ReplicaManager manager({}, *log, node.clock);
+  Json::Value params;
+  params["id"] = 2;
+  BOOST_TEST(manager.CheckMember(params).value()["member"].asBool());
+  node.disk.full = true;
+  auto removed = std::async(std::launch::async, [&] {
+    return Node::Wait([&](auto callback) { log->RemoveReplica(2, callback); });
+  });
+  int reported = 0;
+  while (removed.wait_for(milliseconds(5)) != std::future_status::ready) {
+    const Result<Json::Value> checked = manager.CheckMember(params);
+    reported += checked && !checked.value()["member"].asBool() ? 1 : 0;
+  }
+  const ReplicatedLog::LogStatus status = log->GetStatus();
+  BOOST_TEST(!removed.get().has_value());
+  BOOST_TEST(status.commit_index < status.last_index);
+  BOOST_TEST(reported == 0, "reported as removed " << reported << " times");
+  node.disk.full = false;
+  node.Stop();
+}
+
 }  // namespace sycamorebend
