Test that a new term starts the time of unreachable replicas (red)

ReplicaSetPlanner keeps from its last term when a replica was reachable, and has seen nothing since. Seen: 600 s after its earlier term, one look at an unreachable voter gives its replacement.

--- a/tests/control/replica_manager_test.cc
+++ b/tests/control/replica_manager_test.cc
@@ -188,4 +188,18 @@
   BOOST_TEST(!liveness.RecordAnnouncement(record, state, now));
 }
 
+// Guards against a leader that counts the time since its earlier term as time
+// in which a replica was unreachable, and replaces a voter at its first failed
+// call.
+BOOST_FIXTURE_TEST_CASE(UnreachableTimeStartsWithTheTerm, Cluster) {
+  this->Add(4, false);
+  this->status.term = 1;
+  BOOST_TEST(!this->PlanAfter(seconds(1)).has_value());
+  // Another replica leads in term 2, so that this one plans nothing.
+  this->status.term = 3;
+  this->status.replicas[2].reachable = false;
+  BOOST_TEST(!this->PlanAfter(seconds(600)).has_value());
+  BOOST_TEST(this->PlanAfter(seconds(3)).has_value());
+}
+
 }  // namespace sycamorebend
