Apply the newest state only, not the updates queued before it

Callers may have seen: a gateway that had a newer configuration in force handled requests by an older one for a moment.

Cause: each update of the feed is queued for the gateway's loop with its state, but the first configuration is taken from the newest state. The updates that were still queued came after it and put their configurations into force.

Change: an update tells the loop only that there is one. The loop takes the newest state, once, for servers, gateways and configuration alike, which were taken from two states before.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -159,14 +159,18 @@
   options.replicas = this->settings.replicas;
   this->follower =
       FeedFollower::Start(std::move(options), *this->rpc, this->clock,
-                          [this](std::shared_ptr<const SharedState> state) {
-                            this->loop.Post([this, state = std::move(state)] {
-                              this->OnSharedState(state);
-                            });
+                          [this](const std::shared_ptr<const SharedState>&) {
+                            this->loop.Post([this] { this->OnSharedState(); });
                           });
 }
 
-void Gateway::OnSharedState(const std::shared_ptr<const SharedState>& state) {
+void Gateway::OnSharedState() {
+  // The newest state: the one of this update may have been followed by others,
+  // the last of which was handled already.
+  const std::shared_ptr<const SharedState> state = this->follower->Current();
+  if (state == std::exchange(this->handled_state, state)) {
+    return;
+  }
   for (const std::string& key : this->balancer.SetServers(state->servers)) {
     this->pool.CloseIdleConnections(key);
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,7 +66,8 @@
   Status Listen();
   void ListenForMetrics();
   void StartFollower();
-  void OnSharedState(const std::shared_ptr<const SharedState>& state);
+  // Applies the newest state of the feed.
+  void OnSharedState();
   void ApplyConfiguration(const SharedState& state);
   // Applies the configuration of the newest state as the first one, once
   // MayApplyFirstConfiguration allows it.
@@ -111,6 +112,8 @@
   bool stopping = false;
   bool rejecting = false;
   TimePoint stop_began;
+  // The newest state that was applied, except for its configuration.
+  std::shared_ptr<const SharedState> handled_state;
   const TimePoint started_at;
   TimerId first_configuration_timer = 0;
   // Time when the configuration in force was applied.
