Read the confirmation before the state that it is counted for

A gateway without a configuration read the newest state first and then the time of the confirmation. A state that the follower published in between brought its confirmation to the state before, which could be one through which a replica applies its log.

Not shown by a test: the order of events lies between two statements.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -220,10 +220,12 @@
 }
 
 void Gateway::ApplyFirstConfiguration() {
+  // Read before the state: what was confirmed holds for any later state, but
+  // not for an earlier one.
+  const Duration age = this->follower->ConfirmationAge();
   const std::shared_ptr<const SharedState> state = this->follower->Current();
   if (state != nullptr &&
-      MayApplyFirstConfiguration(this->follower->ConfirmationAge(),
-                                 this->loop.Now() - this->started_at)) {
+      MayApplyFirstConfiguration(age, this->loop.Now() - this->started_at)) {
     this->ApplyConfiguration(*state);
   }
   if (this->handler.Table() != nullptr) {
