Count the wait for a confirmation from the first configuration

Callers saw: a gateway that found no source of the feed for 3 s after its start used the first state that it got, from a replica that had just started, though the confirmed one came 0.1 s later.

Cause: an unconfirmed configuration is used after 3 s, since it is better than none on a VM that is cut off from the quorum. The time was counted from the start of the process, so there was none left when the first source was late.

Change: it is counted from the first state that has a configuration.

Test: UnconfirmedStateOfALateSourceIsNotUsed failed (configurations 1 and 2 instead of 2 alone) and passes.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -66,8 +66,7 @@
               this->quarantine},
       handler(this->context),
       admin_handler(*this),
-      timers(clock),
-      started_at(loop.Now()) {
+      timers(clock) {
   this->SetRetryLimits(1);
 }
 
@@ -224,9 +223,14 @@
   // not for an earlier one.
   const Duration age = this->follower->ConfirmationAge();
   const std::shared_ptr<const SharedState> state = this->follower->Current();
-  if (state != nullptr &&
-      MayApplyFirstConfiguration(age, this->loop.Now() - this->started_at)) {
-    this->ApplyConfiguration(*state);
+  if (state != nullptr && !state->configuration.isNull()) {
+    if (!this->first_state_at) {
+      this->first_state_at = this->loop.Now();
+    }
+    if (MayApplyFirstConfiguration(age,
+                                   this->loop.Now() - *this->first_state_at)) {
+      this->ApplyConfiguration(*state);
+    }
   }
   if (this->handler.Table() != nullptr) {
     this->loop.Cancel(std::exchange(this->first_configuration_timer, 0));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #define SYCAMOREBEND_SRC_GATEWAY_GATEWAY_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "control/leader_rpc_client.h"
@@ -26,7 +27,7 @@
 // configurations first, which must not be applied.
 // @param confirmation_age time since a quorum confirmed the state;
 // Duration::max() if it never did.
-// @param waited time since the gateway started.
+// @param waited time since the gateway got its first configuration.
 // @return true if the configuration may be applied.
 bool MayApplyFirstConfiguration(Duration confirmation_age, Duration waited);
 
@@ -114,7 +115,8 @@
   TimePoint stop_began;
   // The newest state that was applied, except for its configuration.
   std::shared_ptr<const SharedState> handled_state;
-  const TimePoint started_at;
+  // Time of the first state that has a configuration.
+  std::optional<TimePoint> first_state_at;
   TimerId first_configuration_timer = 0;
   // Time when the configuration in force was applied.
   TimePoint configured_at;
