Apply committed entries in slices between messages and timers

Callers would see: after a restart with a long log, no configuration is confirmed for as long as it takes to apply the log, several times over.

Cause: a replica applied all committed entries in one task of the control thread, which also sends heartbeats. A leader that applied a long log after a restart sent none, was replaced, and its successor started with the same.

Change: entries are applied for 20 ms at most, then messages and timers have their turn. The core's applied index (Core::SetApplied) says how far the state machine is, so nothing is confirmed and no read is served before its end.

--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -19,6 +20,9 @@
 // lease is detected.
 constexpr int kTicksPerHeartbeat = 5;
 constexpr Duration kStopPollInterval = milliseconds(5);
+// Committed entries are applied for this long before messages and timers are
+// handled again: a leader that applies a long log sends its heartbeats.
+constexpr Duration kMaxApplyTime = milliseconds(20);
 
 // The part of the service that runs on the control thread. Queued tasks hold a
 // shared_ptr to it, so that it outlives the service until they have run.
@@ -74,6 +78,7 @@
   TimePoint Now() const { return this->dependencies.clock.Now(); }
   void Tick();
   void ProcessOutput();
+  void ApplyCommitted();
   void Apply(const Entry& entry);
   void MaybeSnapshot();
   void CompleteReads();
@@ -91,6 +96,10 @@
   TimerId timer = 0;
   std::atomic<bool> stopped = false;
 
+  // Committed entries that are still to be applied.
+  std::deque<EntryPtr> committed;
+  // The control thread has a task that applies the rest of `committed`.
+  bool apply_posted = false;
   std::map<LogIndex, PendingProposal> proposals;
   std::vector<PendingRead> reads;
   // Last known address of each sender. Needed for senders that are not in this
@@ -318,9 +327,12 @@
         std::_Exit(EXIT_FAILURE);
       }
       this->core->SetApplied(output.restore->index);
+      this->committed.clear();
     }
-    for (const EntryPtr& entry : output.committed) {
-      this->Apply(*entry);
+    this->committed.insert(this->committed.end(), output.committed.begin(),
+                           output.committed.end());
+    if (!this->apply_posted) {
+      this->ApplyCommitted();
     }
     this->MaybeSnapshot();
   }
@@ -330,6 +342,26 @@
   this->PublishStatus(false);
 }
 
+void Replica::ApplyCommitted() {
+  const TimePoint end = this->Now() + kMaxApplyTime;
+  while (!this->committed.empty() && this->Now() < end) {
+    const EntryPtr entry = std::move(this->committed.front());
+    this->committed.pop_front();
+    this->Apply(*entry);
+  }
+  this->apply_posted = !this->committed.empty();
+  if (this->apply_posted) {
+    this->Post([](Replica& replica) {
+      replica.apply_posted = false;
+      if (!replica.stopped) {
+        replica.ApplyCommitted();
+        replica.MaybeSnapshot();
+        replica.ProcessOutput();
+      }
+    });
+  }
+}
+
 void Replica::Apply(const Entry& entry) {
   std::string command_result;
   if (entry.kind == EntryKind::kCommand) {
