Test the time to a live source of the feed (red)

A follower that knows 3, 5 or 10 sources must have a change within config_apply_ms (2.0 s) of its acknowledgement when all but one of them stop responding without a reset, whatever its order of sources. The same holds for the first state of a daemon that starts then, and for a source that is cut off from the quorum.

--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -21,6 +21,10 @@
 // Well above the time of any step, so that only a failed condition reaches it.
 constexpr Duration kTestTimeout = seconds(20);
 
+// Time from the acknowledgement of a change until it must be in force
+// everywhere: config_apply_ms of the small deployments.
+constexpr Duration kConfigurationApplyTime = seconds(2);
+
 // Waits until `condition` holds.
 bool Eventually(const std::function<bool()>& condition) {
   const auto deadline = std::chrono::steady_clock::now() + kTestTimeout;
@@ -152,6 +156,81 @@
   return response;
 }
 
+// A daemon that knows `count` sources, of which one stays reachable. All serve
+// the state of `replica`; which one stays is its place in the order in which
+// the daemon tries them.
+struct SilentSources {
+  SilentSources(LocalRpc& rpc,
+                const Clock& clock,
+                Replica& replica,
+                int number,
+                int count,
+                int place)
+      : rpc(rpc), clock(clock) {
+    this->options.self = {"e" + std::to_string(number), "127.0.0.1:8001", "a",
+                          "1", false, ""};
+    for (int i = 0; i < count; ++i) {
+      this->options.replicas.push_back("127.1." + std::to_string(number) + "." +
+                                       std::to_string(i + 1) + ":7000");
+      rpc.Serve(this->options.replicas.back(),
+                [&replica](const Json::Value& params) {
+                  return replica.source->ServePoll(params);
+                });
+    }
+    internal::SourceList order(this->options);
+    for (int i = 0; i < count; ++i) {
+      const std::string source = order.Next(nullptr);
+      if (i != place) {
+        this->silent.push_back(source);
+      }
+    }
+  }
+
+  void Start() {
+    this->follower =
+        FeedFollower::Start(this->options, this->rpc, this->clock, nullptr);
+  }
+  void Silence() {
+    for (const std::string& source : this->silent) {
+      this->rpc.DropCalls(source);
+    }
+  }
+
+  LocalRpc& rpc;
+  const Clock& clock;
+  FeedFollowerOptions options;
+  std::vector<std::string> silent;
+  std::unique_ptr<FeedFollower> follower;
+};
+
+// @return one daemon for each place of the source that stays reachable.
+std::vector<std::unique_ptr<SilentSources>> DaemonsOfAllOrders(
+    LocalRpc& rpc,
+    const Clock& clock,
+    Replica& replica) {
+  std::vector<std::unique_ptr<SilentSources>> daemons;
+  for (const int count : {3, 5, 10}) {
+    for (int place = 0; place < count; ++place) {
+      daemons.push_back(std::make_unique<SilentSources>(
+          rpc, clock, replica, static_cast<int>(daemons.size()) + 1, count,
+          place));
+    }
+  }
+  return daemons;
+}
+
+// @return the time until all daemons have `version`.
+std::chrono::steady_clock::duration TimeUntilAllHave(
+    const std::vector<std::unique_ptr<SilentSources>>& daemons,
+    std::uint64_t version) {
+  const auto start = std::chrono::steady_clock::now();
+  for (const auto& daemon : daemons) {
+    BOOST_TEST(Eventually(
+        [&] { return Fixture::VersionOf(*daemon->follower) >= version; }));
+  }
+  return std::chrono::steady_clock::now() - start;
+}
+
 }  // namespace
 
 // Guards against a follower whose state differs from that of the replica after
@@ -506,6 +585,66 @@
   follower->Stop();
 }
 
+// Guards against a follower that asks silent sources one after the other when
+// the one in use freezes during a poll: a change came later than allowed.
+BOOST_FIXTURE_TEST_CASE(SilentSourcesDoNotDelayAChange, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  const auto daemons = DaemonsOfAllOrders(rpc, clock, replica);
+  for (const auto& daemon : daemons) {
+    daemon->Start();
+  }
+  TimeUntilAllHave(daemons, 1);
+  for (const auto& daemon : daemons) {
+    daemon->Silence();
+  }
+  replica.Drain("s1");
+  BOOST_TEST((TimeUntilAllHave(daemons, 2) < kConfigurationApplyTime));
+  for (const auto& daemon : daemons) {
+    daemon->follower->Stop();
+  }
+}
+
+// Guards against a daemon that starts with silent sources and asks one after
+// the other for its first state.
+BOOST_FIXTURE_TEST_CASE(SilentSourcesDoNotDelayTheFirstState, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  const auto daemons = DaemonsOfAllOrders(rpc, clock, replica);
+  for (const auto& daemon : daemons) {
+    daemon->Silence();
+  }
+  for (const auto& daemon : daemons) {
+    daemon->Start();
+  }
+  BOOST_TEST((TimeUntilAllHave(daemons, 1) < kConfigurationApplyTime));
+  for (const auto& daemon : daemons) {
+    daemon->follower->Stop();
+  }
+}
+
+// Guards against a follower that keeps a replica which is cut off from the
+// quorum, and misses changes, until its state is too old to be used.
+BOOST_FIXTURE_TEST_CASE(CutOffSourceIsReplacedInTime, Fixture) {
+  Replica first(rpc, clock, kReplica1);
+  Replica second(rpc, clock, kReplica2);
+  first.Init();
+  second.Init();
+  const auto follower = this->Follow("e1", {kReplica1, kReplica2});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 1; }));
+  const bool uses_first = rpc.Calls(kReplica1) > rpc.Calls(kReplica2);
+  Replica& cut_off = uses_first ? first : second;
+  Replica& other = uses_first ? second : first;
+  // The age that it has half of the allowed time after it was cut off.
+  cut_off.log.age = kConfigurationApplyTime / 2;
+  other.Drain("s1");
+  const auto start = std::chrono::steady_clock::now();
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 2; }));
+  BOOST_TEST((std::chrono::steady_clock::now() - start <
+              kConfigurationApplyTime / 2));
+  follower->Stop();
+}
+
 // Guards against expiring live entry daemons when the leader changes, and
 // against keeping a dead one in the shared state, from which callers get their
 // addresses.
--- a/tests/feed/local_rpc.h
+++ b/tests/feed/local_rpc.h
@@ -2,6 +2,7 @@
 #ifndef SYCAMOREBEND_TESTS_FEED_LOCAL_RPC_H_
 #define SYCAMOREBEND_TESTS_FEED_LOCAL_RPC_H_
 
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -47,7 +48,7 @@
     this->services.erase(address);
   }
 
-  // Calls to `address` get no response and time out.
+  // Calls to `address`, those in progress too, get no response and time out.
   void DropCalls(const std::string& address) {
     std::lock_guard lock(this->mutex);
     this->dropped.insert(address);
@@ -85,11 +86,18 @@
   Result<Json::Value> RunCall(const std::string& address,
                               const Json::Value& params,
                               Duration timeout) {
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    const auto dropped_until_end = [&](std::unique_lock<std::mutex>& lock) {
+      if (this->dropped.count(address) == 0) {
+        return false;
+      }
+      this->changed.wait_until(lock, end, [this] { return this->joined; });
+      return true;
+    };
     Service service;
     {
       std::unique_lock lock(this->mutex);
-      if (this->dropped.count(address) > 0) {
-        this->changed.wait_for(lock, timeout, [this] { return this->joined; });
+      if (dropped_until_end(lock)) {
         return MakeError(ResultCode::kTransportTimeout);
       }
       const auto found = this->services.find(address);
@@ -98,7 +106,12 @@
       }
       service = found->second;
     }
-    return service(params);
+    Result<Json::Value> response = service(params);
+    std::unique_lock lock(this->mutex);
+    if (dropped_until_end(lock)) {
+      return MakeError(ResultCode::kTransportTimeout);
+    }
+    return response;
   }
 
   std::mutex mutex;
