Test the feed of both programs with silent replicas (red)

Twelve gateways know five replicas and five machines that are gone: the sockets of these listen and never respond. Two replicas that do not lead are stopped with SIGSTOP, and a change is acknowledged by the leader in the same moment. It must be in force at all gateways within config_apply_ms (2.0 s).

PlatformFleet can give gateways silent seeds and sends a change to a chosen replica first.

--- a/tests/platform/fleet_feed_test.cc
+++ b/tests/platform/fleet_feed_test.cc
@@ -4,6 +4,8 @@
 
 #include <signal.h>
 
+#include <chrono>
+
 #include "platform/platform_fleet.h"
 
 namespace sycamorebend::platform {
@@ -33,6 +35,43 @@
              std::string::npos);
 }
 
+// Guards against gateways that ask replicas which stopped responding, and the
+// machines of earlier ones, one after the other: a change was not in force in
+// time after its acknowledgement.
+BOOST_AUTO_TEST_CASE(ChangeIsInForceInTimeWithSilentReplicas) {
+  constexpr std::size_t kReplicas = 5;
+  constexpr std::size_t kGateways = 12;
+  constexpr std::size_t kSilentSeeds = 5;
+  // config_apply_ms of the small deployments.
+  constexpr Duration kApplyTime = seconds(2);
+  PlatformFleet fleet(kReplicas, kGateways, /*max_followers=*/64, kSilentSeeds);
+  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(1); }, kStepTimeout));
+  BOOST_TEST(
+      WaitFor([&] { return fleet.InForce(1) == kGateways; }, kStepTimeout));
+  BOOST_REQUIRE(
+      WaitFor([&] { return fleet.Voters() == kReplicas; }, kStepTimeout));
+  // Two replicas stop that gateways use and that do not lead, so that a change
+  // is acknowledged at once.
+  const std::size_t leader = fleet.Leader();
+  BOOST_REQUIRE(leader < kReplicas);
+  for (std::size_t stopped = 0, i = 0; stopped < 2; ++i) {
+    if (i != leader) {
+      fleet.Replica(i).Signal(SIGSTOP);
+      ++stopped;
+    }
+  }
+  BOOST_REQUIRE(
+      WaitFor([&] { return fleet.Replace(2, leader); }, kStepTimeout));
+  const auto acknowledged = std::chrono::steady_clock::now();
+  BOOST_TEST(
+      WaitFor([&] { return fleet.InForce(2) == kGateways; }, kStepTimeout));
+  const auto elapsed = std::chrono::steady_clock::now() - acknowledged;
+  BOOST_TEST_MESSAGE(
+      "in force after "
+      << std::chrono::duration_cast<milliseconds>(elapsed).count() << " ms");
+  BOOST_TEST((elapsed < kApplyTime));
+}
+
 // Guards against an address in the shared state or in a look-up at which the
 // named program does not serve what the address is given out for.
 BOOST_AUTO_TEST_CASE(AddressesGivenOutAreServed) {
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -1,5 +1,8 @@
 #include "platform/platform_fleet.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -42,13 +45,18 @@
 
 PlatformFleet::PlatformFleet(std::size_t replicas,
                              std::size_t gateways,
-                             std::size_t max_followers)
+                             std::size_t max_followers,
+                             std::size_t silent_seeds)
     : replica_count(replicas),
       caller_port(UnusedPort()),
       admin_port(UnusedPort()),
       api_port(UnusedPort()),
       directory_port(UnusedPort()),
       internal_port(UnusedPort()) {
+  for (std::size_t i = 0; i < silent_seeds; ++i) {
+    this->silent_ips.push_back(this->IpOf(replicas + gateways + i));
+    this->ListenSilently(this->silent_ips.back());
+  }
   for (std::size_t i = 0; i < replicas + gateways; ++i) {
     this->machines.push_back(
         this->WriteMachine(i, i < replicas, max_followers));
@@ -56,6 +64,28 @@
   }
 }
 
+PlatformFleet::~PlatformFleet() {
+  for (const int socket_fd : this->silent_sockets) {
+    close(socket_fd);
+  }
+}
+
+void PlatformFleet::ListenSilently(const std::string& ip) {
+  constexpr int kBacklog = 128;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port =
+      htons(static_cast<std::uint16_t>(std::stoi(this->internal_port)));
+  BOOST_REQUIRE(inet_pton(AF_INET, ip.c_str(), &address.sin_addr) == 1);
+  const int socket_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  BOOST_REQUIRE(socket_fd >= 0);
+  this->silent_sockets.push_back(socket_fd);
+  // Connections are accepted by the system and never read.
+  BOOST_REQUIRE(bind(socket_fd, reinterpret_cast<const sockaddr*>(&address),
+                     sizeof(address)) == 0);
+  BOOST_REQUIRE(listen(socket_fd, kBacklog) == 0);
+}
+
 void PlatformFleet::Start(std::size_t index) {
   Machine& machine = this->machines[index];
   setenv(kSettingsVariable, machine.settings_path.c_str(), 1);
@@ -65,11 +95,13 @@
 }
 
 bool PlatformFleet::PostToReplicas(const std::string& path,
-                                   const Json::Value& body) {
+                                   const Json::Value& body,
+                                   std::size_t first) {
   for (std::size_t i = 0; i < this->replica_count; ++i) {
+    const Machine& replica = this->machines[(first + i) % this->replica_count];
     HttpCall call;
     call.method = "POST";
-    call.url = "http://" + this->machines[i].ip + ":" + this->api_port + path;
+    call.url = "http://" + replica.ip + ":" + this->api_port + path;
     call.headers = {{"Content-Type", "application/json"}};
     call.body = WriteJson(body);
     call.total_timeout = kFetchTimeout;
@@ -81,7 +113,7 @@
   return false;
 }
 
-bool PlatformFleet::Replace(std::uint64_t version) {
+bool PlatformFleet::Replace(std::uint64_t version, std::size_t first) {
   Json::Value document =
       ParseJson(R"({"route_table": [{"name": "r", "hostname": "h.example",
           "path_prefix": "/a/", "route_type": "idempotent",
@@ -93,7 +125,7 @@
         "tenants": [{"name": "t", "api_keys": ["k1"], "priority": 1}]})")
           .value();
   document["version"] = Json::UInt64(version);
-  return this->PostToReplicas("/api/config/replace", document);
+  return this->PostToReplicas("/api/config/replace", document, first);
 }
 
 bool PlatformFleet::Announce(const std::string& engine,
@@ -144,15 +176,27 @@
   return response ? response.value()["snapshot"] : Json::Value();
 }
 
+Json::Value PlatformFleet::StatusAt(std::size_t replica) {
+  const Result<Json::Value> status =
+      this->rpc->Call(this->ReplicaAddress(replica), "control.status",
+                      Json::Value(Json::objectValue), kFetchTimeout);
+  return status ? status.value() : Json::Value();
+}
+
+std::size_t PlatformFleet::Leader() {
+  for (std::size_t i = 0; i < this->replica_count; ++i) {
+    if (this->StatusAt(i)["is_leader"] == Json::Value(true)) {
+      return i;
+    }
+  }
+  return this->replica_count;
+}
+
 std::size_t PlatformFleet::Voters() {
-  const Result<Json::Value> status = this->rpc->Call(
-      this->ReplicaAddress(this->replica_count - 1), "control.status",
-      Json::Value(Json::objectValue), kFetchTimeout);
+  const Json::Value status = this->StatusAt(this->replica_count - 1);
   std::size_t voters = 0;
-  if (status) {
-    for (const Json::Value& replica : status.value()["replicas"]) {
-      voters += replica["voter"].asBool() ? 1 : 0;
-    }
+  for (const Json::Value& replica : status["replicas"]) {
+    voters += replica["voter"].asBool() ? 1 : 0;
   }
   return voters;
 }
@@ -213,6 +257,13 @@
   const auto seed = [this](std::size_t i) {
     return Quoted(this->IpOf(i) + ":" + this->api_port);
   };
+  std::string seeds = "[" + seed(0) + "," + seed(1) + "," + seed(2);
+  if (!is_replica) {
+    for (const std::string& ip : this->silent_ips) {
+      seeds += "," + Quoted(ip + ":" + this->api_port);
+    }
+  }
+  seeds += "]";
   const TemplateFields fields = {
       {"ip", machine.ip},
       {"node_name|json", Quoted(name)},
@@ -221,7 +272,7 @@
       {"listen.control_plane|json", at(this->api_port)},
       {"listen.registry|json", at(this->directory_port)},
       {"internal_ports.0", this->internal_port},
-      {"seed_nodes|json", "[" + seed(0) + "," + seed(1) + "," + seed(2) + "]"},
+      {"seed_nodes|json", seeds},
       {"data_dir|json", Quoted(machine.settings_path + ".data")},
       {"fault_tolerance.nodes", "2"}};
   std::string text =
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -25,9 +25,16 @@
  public:
   // Starts all processes.
   // @param max_followers limit of each control replica.
+  // @param silent_seeds number of addresses that the gateways know beside
+  // those of replicas, as of machines that are gone: connections to these are
+  // not refused, and nothing responds.
   PlatformFleet(std::size_t replicas,
                 std::size_t gateways,
-                std::size_t max_followers);
+                std::size_t max_followers,
+                std::size_t silent_seeds = 0);
+  ~PlatformFleet();
+  PlatformFleet(const PlatformFleet&) = delete;
+  PlatformFleet& operator=(const PlatformFleet&) = delete;
 
   std::size_t Gateways() const {
     return this->machines.size() - this->replica_count;
@@ -45,8 +52,9 @@
 
   // Sends a configuration with one open route "/a/" of host "h.example" to the
   // service "app".
+  // @param first replica to which it is sent first.
   // @return true if a replica acknowledged it.
-  bool Replace(std::uint64_t version);
+  bool Replace(std::uint64_t version, std::size_t first = 0);
   // Reports an engine of the service "app" as ready.
   // @return true if a replica acknowledged it.
   bool Announce(const std::string& engine, const std::string& address);
@@ -57,6 +65,8 @@
   Json::Value LookUp(std::size_t replica);
   // @return the shared state that the control replica at `address` serves.
   Json::Value SharedStateAt(const std::string& address);
+  // @return the index of the leader; the number of replicas if there is none.
+  std::size_t Leader();
   // @return number of voters in the replica set.
   std::size_t Voters();
   std::string ReplicaAddress(std::size_t replica) const;
@@ -79,11 +89,17 @@
 
   void Start(std::size_t index);
   std::string IpOf(std::size_t index) const;
+  void ListenSilently(const std::string& ip);
+  // @return the result of `control.status` at a replica; null if it fails.
+  Json::Value StatusAt(std::size_t replica);
   Machine WriteMachine(std::size_t index,
                        bool is_replica,
                        std::size_t max_followers);
+  // @param first replica to which it is sent first.
   // @return true if a replica responded with success.
-  bool PostToReplicas(const std::string& path, const Json::Value& body);
+  bool PostToReplicas(const std::string& path,
+                      const Json::Value& body,
+                      std::size_t first = 0);
   // @return the body of a successful GET; empty if it failed.
   std::string Get(const std::string& url);
 
@@ -96,6 +112,9 @@
   const std::string internal_port;
   const std::unique_ptr<HttpClient> client = HttpClient::Create(1);
   const std::unique_ptr<RpcClient> rpc = RpcClient::Create(*client);
+  // Addresses and sockets of the silent seeds.
+  std::vector<std::string> silent_ips;
+  std::vector<int> silent_sockets;
   std::vector<Machine> machines;
 };
 
