Search a live source of the feed without waiting for silent ones

Callers saw requests handled by the older version 2.0 to 2.5 s after a change was acknowledged, when control replicas had been replaced and went silent without a reset. Gateways reported feed_resumed with gaps of 1,896 and 2,838 ms, and the entry of one expired.

Cause: a follower asked one source at a time. Each silent one cost its timeout, 0.9 s for the source in use and 0.45 s for each further one, 0.95 s each while the daemon had no state. A replica that was cut off from the quorum was kept until its confirmation age exceeded 2 s.

Now a search begins 150 ms after the wait of a poll that is not answered, or without a source. The first response that can be applied, is confirmed and has a place decides; the others are dropped. Each poll has its own time of sending and its own base state, and the version is compared with the newest state, so that a late response neither lowers the version nor counts for more than it says. From the second round on the interval doubles up to 400 ms, and a source that responds late gets a longer margin, so that an overload is not fed by searches.

Polls that were dropped are counted as "abandoned". feed_upstream_changed is written when the source in use has changed, and once a second while a search goes on.

--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -31,11 +31,22 @@
   // Entry daemons that relay the feed, tried after the control replicas.
   std::vector<std::string> relays;
   Duration poll_wait = milliseconds(500);
-  // A source that has not responded this long after `poll_wait` is replaced.
-  // A renewal that is lost with its source is thus sent again after 1.4 s,
-  // within the lease of 3 s.
+  // A source that has not responded this long after a poll's wait is replaced.
   Duration poll_timeout_margin = milliseconds(400);
-  // A source whose state was last confirmed longer ago than this is replaced.
+  // Another source is searched when the one in use has not responded this long
+  // after `poll_wait`. Its response is still awaited.
+  Duration late_response_margin = milliseconds(150);
+  // Time between the polls of a search. They do not wait for each other, so
+  // that a silent source costs this time only.
+  Duration search_interval = milliseconds(50);
+  // The same while the whole state is needed, which takes a source longer to
+  // send.
+  Duration snapshot_search_interval = milliseconds(150);
+  // Another source is searched when the state of the one in use, a control
+  // replica, was last confirmed longer ago than this. It is used until another
+  // one is found whose state was confirmed more recently.
+  Duration recent_confirmation_age = milliseconds(800);
+  // A source whose state was last confirmed longer ago than this is not used.
   Duration max_source_confirmation_age = seconds(2);
   // Maximum number of direct followers. Each occupies a thread of the RpcServer
   // that calls ServePoll.
@@ -51,8 +62,10 @@
   kRedirected,
   // No response, an error, or a response that was refused.
   kFailed,
+  // Another source responded first; a later response is ignored.
+  kAbandoned,
 };
-inline constexpr std::size_t kFeedPollOutcomes = 3;
+inline constexpr std::size_t kFeedPollOutcomes = 4;
 
 std::string_view FeedPollOutcomeName(FeedPollOutcome outcome);
 
@@ -66,8 +79,9 @@
   Duration longest_gap{0};
 };
 
-// Polls one source of the feed at a time, changes to another one when it fails,
-// and serves the feed to other daemons. Methods may be called from any thread.
+// Polls one source of the feed, searches another one among all that it knows
+// when that one fails, is late or is no longer confirmed, and serves the feed
+// to other daemons. Methods may be called from any thread.
 class FeedFollower {
  public:
   using UpdateCallback =
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -2,10 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <condition_variable>
+#include <deque>
 #include <optional>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "feed/feed_server.h"
 #include "feed/renewals.h"
@@ -20,15 +23,17 @@
 using internal::Renewal;
 using internal::RenewalTable;
 using internal::SourceList;
+using SteadyClock = std::chrono::steady_clock;
 
-// Delay after a failed poll, so that unreachable sources are not polled in a
-// busy loop.
-constexpr Duration kRetryDelay = milliseconds(50);
 // Delay after a response of a source that has no place. Limits both the time
 // until the next change arrives and the load on a replica that many daemons
 // poll in this way.
 constexpr Duration kFullSourceDelay = milliseconds(250);
 constexpr Duration kLogInterval = seconds(1);
+// Responses without a better confirmed state after which a search beside a
+// source in use ends: those of a majority that is not cut off come before. All
+// daemons search while there is no leader.
+constexpr int kMaxUnconfirmedResponses = 2;
 // Renewals older than the lease of entry daemons are not forwarded.
 constexpr Duration kMaxRenewalAge = seconds(3);
 // Maximum number of entry daemons in a chain of relays, including this one.
@@ -41,12 +46,69 @@
 // source, are shorter.
 constexpr Duration kLoggedGap = milliseconds(1500);
 
-// Call to a source that the follower's thread waits for.
-struct PollCall {
-  std::mutex mutex;
+// A poll whose response is awaited.
+struct OpenPoll {
+  std::uint64_t id = 0;
+  std::string source;
+  // State that the response may refer to, or nullptr.
+  std::shared_ptr<const SharedState> base;
+  TimePoint sent;
+};
+
+// Responses that the follower's thread has not handled yet. Calls can outlive
+// the follower.
+class ResponseQueue {
+ public:
+  struct Item {
+    std::uint64_t poll_id = 0;
+    Result<Json::Value> response;
+  };
+
+  void Add(std::uint64_t poll_id, Result<Json::Value> response) {
+    {
+      std::lock_guard lock(this->mutex);
+      if (this->stopped) {
+        return;
+      }
+      this->items.push_back({poll_id, std::move(response)});
+    }
+    this->changed.notify_all();
+  }
+
+  // Waits until there is a response, Stop was called or `end` is reached.
+  // @return the oldest response; empty if there is none.
+  std::optional<Item> Take(SteadyClock::time_point end) {
+    std::unique_lock lock(this->mutex);
+    this->changed.wait_until(
+        lock, end, [this] { return this->stopped || !this->items.empty(); });
+    if (this->stopped || this->items.empty()) {
+      return std::nullopt;
+    }
+    std::optional<Item> item(std::move(this->items.front()));
+    this->items.pop_front();
+    return item;
+  }
+
+  bool Stopped() const {
+    std::lock_guard lock(this->mutex);
+    return this->stopped;
+  }
+
+  // Responses that come later are dropped.
+  void Stop() {
+    {
+      std::lock_guard lock(this->mutex);
+      this->stopped = true;
+      this->items.clear();
+    }
+    this->changed.notify_all();
+  }
+
+ private:
+  mutable std::mutex mutex;
   std::condition_variable changed;
   bool stopped = false;
-  std::optional<Result<Json::Value>> result;
+  std::deque<Item> items;
 };
 
 class ThreadFeedFollower : public FeedFollower {
@@ -60,6 +122,7 @@
         clock(clock),
         on_update(std::move(on_update)),
         sources(this->options),
+        late_margin(this->options.late_response_margin),
         server(this->options.max_followers, clock),
         draining(this->options.self.draining) {
     this->thread = std::thread([this] { this->Run(); });
@@ -108,16 +171,7 @@
   }
 
   void Stop() override {
-    {
-      std::lock_guard lock(this->mutex);
-      this->stopping = true;
-      if (this->call != nullptr) {
-        std::lock_guard call_lock(this->call->mutex);
-        this->call->stopped = true;
-        this->call->changed.notify_all();
-      }
-    }
-    this->wake.notify_all();
+    this->responses->Stop();
     this->server.Stop();
     if (this->thread.joinable()) {
       this->thread.join();
@@ -125,83 +179,260 @@
   }
 
  private:
+  // What is known of the source of a response.
+  struct SourceReport {
+    // The source has no place for this daemon.
+    bool full = false;
+    // The source is a control replica.
+    bool is_replica = false;
+    Duration confirmation_age = Duration::max();
+  };
+
   void Run() {
-    std::string source = this->sources.Next(nullptr);
-    while (!this->Stopping()) {
-      std::string reason;
-      const FeedPollOutcome outcome = this->Poll(source, reason);
-      this->CountPoll(outcome);
-      if (outcome == FeedPollOutcome::kApplied) {
-        continue;
+    this->StartSearch({}, "this daemon starts", Duration(0));
+    while (!this->responses->Stopped()) {
+      this->SendDuePolls();
+      const SteadyClock::time_point next =
+          this->searching ? this->next_search_poll : this->late_at;
+      if (std::optional<ResponseQueue::Item> item =
+              this->responses->Take(next)) {
+        this->HandleResponse(*item);
       }
-      const std::string next = this->ChooseNext(source);
-      this->LogChange(source, next, reason);
-      source = next;
-      this->WaitBeforeRetry(outcome == FeedPollOutcome::kRedirected
-                                ? kFullSourceDelay
-                                : kRetryDelay);
     }
   }
 
-  // @return the source to try after `source`, which did not admit this daemon.
-  std::string ChooseNext(const std::string& source) {
-    // The search for a place must not hold up changes.
-    const bool late =
-        this->last_news.has_value() &&
-        this->clock.Now() - *this->last_news >= this->options.poll_wait;
-    if (late && !this->full_source.empty() && source != this->full_source) {
-      return this->full_source;
+  // Polls the source in use unless a poll of it is open, and the next source of
+  // a search when that is due.
+  void SendDuePolls() {
+    const SteadyClock::time_point now = SteadyClock::now();
+    if (!this->followed.empty() && !this->IsOpen(this->followed)) {
+      this->SendPoll(this->followed, this->options.poll_wait);
+      this->late_at = now + this->options.poll_wait + this->late_margin;
+    }
+    if (!this->searching && now >= this->late_at) {
+      this->StartSearch(this->followed, "the source has not responded in time",
+                        Duration(0));
+    }
+    if (this->searching && now >= this->next_search_poll) {
+      this->SendSearchPoll();
     }
-    return this->sources.Next(this->server.Current());
   }
 
-  // Logs that another source is tried, at most once in kLogInterval.
-  void LogChange(const std::string& from,
-                 const std::string& to,
-                 const std::string& reason) {
-    ++this->changes_not_logged;
-    const TimePoint now = this->clock.Now();
-    if (from == to || now < this->next_log || this->Stopping()) {
+  // Searches another source than `last`.
+  void StartSearch(const std::string& last,
+                   std::string reason,
+                   Duration delay) {
+    this->searching = true;
+    this->next_search_poll = SteadyClock::now() + delay;
+    this->search_rounds = 0;
+    this->unconfirmed_responses = 0;
+    this->left_reason = std::move(reason);
+    this->next_log = this->clock.Now() + kLogInterval;
+    this->sources.Restart(this->server.Current(), last);
+  }
+
+  // Ends a search, as `followed` responds. Other responses are not awaited any
+  // more.
+  void EndSearch() {
+    this->searching = false;
+    this->full_source.clear();
+    for (const OpenPoll& poll : this->open_polls) {
+      if (poll.source != this->followed) {
+        this->CountPoll(FeedPollOutcome::kAbandoned);
+      }
+    }
+    this->open_polls.erase(
+        std::remove_if(this->open_polls.begin(), this->open_polls.end(),
+                       [this](const OpenPoll& poll) {
+                         return poll.source != this->followed;
+                       }),
+        this->open_polls.end());
+  }
+
+  void SendSearchPoll() {
+    const SteadyClock::time_point now = SteadyClock::now();
+    if (!this->IsLate() && !this->followed.empty() &&
+        this->sources.RoundDone()) {
+      // The source in use responds, and none is better: all were asked.
+      this->searching = false;
       return;
     }
-    this->next_log = now + kLogInterval;
+    this->search_rounds += this->sources.RoundDone() ? 1 : 0;
+    std::string source;
+    if (!this->full_source.empty() && !this->IsOpen(this->full_source) &&
+        now >= this->next_full_source_poll) {
+      // The search for a place must not hold up changes.
+      source = std::exchange(this->full_source, std::string());
+    } else {
+      source = this->NextSource();
+    }
+    this->next_search_poll = now + this->SearchInterval();
+    if (!source.empty()) {
+      this->LogSearch(source);
+      // Without a wait, so that it is known soon whether the source responds.
+      this->SendPoll(source, Duration(0));
+    }
+  }
+
+  Duration SearchInterval() const {
+    if (!this->full_source.empty()) {
+      return kFullSourceDelay;
+    }
+    Duration interval = this->NeedsSnapshot()
+                            ? this->options.snapshot_search_interval
+                            : this->options.search_interval;
+    // When all sources respond late, further polls must not add to their load.
+    for (int round = 0; round < this->search_rounds &&
+                        interval < this->options.poll_timeout_margin;
+         ++round) {
+      interval *= 2;
+    }
+    return interval;
+  }
+
+  // @return the next source without an open poll; empty if there is none.
+  std::string NextSource() {
+    std::string first_skipped;
+    for (;;) {
+      std::string source = this->sources.Next(this->server.Current());
+      if (source.empty() || source == first_skipped) {
+        return {};
+      }
+      if (!this->IsOpen(source)) {
+        return source;
+      }
+      if (first_skipped.empty()) {
+        first_skipped = std::move(source);
+      }
+    }
+  }
+
+  bool IsOpen(const std::string& source) const {
+    return std::any_of(
+        this->open_polls.begin(), this->open_polls.end(),
+        [&](const OpenPoll& poll) { return poll.source == source; });
+  }
+
+  // @return true if the source in use has not responded in time.
+  bool IsLate() const {
+    return !this->followed.empty() && SteadyClock::now() >= this->late_at;
+  }
+
+  bool NeedsSnapshot() const {
+    return this->needs_snapshot || this->server.Current() == nullptr;
+  }
+
+  // Logs that a search goes on, at most once in kLogInterval.
+  void LogSearch(const std::string& source) {
+    ++this->search_polls;
+    const TimePoint now = this->clock.Now();
+    if (now >= this->next_log) {
+      this->next_log = now + kLogInterval;
+      this->LogChange(source);
+    }
+  }
+
+  void LogChange(const std::string& to) {
     LogEvent(Severity::kInfo, Event::kFeedUpstreamChanged,
-             {{"from", from},
+             {{"from", this->used_source},
               {"to", to},
-              {"reason", reason},
-              {"changes", std::exchange(this->changes_not_logged, 0)}});
+              {"reason", this->left_reason},
+              {"changes", std::exchange(this->search_polls, 0)}});
   }
 
-  bool Stopping() const {
-    std::lock_guard lock(this->mutex);
-    return this->stopping;
+  void UseSource(const std::string& source) {
+    this->followed = source;
+    // The first source of all needs no line.
+    if (source != this->used_source &&
+        (!this->used_source.empty() || this->search_polls > 1)) {
+      this->LogChange(source);
+    }
+    this->used_source = source;
+    this->EndSearch();
   }
 
-  void WaitBeforeRetry(Duration delay) {
-    std::unique_lock lock(this->mutex);
-    this->wake.wait_for(lock, delay, [this] { return this->stopping; });
+  void HandleResponse(const ResponseQueue::Item& item) {
+    const auto open = std::find_if(
+        this->open_polls.begin(), this->open_polls.end(),
+        [&](const OpenPoll& poll) { return poll.id == item.poll_id; });
+    if (open == this->open_polls.end()) {
+      return;
+    }
+    const OpenPoll poll = std::move(*open);
+    this->open_polls.erase(open);
+    SourceReport report;
+    const Status applied = this->Apply(poll, item.response, report);
+    if (!applied || report.full) {
+      this->CountPoll(applied ? FeedPollOutcome::kRedirected
+                              : FeedPollOutcome::kFailed);
+      const Error error =
+          applied ? Error{ResultCode::kQueueFull,
+                          "the source has its maximum number of followers"}
+                  : applied.error();
+      this->HandleUnusable(poll.source, error, report.full);
+      if (report.full) {
+        this->sources.AddRedirects(item.response.value()["relays"]);
+      }
+      return;
+    }
+    this->CountPoll(FeedPollOutcome::kApplied);
+    const bool recent =
+        report.confirmation_age <= this->options.recent_confirmation_age;
+    if (poll.source == this->followed) {
+      this->late_margin = this->IsLate()
+                              ? std::min(this->late_margin * 2,
+                                         this->options.poll_timeout_margin)
+                              : this->options.late_response_margin;
+      if (recent || !report.is_replica) {
+        this->EndSearch();
+      } else if (!this->searching) {
+        this->StartSearch(poll.source,
+                          "the source's state was not confirmed recently",
+                          Duration(0));
+      }
+    } else if (recent || this->followed.empty() || this->IsLate()) {
+      this->late_margin = this->options.late_response_margin;
+      this->UseSource(poll.source);
+    } else {
+      this->CountUnconfirmed();
+    }
   }
 
-  // Polls `source` once and applies its response.
-  // @param reason set if another source must be tried.
-  FeedPollOutcome Poll(const std::string& source, std::string& reason) {
-    bool full = false;
-    const Status polled = source.empty()
-                              ? MakeError(ResultCode::kConnectFailed,
-                                          "no source of the feed is known")
-                              : this->SendPoll(source, full);
-    if (polled && !full) {
-      this->followed = source;
-      this->full_source.clear();
-      return FeedPollOutcome::kApplied;
+  // Ends the search beside a source in use that responds when others are not
+  // confirmed either.
+  void CountUnconfirmed() {
+    if (!this->followed.empty() && !this->IsLate() &&
+        ++this->unconfirmed_responses >= kMaxUnconfirmedResponses) {
+      this->searching = false;
+    }
+  }
+
+  // Continues the search after the poll of a source that cannot be used.
+  void HandleUnusable(const std::string& source,
+                      const Error& error,
+                      bool full) {
+    const Duration delay =
+        full ? kFullSourceDelay : this->options.search_interval;
+    if (source == this->followed) {
+      this->followed.clear();
+      if (!this->searching) {
+        this->StartSearch(source, error.message, delay);
+      }
+    }
+    if (!this->followed.empty()) {
+      if (error.code == ResultCode::kConfigurationUnconfirmed) {
+        this->CountUnconfirmed();
+      }
+      return;
     }
-    this->followed.clear();
-    if (!polled && source == this->full_source) {
-      this->full_source.clear();
+    this->left_reason = error.message;
+    const SteadyClock::time_point next = SteadyClock::now() + delay;
+    if (full) {
+      this->next_search_poll = std::max(this->next_search_poll, next);
+    } else if (this->full_source.empty() &&
+               error.code != ResultCode::kTransportTimeout) {
+      this->next_search_poll = std::min(this->next_search_poll, next);
     }
-    reason = polled ? "the source has its maximum number of followers"
-                    : polled.error().message;
-    return polled ? FeedPollOutcome::kRedirected : FeedPollOutcome::kFailed;
   }
 
   void CountPoll(FeedPollOutcome outcome) {
@@ -219,7 +450,9 @@
       std::lock_guard lock(this->mutex);
       gap = now - this->last_news.value_or(now);
       this->last_news = now;
-      failed_polls = std::exchange(this->failed_in_gap, 0);
+      // Those that are still open were not answered either.
+      failed_polls =
+          std::exchange(this->failed_in_gap, 0) + this->open_polls.size();
       this->status.source = source;
       this->status.longest_gap = std::max(this->status.longest_gap, gap);
     }
@@ -231,36 +464,51 @@
     }
   }
 
-  // @param full set if the source has no place for this daemon.
-  Status SendPoll(const std::string& source, bool& full) {
-    const std::shared_ptr<const SharedState> base = this->server.Current();
-    const TimePoint sent = this->clock.Now();
-    const bool snapshot = base == nullptr || this->needs_snapshot;
-    // A source that did not respond to the last poll is asked without a wait,
-    // so that it is known soon whether it is silent.
-    const Duration wait =
-        source == this->followed ? this->options.poll_wait : Duration(0);
+  void SendPoll(const std::string& source, Duration wait) {
+    const bool snapshot = this->NeedsSnapshot();
+    const std::shared_ptr<const SharedState> base =
+        snapshot ? nullptr : this->server.Current();
     const Duration timeout = (snapshot ? this->options.poll_wait : wait) +
                              this->options.poll_timeout_margin;
-    BOOST_OUTCOME_TRY(
-        response,
-        this->Call(source, this->Params(snapshot ? nullptr : base, wait, sent),
-                   timeout));
+    const TimePoint sent = this->clock.Now();
+    const std::uint64_t id = ++this->last_poll_id;
+    this->open_polls.push_back({id, source, base, sent});
+    this->rpc.CallAsync(
+        source, std::string(kFeedPollMethod), this->Params(base, wait, sent),
+        timeout, [queue = this->responses, id](Result<Json::Value> response) {
+          queue->Add(id, std::move(response));
+        });
+  }
+
+  // Applies the response to `poll`.
+  // @return an error if it cannot be applied, or if its state was not confirmed
+  // recently.
+  Status Apply(const OpenPoll& poll,
+               const Result<Json::Value>& result,
+               SourceReport& report) {
+    if (!result) {
+      return result.error();
+    }
+    const Json::Value& response = result.value();
     if (!response.isObject()) {
       return MakeError(ResultCode::kProtocolError,
                        "the feed response is not an object");
     }
-    full = response["busy"] == Json::Value(true);
-    if (full) {
-      this->sources.AddRedirects(response["relays"]);
-      if (!response.isMember("epoch")) {
-        // A source of an earlier release sends no changes then.
-        return Success();
-      }
-      this->full_source = source;
+    report.full = response["busy"] == Json::Value(true);
+    if (report.full && !response.isMember("epoch")) {
+      // A source of an earlier release sends no changes then.
+      return Success();
+    }
+    BOOST_OUTCOME_TRYV(this->ApplyState(response, poll));
+    report.is_replica = response["path"].empty();
+    report.confirmation_age =
+        milliseconds(response["confirmed_age_ms"].asInt64());
+    if (report.full) {
+      this->full_source = poll.source;
     }
-    BOOST_OUTCOME_TRYV(this->ApplyResponse(response, base, sent));
-    this->RecordNews(source);
+    this->next_full_source_poll = SteadyClock::now() + this->options.poll_wait;
+    this->search_rounds = 0;
+    this->RecordNews(poll.source);
     return Success();
   }
 
@@ -280,58 +528,34 @@
     return params;
   }
 
-  Result<Json::Value> Call(const std::string& source,
-                           const Json::Value& params,
-                           Duration timeout) {
-    auto started = std::make_shared<PollCall>();
-    {
-      std::lock_guard lock(this->mutex);
-      if (this->stopping) {
-        return MakeError(ResultCode::kCancelled);
-      }
-      this->call = started;
-    }
-    this->rpc.CallAsync(source, std::string(kFeedPollMethod), params, timeout,
-                        [started](Result<Json::Value> result) {
-                          std::lock_guard lock(started->mutex);
-                          started->result.emplace(std::move(result));
-                          started->changed.notify_all();
-                        });
-    std::unique_lock lock(started->mutex);
-    started->changed.wait(
-        lock, [&] { return started->stopped || started->result.has_value(); });
-    if (!started->result) {
-      return MakeError(ResultCode::kCancelled);
-    }
-    return std::move(*started->result);
-  }
-
-  Status ApplyResponse(const Json::Value& response,
-                       const std::shared_ptr<const SharedState>& base,
-                       TimePoint sent) {
-    BOOST_OUTCOME_TRY(this->CheckOrigin(response, base));
+  Status ApplyState(const Json::Value& response, const OpenPoll& poll) {
+    // Responses to other polls can have replaced the state that this poll
+    // named.
+    const std::shared_ptr<const SharedState> current = this->server.Current();
+    BOOST_OUTCOME_TRY(this->CheckOrigin(response, current));
     Result<std::shared_ptr<const SharedState>> read =
-        internal::ReadFeedResponse(response, base);
+        internal::ReadFeedResponse(response, poll.base);
     // Changes of a record that is missing here cannot be applied.
     this->needs_snapshot = !read;
     BOOST_OUTCOME_TRY(state, std::move(read));
+    const bool is_new = current == nullptr || state->version > current->version;
     const Json::Int64 age_ms = response["confirmed_age_ms"].asInt64();
     {
       std::lock_guard lock(this->mutex);
       this->path = response["path"];
     }
-    if (state != base) {
-      LogUnreadable(*state, base);
+    if (is_new) {
+      LogUnreadable(*state, current);
       this->server.Publish(state);
     }
     if (age_ms >= 0) {
       // Measured from when the poll was sent, so that the age includes the time
       // in transit and in the source's queue.
-      const TimePoint at = sent - milliseconds(age_ms);
+      const TimePoint at = poll.sent - milliseconds(age_ms);
       std::lock_guard lock(this->mutex);
       this->confirmed = std::max(this->confirmed.value_or(at), at);
     }
-    if (state != base && this->on_update) {
+    if (is_new && this->on_update) {
       this->on_update(state);
     }
     if (age_ms < 0 ||
@@ -344,9 +568,9 @@
 
   // Rejects responses from another deployment, from a source that follows this
   // daemon or is too many relays away from the control replicas, and with a
-  // version lower than that of `base`.
+  // version lower than that of `current`.
   Status CheckOrigin(const Json::Value& response,
-                     const std::shared_ptr<const SharedState>& base) const {
+                     const std::shared_ptr<const SharedState>& current) const {
     const Json::Value& version = response["version"];
     const Json::Value& path_to_source = response["path"];
     const bool well_formed =
@@ -357,15 +581,15 @@
                        "the feed response lacks a valid epoch, version, "
                        "confirmed_age_ms or path");
     }
-    if (base != nullptr && response["epoch"] != base->epoch) {
+    if (current != nullptr && response["epoch"] != current->epoch) {
       return MakeError(ResultCode::kProtocolError,
                        "the source belongs to another deployment");
     }
-    if (base != nullptr && version.asUInt64() < base->version) {
+    if (current != nullptr && version.asUInt64() < current->version) {
       return MakeError(
           ResultCode::kConfigurationUnconfirmed,
           fmt::format("the source has version {}, below version {}",
-                      version.asUInt64(), base->version));
+                      version.asUInt64(), current->version));
     }
     const Json::Value self(this->options.self.entry_id);
     if (path_to_source.size() >= kMaxPathLength ||
@@ -395,25 +619,43 @@
   RpcClient& rpc;
   const Clock& clock;
   const UpdateCallback on_update;
+  const std::shared_ptr<ResponseQueue> responses =
+      std::make_shared<ResponseQueue>();
   // Used only by the follower's thread.
   SourceList sources;
   // The last response could not be applied to the current state.
   bool needs_snapshot = false;
-  // Source that has a place for this daemon and responded to the last poll;
-  // empty while one is searched.
+  std::vector<OpenPoll> open_polls;
+  std::uint64_t last_poll_id = 0;
+  // Source in use: it has a place for this daemon and responded to a poll.
+  // Empty if there is none.
   std::string followed;
+  // The response of the source in use is late from this time on.
+  SteadyClock::time_point late_at;
+  // Another source than the one in use is searched.
+  bool searching = false;
+  SteadyClock::time_point next_search_poll;
   // Source that responds but has no place; empty if none is known.
   std::string full_source;
-  // Changes of the source since the last one that was logged.
-  std::uint64_t changes_not_logged = 0;
+  // Time at which that one is asked again if none has responded before.
+  SteadyClock::time_point next_full_source_poll;
+  // Sources were all asked so many times by this search.
+  int search_rounds = 0;
+  // Responses to this search whose state was not confirmed recently.
+  int unconfirmed_responses = 0;
+  // Time after the wait of a poll from which the source in use is late. Longer
+  // after late responses, so that a slow source is not taken for a silent one.
+  Duration late_margin;
+  // Last source in use, and why it or another one could not be used.
+  std::string used_source;
+  std::string left_reason;
+  // Polls of searches since the last one that was logged.
+  std::uint64_t search_polls = 0;
   TimePoint next_log;
   internal::FeedServer server;
   mutable std::mutex mutex;
-  std::condition_variable wake;
   RenewalTable renewals;
   bool draining;
-  bool stopping = false;
-  std::shared_ptr<PollCall> call;
   // A quorum confirmed the current state at this time or later.
   std::optional<TimePoint> confirmed;
   FeedFollowerStatus status;
@@ -431,7 +673,7 @@
 
 std::string_view FeedPollOutcomeName(FeedPollOutcome outcome) {
   static constexpr std::array<std::string_view, kFeedPollOutcomes> kNames = {
-      "applied", "redirected", "failed"};
+      "applied", "redirected", "failed", "abandoned"};
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
--- a/src/feed/source_list.cc
+++ b/src/feed/source_list.cc
@@ -33,6 +33,15 @@
   return next;
 }
 
+void SourceList::Restart(const std::shared_ptr<const SharedState>& state,
+                         const std::string& left_source) {
+  this->remaining.clear();
+  this->Refill(state);
+  this->remaining.erase(
+      std::remove(this->remaining.begin(), this->remaining.end(), left_source),
+      this->remaining.end());
+}
+
 void SourceList::AddRedirects(const Json::Value& relays) {
   std::vector<std::string> addresses;
   for (const Json::Value& relay : relays) {
--- a/src/feed/source_list.h
+++ b/src/feed/source_list.h
@@ -24,6 +24,13 @@
   // @return the next source; empty if there is none.
   std::string Next(const std::shared_ptr<const SharedState>& state);
 
+  // Begins a new round, without `left_source`.
+  void Restart(const std::shared_ptr<const SharedState>& state,
+               const std::string& left_source);
+
+  // @return true if all sources of this round were returned.
+  bool RoundDone() const { return this->remaining.empty(); }
+
   // Adds the addresses to which a busy source redirects. They are tried next.
   void AddRedirects(const Json::Value& relays);
 
--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -4,6 +4,7 @@
 #include <json/writer.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <functional>
 #include <map>
@@ -167,8 +168,8 @@
                 int count,
                 int place)
       : rpc(rpc), clock(clock) {
-    this->options.self = {"e" + std::to_string(number), "127.0.0.1:8001", "a",
-                          "1", false, ""};
+    this->options.self = {
+        "e" + std::to_string(number), "127.0.0.1:8001", "a", "1", false, ""};
     for (int i = 0; i < count; ++i) {
       this->options.replicas.push_back("127.1." + std::to_string(number) + "." +
                                        std::to_string(i + 1) + ":7000");
@@ -204,10 +205,8 @@
 };
 
 // @return one daemon for each place of the source that stays reachable.
-std::vector<std::unique_ptr<SilentSources>> DaemonsOfAllOrders(
-    LocalRpc& rpc,
-    const Clock& clock,
-    Replica& replica) {
+std::vector<std::unique_ptr<SilentSources>>
+DaemonsOfAllOrders(LocalRpc& rpc, const Clock& clock, Replica& replica) {
   std::vector<std::unique_ptr<SilentSources>> daemons;
   for (const int count : {3, 5, 10}) {
     for (int place = 0; place < count; ++place) {
@@ -640,11 +639,119 @@
   other.Drain("s1");
   const auto start = std::chrono::steady_clock::now();
   BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 2; }));
-  BOOST_TEST((std::chrono::steady_clock::now() - start <
-              kConfigurationApplyTime / 2));
+  BOOST_TEST(
+      (std::chrono::steady_clock::now() - start < kConfigurationApplyTime / 2));
+  follower->Stop();
+}
+
+// Guards against a late response of a poll that the follower gave up, which
+// lowers the version or counts as a confirmation.
+BOOST_FIXTURE_TEST_CASE(LateResponseOfAnAbandonedPollHasNoEffect, Fixture) {
+  std::atomic<bool> released{false};
+  std::atomic<bool> responded{false};
+  std::atomic<int> polls{0};
+  FeedFollowerOptions options;
+  options.self = {"e1", "127.0.0.1:8001", "a", "1", false, ""};
+  options.replicas = {kReplica1, kReplica2};
+  internal::SourceList order(options);
+  rpc.Serve(order.Next(nullptr), [&](const Json::Value&) {
+    BOOST_TEST(Eventually([&] { return released.load(); }));
+    responded = true;
+    return FakeResponse("x", 5, 0);
+  });
+  rpc.Serve(order.Next(nullptr),
+            [&](const Json::Value&) -> Result<Json::Value> {
+              if (++polls == 1) {
+                return FakeResponse("x", 7, 500);
+              }
+              return MakeError(ResultCode::kConnectFailed);
+            });
+  const auto follower = FeedFollower::Start(options, rpc, clock, nullptr);
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 7; }));
+  clock.Advance(seconds(3));
+  released = true;
+  BOOST_TEST(Eventually([&] { return responded.load(); }));
+  const int before = polls;
+  BOOST_TEST(Eventually([&] { return polls > before + 4; }));
+  BOOST_TEST(VersionOf(*follower) == 7U);
+  BOOST_TEST((follower->ConfirmationAge() >= milliseconds(3500)));
+  const FeedFollowerStatus status = follower->GetStatus();
+  BOOST_TEST(
+      status.polls[static_cast<std::size_t>(FeedPollOutcome::kAbandoned)] >=
+      1U);
   follower->Stop();
 }
 
+// Guards against a search that goes on while the source in use responds: each
+// of hundreds of daemons would poll all sources all the time.
+BOOST_FIXTURE_TEST_CASE(OneSourceIsPolledWhileItResponds, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  SilentSources daemon(rpc, clock, replica, 1, 3, 0);
+  daemon.options.poll_wait = milliseconds(20);
+  // A pause of the test is not a late response.
+  daemon.options.late_response_margin = seconds(3600);
+  daemon.Start();
+  BOOST_TEST(Eventually([&] { return VersionOf(*daemon.follower) == 1; }));
+  const auto calls = [&] {
+    std::vector<int> sorted;
+    for (const std::string& source : daemon.options.replicas) {
+      sorted.push_back(rpc.Calls(source));
+    }
+    std::sort(sorted.begin(), sorted.end());
+    return sorted;
+  };
+  BOOST_TEST(Eventually([&] { return calls()[2] > 5; }));
+  const std::vector<int> before = calls();
+  BOOST_TEST(Eventually([&] { return calls()[2] > before[2] + 20; }));
+  BOOST_TEST(calls()[0] == before[0]);
+  BOOST_TEST(calls()[1] == before[1]);
+  daemon.follower->Stop();
+}
+
+// Guards against a follower without a source, or one that changes it with each
+// poll, while no replica reaches the quorum.
+BOOST_FIXTURE_TEST_CASE(SourceIsKeptWhileNoneIsConfirmed, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  replica.Init();
+  replica.log.age = kConfigurationApplyTime / 2;
+  std::array<std::atomic<int>, 2> held_polls{};
+  for (std::size_t i = 0; i < held_polls.size(); ++i) {
+    rpc.Serve(i == 0 ? kReplica1 : kReplica2,
+              [&, i](const Json::Value& params) {
+                held_polls[i] += params["wait_ms"].asInt() > 0 ? 1 : 0;
+                return replica.source->ServePoll(params);
+              });
+  }
+  FeedFollowerOptions options;
+  options.self = {"e1", "127.0.0.1:8001", "a", "1", false, ""};
+  options.replicas = {kReplica1, kReplica2};
+  options.poll_wait = milliseconds(20);
+  options.late_response_margin = seconds(3600);
+  const auto follower = FeedFollower::Start(options, rpc, clock, nullptr);
+  BOOST_TEST(Eventually([&] { return held_polls[0] + held_polls[1] > 20; }));
+  BOOST_TEST((held_polls[0] == 0 || held_polls[1] == 0));
+  replica.Drain("s1");
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 2; }));
+  follower->Stop();
+}
+
+// Guards against a Stop that waits for the responses to the polls of a search.
+BOOST_FIXTURE_TEST_CASE(StopEndsASearch, Fixture) {
+  Replica replica(rpc, clock, kReplica1);
+  SilentSources daemon(rpc, clock, replica, 1, 5, 0);
+  // Longer than the test may take.
+  daemon.options.poll_timeout_margin = seconds(3600);
+  for (const std::string& source : daemon.options.replicas) {
+    rpc.DropCalls(source);
+  }
+  daemon.Start();
+  for (const std::string& source : daemon.options.replicas) {
+    BOOST_TEST(Eventually([&] { return rpc.Calls(source) == 1; }));
+  }
+  daemon.follower->Stop();
+}
+
 // Guards against expiring live entry daemons when the leader changes, and
 // against keeping a dead one in the shared state, from which callers get their
 // addresses.
