Let tests replace every change of the storage's files

FileStorage removed files and cut torn tails with the system calls themselves, so a simulated disk did not see them. FileCalls gets Open and Remove, and LoadIdentity a parameter for the sync that it needs. No change of behaviour.

--- a/src/consensus/file_storage.cc
+++ b/src/consensus/file_storage.cc
@@ -347,7 +347,7 @@
   for (const auto& item : fs::directory_iterator(this->directory, error)) {
     const std::string name = item.path().filename().string();
     if (item.path().extension() == kTemporarySuffix) {
-      fs::remove(item.path(), error);
+      this->DeleteFile(item.path());
     } else if (const auto segment = ParseFileNumber(kSegmentPrefix, name)) {
       this->segments.push_back({*segment, 0});
     } else if (const auto index = ParseFileNumber(kSnapshotPrefix, name)) {
@@ -436,10 +436,10 @@
   LogEvent(Severity::kWarning, Event::kLogTailCut,
            {{"file", path.string()},
             {"offset", static_cast<std::uint64_t>(offset)}});
-  const FileDescriptor file(::open(path.c_str(), O_WRONLY));
-  if (file.Get() < 0 ||
-      ::ftruncate(file.Get(), static_cast<off_t>(offset)) != 0 ||
-      ::fsync(file.Get()) != 0) {
+  FileCalls& calls = *this->options.calls;
+  const FileDescriptor file(calls.Open(path.string()));
+  if (file.Get() < 0 || calls.Truncate(file.Get(), offset) != 0 ||
+      calls.Sync(file.Get()) != 0) {
     return MakeError(ResultCode::kStorageFailed,
                      "cannot truncate " + path.string());
   }
@@ -653,9 +653,8 @@
 }
 
 void FileStorage::DeleteFile(const fs::path& path) {
-  std::error_code error;
-  fs::remove(path, error);
   // If this fails, a later snapshot removes the file or Load ignores it.
+  this->options.calls->Remove(path.string());
 }
 
 bool FileStorage::WriteFileAtomically(const fs::path& path,
@@ -764,6 +763,14 @@
                 O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
 }
 
+int FileCalls::Open(const std::string& path) {
+  return ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
+}
+
+int FileCalls::Remove(const std::string& path) {
+  return ::unlink(path.c_str()) == 0 ? 0 : errno;
+}
+
 int FileCalls::Rename(const std::string& from, const std::string& to) {
   return ::rename(from.c_str(), to.c_str()) == 0 ? 0 : errno;
 }
--- a/src/consensus/file_storage.h
+++ b/src/consensus/file_storage.h
@@ -18,13 +18,19 @@
 
 namespace sycamorebend::internal {
 
-// Changes files. Tests override this to simulate a full or failing disk.
+// Changes files. Tests override this to simulate a full or failing disk, kills
+// and losses of power.
 class FileCalls {
  public:
   virtual ~FileCalls() = default;
   // Opens an empty file for appending.
   // @return the descriptor, or -1 with errno set.
   virtual int Create(const std::string& path);
+  // Opens an existing file for writing.
+  // @return the descriptor, or -1 with errno set.
+  virtual int Open(const std::string& path);
+  // @return 0 or an errno value.
+  virtual int Remove(const std::string& path);
   // @return 0 or an errno value.
   virtual int Rename(const std::string& from, const std::string& to);
   // @return 0 or an errno value.
--- a/src/controld/replica_identity.cc
+++ b/src/controld/replica_identity.cc
@@ -81,7 +81,8 @@
 }
 
 Result<std::optional<ReplicaIdentity>> LoadIdentity(
-    const std::string& directory) {
+    const std::string& directory,
+    const std::function<int(int file)>& /*sync*/) {
   const fs::path path = fs::path(directory) / kIdentityFile;
   std::ifstream file(path);
   if (!file) {
--- a/src/controld/replica_identity.h
+++ b/src/controld/replica_identity.h
@@ -4,6 +4,9 @@
 #ifndef SYCAMOREBEND_SRC_CONTROLD_REPLICA_IDENTITY_H_
 #define SYCAMOREBEND_SRC_CONTROLD_REPLICA_IDENTITY_H_
 
+#include <unistd.h>
+
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,10 +31,13 @@
     std::vector<std::string> seeds,
     const std::string& own_address);
 
+// @param sync syncs the file or directory of a descriptor; -1 with errno set is
+// a failure.
 // @return the identity stored in `directory`, nothing if there is none, or
 // kLogCorrupt.
 Result<std::optional<ReplicaIdentity>> LoadIdentity(
-    const std::string& directory);
+    const std::string& directory,
+    const std::function<int(int file)>& sync = ::fsync);
 
 // Replaces the stored identity durably and atomically.
 // @return kStorageFailed naming the file.
