--- a/tests/control/replica_manager_test.cc
+++ b/tests/control/replica_manager_test.cc
@@ -1,5 +1,8 @@
 #include "controld/replica_manager.h"
 
+#include <sys/stat.h>
+
+#include <cerrno>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -145,6 +148,31 @@
   std::filesystem::remove_all(directory);
 }
 
+// Guards against an identity that a killed process had renamed into place
+// without a sync of the directory: it was used, and a later loss of power left
+// the log of a replica that no longer knew its ID.
+BOOST_AUTO_TEST_CASE(IdentityIsDurableBeforeItIsUsed) {
+  const std::string directory = TemporaryDirectory();
+  BOOST_REQUIRE(StoreIdentity(directory, {9, {}}));
+  int directory_syncs = 0;
+  const auto sync = [&](int file) {
+    struct stat status = {};
+    directory_syncs +=
+        ::fstat(file, &status) == 0 && S_ISDIR(status.st_mode) ? 1 : 0;
+    return 0;
+  };
+  BOOST_TEST(LoadIdentity(directory, sync).value()->id == 9U);
+  BOOST_TEST(directory_syncs == 1);
+  const auto failing_sync = [](int /*file*/) {
+    errno = EIO;
+    return -1;
+  };
+  const auto loaded = LoadIdentity(directory, failing_sync);
+  BOOST_REQUIRE(!loaded);
+  BOOST_TEST((loaded.error().code == ResultCode::kStorageFailed));
+  std::filesystem::remove_all(directory);
+}
+
 // Guards against a new leader that marks live servers silent, and against lost
 // servers that are never removed.
 BOOST_AUTO_TEST_CASE(ServersGetAFullLeaseAtANewLeader) {
