Sync what a start relies on before it is used

Cause: FileStorage::Load counted every complete record of the last segment as durable, though no sync covered those that a killed process had only written. Nothing synced that file later, as a start begins a new segment.

Change: Load syncs the last segment and then the directory before it returns, and LoadIdentity syncs the directory. Older segments and the content of renamed files were synced before the next name was changed. A start takes three more syncs.

--- a/src/consensus/file_storage.cc
+++ b/src/consensus/file_storage.cc
@@ -221,6 +221,7 @@
                     StoredState& state);
   Status AddEntry(Entry entry, StoredState& state);
   Status TruncateTornTail(const fs::path& path, std::size_t offset);
+  Status SyncLoaded();
 
   void RunSyncThread();
   bool StoreBatch(std::vector<Write>& batch);
@@ -295,6 +296,7 @@
     this->next_segment = this->segments.back().number;
     this->segments.pop_back();
   }
+  BOOST_OUTCOME_TRYV(this->SyncLoaded());
   this->hard_state = state.hard_state;
   this->thread = std::thread([this] { this->RunSyncThread(); });
   return state;
@@ -446,6 +448,30 @@
   return Success();
 }
 
+// A process that was killed may have left records that it did not sync in the
+// last segment, and names that it did not sync. They are relied on after Load,
+// so a later loss of power must not take them away. Older segments and the
+// content of renamed files are synced before the next name is changed.
+Status FileStorage::SyncLoaded() {
+  FileCalls& calls = *this->options.calls;
+  int error = 0;
+  if (!this->segments.empty()) {
+    const FileDescriptor file(
+        calls.Open(this->SegmentPath(this->segments.back().number).string()));
+    error = file.Get() < 0 ? errno : calls.Sync(file.Get());
+  }
+  if (error == 0) {
+    error = calls.Sync(this->directory_file.Get());
+  }
+  if (error != 0) {
+    return MakeError(
+        ResultCode::kStorageFailed,
+        fmt::format("cannot sync the files in {}: {}", this->directory.string(),
+                    std::generic_category().message(error)));
+  }
+  return Success();
+}
+
 Status FileStorage::ApplyFrame(std::string_view payload,
                                const fs::path& path,
                                std::size_t offset,
--- a/src/controld/replica_identity.cc
+++ b/src/controld/replica_identity.cc
@@ -82,7 +82,7 @@
 
 Result<std::optional<ReplicaIdentity>> LoadIdentity(
     const std::string& directory,
-    const std::function<int(int file)>& /*sync*/) {
+    const std::function<int(int file)>& sync) {
   const fs::path path = fs::path(directory) / kIdentityFile;
   std::ifstream file(path);
   if (!file) {
@@ -97,6 +97,12 @@
     return MakeError(ResultCode::kLogCorrupt,
                      path.string() + " is not a valid replica identity");
   }
+  // A process that was killed may have renamed the file without this sync.
+  const bool synced = WithFile(directory, O_RDONLY | O_DIRECTORY,
+                               [&](int opened) { return sync(opened) == 0; });
+  if (!synced) {
+    return StorageError("sync", directory);
+  }
   ReplicaIdentity identity;
   identity.id = value.value()["id"].asUInt64();
   for (const Json::Value& item : value.value()["founders"]) {
