Accept removed segments that a loss of power brings back

Load refused every gap in their numbers, though nothing in them was needed.

Change: Load reads the segments after the last gap and removes those before it.

--- a/src/consensus/file_storage.cc
+++ b/src/consensus/file_storage.cc
@@ -79,6 +79,11 @@
   LogIndex last_index = 0;  // Largest entry index in the segment.
 };
 
+// @return the last index that the snapshot covers.
+LogIndex Covered(const StoredState& state) {
+  return state.snapshot == nullptr ? 0 : state.snapshot->index;
+}
+
 std::string EncodeFrame(std::uint64_t sequence, std::string_view payload) {
   std::string sequence_bytes;
   PutU64(sequence_bytes, sequence);
@@ -212,6 +217,8 @@
   Status Open();
   Status CheckOwner();
   Status ListFiles();
+  Status ReportMissingSegment();
+  Status CheckGap();
   Result<SnapshotPtr> LoadSnapshot();
   Status LoadSegment(Segment& segment, bool last, StoredState& state);
   Status ApplyFrame(std::string_view payload,
@@ -243,6 +250,12 @@
   bool HandleFailure(std::string_view action, const fs::path& path, int error);
   bool WaitForSpace(const fs::path& path);
   void DeleteSegments(LogIndex upto);
+  // @return true if `first` or a segment after it has an entry.
+  bool HasEntries(std::vector<Segment>::const_iterator first) const {
+    return std::any_of(first, this->segments.end(), [](const Segment& segment) {
+      return segment.last_index > 0;
+    });
+  }
   void DeleteFile(const fs::path& path);
 
   fs::path SegmentPath(std::uint64_t number) const {
@@ -259,6 +272,8 @@
 
   // Used by Load, afterwards only by the sync thread.
   std::vector<Segment> segments;
+  // Segments before the last gap in the numbers.
+  std::vector<Segment> removed_segments;
   std::vector<LogIndex> snapshots;
   FileDescriptor segment_file;
   std::uint64_t segment_size = 0;
@@ -289,6 +304,11 @@
     BOOST_OUTCOME_TRYV(this->LoadSegment(
         this->segments[i], i + 1 == this->segments.size(), state));
   }
+  BOOST_OUTCOME_TRYV(this->CheckGap());
+  for (const Segment& segment : this->removed_segments) {
+    this->DeleteFile(this->SegmentPath(segment.number));
+  }
+  this->removed_segments.clear();
   if (!this->segments.empty() && this->last_segment_empty) {
     // The process terminated between creating the segment and syncing its
     // header.
@@ -361,19 +381,38 @@
             [](const Segment& left, const Segment& right) {
               return left.number < right.number;
             });
-  for (std::size_t i = 1; i < this->segments.size(); ++i) {
-    if (this->segments[i].number != this->segments[i - 1].number + 1) {
-      return ReportCorruption(
-          this->SegmentPath(this->segments[i - 1].number + 1), 0,
-          "the segment is missing");
-    }
-  }
   if (!this->segments.empty()) {
     this->next_segment = this->segments.back().number + 1;
   }
+  auto first = this->segments.end();
+  while (first != this->segments.begin() &&
+         (first == this->segments.end() ||
+          std::prev(first)->number + 1 == first->number)) {
+    --first;
+  }
+  this->removed_segments.assign(this->segments.begin(), first);
+  this->segments.erase(this->segments.begin(), first);
   return Success();
 }
 
+Status FileStorage::ReportMissingSegment() {
+  return ReportCorruption(this->SegmentPath(this->segments.front().number - 1),
+                          0, "the segment is missing");
+}
+
+// After a loss of power, each of the segments that were removed without a later
+// sync of the directory may be back. A gap in the numbers is therefore not an
+// error if nothing in the missing segment is needed: the first entry after the
+// gap, which ApplyFrame compares with the snapshot, follows one that the
+// snapshot covers, and entries from there on were replaced. Term and vote are
+// repeated after the gap.
+Status FileStorage::CheckGap() {
+  return this->removed_segments.empty() ||
+                 this->HasEntries(this->segments.begin())
+             ? Status(Success())
+             : this->ReportMissingSegment();
+}
+
 Result<SnapshotPtr> FileStorage::LoadSnapshot() {
   if (this->snapshots.empty()) {
     return SnapshotPtr();
@@ -419,6 +458,7 @@
                   : "the checksum does not match and valid records "
                     "follow");
       }
+      BOOST_OUTCOME_TRYV(this->CheckGap());
       BOOST_OUTCOME_TRYV(this->TruncateTornTail(path, offset));
       break;
     }
@@ -504,6 +544,9 @@
       }
       case RecordType::kEntry: {
         Entry entry = ReadEntry(reader);
+        if (entry.index > Covered(state) + 1) {
+          BOOST_OUTCOME_TRYV(this->CheckGap());
+        }
         segment.last_index = std::max(segment.last_index, entry.index);
         if (!reader.Ok() || !this->AddEntry(std::move(entry), state)) {
           return ReportCorruption(
@@ -521,8 +564,7 @@
 }
 
 Status FileStorage::AddEntry(Entry entry, StoredState& state) {
-  const LogIndex covered =
-      state.snapshot == nullptr ? 0 : state.snapshot->index;
+  const LogIndex covered = Covered(state);
   if (entry.index <= covered) {
     return Success();
   }
@@ -671,8 +713,11 @@
 }
 
 void FileStorage::DeleteSegments(LogIndex upto) {
+  // The rest must have an entry, by which Load recognises that nothing before
+  // it is needed.
   while (this->segments.size() > 1 &&
-         this->segments.front().last_index <= upto) {
+         this->segments.front().last_index <= upto &&
+         this->HasEntries(std::next(this->segments.begin()))) {
     this->DeleteFile(this->SegmentPath(this->segments.front().number));
     this->segments.erase(this->segments.begin());
   }
--- a/tests/consensus/cluster.h
+++ b/tests/consensus/cluster.h
@@ -8,7 +8,9 @@
 #include <atomic>
 #include <cerrno>
 #include <filesystem>
+#include <fstream>
 #include <future>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -52,6 +54,11 @@
   std::filesystem::path path;
 };
 
+inline std::string ReadAll(const std::filesystem::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
 // Records the commands in order. The result of a command is the number of
 // commands so far.
 class RecordingStateMachine : public StateMachine {
