--- a/src/consensus/file_storage.cc
+++ b/src/consensus/file_storage.cc
@@ -79,6 +79,11 @@
   LogIndex last_index = 0;  // Largest entry index in the segment.
 };
 
+// @return the last index that the snapshot covers.
+LogIndex Covered(const StoredState& state) {
+  return state.snapshot == nullptr ? 0 : state.snapshot->index;
+}
+
 std::string EncodeFrame(std::uint64_t sequence, std::string_view payload) {
   std::string sequence_bytes;
   PutU64(sequence_bytes, sequence);
@@ -212,6 +217,8 @@
   Status Open();
   Status CheckOwner();
   Status ListFiles();
+  Status ReportMissingSegment();
+  Status CheckGap();
   Result<SnapshotPtr> LoadSnapshot();
   Status LoadSegment(Segment& segment, bool last, StoredState& state);
   Status ApplyFrame(std::string_view payload,
@@ -221,6 +228,7 @@
                     StoredState& state);
   Status AddEntry(Entry entry, StoredState& state);
   Status TruncateTornTail(const fs::path& path, std::size_t offset);
+  Status SyncLoaded();
 
   void RunSyncThread();
   bool StoreBatch(std::vector<Write>& batch);
@@ -242,6 +250,12 @@
   bool HandleFailure(std::string_view action, const fs::path& path, int error);
   bool WaitForSpace(const fs::path& path);
   void DeleteSegments(LogIndex upto);
+  // @return true if `first` or a segment after it has an entry.
+  bool HasEntries(std::vector<Segment>::const_iterator first) const {
+    return std::any_of(first, this->segments.end(), [](const Segment& segment) {
+      return segment.last_index > 0;
+    });
+  }
   void DeleteFile(const fs::path& path);
 
   fs::path SegmentPath(std::uint64_t number) const {
@@ -258,6 +272,8 @@
 
   // Used by Load, afterwards only by the sync thread.
   std::vector<Segment> segments;
+  // Segments before the last gap in the numbers.
+  std::vector<Segment> removed_segments;
   std::vector<LogIndex> snapshots;
   FileDescriptor segment_file;
   std::uint64_t segment_size = 0;
@@ -288,6 +304,11 @@
     BOOST_OUTCOME_TRYV(this->LoadSegment(
         this->segments[i], i + 1 == this->segments.size(), state));
   }
+  BOOST_OUTCOME_TRYV(this->CheckGap());
+  for (const Segment& segment : this->removed_segments) {
+    this->DeleteFile(this->SegmentPath(segment.number));
+  }
+  this->removed_segments.clear();
   if (!this->segments.empty() && this->last_segment_empty) {
     // The process terminated between creating the segment and syncing its
     // header.
@@ -295,6 +316,7 @@
     this->next_segment = this->segments.back().number;
     this->segments.pop_back();
   }
+  BOOST_OUTCOME_TRYV(this->SyncLoaded());
   this->hard_state = state.hard_state;
   this->thread = std::thread([this] { this->RunSyncThread(); });
   return state;
@@ -347,7 +369,7 @@
   for (const auto& item : fs::directory_iterator(this->directory, error)) {
     const std::string name = item.path().filename().string();
     if (item.path().extension() == kTemporarySuffix) {
-      fs::remove(item.path(), error);
+      this->DeleteFile(item.path());
     } else if (const auto segment = ParseFileNumber(kSegmentPrefix, name)) {
       this->segments.push_back({*segment, 0});
     } else if (const auto index = ParseFileNumber(kSnapshotPrefix, name)) {
@@ -359,19 +381,38 @@
             [](const Segment& left, const Segment& right) {
               return left.number < right.number;
             });
-  for (std::size_t i = 1; i < this->segments.size(); ++i) {
-    if (this->segments[i].number != this->segments[i - 1].number + 1) {
-      return ReportCorruption(
-          this->SegmentPath(this->segments[i - 1].number + 1), 0,
-          "the segment is missing");
-    }
-  }
   if (!this->segments.empty()) {
     this->next_segment = this->segments.back().number + 1;
   }
+  auto first = this->segments.end();
+  while (first != this->segments.begin() &&
+         (first == this->segments.end() ||
+          std::prev(first)->number + 1 == first->number)) {
+    --first;
+  }
+  this->removed_segments.assign(this->segments.begin(), first);
+  this->segments.erase(this->segments.begin(), first);
   return Success();
 }
 
+Status FileStorage::ReportMissingSegment() {
+  return ReportCorruption(this->SegmentPath(this->segments.front().number - 1),
+                          0, "the segment is missing");
+}
+
+// After a loss of power, each of the segments that were removed without a later
+// sync of the directory may be back. A gap in the numbers is therefore not an
+// error if nothing in the missing segment is needed: the first entry after the
+// gap, which ApplyFrame compares with the snapshot, follows one that the
+// snapshot covers, and entries from there on were replaced. Term and vote are
+// repeated after the gap.
+Status FileStorage::CheckGap() {
+  return this->removed_segments.empty() ||
+                 this->HasEntries(this->segments.begin())
+             ? Status(Success())
+             : this->ReportMissingSegment();
+}
+
 Result<SnapshotPtr> FileStorage::LoadSnapshot() {
   if (this->snapshots.empty()) {
     return SnapshotPtr();
@@ -417,6 +458,7 @@
                   : "the checksum does not match and valid records "
                     "follow");
       }
+      BOOST_OUTCOME_TRYV(this->CheckGap());
       BOOST_OUTCOME_TRYV(this->TruncateTornTail(path, offset));
       break;
     }
@@ -436,16 +478,40 @@
   LogEvent(Severity::kWarning, Event::kLogTailCut,
            {{"file", path.string()},
             {"offset", static_cast<std::uint64_t>(offset)}});
-  const FileDescriptor file(::open(path.c_str(), O_WRONLY));
-  if (file.Get() < 0 ||
-      ::ftruncate(file.Get(), static_cast<off_t>(offset)) != 0 ||
-      ::fsync(file.Get()) != 0) {
+  FileCalls& calls = *this->options.calls;
+  const FileDescriptor file(calls.Open(path.string()));
+  if (file.Get() < 0 || calls.Truncate(file.Get(), offset) != 0 ||
+      calls.Sync(file.Get()) != 0) {
     return MakeError(ResultCode::kStorageFailed,
                      "cannot truncate " + path.string());
   }
   return Success();
 }
 
+// A process that was killed may have left records that it did not sync in the
+// last segment, and names that it did not sync. They are relied on after Load,
+// so a later loss of power must not take them away. Older segments and the
+// content of renamed files are synced before the next name is changed.
+Status FileStorage::SyncLoaded() {
+  FileCalls& calls = *this->options.calls;
+  int error = 0;
+  if (!this->segments.empty()) {
+    const FileDescriptor file(
+        calls.Open(this->SegmentPath(this->segments.back().number).string()));
+    error = file.Get() < 0 ? errno : calls.Sync(file.Get());
+  }
+  if (error == 0) {
+    error = calls.Sync(this->directory_file.Get());
+  }
+  if (error != 0) {
+    return MakeError(
+        ResultCode::kStorageFailed,
+        fmt::format("cannot sync the files in {}: {}", this->directory.string(),
+                    std::generic_category().message(error)));
+  }
+  return Success();
+}
+
 Status FileStorage::ApplyFrame(std::string_view payload,
                                const fs::path& path,
                                std::size_t offset,
@@ -478,6 +544,9 @@
       }
       case RecordType::kEntry: {
         Entry entry = ReadEntry(reader);
+        if (entry.index > Covered(state) + 1) {
+          BOOST_OUTCOME_TRYV(this->CheckGap());
+        }
         segment.last_index = std::max(segment.last_index, entry.index);
         if (!reader.Ok() || !this->AddEntry(std::move(entry), state)) {
           return ReportCorruption(
@@ -495,8 +564,7 @@
 }
 
 Status FileStorage::AddEntry(Entry entry, StoredState& state) {
-  const LogIndex covered =
-      state.snapshot == nullptr ? 0 : state.snapshot->index;
+  const LogIndex covered = Covered(state);
   if (entry.index <= covered) {
     return Success();
   }
@@ -645,17 +713,19 @@
 }
 
 void FileStorage::DeleteSegments(LogIndex upto) {
+  // The rest must have an entry, by which Load recognises that nothing before
+  // it is needed.
   while (this->segments.size() > 1 &&
-         this->segments.front().last_index <= upto) {
+         this->segments.front().last_index <= upto &&
+         this->HasEntries(std::next(this->segments.begin()))) {
     this->DeleteFile(this->SegmentPath(this->segments.front().number));
     this->segments.erase(this->segments.begin());
   }
 }
 
 void FileStorage::DeleteFile(const fs::path& path) {
-  std::error_code error;
-  fs::remove(path, error);
   // If this fails, a later snapshot removes the file or Load ignores it.
+  this->options.calls->Remove(path.string());
 }
 
 bool FileStorage::WriteFileAtomically(const fs::path& path,
@@ -764,6 +834,14 @@
                 O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
 }
 
+int FileCalls::Open(const std::string& path) {
+  return ::open(path.c_str(), O_WRONLY | O_CLOEXEC);
+}
+
+int FileCalls::Remove(const std::string& path) {
+  return ::unlink(path.c_str()) == 0 ? 0 : errno;
+}
+
 int FileCalls::Rename(const std::string& from, const std::string& to) {
   return ::rename(from.c_str(), to.c_str()) == 0 ? 0 : errno;
 }
