Draw erasures and re-joins of removed replicas in the schedules

The schedules removed replicas, but these stayed as they were for ever: no event erased their state, and none started an initial replica with an empty log again.

A leader whose lease is valid, and whose removal is committed, now tells removed replicas. They stop, erase and join under a new ID; one in five is killed before its directory is marked and starts with its whole old state. One surplus member in two is an initial replica, and the wanted size changes twice as often, so that two of the first three are gone early.

The other four rules are detected as before, their switches are now part of SimulationOptions.

--- a/tests/consensus/core_test.cc
+++ b/tests/consensus/core_test.cc
@@ -33,10 +33,11 @@
 };
 
 // Runs the schedules of seeds 1 to `count` and stops at the first violation.
+// @param rules options of each schedule, except for the seed.
 // @param safety_only ignores liveness violations, that is, schedules after
 // which the replicas did not recover.
 RunResult RunSchedules(std::uint64_t count,
-                       internal::Safeguards safeguards,
+                       const SimulationOptions& rules,
                        bool safety_only) {
   RunResult result;
   std::mutex mutex;
@@ -45,9 +46,8 @@
   const auto work = [&] {
     for (std::uint64_t seed = next++; seed <= count && !violation_found;
          seed = next++) {
-      SimulationOptions options;
+      SimulationOptions options = rules;
       options.seed = seed;
-      options.safeguards = safeguards;
       Simulation simulation(options);
       std::string violation;
       try {
@@ -76,8 +76,8 @@
   return result;
 }
 
-void RequireViolation(const internal::Safeguards& safeguards) {
-  const RunResult result = RunSchedules(kSchedulesToDetect, safeguards, true);
+void RequireViolation(const SimulationOptions& rules) {
+  const RunResult result = RunSchedules(kSchedulesToDetect, rules, true);
   BOOST_TEST_REQUIRE(!result.violations.empty());
   std::cout << "detected: " << result.violations.front() << "\n";
 }
@@ -140,35 +140,49 @@
             << counts.replica_changes << " replica changes, "
             << counts.snapshots << " snapshots, " << counts.installed_snapshots
             << " installed, " << counts.leadership_transfers
-            << " leadership transfers\n";
+            << " leadership transfers, " << counts.erasures
+            << " erasures of removed replicas, "
+            << counts.erased_initial_replicas << " of initial ones, "
+            << counts.interrupted_erasures << " interrupted\n";
   // Without these events the schedules would pass without testing anything.
   BOOST_TEST(counts.reads > kSchedules);
   BOOST_TEST(counts.replaced_disks > kSchedules / 10);
   BOOST_TEST(counts.replica_changes > kSchedules);
   BOOST_TEST(counts.installed_snapshots > kSchedules / 10);
+  BOOST_TEST(counts.erased_initial_replicas > kSchedules / 5);
+  BOOST_TEST(counts.interrupted_erasures > kSchedules / 20);
 }
 
 // Checks that the schedules detect a replica that acknowledges writes before
 // syncing them.
 BOOST_AUTO_TEST_CASE(SchedulesDetectMissingSync) {
-  internal::Safeguards safeguards;
-  safeguards.sync_before_acknowledge = false;
-  RequireViolation(safeguards);
+  SimulationOptions rules;
+  rules.safeguards.sync_before_acknowledge = false;
+  RequireViolation(rules);
 }
 
 // Checks that the schedules detect a leader that serves reads without a valid
 // lease.
 BOOST_AUTO_TEST_CASE(SchedulesDetectMissingLeaseCheck) {
-  internal::Safeguards safeguards;
-  safeguards.lease_check = false;
-  RequireViolation(safeguards);
+  SimulationOptions rules;
+  rules.safeguards.lease_check = false;
+  RequireViolation(rules);
 }
 
 // Checks that the schedules detect learners that vote.
 BOOST_AUTO_TEST_CASE(SchedulesDetectVotingLearners) {
-  internal::Safeguards safeguards;
-  safeguards.learner_without_vote = false;
-  RequireViolation(safeguards);
+  SimulationOptions rules;
+  rules.safeguards.learner_without_vote = false;
+  RequireViolation(rules);
+}
+
+// Checks that the schedules detect a removed initial replica that founds the
+// replica set again after it has erased its state: with another one like it, it
+// would start a second log.
+BOOST_AUTO_TEST_CASE(SchedulesDetectASecondFounding) {
+  SimulationOptions rules;
+  rules.erased_replica_joins = false;
+  RequireViolation(rules);
 }
 
 // Guards against a replica that rejoins with a higher term and thereby deposes
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -21,6 +21,7 @@
 constexpr Duration kClientInterval = milliseconds(25);
 constexpr Duration kFaultInterval = milliseconds(400);
 constexpr Duration kReplicaChangeInterval = milliseconds(150);
+constexpr Duration kMembershipCheckInterval = milliseconds(100);
 constexpr std::uint64_t kSnapshotEntries = 25;
 // Clock rates differ by at most 6%. The default timings tolerate more: a lease
 // of 500 ms against a minimum election timeout of 600 ms.
@@ -50,6 +51,9 @@
   this->snapshots += other.snapshots;
   this->installed_snapshots += other.installed_snapshots;
   this->leadership_transfers += other.leadership_transfers;
+  this->erasures += other.erasures;
+  this->erased_initial_replicas += other.erased_initial_replicas;
+  this->interrupted_erasures += other.interrupted_erasures;
 }
 
 Simulation::Simulation(const SimulationOptions& options)
@@ -98,6 +102,7 @@
   this->faults_active = this->options.faults;
   this->FaultLoop();
   this->ReplicaChangeLoop();
+  this->MembershipCheckLoop();
   this->RunFor(this->options.duration);
   this->EndFaults();
   this->RunFor(kHealTime);
@@ -174,6 +179,15 @@
   replica.unsynced.clear();
 }
 
+void Simulation::Restart(ReplicaId id, Duration delay) {
+  this->Schedule(this->now + delay, [this, id] {
+    Replica& target = this->replicas.at(id);
+    if (target.core == nullptr && !target.disk_lost && !target.erased) {
+      this->Start(target);
+    }
+  });
+}
+
 void Simulation::Persist(Replica& replica, const Write& write) {
   internal::StoredState& disk = replica.disk;
   replica.empty_disk = false;
@@ -298,12 +312,7 @@
     });
   } else if (kind < 0.75) {
     this->Crash(replica);
-    this->Schedule(this->now + length, [this, id] {
-      Replica& target = this->replicas.at(id);
-      if (target.core == nullptr && !target.disk_lost) {
-        this->Start(target);
-      }
-    });
+    this->Restart(id, length);
   } else if (kind < 0.82) {
     ++this->counts.leadership_transfers;
     this->Deliver(id, [this](Replica& target) {
@@ -375,19 +384,102 @@
     this->counts.replica_changes += changed ? 1 : 0;
     return;
   }
-  if (this->Chance(0.1)) {
+  if (this->Chance(0.2)) {
     this->wanted_voters = this->wanted_voters == 3 ? 5 : 3;
   }
   if (set.members.size() < this->wanted_voters) {
     this->Start(this->AddReplica(this->next_id++, true));
   } else if (set.members.size() > this->wanted_voters) {
-    const std::size_t removed = static_cast<std::size_t>(
-        this->Uniform() * static_cast<double>(set.members.size()));
-    changed = core.RemoveReplica(set.members[removed].id, local, wall_ms);
+    changed = core.RemoveReplica(this->PickSurplus(set), local, wall_ms);
     this->counts.replica_changes += changed ? 1 : 0;
   }
 }
 
+ReplicaId Simulation::PickSurplus(const internal::ReplicaSet& set) {
+  const std::size_t index = static_cast<std::size_t>(
+      this->Uniform() * static_cast<double>(set.members.size()));
+  // Two initial replicas are a majority of the first replica set.
+  if (this->Chance(0.5)) {
+    for (const internal::Member& member : set.members) {
+      if (this->initial.Find(member.id) != nullptr) {
+        return member.id;
+      }
+    }
+  }
+  return set.members[index].id;
+}
+
+void Simulation::MembershipCheckLoop() {
+  if (!this->faults_active) {
+    return;
+  }
+  const ReplicaId lease_holder = this->LeaseHolder();
+  if (lease_holder != 0) {
+    for (const ReplicaId id : this->Running()) {
+      if (id != lease_holder && this->Chance(0.5)) {
+        this->CheckMembership(lease_holder, id);
+      }
+    }
+  }
+  this->Schedule(this->now + kMembershipCheckInterval,
+                 [this] { this->MembershipCheckLoop(); });
+}
+
+void Simulation::CheckMembership(ReplicaId leader, ReplicaId id) {
+  this->Deliver(leader, [this, id](Replica& target) {
+    Core& core = *target.core;
+    const TimePoint local = this->LocalTime(target);
+    const Result<internal::ReadPoint> point = core.BeginRead(local);
+    // IDs above the largest one are assigned, but not added yet.
+    if (!point ||
+        core.CheckRead(point.value(), local) != internal::ReadState::kReady ||
+        core.Replicas().Find(id) != nullptr ||
+        id > core.Replicas().largest_id) {
+      return;
+    }
+    // Fails while a change of the replica set is not committed.
+    const Result<LogIndex> removed = core.RemoveReplica(id, local, 0);
+    if (!removed || removed.value() != 0) {
+      return;
+    }
+    const Duration delay =
+        this->RandomDuration(milliseconds(1), milliseconds(20));
+    this->Schedule(this->now + delay, [this, id] {
+      Replica& told = this->replicas.at(id);
+      if (told.core != nullptr && this->now >= told.frozen_until) {
+        this->EraseReplica(told);
+      }
+    });
+  });
+}
+
+void Simulation::EraseReplica(Replica& replica) {
+  this->Crash(replica);
+  const Duration delay =
+      this->RandomDuration(milliseconds(20), milliseconds(1000));
+  // Killed before its directory says that it has to join.
+  if (this->Chance(0.2)) {
+    ++this->counts.interrupted_erasures;
+    this->Restart(replica.id, delay);
+    return;
+  }
+  ++this->counts.erasures;
+  const bool initial_replica = this->initial.Find(replica.id) != nullptr;
+  this->counts.erased_initial_replicas += initial_replica ? 1 : 0;
+  replica.disk = {};
+  replica.empty_disk = true;
+  if (initial_replica && !this->options.erased_replica_joins) {
+    this->Restart(replica.id, delay);
+    return;
+  }
+  // Kills between the further steps only delay this: the next start completes
+  // them.
+  replica.erased = true;
+  this->Schedule(this->now + delay, [this] {
+    this->Start(this->AddReplica(this->next_id++, true));
+  });
+}
+
 void Simulation::EndFaults() {
   this->faults_active = false;
   this->loss = 0;
@@ -396,7 +488,7 @@
   this->slow_syncs = 0;
   this->blocked_links.clear();
   for (auto& [id, replica] : this->replicas) {
-    if (replica.core == nullptr && !replica.disk_lost) {
+    if (replica.core == nullptr && !replica.disk_lost && !replica.erased) {
       this->Start(replica);
     }
   }
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -33,6 +33,9 @@
   Duration duration = seconds(10);
   bool faults = true;
   internal::Safeguards safeguards;
+  // An initial replica that was removed and has erased its state joins under a
+  // new ID, and does not found the replica set again.
+  bool erased_replica_joins = true;
 };
 
 // Numbers of the events of a run, to check that the schedules exercise them.
@@ -48,6 +51,9 @@
   std::uint64_t snapshots = 0;
   std::uint64_t installed_snapshots = 0;
   std::uint64_t leadership_transfers = 0;
+  std::uint64_t erasures = 0;
+  std::uint64_t erased_initial_replicas = 0;
+  std::uint64_t interrupted_erasures = 0;
 
   void Add(const SimulationCounts& other);
 };
@@ -92,6 +98,8 @@
     std::vector<PendingRead> reads;
     bool joins = false;
     bool disk_lost = false;
+    // The replica has erased its state and has joined under another ID.
+    bool erased = false;
   };
   struct Scheduled {
     Duration at;
@@ -121,6 +129,7 @@
   Replica& AddReplica(ReplicaId id, bool joins);
   void Start(Replica& replica);
   void Crash(Replica& replica);
+  void Restart(ReplicaId id, Duration delay);
   static void Persist(Replica& replica, const internal::Write& write);
   void TickLoop(ReplicaId id, std::uint64_t incarnation);
   void ClientLoop();
@@ -129,6 +138,12 @@
   static bool CanLoseDisk(const internal::Core& core);
   void ReplicaChangeLoop();
   void ChangeReplicas(internal::Core& core, TimePoint local);
+  // @return the member to remove from a set that is larger than wanted.
+  ReplicaId PickSurplus(const internal::ReplicaSet& set);
+  void MembershipCheckLoop();
+  // The leader tells a replica that is no member that it was removed.
+  void CheckMembership(ReplicaId leader, ReplicaId id);
+  void EraseReplica(Replica& replica);
   void EndFaults();
 
   void ProcessOutput(Replica& replica);
