Have a removed founder join instead of founding again

What callers saw: a control replica that was frozen while another was replaced never came back. It was told that it was removed, erased its state, founded the replica set under its first ID, was told again, 3 to 4 times a second. Two founders like it are a majority of the first set and could start a second log.

Cause: `bootstrap` was leave to found whenever the directory had no identity, and the erasing left none. RunControl reads the settings again, and the file of the first start still says `bootstrap`. The erasing also removed the log before the identity: killed in between, a founder came back with its ID and an empty log.

Change: EraseReplica first renames `identity` to `identity.erased` and syncs the directory, then removes the other files. With that name and no identity, Start finishes the erasing and asks the leader for an ID. A rename, because it needs no space on a full disk. A file that cannot be removed now fails the erasing, which ignored it: a log that stayed would have been used under the new ID. Subdirectories stay, as the replica has none.

IdentityIsStoredUntilErased required an empty directory after the erasing. It now requires the mark alone, also after a repeated erasing, a later identity and a disk that was replaced under the process.

--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -62,7 +62,11 @@
   }
   const std::string& directory = settings.log.data_directory;
   BOOST_OUTCOME_TRY(identity, LoadIdentity(directory));
-  if (!identity && settings.bootstrap) {
+  BOOST_OUTCOME_TRY(erased, WasErased(directory));
+  if (erased) {
+    // Finishes what a kill or a loss of power interrupted.
+    BOOST_OUTCOME_TRY(EraseReplica(directory));
+  } else if (!identity && settings.bootstrap) {
     identity = InitialReplicaIdentity(settings.seeds, settings.log.address);
     if (identity) {
       BOOST_OUTCOME_TRY(StoreIdentity(directory, *identity));
--- a/src/controld/replica_identity.cc
+++ b/src/controld/replica_identity.cc
@@ -22,12 +22,17 @@
 
 constexpr const char* kIdentityFile = "identity";
 constexpr const char* kTemporaryFile = "identity.tmp";
+// The last identity that was erased. It stays while the replica has a later
+// one.
+constexpr const char* kErasedFile = "identity.erased";
 constexpr int kFileMode = 0644;
 
-Error StorageError(const std::string& action, const fs::path& path) {
+Error StorageError(const std::string& action,
+                   const fs::path& path,
+                   int error = errno) {
   return MakeError(ResultCode::kStorageFailed,
                    fmt::format("cannot {} {}: {}", action, path.string(),
-                               std::generic_category().message(errno)));
+                               std::generic_category().message(error)));
 }
 
 // Opens `path`, calls `use` with the descriptor and closes it.
@@ -46,6 +51,41 @@
   return used;
 }
 
+Result<bool> Exists(const fs::path& path) {
+  std::error_code error;
+  const bool found = fs::exists(path, error);
+  if (error) {
+    return StorageError("find", path, error.value());
+  }
+  return found;
+}
+
+Status SyncDirectory(const std::string& directory) {
+  const bool synced = WithFile(directory, O_RDONLY | O_DIRECTORY,
+                               [](int file) { return ::fsync(file) == 0; });
+  return synced ? Status(Success()) : StorageError("sync", directory);
+}
+
+// Marks the directory with a rename, which needs no space on a full disk.
+Status MarkErasure(const std::string& directory) {
+  const fs::path identity = fs::path(directory) / kIdentityFile;
+  const fs::path mark = fs::path(directory) / kErasedFile;
+  if (::rename(identity.c_str(), mark.c_str()) != 0) {
+    if (errno != ENOENT) {
+      return StorageError("rename", identity);
+    }
+    // The directory was marked before, or was emptied while the process ran.
+    std::error_code ignored;  // Opening the file reports it.
+    fs::create_directories(directory, ignored);
+    const bool created = WithFile(mark, O_WRONLY | O_CREAT,
+                                  [](int file) { return ::fsync(file) == 0; });
+    if (!created) {
+      return StorageError("write", mark);
+    }
+  }
+  return SyncDirectory(directory);
+}
+
 std::string Encode(const ReplicaIdentity& identity) {
   Json::Value value;
   value["id"] = Json::UInt64(identity.id);
@@ -123,31 +163,35 @@
   if (::rename(temporary.c_str(), path.c_str()) != 0) {
     return StorageError("rename", temporary);
   }
-  const bool synced = WithFile(directory, O_RDONLY | O_DIRECTORY,
-                               [](int file) { return ::fsync(file) == 0; });
-  if (!synced) {
-    return StorageError("sync", directory);
-  }
-  return Success();
+  return SyncDirectory(directory);
 }
 
 Status EraseReplica(const std::string& directory) {
-  // The identity is removed last: after an interrupted erasure the replica
-  // still has its old ID, learns again that it was removed, and erases again.
+  BOOST_OUTCOME_TRY(MarkErasure(directory));
   std::error_code error;
-  const fs::path identity = fs::path(directory) / kIdentityFile;
+  std::vector<fs::path> files;
   for (const auto& item : fs::directory_iterator(directory, error)) {
-    if (item.path() != identity) {
-      fs::remove_all(item.path(), error);
+    std::error_code ignored;  // Removing it then fails.
+    // Subdirectories, such as lost+found, are not the replica's.
+    if (item.path().filename() != kErasedFile && !item.is_directory(ignored)) {
+      files.push_back(item.path());
     }
   }
-  fs::remove(identity, error);
-  if (fs::exists(identity)) {
-    return StorageError("remove", identity);
+  if (error) {
+    return StorageError("list", directory, error.value());
   }
-  const bool synced = WithFile(directory, O_RDONLY | O_DIRECTORY,
-                               [](int file) { return ::fsync(file) == 0; });
-  return synced ? Status(Success()) : StorageError("sync", directory);
+  for (const fs::path& file : files) {
+    if (!fs::remove(file, error) && error) {
+      return StorageError("remove", file, error.value());
+    }
+  }
+  return SyncDirectory(directory);
+}
+
+Result<bool> WasErased(const std::string& directory) {
+  BOOST_OUTCOME_TRY(has_identity, Exists(fs::path(directory) / kIdentityFile));
+  BOOST_OUTCOME_TRY(marked, Exists(fs::path(directory) / kErasedFile));
+  return marked && !has_identity;
 }
 
 }  // namespace sycamorebend
--- a/src/controld/replica_identity.h
+++ b/src/controld/replica_identity.h
@@ -38,10 +38,19 @@
 Status StoreIdentity(const std::string& directory,
                      const ReplicaIdentity& identity);
 
-// Removes everything in `directory`, for a replica that was removed from the
-// replica set and joins again under a new ID.
+// Removes the files in `directory`, for a replica that was removed from the
+// replica set. The directory is marked first and durably, so that whatever is
+// left after a kill or a loss of power, the old identity is either used with
+// its complete state or never again. May be repeated.
+// @return kStorageFailed naming the file.
 Status EraseReplica(const std::string& directory);
 
+// @return true if the replica of this directory was erased and has no identity
+// since. Its process must finish the erasure and join under a new ID: an empty
+// log under an ID of the first replica set could start a second one.
+// kStorageFailed if this cannot be found out.
+Result<bool> WasErased(const std::string& directory);
+
 }  // namespace sycamorebend
 
 #endif  // SYCAMOREBEND_SRC_CONTROLD_REPLICA_IDENTITY_H_
--- a/tests/control/replica_manager_test.cc
+++ b/tests/control/replica_manager_test.cc
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 
 #include <boost/test/unit_test.hpp>
 
@@ -129,7 +130,8 @@
 }
 
 // Guards against an identity that is lost, made up from a malformed file, or
-// kept after the data directory was erased.
+// kept after the data directory was erased, and against an erased directory
+// that looks like a new one.
 BOOST_AUTO_TEST_CASE(IdentityIsStoredUntilErased) {
   const std::string directory = TemporaryDirectory();
   BOOST_TEST(!LoadIdentity(directory).value().has_value());
@@ -138,8 +140,26 @@
   BOOST_TEST(loaded->id == 9U);
   BOOST_TEST(loaded->initial_replicas[0].address == "10.0.0.1:7");
   std::ofstream(directory + "/log-1") << "x";
+  BOOST_TEST(!WasErased(directory).value());
   BOOST_REQUIRE(EraseReplica(directory));
-  BOOST_TEST(std::filesystem::is_empty(directory));
+  const auto requires_erased = [&] {
+    BOOST_TEST(!LoadIdentity(directory).value().has_value());
+    BOOST_TEST(WasErased(directory).value());
+    BOOST_TEST(
+        std::distance(std::filesystem::directory_iterator(directory), {}) == 1);
+  };
+  requires_erased();
+  BOOST_REQUIRE(EraseReplica(directory));
+  requires_erased();
+  BOOST_REQUIRE(StoreIdentity(directory, {12, {}}));
+  BOOST_TEST(LoadIdentity(directory).value()->id == 12U);
+  BOOST_TEST(!WasErased(directory).value());
+  BOOST_REQUIRE(EraseReplica(directory));
+  requires_erased();
+  // The disk was replaced while the process ran.
+  std::filesystem::remove_all(directory);
+  BOOST_REQUIRE(EraseReplica(directory));
+  requires_erased();
   std::ofstream(directory + "/identity") << "{}";
   BOOST_TEST(!LoadIdentity(directory));
   std::filesystem::remove_all(directory);
