--- a/src/controld/replica_identity.h
+++ b/src/controld/replica_identity.h
@@ -33,8 +33,8 @@
 
 // @param sync syncs the file or directory of a descriptor; -1 with errno set is
 // a failure.
-// @return the identity stored in `directory`, nothing if there is none, or
-// kLogCorrupt.
+// @return the identity stored in `directory`, nothing if there is none,
+// kLogCorrupt, or kStorageFailed if it cannot be opened or synced.
 Result<std::optional<ReplicaIdentity>> LoadIdentity(
     const std::string& directory,
     const std::function<int(int file)>& sync = ::fsync);
@@ -44,10 +44,19 @@
 Status StoreIdentity(const std::string& directory,
                      const ReplicaIdentity& identity);
 
-// Removes everything in `directory`, for a replica that was removed from the
-// replica set and joins again under a new ID.
+// Removes the files in `directory`, for a replica that was removed from the
+// replica set. The directory is marked first and durably, so that whatever is
+// left after a kill or a loss of power, the old identity is either used with
+// its complete state or never again. May be repeated.
+// @return kStorageFailed naming the file.
 Status EraseReplica(const std::string& directory);
 
+// @return true if the replica of this directory was erased and has no identity
+// since. Its process must finish the erasure and join under a new ID: an empty
+// log under an ID of the first replica set could start a second one.
+// kStorageFailed if this cannot be found out.
+Result<bool> WasErased(const std::string& directory);
+
 }  // namespace sycamorebend
 
 #endif  // SYCAMOREBEND_SRC_CONTROLD_REPLICA_IDENTITY_H_
