--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -81,7 +81,7 @@
   return false;
 }
 
-bool PlatformFleet::Replace(std::uint64_t version) {
+bool PlatformFleet::Replace(std::uint64_t version, const Json::Value& routes) {
   Json::Value document =
       ParseJson(R"({"route_table": [{"name": "r", "hostname": "h.example",
           "path_prefix": "/a/", "route_type": "idempotent",
@@ -93,6 +93,9 @@
         "tenants": [{"name": "t", "api_keys": ["k1"], "priority": 1}]})")
           .value();
   document["version"] = Json::UInt64(version);
+  if (!routes.isNull()) {
+    document["route_table"] = routes;
+  }
   return this->PostToReplicas("/api/config/replace", document);
 }
 
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -43,10 +43,10 @@
     this->Start(this->replica_count + index);
   }
 
-  // Sends a configuration with one open route "/a/" of host "h.example" to the
-  // service "app".
+  // Sends a configuration with `routes` to the service "app", by default one
+  // open route "/a/" of host "h.example".
   // @return true if a replica acknowledged it.
-  bool Replace(std::uint64_t version);
+  bool Replace(std::uint64_t version, const Json::Value& routes = {});
   // Reports an engine of the service "app" as ready.
   // @return true if a replica acknowledged it.
   bool Announce(const std::string& engine, const std::string& address);
