Serve generations whose prompt has no readable block

Callers saw: a request with X-Sycamorebend-Token-Usage and no readable part in X-Sycamorebend-Prefix-Hash closed their connection without an answer, and with it every other connection to that gateway: the process ended.

Cause: PlaceRequest leaves out the prompt if it is empty, but OnSent records the blocks of each generation, and AffinityBlock read the first element of an empty vector.

Change: RecordPromptBlocks has nothing to record without blocks. The other two callers of AffinityBlock run after the check in PlaceRequest. Loops over prompts elsewhere in src/gateway (forwarder, crash_quarantine, UncachedTokens) bear an empty one.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -128,7 +128,7 @@
 
 // @return the last prefix block that is likely to be shared with other
 // requests. It distinguishes sessions; the final block is unique to the
-// request.
+// request. `generation` must have a block.
 std::uint64_t AffinityBlock(const GenerationRequest& generation) {
   const std::size_t count = generation.prompt.size();
   return generation.prompt[count > 1 ? count - 2 : 0].id;
@@ -658,6 +658,9 @@
                                   Server& server,
                                   const GenerationRequest& generation,
                                   TimePoint now) {
+  if (generation.prompt.empty()) {
+    return;
+  }
   const Duration refresh =
       Scale(pool.block_lifetime, kPlacementRefreshFraction);
   for (std::size_t i = 0; i < generation.prompt.size(); ++i) {
