--- a/tests/platform/http_format_test.cc
+++ b/tests/platform/http_format_test.cc
@@ -132,4 +132,39 @@
   BOOST_TEST(!HttpFormat().ReadRequestFields(head));
 }
 
+// Guards against numbers that overflow sums and durations: a deadline in the
+// far future that has already passed, and token counts that wrap around.
+BOOST_AUTO_TEST_CASE(NumbersOutOfRangeAreNotTaken) {
+  const auto read = [](const char* name, const std::string& value) {
+    net::MessageHead head;
+    head.headers = {{"X-Sycamorebend-Token-Usage", "1,1"}};
+    head.headers.insert(head.headers.begin(), {name, value});
+    return HttpFormat().ReadRequestFields(head).value();
+  };
+  constexpr const char* kDeadline = "X-Sycamorebend-Deadline-Ms";
+  constexpr const char* kTokens = "X-Sycamorebend-Token-Usage";
+  constexpr const char* kBlocks = "X-Sycamorebend-Prefix-Hash";
+  for (const char* const value :
+       {"9223372036854775807", "9223372036855", "86400001"}) {
+    BOOST_TEST(ToMilliseconds(*read(kDeadline, value).deadline) == 86400000);
+  }
+  for (const char* const value : {"-9223372036854775808", "-1", "0"}) {
+    BOOST_TEST(ToMilliseconds(*read(kDeadline, value).deadline) == 0);
+  }
+  BOOST_TEST(read(kTokens, "16777216,5").generation->input_tokens == 16777216);
+  for (const std::string value : {"16777217", "2147483647", "-1"}) {
+    const auto generation = *read(kTokens, value + "," + value).generation;
+    BOOST_TEST(generation.input_tokens == 0, value);
+    BOOST_TEST(generation.max_output_tokens == 0, value);
+    BOOST_TEST(read(kBlocks, "a:5,b:" + value).generation->prompt.size() == 1U,
+               value);
+  }
+  for (const char* const load :
+       {"-1,0,8", "2147483647,2147483647,8", "1,1,-8"}) {
+    net::MessageHead head;
+    head.headers = {{"X-Sycamorebend-Instance-Load", load}};
+    BOOST_TEST(!HttpFormat().ReadResponseFields(head).load, load);
+  }
+}
+
 }  // namespace sycamorebend::platform
