Count pending prompt tokens in 64 bits

Callers saw: with enough long prompts at one engine, that engine looked idle and got the next ones.

Cause: sums of prompt tokens, of up to 1 << 24 for each request and each gateway's report, were kept in 32 bits: 128 requests overflow them.

Change: PendingTokens counts in 64 bits. What is sent to other gateways is bounded where it is written, as it is where it is read. The cached tokens of a prompt are no longer converted to an integer before they are subtracted, since the stated tokens of its blocks may exceed one.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -112,9 +112,9 @@
 double TokensAhead(const PendingTokens& pending,
                    int level,
                    double prompt_tokens) {
-  const int ahead = pending.AheadOf(level);
-  return ahead + std::min<double>(pending.Total() - ahead,
-                                  kBegunPromptFraction * prompt_tokens);
+  const auto ahead = static_cast<double>(pending.AheadOf(level));
+  return ahead + std::min(static_cast<double>(pending.Total()) - ahead,
+                          kBegunPromptFraction * prompt_tokens);
 }
 
 // @return the rendezvous hashing weight of a server for a prefix block, which
@@ -253,7 +253,8 @@
     const bool shared = i + 1 < prompt.size();
     cached += prompt[i].tokens * (i < known ? 1 : shared ? hit_rate : 0);
   }
-  return std::max(0, generation.input_tokens - static_cast<int>(cached));
+  return static_cast<int>(
+      std::max(0.0, generation.input_tokens - std::floor(cached)));
 }
 
 double Balancer::Slowness(const Server& server, TimePoint now) const {
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -65,7 +65,7 @@
   // Running requests and pending prompt tokens of all gateways at the server,
   // as far as known.
   int running = 0;
-  int pending_tokens = 0;
+  PendingTokens::Count pending_tokens = 0;
   double slowness = 1;
 };
 
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -43,8 +43,7 @@
 
 // Server, outstanding requests, and pairs of priority level and pending tokens.
 using EncodedLoad = std::tuple<std::uint32_t, int, std::vector<int>>;
-// Upper bound of the tokens that one gateway reports at one level; keeps sums
-// of corrupt messages from overflowing.
+// Upper bound of the tokens that one gateway reports at one level.
 constexpr int kMaxPendingTokens = 1 << 24;
 
 // Route, requests per 1000 s, tokens per second, and thousandths of outstanding
@@ -95,7 +94,8 @@
   for (int level = 0; level < kPriorityLevels; ++level) {
     if (pending.At(level) > 0) {
       encoded.push_back(level);
-      encoded.push_back(pending.At(level));
+      encoded.push_back(static_cast<int>(std::min<PendingTokens::Count>(
+          pending.At(level), kMaxPendingTokens)));
     }
   }
   return encoded;
--- a/src/gateway/pending_tokens.h
+++ b/src/gateway/pending_tokens.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <numeric>
 
 #include "gateway/routes.h"
@@ -14,15 +15,18 @@
 
 class PendingTokens {
  public:
+  // Sums of the counts of many requests and gateways.
+  using Count = std::int64_t;
+
   PendingTokens() = default;
-  PendingTokens(int level, int tokens) { this->Add(level, tokens); }
+  PendingTokens(int level, Count tokens) { this->Add(level, tokens); }
 
   // Levels outside of the range count as the nearest one.
-  void Add(int level, int tokens) { this->tokens[Index(level)] += tokens; }
+  void Add(int level, Count tokens) { this->tokens[Index(level)] += tokens; }
   // Removes at most as many tokens as are counted.
-  void Remove(int level, int removed) {
-    int& counted = this->tokens[Index(level)];
-    counted = std::max(0, counted - removed);
+  void Remove(int level, Count removed) {
+    Count& counted = this->tokens[Index(level)];
+    counted = std::max<Count>(0, counted - removed);
   }
   void Add(const PendingTokens& other, int sign = 1) {
     for (std::size_t i = 0; i < this->tokens.size(); ++i) {
@@ -30,17 +34,17 @@
     }
   }
 
-  int At(int level) const { return this->tokens[Index(level)]; }
+  Count At(int level) const { return this->tokens[Index(level)]; }
   // @return the tokens that an engine prefills before those of a new request at
   // `level`: of requests at this level and at higher priorities.
-  int AheadOf(int level) const {
+  Count AheadOf(int level) const {
     const auto end = this->tokens.begin() + Index(level) + 1;
-    return std::accumulate(this->tokens.begin(), end, 0);
+    return std::accumulate(this->tokens.begin(), end, Count{0});
   }
-  int Total() const { return this->AheadOf(kPriorityLevels - 1); }
+  Count Total() const { return this->AheadOf(kPriorityLevels - 1); }
   bool Empty() const {
     return std::all_of(this->tokens.begin(), this->tokens.end(),
-                       [](int count) { return count == 0; });
+                       [](Count count) { return count == 0; });
   }
 
  private:
@@ -48,7 +52,7 @@
     return std::clamp(level, 0, kPriorityLevels - 1);
   }
 
-  std::array<int, kPriorityLevels> tokens{};
+  std::array<Count, kPriorityLevels> tokens{};
 };
 
 }  // namespace sycamorebend::gateway
--- a/tests/gateway/balancer_test.cc
+++ b/tests/gateway/balancer_test.cc
@@ -1,5 +1,6 @@
 #include "gateway/balancer.h"
 
+#include <limits>
 #include <set>
 
 #include <boost/test/unit_test.hpp>
@@ -103,6 +104,22 @@
 
 }  // namespace
 
+// Guards against token counts whose sum overflows: the server with the longest
+// queue would look idle.
+BOOST_FIXTURE_TEST_CASE(PendingTokensDoNotOverflow, Fixture) {
+  constexpr int kRequests = 300;
+  constexpr int kManyTokens = 1 << 24;
+  this->SetServerCount(1);
+  std::int64_t sent = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const RequestProfile profile = this->MakeRequest(1, kManyTokens);
+    const Choice choice = this->Send(profile);
+    BOOST_TEST(choice.pending_tokens == sent);
+    sent += choice.uncached_tokens;
+  }
+  BOOST_TEST(sent > std::numeric_limits<int>::max());
+}
+
 // Two gateways choose a server for the same session. Guards against gateways
 // that disagree, so that several engines prefill the same prompt.
 BOOST_FIXTURE_TEST_CASE(GatewaysChooseTheSameServerForASession, Fixture) {
