Count the prompt of a generation without blocks as work of its engine

Callers saw: none of the prefill of such a generation was expected, so that requests were placed behind it as if its engine were free, and it was not kept to the engines of its route.

Cause: PlaceRequest treated a generation without readable blocks like a request that is no generation.

Change: it is placed as one that shares no block: all of its prompt tokens are uncached.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -316,13 +316,18 @@
   placement.priority_level = profile.priority_level;
   placement.request_kb = static_cast<double>(profile.request_bytes) / 1024;
   placement.max_first_byte_time = profile.max_first_byte_time;
-  if (profile.generation == nullptr || profile.generation->prompt.empty()) {
+  if (profile.generation == nullptr) {
     return placement;
   }
+  const std::vector<PromptBlock>& prompt = profile.generation->prompt;
   placement.generation = profile.generation;
-  placement.unique_tokens = profile.generation->prompt.back().tokens;
+  placement.unique_tokens =
+      prompt.empty() ? profile.generation->input_tokens : prompt.back().tokens;
   this->UpdatePartition(pool, profile.service, now);
   placement.engines = pool.partition.EnginesOf(profile.route);
+  if (prompt.empty()) {
+    return placement;
+  }
   FindPreferredServers(pool, placement, now);
   this->FindHolders(pool, placement);
   return placement;
--- a/tests/gateway/balancer_test.cc
+++ b/tests/gateway/balancer_test.cc
@@ -104,6 +104,16 @@
 
 }  // namespace
 
+// Guards against a prompt without blocks whose prefill is not expected: the
+// requests behind it come late.
+BOOST_FIXTURE_TEST_CASE(PromptWithoutBlocksIsPrefilled, Fixture) {
+  RequestProfile profile = this->MakeRequest(1);
+  this->generation.prompt.clear();
+  const Choice first = this->Send(profile);
+  BOOST_TEST(first.uncached_tokens == 8000);
+  BOOST_TEST(this->Send(profile).server_id != first.server_id);
+}
+
 // Guards against token counts whose sum overflows: the server with the longest
 // queue would look idle.
 BOOST_FIXTURE_TEST_CASE(PendingTokensDoNotOverflow, Fixture) {
