Test many servers that send bytes without end at once

Operators reported that bytes without end of a faulty engine were kept until the calling machine ran out of memory, and that the requests of its other clients ended with it. One call each was tried before; the memory was not measured.

The test sends 224 requests at once to two servers that send 28 kinds of bytes without end, to routes of all kinds and for the rest of resumed streams. Half of the callers do not read. Each request and each connection must end, the 8 other requests in work must be answered whole, and the gateway process may grow by what the stated limits allow for that number of requests (648 MB).

The fault of the report was not seen in this release: the splitter keeps the place up to which it has searched, and its caller ends the attempt beyond 256 KiB.

The test measures a process of its own, so it is in tests/platform. Fixtures: busy_gateway.h is taken out of malformed_request_test.cc.

--- a/tests/gateway/raw_caller.cc
+++ b/tests/gateway/raw_caller.cc
@@ -33,6 +33,7 @@
     }
     const std::string data = this->socket->Receive();
     if (data.empty()) {
+      this->ended = true;
       break;
     }
     this->buffer += data;
--- a/tests/gateway/raw_caller.h
+++ b/tests/gateway/raw_caller.h
@@ -20,6 +20,8 @@
   std::string ReadUntil(const std::string& text, int ms = 5000);
   // @return everything received until the connection ends or `ms` have passed.
   std::string ReadToEnd(int ms = 5000);
+  // @return true if a read found that the connection has ended.
+  bool Ended() const { return this->ended; }
   // @return true if the last read found that the gateway reset the connection.
   bool WasReset() const { return this->socket->ResetByPeer(); }
   void Close() { this->socket->Close(); }
@@ -28,6 +30,7 @@
   int fd = -1;
   std::unique_ptr<Socket> socket;
   std::string buffer;
+  bool ended = false;
 };
 
 // @return a GET request, or a POST if it has a body.
--- a/tests/gateway/scripted_server.cc
+++ b/tests/gateway/scripted_server.cc
@@ -20,8 +20,8 @@
 
 }  // namespace
 
-void Socket::Send(const std::string& text) {
-  ::send(this->fd, text.data(), text.size(), MSG_NOSIGNAL);
+bool Socket::Send(const std::string& text) {
+  return ::send(this->fd, text.data(), text.size(), MSG_NOSIGNAL) >= 0;
 }
 
 std::string Socket::Receive() {
--- a/tests/gateway/scripted_server.h
+++ b/tests/gateway/scripted_server.h
@@ -20,7 +20,8 @@
   Socket(const Socket&) = delete;
   Socket& operator=(const Socket&) = delete;
 
-  void Send(const std::string& text);
+  // @return false if the connection has ended.
+  bool Send(const std::string& text);
   // @return the data of one read; empty at the end of the connection.
   std::string Receive();
   // @return true if the last Receive found that the peer reset the connection.
--- a/tests/platform/malformed_request_test.cc
+++ b/tests/platform/malformed_request_test.cc
@@ -3,30 +3,19 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <atomic>
 #include <cstdlib>
-#include <memory>
 #include <random>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <fmt/format.h>
 
-#include "gateway/raw_caller.h"
-#include "gateway/scripted_server.h"
-#include "platform/platform_fleet.h"
-#include "sycamorebend/settings.h"
+#include "platform/busy_gateway.h"
 
 namespace sycamorebend::platform {
 
 namespace {
 
-using gateway::Contains;
-using gateway::RawCaller;
-using gateway::ReceivedRequest;
-using gateway::ScriptedServer;
-using gateway::Socket;
 using Random = std::mt19937;
 
 constexpr const char* kCasesVariable = "SB_MALFORMED_CASES";
@@ -35,11 +24,8 @@
 constexpr unsigned kDefaultSeed = 1;
 // Of the configuration of PlatformFleet.
 constexpr std::size_t kMaxHeaderBytes = 16384;
-constexpr int kHeldOfAKind = 4;
-constexpr const char* kRequestId = "X-Sycamorebend-Request-Id";
 constexpr const char* kTokens = "X-Sycamorebend-Token-Usage";
 constexpr const char* kPromptBlocks = "X-Sycamorebend-Prefix-Hash";
-constexpr const char* kHeld = "held";
 constexpr const char* kNoAnswer = "none";
 
 int ReadNumber(const char* variable, int fallback) {
@@ -195,150 +181,6 @@
   return text + fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
 }
 
-// Answers held requests only after a release, all others at once.
-class Engine {
- public:
-  bool operator()(const ReceivedRequest& request, Socket& socket) {
-    const std::string id = request.Header(kRequestId);
-    const std::string echo =
-        id.empty() ? std::string() : fmt::format("{}: {}\r\n", kRequestId, id);
-    const bool stream = Contains(request.head, "POST /s/");
-    const std::string head = fmt::format(
-        "HTTP/1.1 200 OK\r\n{}X-Sycamorebend-Response-Signature: s\r\n", echo);
-    const std::string body = "body of " + id;
-    if (stream) {
-      socket.Send(head +
-                  "Content-Type: text/event-stream\r\n"
-                  "Transfer-Encoding: chunked\r\n\r\n" +
-                  gateway::EventChunk(2, "begin"));
-    }
-    this->WaitForRelease(request);
-    socket.Send(stream ? gateway::EventChunk(3, body) + "0\r\n\r\n"
-                       : head + fmt::format("Content-Length: {}\r\n\r\n{}",
-                                            body.size(), body));
-    return true;
-  }
-
-  void Release() { this->released = true; }
-  int Held() const { return this->held; }
-
- private:
-  void WaitForRelease(const ReceivedRequest& request) {
-    if (!Contains(request.Header(kRequestId), kHeld)) {
-      return;
-    }
-    ++this->held;
-    while (!this->released) {
-      SleepBriefly();
-    }
-  }
-
-  std::atomic<bool> released{false};
-  std::atomic<int> held{0};
-};
-
-// Requests without and with a stream that are in work meanwhile.
-class HeldRequests {
- public:
-  explicit HeldRequests(const std::string& address) {
-    for (int i = 0; i < kHeldOfAKind * 2; ++i) {
-      this->callers.push_back(std::make_unique<RawCaller>(address));
-      this->callers.back()->Send(fmt::format(
-          "POST /{}/x HTTP/1.1\r\nHost: h.example\r\n{}: {}\r\n"
-          "X-Sycamorebend-Deadline-Ms: 3600000\r\nContent-Length: 0\r\n\r\n",
-          i % 2 == 0 ? "n" : "s", kRequestId, Id(i)));
-    }
-  }
-
-  int Count() const { return static_cast<int>(this->callers.size()); }
-
-  void CheckAnswers() {
-    for (int i = 0; i < this->Count(); ++i) {
-      const std::string wanted = "body of " + Id(i);
-      const std::string answer =
-          this->callers[static_cast<std::size_t>(i)]->ReadUntil(
-              i % 2 == 0 ? wanted : "\r\n0\r\n\r\n");
-      BOOST_TEST(Contains(answer, "HTTP/1.1 200"), Id(i));
-      BOOST_TEST(Contains(answer, wanted), Id(i));
-    }
-  }
-
- private:
-  static std::string Id(int i) { return fmt::format("{}-{}", kHeld, i); }
-
-  std::vector<std::unique_ptr<RawCaller>> callers;
-};
-
-Json::Value Routes() {
-  return ParseJson(R"([
-      {"name": "idempotent", "hostname": "h.example", "path_prefix": "/a/",
-       "route_type": "idempotent", "timeout_ms": 10000, "backend": "app",
-       "target_latency_ms": 5000, "max_attempts": 2, "public": true},
-      {"name": "once", "hostname": "h.example", "path_prefix": "/n/",
-       "route_type": "non_idempotent", "timeout_ms": 3600000,
-       "backend": "app", "max_attempts": 2, "public": true},
-      {"name": "stream", "hostname": "h.example", "path_prefix": "/s/",
-       "route_type": "streaming", "timeout_ms": 3600000, "backend": "app",
-       "target_latency_ms": 5000, "target_itl_ms": 5000, "public": true},
-      {"name": "key", "hostname": "h.example", "path_prefix": "/k/",
-       "route_type": "streaming", "timeout_ms": 10000, "backend": "app",
-       "target_latency_ms": 5000, "target_itl_ms": 5000, "max_attempts": 2,
-       "stream_resume": true}])")
-      .value();
-}
-
-// A gateway with one engine, which has held requests in work.
-struct BusyGateway {
-  BusyGateway()
-      : fleet(/*replicas=*/3, /*gateways=*/1, /*max_followers=*/8),
-        server([this](const ReceivedRequest& request, Socket& socket) {
-          return this->engine(request, socket);
-        }) {
-    const Json::Value routes = Routes();
-    BOOST_REQUIRE(
-        WaitFor([&] { return this->fleet.Replace(1, routes); }, kStepTimeout));
-    BOOST_REQUIRE(WaitFor(
-        [&] { return this->fleet.Announce("engine", this->server.Address()); },
-        kStepTimeout));
-    BOOST_REQUIRE(
-        WaitFor([&] { return this->fleet.InForce(1) == 1; }, kStepTimeout));
-    BOOST_REQUIRE(WaitFor([&] { return this->Serves(); }, kStepTimeout));
-  }
-  ~BusyGateway() { this->engine.Release(); }
-
-  void HoldRequests() {
-    this->held = std::make_unique<HeldRequests>(this->Address());
-    BOOST_REQUIRE(
-        WaitFor([&] { return this->engine.Held() == this->held->Count(); },
-                kStepTimeout));
-  }
-
-  std::string Address() const { return this->fleet.CallerAddress(0); }
-  bool Running() { return this->fleet.Gateway(0).Running(); }
-  std::string Send(const std::string& request) const {
-    RawCaller caller(this->Address());
-    caller.Send(request);
-    return caller.ReadUntil("\r\n\r\n", kAnswerTimeoutMs);
-  }
-  bool Serves() const {
-    return Contains(this->Send("GET /a/x HTTP/1.1\r\nHost: h.example\r\n\r\n"),
-                    "HTTP/1.1 200");
-  }
-  void CheckHeldRequests() {
-    BOOST_TEST(this->Running());
-    this->engine.Release();
-    this->held->CheckAnswers();
-  }
-
-  // Well above the time limits of the routes of malformed requests.
-  static constexpr int kAnswerTimeoutMs = 30000;
-
-  Engine engine;
-  PlatformFleet fleet;
-  ScriptedServer server;
-  std::unique_ptr<HeldRequests> held;
-};
-
 std::string StatusOf(const std::string& answer) {
   constexpr std::size_t kStatusAt = sizeof("HTTP/1.1 ") - 1;
   return answer.size() < kStatusAt ? std::string(kNoAnswer)
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -87,7 +87,8 @@
           "path_prefix": "/a/", "route_type": "idempotent",
           "timeout_ms": 1500, "priority": 2, "backend": "app",
           "max_attempts": 2, "public": true}],
-        "backends": [{"name": "app", "max_connections": 110}],
+        "backends": [{"name": "app", "max_connections": 110},
+                     {"name": "faulty", "max_connections": 110}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": "t", "api_keys": ["k1"], "priority": 1}]})")
@@ -100,10 +101,11 @@
 }
 
 bool PlatformFleet::Announce(const std::string& engine,
-                             const std::string& address) {
+                             const std::string& address,
+                             const std::string& service) {
   const auto now = std::chrono::steady_clock::now().time_since_epoch();
   Json::Value body;
-  body["backend"] = "app";
+  body["backend"] = service;
   body["address"] = address;
   body["zone"] = "a";
   body["state"] = "ready";
@@ -186,6 +188,11 @@
   return count;
 }
 
+int PlatformFleet::OpenRequests(std::size_t gateway) {
+  return static_cast<int>(
+      ReadMetric(this->Metrics(gateway), "sycamorebend_gateway_open_requests"));
+}
+
 std::string PlatformFleet::GatewayLogs() const {
   std::string logs;
   for (std::size_t i = this->replica_count; i < this->machines.size(); ++i) {
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -47,9 +47,11 @@
   // open route "/a/" of host "h.example".
   // @return true if a replica acknowledged it.
   bool Replace(std::uint64_t version, const Json::Value& routes = {});
-  // Reports an engine of the service "app" as ready.
+  // Reports an engine of a service, "app" or "faulty", as ready.
   // @return true if a replica acknowledged it.
-  bool Announce(const std::string& engine, const std::string& address);
+  bool Announce(const std::string& engine,
+                const std::string& address,
+                const std::string& service = "app");
 
   // @return true if callers get a response with an HTTP status at `address`.
   bool Serves(const std::string& address);
@@ -66,6 +68,9 @@
   // @return number of gateways that have a version of the configuration, or a
   // newer one, in force.
   std::size_t InForce(std::uint64_t version);
+  // @return number of requests that a gateway has in work; -1 if it does not
+  // respond.
+  int OpenRequests(std::size_t gateway);
   // @return the logs of all gateways.
   std::string GatewayLogs() const;
 
