Bound chunk extensions by the size of the body beside them

Callers saw: a server that sent chunks of one byte with long extensions without end kept a request until its time was up (504), instead of 502 or the response of another server.

Cause: each piece of a body set the count of framing bytes back to 0.

Change: each byte of a body makes up for 16 bytes of framing. Chunks of one byte have 5, so that sound streams of small chunks go on.

--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -1,5 +1,6 @@
 #include "net/http_reader.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sycamorebend::net {
@@ -10,6 +11,9 @@
 // Framing bytes in a row, as a multiple of the limit on the head: a header of a
 // few bytes has as many separators.
 constexpr std::size_t kMaxFramingFactor = 4;
+// Framing bytes that each byte of a body makes up for: a chunk of one byte has
+// five, and a few more with an extension.
+constexpr std::size_t kFramingPerBodyByte = 16;
 constexpr std::size_t kParseBytes = 1024;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -60,7 +64,8 @@
   }
 
   static int OnBody(http_parser* parser, const char* at, size_t size) {
-    Of(parser).framing_bytes = 0;
+    std::size_t& framing = Of(parser).framing_bytes;
+    framing -= std::min(framing, size * kFramingPerBodyByte);
     Of(parser).sink.OnBody({at, size});
     return 0;
   }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -52,7 +52,7 @@
 
   // Parses up to the end of one message. Fails if the peer sends too many bytes
   // that belong neither to a final head nor to a body, such as informational
-  // responses or chunk extensions.
+  // responses or chunk extensions, for the size of its body.
   // @return the number of bytes consumed; the rest belongs to the next message.
   std::size_t Read(std::string_view data);
   // Signals connection close, which ends a response without a length.
@@ -89,7 +89,8 @@
   bool failed = false;
   bool head_too_large = false;
   std::size_t head_bytes = 0;
-  // Bytes consumed since the last piece of a body or the end of a message.
+  // Bytes consumed since the end of a message that the pieces of its body do
+  // not make up for.
   std::size_t framing_bytes = 0;
 };
 
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -405,6 +405,8 @@
       {"body", head + "Content-Length: 1000000000\r\n\r\n", filler},
       {"chunk extension", head + "Transfer-Encoding: chunked\r\n\r\n5;",
        filler},
+      {"chunk extensions", head + "Transfer-Encoding: chunked\r\n\r\n",
+       "1;" + filler + "\r\nx\r\n"},
       {"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
        "Other: " + filler + "\r\n"},
       {"event", stream, Chunk(filler)},
--- a/tests/net/http_reader_test.cc
+++ b/tests/net/http_reader_test.cc
@@ -171,6 +171,28 @@
   BOOST_TEST(head.ended == 1);
 }
 
+// Guards against extensions without end that belong to chunks of one byte, and
+// against small chunks that are taken for them.
+BOOST_AUTO_TEST_CASE(ChunksWithMoreFramingThanBodyAreBounded) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string extension(200, 'x');
+  Recorder endless(kResponse);
+  endless.Feed(head, head.size());
+  int chunks = 0;
+  for (; chunks < 1000 && !endless.reader.Failed(); ++chunks) {
+    endless.Feed("1;" + extension + "\r\nx\r\n", 100);
+  }
+  BOOST_TEST(chunks < 20);
+  Recorder small(kResponse);
+  small.Feed(head, head.size());
+  for (int i = 0; i < 10000; ++i) {
+    small.Feed("1;a=b\r\nx\r\n", 100);
+  }
+  BOOST_TEST(!small.reader.Failed());
+  BOOST_TEST(small.bodies[0].size() == 10000U);
+}
+
 // Guards against treating an informational (1xx) response as the final one.
 BOOST_AUTO_TEST_CASE(InformationalResponsesAreSkipped) {
   Recorder recorder(kResponse);
