--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -112,9 +112,9 @@
 double TokensAhead(const PendingTokens& pending,
                    int level,
                    double prompt_tokens) {
-  const int ahead = pending.AheadOf(level);
-  return ahead + std::min<double>(pending.Total() - ahead,
-                                  kBegunPromptFraction * prompt_tokens);
+  const auto ahead = static_cast<double>(pending.AheadOf(level));
+  return ahead + std::min(static_cast<double>(pending.Total()) - ahead,
+                          kBegunPromptFraction * prompt_tokens);
 }
 
 // @return the rendezvous hashing weight of a server for a prefix block, which
@@ -128,7 +128,7 @@
 
 // @return the last prefix block that is likely to be shared with other
 // requests. It distinguishes sessions; the final block is unique to the
-// request.
+// request. `generation` must have a block.
 std::uint64_t AffinityBlock(const GenerationRequest& generation) {
   const std::size_t count = generation.prompt.size();
   return generation.prompt[count > 1 ? count - 2 : 0].id;
@@ -253,7 +253,8 @@
     const bool shared = i + 1 < prompt.size();
     cached += prompt[i].tokens * (i < known ? 1 : shared ? hit_rate : 0);
   }
-  return std::max(0, generation.input_tokens - static_cast<int>(cached));
+  return static_cast<int>(
+      std::max(0.0, generation.input_tokens - std::floor(cached)));
 }
 
 double Balancer::Slowness(const Server& server, TimePoint now) const {
@@ -315,13 +316,18 @@
   placement.priority_level = profile.priority_level;
   placement.request_kb = static_cast<double>(profile.request_bytes) / 1024;
   placement.max_first_byte_time = profile.max_first_byte_time;
-  if (profile.generation == nullptr || profile.generation->prompt.empty()) {
+  if (profile.generation == nullptr) {
     return placement;
   }
+  const std::vector<PromptBlock>& prompt = profile.generation->prompt;
   placement.generation = profile.generation;
-  placement.unique_tokens = profile.generation->prompt.back().tokens;
+  placement.unique_tokens =
+      prompt.empty() ? profile.generation->input_tokens : prompt.back().tokens;
   this->UpdatePartition(pool, profile.service, now);
   placement.engines = pool.partition.EnginesOf(profile.route);
+  if (prompt.empty()) {
+    return placement;
+  }
   FindPreferredServers(pool, placement, now);
   this->FindHolders(pool, placement);
   return placement;
@@ -658,6 +664,9 @@
                                   Server& server,
                                   const GenerationRequest& generation,
                                   TimePoint now) {
+  if (generation.prompt.empty()) {
+    return;
+  }
   const Duration refresh =
       Scale(pool.block_lifetime, kPlacementRefreshFraction);
   for (std::size_t i = 0; i < generation.prompt.size(); ++i) {
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -54,14 +54,18 @@
   // Kills all processes at once and starts them again.
   void RestartAll();
 
-  // Sends a configuration with one open route "/a/" of host "h.example" to the
-  // service "app".
+  // Sends a configuration with `routes` to the service "app", by default one
+  // open route "/a/" of host "h.example".
   // @param first replica to which it is sent first.
   // @return true if a replica acknowledged it.
-  bool Replace(std::uint64_t version, std::size_t first = 0);
-  // Reports an engine of the service "app" as ready.
+  bool Replace(std::uint64_t version,
+               std::size_t first = 0,
+               const Json::Value& routes = {});
+  // Reports an engine of a service, "app" or "faulty", as ready.
   // @return true if a replica acknowledged it.
-  bool Announce(const std::string& engine, const std::string& address);
+  bool Announce(const std::string& engine,
+                const std::string& address,
+                const std::string& service = "app");
 
   // @return true if callers get a response with an HTTP status at `address`.
   bool Serves(const std::string& address);
@@ -80,6 +84,9 @@
   // @return number of gateways that have a version of the configuration, or a
   // newer one, in force.
   std::size_t InForce(std::uint64_t version);
+  // @return number of requests that a gateway has in work; -1 if it does not
+  // respond.
+  int OpenRequests(std::size_t gateway);
   // @return the logs of all gateways.
   std::string GatewayLogs() const;
   // @return the versions of the configuration that gateways have put in force,
