Report a replica as removed only after its removal is committed

A control replica that asks the leader with replica.member could be told that it is no member although its removal was not committed. It erases its directory then. If another leader replaces the entry, the replica is still a voter of the set, but its log, term and vote are gone.

Cause: CheckMember waits for a read barrier and then reads GetStatus().replicas. That is the set in effect, which includes changes that are not committed; the barrier covers committed entries only.

LogStatus gets committed_members, the members of the last replica set that is known to be committed, and CheckMember answers from it. The leader publishes it when it applies a replica set entry, so that it is current after a barrier.

The other uses of `replicas` stay. The core refuses a change by the planner or by replica.join while an earlier one is not committed. replicas.set is appended after the entry of the set that it names and cannot be committed without it.

--- a/include/sycamorebend/consensus.h
+++ b/include/sycamorebend/consensus.h
@@ -71,7 +71,13 @@
     LogIndex snapshot_index = 0;
     // The largest replica ID ever used. A new replica needs a larger one.
     ReplicaId largest_id = 0;
+    // The replica set in effect. A change takes effect before it is committed
+    // and may still be undone by another leader.
     std::vector<ReplicaStatus> replicas;
+    // Members of the last replica set that is known to be committed. After a
+    // read barrier on the leader it includes every change that was committed
+    // when the barrier was requested.
+    std::vector<ReplicaId> committed_members;
   };
 
   virtual ~ReplicatedLog() = default;
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -151,6 +151,9 @@
   std::uint64_t SnapshotBytes() const;
   std::uint64_t BytesSinceSnapshot() const { return this->log_bytes; }
   const ReplicaSet& Replicas() const { return this->replica_sets.back().set; }
+  const ReplicaSet& CommittedReplicas() const {
+    return this->ReplicasAt(this->commit_index);
+  }
   const std::map<ReplicaId, Progress>& Followers() const {
     return this->followers;
   }
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -499,6 +499,10 @@
     }
     status.replicas.push_back(std::move(replica));
   }
+  status.committed_members.clear();
+  for (const Member& member : this->core->CommittedReplicas().members) {
+    status.committed_members.push_back(member.id);
+  }
 }
 
 class LogService : public ReplicatedLogService {
--- a/src/controld/replica_manager.cc
+++ b/src/controld/replica_manager.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <memory>
 #include <utility>
+#include <vector>
 
 #include "control/field_reader.h"
 #include "sycamorebend/settings.h"
@@ -19,13 +20,6 @@
 // promoted.
 constexpr LogIndex kMaxPromotionLag = 64;
 
-const ReplicaStatus* FindReplica(const LogStatus& status, ReplicaId id) {
-  const auto found = std::find_if(
-      status.replicas.begin(), status.replicas.end(),
-      [id](const ReplicaStatus& replica) { return replica.id == id; });
-  return found == status.replicas.end() ? nullptr : &*found;
-}
-
 Error NotLeader(const LogStatus& status) {
   return {ResultCode::kNotLeader, status.leader_address};
 }
@@ -145,13 +139,17 @@
   internal::FieldReader reader(params);
   const ReplicaId id = reader.Unsigned("id");
   BOOST_OUTCOME_TRY(reader.Finish());
-  // A former leader that does not know yet that it was replaced must not report
-  // a member as removed.
+  // A replica that is reported as removed erases its log. Therefore neither a
+  // former leader that does not know yet that it was replaced nor a removal
+  // that is not committed may be the reason.
   BOOST_OUTCOME_TRY(RunChange([&](ReplicatedLog::StatusCallback done) {
     this->log.ReadBarrier(std::move(done));
   }));
+  const std::vector<ReplicaId> members =
+      this->log.GetStatus().committed_members;
   Json::Value response;
-  response["member"] = FindReplica(this->log.GetStatus(), id) != nullptr;
+  response["member"] =
+      std::find(members.begin(), members.end(), id) != members.end();
   return response;
 }
 
--- a/tests/control/memory_log.h
+++ b/tests/control/memory_log.h
@@ -86,7 +86,11 @@
 
   LogStatus GetStatus() const override {
     std::lock_guard lock(this->mutex);
-    return this->status;
+    LogStatus latest = this->status;
+    for (const ReplicaStatus& replica : latest.replicas) {
+      latest.committed_members.push_back(replica.id);
+    }
+    return latest;
   }
 
   Result<Json::Value> HandleMessage(const Json::Value& /*params*/) override {
