Count a confirmation after the state that it is for is in use

Callers of an entry daemon that was out of touch for longer than configuration_lease_ms would see: while the daemon parses the next state, it accepts requests with the policy from before.

Cause: the follower published a state, then its confirmation, and only then told the daemon of the state. Whoever asked in between got the confirmation of the new state while the old one was in use.

Change: the daemon is told first.

--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -90,7 +90,8 @@
   virtual ~FeedFollower() = default;
 
   // @param rpc must outlive the follower.
-  // @param on_update runs on the follower's thread with each new state.
+  // @param on_update runs on the follower's thread with each new state, before
+  // ConfirmationAge counts the confirmation of that state.
   static std::unique_ptr<FeedFollower> Start(FeedFollowerOptions options,
                                              RpcClient& rpc,
                                              const Clock& clock,
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -548,6 +548,10 @@
       LogUnreadable(*state, current);
       this->server.Publish(state);
     }
+    if (is_new && this->on_update) {
+      this->on_update(state);
+    }
+    // Counted last: it does not hold for the state that was in use before.
     if (age_ms >= 0) {
       // Measured from when the poll was sent, so that the age includes the time
       // in transit and in the source's queue.
@@ -555,9 +559,6 @@
       std::lock_guard lock(this->mutex);
       this->confirmed = std::max(this->confirmed.value_or(at), at);
     }
-    if (is_new && this->on_update) {
-      this->on_update(state);
-    }
     if (age_ms < 0 ||
         milliseconds(age_ms) > this->options.max_source_confirmation_age) {
       return MakeError(ResultCode::kConfigurationUnconfirmed,
