Acknowledge a repeated announcement only after the commit

A backend server that repeated its announcement, for instance after the timeout of the first call, was told that it is known while the first one was not committed. A draining server takes this as leave to end; after the loss of the leader it would get requests again.

Cause: Heartbeat compares an announcement with the applied state and with the last announcement received, and leaves out proposals that are not committed. The same cause has two more effects: a newer announcement that agrees with the applied record is acknowledged while one in flight is about to change that record, and so is one after a proposal that failed without a definite outcome.

ControlService keeps the newest proposal of each server that is not known to be committed. Older and repeated announcements wait for it. Newer ones, and any after a failed proposal, are proposed themselves.

control_service_test with the old control_service: "acknowledged before the commit" in RepeatedAnnouncementWaitsForItsCommit and in the new AnnouncementFollowsAnUncommittedOne (the record keeps sequence 2 of 3); the new AnnouncementAfterAFailedOneIsProposed proposes nothing.

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 #include "control/field_reader.h"
@@ -25,8 +26,8 @@
 
 // @return the value, or kCancelled if the log was stopped and dropped the
 // callback that sets it.
-template <typename T>
-Result<T> Wait(std::future<Result<T>> future) {
+template <typename T, template <typename> class Future>
+Result<T> Wait(Future<Result<T>> future) {
   try {
     return future.get();
   } catch (const std::future_error&) {
@@ -34,6 +35,10 @@
   }
 }
 
+std::pair<std::uint64_t, std::uint64_t> Version(const ServerRecord& record) {
+  return {record.incarnation, record.sequence};
+}
+
 Json::Value AgeToJson(Duration age) {
   return Json::Int64(age == Duration::max() ? -1 : ToMilliseconds(age) + 1);
 }
@@ -233,17 +238,35 @@
   if (!status.is_leader) {
     return MakeError(ResultCode::kNotLeader, status.leader_address);
   }
-  bool must_propose = false;
+  std::promise<Status> promise;
+  std::optional<std::shared_future<Status>> earlier_proposal;
   {
     std::lock_guard lock(this->liveness_mutex);
-    must_propose = this->liveness.RecordAnnouncement(
+    bool must_propose = this->liveness.RecordAnnouncement(
         record, *this->state.Shared(), this->clock.Now());
+    const auto found = this->announcement_proposals.find(record.server_id);
+    if (!must_propose && found == this->announcement_proposals.end()) {
+      return Json::Value(Json::objectValue);
+    }
+    // A proposal in flight, and one that failed without a definite outcome, may
+    // still change the record with which the announcement agrees.
+    must_propose = must_propose || !found->second.finished.valid() ||
+                   Version(record) > found->second.version;
+    if (must_propose) {
+      this->announcement_proposals[record.server_id] = {
+          Version(record), promise.get_future().share()};
+    } else {
+      earlier_proposal = found->second.finished;
+    }
   }
-  if (!must_propose) {
+  if (earlier_proposal) {
+    BOOST_OUTCOME_TRYV(Wait(*earlier_proposal));
     return Json::Value(Json::objectValue);
   }
   Result<Json::Value> response = this->Propose("server.announce", params);
+  this->FinishAnnouncement(record, response.has_value());
   if (response) {
+    promise.set_value(Success());
     LogEvent(Severity::kInfo, Event::kServerAnnounced,
              {{"server_id", record.server_id},
               {"incarnation", record.incarnation},
@@ -251,13 +274,28 @@
               {"address", record.address},
               {"leaving", record.leaving}});
   } else {
-    // The next announcement must be proposed again.
-    std::lock_guard lock(this->liveness_mutex);
-    this->liveness.Discard(record.server_id);
+    promise.set_value(response.error());
   }
   return response;
 }
 
+void ControlService::FinishAnnouncement(const ServerRecord& record,
+                                        bool committed) {
+  std::lock_guard lock(this->liveness_mutex);
+  const auto newest = this->announcement_proposals.find(record.server_id);
+  if (newest == this->announcement_proposals.end() ||
+      newest->second.version != Version(record)) {
+    return;
+  }
+  if (committed) {
+    this->announcement_proposals.erase(newest);
+    return;
+  }
+  // The next announcement must be proposed again.
+  newest->second.finished = {};
+  this->liveness.Discard(record.server_id);
+}
+
 Result<Json::Value> ControlService::Leave(const Json::Value& params) {
   Result<Json::Value> response = this->Propose("server.leave", params);
   if (response) {
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <future>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -69,7 +70,7 @@
   // document.
   Result<Json::Value> Replace(const Json::Value& params);
   // server.heartbeat: proposes the announcement if it changes the server's
-  // record.
+  // record. Succeeds once this announcement or a newer one is committed.
   Result<Json::Value> Heartbeat(const Json::Value& params);
   Result<Json::Value> Leave(const Json::Value& params);
   Result<Json::Value> JoinReplica(const Json::Value& params);
@@ -93,6 +94,8 @@
   void ProposeOnce(const std::string& key,
                    const std::string& type,
                    Json::Value command);
+  // Updates announcement_proposals after the announcement's proposal.
+  void FinishAnnouncement(const ServerRecord& record, bool committed);
   // Leader only: marks backend servers silent or removes them when their leases
   // have expired.
   void ProposeLeaseExpiries(const ReplicatedLog::LogStatus& status,
@@ -103,6 +106,14 @@
     std::set<std::string> keys;
   };
 
+  // Incarnation and sequence, which order the announcements of a server.
+  using AnnouncementVersion = std::pair<std::uint64_t, std::uint64_t>;
+  struct AnnouncementProposal {
+    AnnouncementVersion version;
+    // Not valid if the proposal has failed. It may still be committed.
+    std::shared_future<Status> finished;
+  };
+
   ControlState& state;
   FeedSource& feed;
   const Clock& clock;
@@ -111,6 +122,9 @@
   std::unique_ptr<ReplicaManager> manager;
   std::mutex liveness_mutex;
   ServerLiveness liveness{ServerLeases()};
+  // Newest proposal of each backend server that is not known to be committed,
+  // by server ID. Older and repeated announcements wait for it.
+  std::map<std::string, AnnouncementProposal> announcement_proposals;
   Term liveness_term = 0;
   TimePoint last_tick;
   mutable std::mutex counts_mutex;
--- a/tests/control/service_test.cc
+++ b/tests/control/service_test.cc
@@ -58,6 +58,15 @@
   return ReadControlSettings(SettingsObject::Parse(text, "c.json").value());
 }
 
+// @return the parameters of an announcement of the server "s".
+std::string Announcement(int sequence, bool leaving) {
+  return R"({"server_id":"s","incarnation":1,"service":"app",)"
+         R"("address":"127.0.0.1:9000","failure_domain":"a","slots":1,)"
+         R"("sequence":)" +
+         std::to_string(sequence) + R"(,"leaving":)" +
+         (leaving ? "true}" : "false}");
+}
+
 }  // namespace
 
 // Guards against errors that don't name the malformed parameter to an operator
@@ -366,6 +375,53 @@
   BOOST_TEST(first.get().has_value());
 }
 
+// Guards against comparing an announcement with a record that an announcement
+// in flight is about to change: the record would keep the older one.
+BOOST_FIXTURE_TEST_CASE(AnnouncementFollowsAnUncommittedOne, Fixture) {
+  this->clock.Advance(seconds(1));
+  BOOST_REQUIRE(
+      this->Call("server.heartbeat", Announcement(1, false)).has_value());
+  this->node.log.largest_command = 0;
+  std::promise<void> commit;
+  this->node.control_thread.Post(
+      [allowed = commit.get_future().share()] { allowed.wait(); });
+  auto first = std::async(std::launch::async, [&] {
+    return this->Call("server.heartbeat", Announcement(2, true));
+  });
+  while (this->node.log.largest_command == 0) {
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  auto second = std::async(std::launch::async, [&] {
+    return this->Call("server.heartbeat", Announcement(3, false));
+  });
+  BOOST_TEST(
+      (second.wait_for(milliseconds(300)) == std::future_status::timeout),
+      "acknowledged before the commit");
+  commit.set_value();
+  BOOST_TEST(first.get().has_value());
+  BOOST_TEST(second.get().has_value());
+  const std::vector<ServerRecord> servers = this->node.state->Shared()->servers;
+  BOOST_REQUIRE(servers.size() == 1U);
+  BOOST_TEST(servers[0].sequence == 3U);
+  BOOST_TEST(!servers[0].leaving);
+}
+
+// Guards against trusting a record that a proposal without a definite outcome
+// may still change.
+BOOST_FIXTURE_TEST_CASE(AnnouncementAfterAFailedOneIsProposed, Fixture) {
+  this->clock.Advance(seconds(1));
+  this->node.log.lose_next_response = true;
+  BOOST_TEST((this->CallError("server.heartbeat", Announcement(1, true)).code ==
+              ResultCode::kTransportTimeout));
+  const LogIndex failed = this->node.log.GetStatus().last_index;
+  for (const int sequence : {1, 2}) {
+    BOOST_TEST(this->Call("server.heartbeat", Announcement(sequence, true))
+                   .has_value());
+    // The second one agrees with a record that is known to be committed.
+    BOOST_TEST(this->node.log.GetStatus().last_index == failed + 1);
+  }
+}
+
 // Guards against reporting a replica as removed while its removal is not
 // committed: it would erase its log, and stay a member if another leader
 // replaces the entry.
