Start the unreachable time of replicas with the term

A leader that had led before could promote a learner and remove a voter at the first failed call after its election, though the voter had been away for an instant.

Cause: ReplicaSetPlanner keeps the time at which each replica was last reachable, and is called only while this replica leads. In a later term it counts the whole time in between as unreachable. Now the times start anew with each term.

--- a/src/controld/replica_manager.cc
+++ b/src/controld/replica_manager.cc
@@ -43,6 +43,10 @@
 
 void ReplicaSetPlanner::UpdateReachability(const LogStatus& status,
                                            TimePoint now) {
+  // What was seen in an earlier term says nothing about the time since then.
+  if (std::exchange(this->term, status.term) != status.term) {
+    this->last_reachable.clear();
+  }
   std::map<ReplicaId, TimePoint> seen;
   for (const ReplicaStatus& replica : status.replicas) {
     const auto known = this->last_reachable.find(replica.id);
--- a/src/controld/replica_manager.h
+++ b/src/controld/replica_manager.h
@@ -60,6 +60,8 @@
                           TimePoint now);
 
   const ReplicaSetTarget target;
+  // Term in which `last_reachable` was recorded.
+  Term term = 0;
   std::map<ReplicaId, TimePoint> last_reachable;
 };
 
