Include in the control status what its confirmation covers

control.status could report a state with a fresh confirmation_age_ms although an entry that was committed before that confirmation was missing from configuration_version, applied_index and the lists.

Cause: StatusReport reads the state first and the age afterwards; an entry that is applied in between belongs to the confirmation, not to the state. The age is read first now.

StatusHasWhatItsConfirmationCovers applies an entry when the age is read: before, configuration_version 1 and applied_index 1 of 2 with an age of 1 ms; after, 2 and 2. control_service_test passes.

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -491,6 +491,9 @@
   if (replica_log == nullptr) {
     return MakeError(ResultCode::kNotLeader, "");
   }
+  // Read before the state, which then contains what was committed when the
+  // quorum confirmed it.
+  const Duration age = replica_log->ConfirmationAge();
   const ReplicatedLog::LogStatus status = replica_log->GetStatus();
   const std::shared_ptr<const SharedState> shared = this->state.Shared();
   Json::Value response;
@@ -504,7 +507,7 @@
   response["last_index"] = Json::UInt64(status.last_index);
   response["snapshot_index"] = Json::UInt64(status.snapshot_index);
   response["replicas"] = ReplicasToJson(status);
-  response["confirmation_age_ms"] = AgeToJson(replica_log->ConfirmationAge());
+  response["confirmation_age_ms"] = AgeToJson(age);
   response["epoch"] = shared->epoch;
   response["configuration_version"] =
       Json::UInt64(shared->configuration_version);
--- a/tests/control/memory_log.h
+++ b/tests/control/memory_log.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -52,7 +53,12 @@
         [leading, callback = std::move(callback)] { callback(leading); });
   }
 
-  Duration ConfirmationAge() const override { return this->age; }
+  Duration ConfirmationAge() const override {
+    if (const auto step = std::exchange(this->before_age, nullptr)) {
+      step();
+    }
+    return this->age;
+  }
 
   void AddReplica(ReplicaId id,
                   std::string address,
@@ -134,6 +140,8 @@
 
   // The value that ConfirmationAge returns.
   std::atomic<Duration> age{Duration(0)};
+  // If set, called once by ConfirmationAge before the age is read.
+  mutable std::function<void()> before_age;
   // Size of the largest proposed command.
   std::atomic<std::size_t> largest_command{0};
   // Commits the next proposal but fails its callback with a timeout.
--- a/tests/control/service_test.cc
+++ b/tests/control/service_test.cc
@@ -348,6 +348,25 @@
   }
 }
 
+// Guards against a status that calls its state confirmed although the state
+// lacks an entry that was applied before the confirmation was read.
+BOOST_FIXTURE_TEST_CASE(StatusHasWhatItsConfirmationCovers, Fixture) {
+  BOOST_REQUIRE(this->Apply("a", 0, kDocument).has_value());
+  this->node.log.before_age = [this] {
+    Json::Value command =
+        ParseJson(R"({"type":"config.apply","operator":"bob",)"
+                  R"("change_id":"b","expected_version":1})")
+            .value();
+    command["document"] = ParseJson(R"({"tiers":["x"]})").value();
+    this->node.log.Commit(WriteJson(command));
+  };
+  const Json::Value status = this->node.service.StatusReport().value();
+  BOOST_TEST(status["confirmation_age_ms"].asInt() == 1);
+  BOOST_TEST(status["configuration_version"].asInt() == 2);
+  BOOST_TEST(status["applied_index"].asUInt64() ==
+             this->node.log.GetStatus().applied_index);
+}
+
 // Guards against acknowledging a repeated announcement while the first one is
 // not committed: a server that was told that its draining is known would get
 // requests again after the loss of the leader.
