Refuse to start with an identity that cannot be opened

Cause: LoadIdentity answered "none" for every file that it could not open. A process with a member's state then asked for a new ID, or, with `bootstrap`, replaced the identity by that of a founder.

Change: kStorageFailed if the file is there or cannot be looked for. The process ends and is started again, as for a corrupt identity. WasErased was strict from its start, so that a directory with a later identity is never erased.

UnreadableIdentityIsAnError (a loop of links) failed before and passes.

--- a/src/controld/replica_identity.cc
+++ b/src/controld/replica_identity.cc
@@ -125,6 +125,13 @@
   const fs::path path = fs::path(directory) / kIdentityFile;
   std::ifstream file(path);
   if (!file) {
+    // An identity that is there must not count as missing: another one would
+    // be made up.
+    BOOST_OUTCOME_TRY(found, Exists(path));
+    if (found) {
+      return MakeError(ResultCode::kStorageFailed,
+                       "cannot open " + path.string());
+    }
     return std::optional<ReplicaIdentity>();
   }
   std::ostringstream text;
--- a/src/controld/replica_identity.h
+++ b/src/controld/replica_identity.h
@@ -28,8 +28,8 @@
     std::vector<std::string> seeds,
     const std::string& own_address);
 
-// @return the identity stored in `directory`, nothing if there is none, or
-// kLogCorrupt.
+// @return the identity stored in `directory`, nothing if there is none,
+// kLogCorrupt, or kStorageFailed if it cannot be opened.
 Result<std::optional<ReplicaIdentity>> LoadIdentity(
     const std::string& directory);
 
--- a/tests/control/replica_manager_test.cc
+++ b/tests/control/replica_manager_test.cc
@@ -165,6 +165,20 @@
   std::filesystem::remove_all(directory);
 }
 
+// Guards against an identity that cannot be opened and counts as missing, so
+// that its replica founds the set again or erases its state.
+BOOST_AUTO_TEST_CASE(UnreadableIdentityIsAnError) {
+  const std::string directory = TemporaryDirectory();
+  BOOST_REQUIRE(EraseReplica(directory));
+  // A loop of links, which no user can open.
+  std::filesystem::create_symlink("identity", directory + "/identity");
+  const auto identity = LoadIdentity(directory);
+  BOOST_REQUIRE(!identity);
+  BOOST_TEST((identity.error().code == ResultCode::kStorageFailed));
+  BOOST_TEST(!WasErased(directory));
+  std::filesystem::remove_all(directory);
+}
+
 // Guards against a new leader that marks live servers silent, and against lost
 // servers that are never removed.
 BOOST_AUTO_TEST_CASE(ServersGetAFullLeaseAtANewLeader) {
