Tell a replica of its removal only once that is committed

Cause: ReplicaManager::CheckMember took the members from the log's status, which shows the replica set in effect, committed or not. A replica that asked while its removal was not committed was told that it is no member and erased its state. If the leader then fell, the removal was gone and the replica still a voter, without the entries and the vote that it had acknowledged: as a lost disk, but beyond the losses that are tolerated.

Change: an answer "no member" first passes RemoveReplica, which fails while a change of the replica set is not committed and does nothing for an ID that is gone.

MemberIsToldOnlyOfACommittedRemoval failed before and passes.

--- a/src/controld/replica_manager.cc
+++ b/src/controld/replica_manager.cc
@@ -150,8 +150,14 @@
   BOOST_OUTCOME_TRY(RunChange([&](ReplicatedLog::StatusCallback done) {
     this->log.ReadBarrier(std::move(done));
   }));
+  const bool member = FindReplica(this->log.GetStatus(), id) != nullptr;
+  if (!member) {
+    // The status shows a removal before it is committed, and a replica that is
+    // told erases its state. This fails until no change is in progress.
+    BOOST_OUTCOME_TRY(this->Remove(id));
+  }
   Json::Value response;
-  response["member"] = FindReplica(this->log.GetStatus(), id) != nullptr;
+  response["member"] = member;
   return response;
 }
 
--- a/tests/control/replica_manager_test.cc
+++ b/tests/control/replica_manager_test.cc
@@ -9,6 +9,9 @@
 
 #include "controld/replica_identity.h"
 #include "controld/server_liveness.h"
+#include "memory_log.h"
+#include "sycamorebend/control.h"
+#include "sycamorebend/settings.h"
 
 namespace sycamorebend {
 
@@ -48,6 +51,22 @@
   ReplicaSetPlanner planner{ReplicaSetTarget{3, seconds(2), seconds(60)}};
 };
 
+// The log of a leader whose last change of the replica set is not committed.
+class ChangingLog : public MemoryLog {
+ public:
+  using MemoryLog::MemoryLog;
+
+  void RemoveReplica(ReplicaId id, StatusCallback callback) override {
+    if (this->committed) {
+      MemoryLog::RemoveReplica(id, std::move(callback));
+    } else {
+      callback(MakeError(ResultCode::kMembershipChangeInProgress));
+    }
+  }
+
+  bool committed = false;
+};
+
 std::string TemporaryDirectory() {
   char name[] = "/tmp/sycamorebend_identity_XXXXXX";
   BOOST_REQUIRE(mkdtemp(name) != nullptr);
@@ -179,6 +198,29 @@
   std::filesystem::remove_all(directory);
 }
 
+// Guards against a replica that is told that it was removed, and erases its
+// state, although its removal may never be committed.
+BOOST_AUTO_TEST_CASE(MemberIsToldOnlyOfACommittedRemoval) {
+  const SystemClock clock;
+  const auto state =
+      ControlState::Create([](const std::shared_ptr<const SharedState>&) {});
+  ControlThread control_thread(clock);
+  ChangingLog log(*state, control_thread, clock);
+  log.SetReplicas({{1, "10.0.0.1:7", true, true, 0}});
+  ReplicaManager manager(ReplicaSetTarget(), log, clock);
+  const Json::Value removed = ParseJson(R"({"id":3})").value();
+  const auto early = manager.CheckMember(removed);
+  BOOST_REQUIRE(!early);
+  BOOST_TEST((early.error().code == ResultCode::kMembershipChangeInProgress));
+  log.committed = true;
+  BOOST_TEST(manager.CheckMember(removed).value()["member"] ==
+             Json::Value(false));
+  const Json::Value member = ParseJson(R"({"id":1})").value();
+  BOOST_TEST(manager.CheckMember(member).value()["member"] ==
+             Json::Value(true));
+  BOOST_TEST(log.GetStatus().replicas.size() == 1U);
+}
+
 // Guards against a new leader that marks live servers silent, and against lost
 // servers that are never removed.
 BOOST_AUTO_TEST_CASE(ServersGetAFullLeaseAtANewLeader) {
