Include in the entry status what its confirmation covers

entry.status could report an older state with the confirmation of a newer one: version and configuration_version lacked an update that was applied between the two reads, beside ready and a fresh confirmed_age_ms.

Cause: RpcApi::Status reads the state before the confirmation age and before the check behind `ready`. It reads the state last now.

StatusHasWhatItsConfirmationCovers applies an update when the age is read: before, version 7 of 8 and configuration_version 3 of 4; after, 8 and 4.

--- a/src/entry/rpc_api.cc
+++ b/src/entry/rpc_api.cc
@@ -127,13 +127,16 @@
 }
 
 Json::Value RpcApi::Status() {
-  const SharedSnapshot snapshot = this->view.Current();
+  // Read before the state, which then contains what was committed when the
+  // quorum confirmed it.
   const Duration age = this->view.ConfirmationAge();
+  const bool ready = this->view.CheckConfirmed().has_value();
+  const SharedSnapshot snapshot = this->view.Current();
   Json::Value value;
   value["entry_id"] = this->settings.entry_id;
   value["address"] = this->settings.address;
   value["failure_domain"] = this->settings.failure_domain;
-  value["ready"] = this->view.CheckConfirmed().has_value();
+  value["ready"] = ready;
   value["draining"] = this->draining.load();
   value["version"] =
       static_cast<Json::UInt64>(snapshot.state ? snapshot.state->version : 0);
--- a/tests/entry/daemon_fixture.cc
+++ b/tests/entry/daemon_fixture.cc
@@ -131,7 +131,14 @@
                                       FeedFollower::UpdateCallback on_update) {
     auto fake = std::make_unique<FakeFollower>();
     this->follower = fake.get();
-    on_update(MakeState());
+    const std::shared_ptr<const SharedState> state = MakeState();
+    on_update(state);
+    fake->update = [on_update, state] {
+      auto next = std::make_shared<SharedState>(*state);
+      ++next->version;
+      ++next->configuration_version;
+      on_update(std::move(next));
+    };
     return fake;
   };
   this->daemon = std::move(
--- a/tests/entry/daemon_fixture.h
+++ b/tests/entry/daemon_fixture.h
@@ -4,6 +4,7 @@
 #define SYCAMOREBEND_TESTS_ENTRY_DAEMON_FIXTURE_H_
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <map>
 #include <memory>
@@ -23,7 +24,12 @@
   std::shared_ptr<const SharedState> Current() const override {
     return nullptr;
   }
-  Duration ConfirmationAge() const override { return this->age.load(); }
+  Duration ConfirmationAge() const override {
+    if (this->update_before_age.exchange(false)) {
+      this->update();
+    }
+    return this->age.load();
+  }
   FeedFollowerStatus GetStatus() const override { return {}; }
   void SetDraining() override { this->draining.store(true); }
   Result<Json::Value> ServePoll(const Json::Value& params) override {
@@ -33,6 +39,10 @@
 
   std::atomic<Duration> age{Duration::zero()};
   std::atomic<bool> draining{false};
+  // If set, ConfirmationAge calls `update` once before it reads the age.
+  mutable std::atomic<bool> update_before_age{false};
+  // Passes a state with the next version to the daemon.
+  std::function<void()> update;
 };
 
 // Serves order.begin, order.finish, order.get and finding.report from memory.
--- a/tests/entry/daemon_input_test.cc
+++ b/tests/entry/daemon_input_test.cc
@@ -164,6 +164,19 @@
   BOOST_TEST(!FindHeader(request.headers, "Content-Type").has_value());
 }
 
+// Guards against a status that calls a state confirmed although a newer one was
+// applied before the confirmation was read.
+BOOST_AUTO_TEST_CASE(StatusHasWhatItsConfirmationCovers) {
+  const auto rpc = RpcClient::Create(*client);
+  follower->update_before_age = true;
+  const Json::Value status =
+      rpc->Call(daemon->Address(), "entry.status", Json::Value(), seconds(5))
+          .value();
+  BOOST_TEST(status["confirmed_age_ms"].asInt() == 0);
+  BOOST_TEST(status["version"].asInt() == 8);
+  BOOST_TEST(status["configuration_version"].asInt() == 4);
+}
+
 BOOST_AUTO_TEST_CASE(ModelsAndStatusAreListed) {
   BOOST_TEST(Fetch(Call("GET", "/v1/models")).body.find("\"chat-7b\"") !=
              std::string::npos);
