Bound the load that one message of another gateway reports

Callers saw: nothing so far; a corrupt datagram of the exchange would do it. One that reports requests at a server from two gateways makes it look idle, and a route with 1.8e19 tokens a second hides the demand of all other gateways, even after the message has expired: the sum of the others was 0 instead of 1.5 then.

Cause: only pending tokens had an upper bound.

HugeLoadDoesNotHideOthers failed with that sum and passes.

--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -43,8 +43,13 @@
 
 // Server, outstanding requests, and pairs of priority level and pending tokens.
 using EncodedLoad = std::tuple<std::uint32_t, int, std::vector<int>>;
-// Upper bound of the tokens that one gateway reports at one level.
+// Upper bounds of what one message reports: of the tokens at one level, of the
+// requests at one server, and of the requests, tokens and outstanding requests
+// of a route. Keep sums of corrupt messages from overflowing, and smaller
+// values from being lost in them.
 constexpr int kMaxPendingTokens = 1 << 24;
+constexpr int kMaxOutstanding = 1 << 20;
+constexpr double kMaxDemand = 1e9;
 
 // Route, requests per 1000 s, tokens per second, and thousandths of outstanding
 // requests: integers are shorter than floating-point numbers.
@@ -86,7 +91,8 @@
 constexpr double kThousand = 1000;
 
 std::uint64_t ToThousandths(double value) {
-  return static_cast<std::uint64_t>(std::max(0.0, value) * kThousand);
+  return static_cast<std::uint64_t>(std::clamp(value, 0.0, kMaxDemand) *
+                                    kThousand);
 }
 
 std::vector<int> EncodePending(const PendingTokens& pending) {
@@ -106,7 +112,8 @@
   encoded.reserve(routes.size());
   for (const RouteDemand& route : routes) {
     encoded.emplace_back(route.route_hash, ToThousandths(route.requests_per_s),
-                         static_cast<std::uint64_t>(route.tokens_per_s),
+                         static_cast<std::uint64_t>(
+                             std::clamp(route.tokens_per_s, 0.0, kMaxDemand)),
                          ToThousandths(route.outstanding));
   }
   return encoded;
@@ -117,9 +124,10 @@
   std::vector<RouteDemand> routes;
   routes.reserve(encoded.size());
   for (const auto& [hash, requests, tokens, outstanding] : encoded) {
-    routes.push_back({hash, static_cast<double>(requests) / kThousand,
-                      static_cast<double>(tokens),
-                      static_cast<double>(outstanding) / kThousand});
+    routes.push_back(
+        {hash, std::min(static_cast<double>(requests) / kThousand, kMaxDemand),
+         std::min(static_cast<double>(tokens), kMaxDemand),
+         std::min(static_cast<double>(outstanding) / kThousand, kMaxDemand)});
   }
   return routes;
 }
@@ -213,7 +221,8 @@
     message.failure_domain = std::get<5>(encoded);
     for (const auto& [server, outstanding, pending] : std::get<2>(encoded)) {
       message.server_loads.push_back(
-          {server, std::max(0, outstanding), DecodePending(pending)});
+          {server, std::clamp(outstanding, 0, kMaxOutstanding),
+           DecodePending(pending)});
     }
     for (const auto& [service, routes] : std::get<3>(encoded)) {
       message.service_demands.push_back({service, DecodeRoutes(routes)});
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/load_exchange.h"
 
 #include <cmath>
+#include <cstdlib>
 #include <limits>
 #include <map>
 #include <random>
@@ -11,6 +12,8 @@
 #include <boost/test/unit_test.hpp>
 #include <msgpack.hpp>
 
+#include "gateway/balancer.h"
+
 namespace sycamorebend::gateway {
 
 namespace {
@@ -163,6 +166,111 @@
   BOOST_TEST(peers.Total(kServer, now).pending.Total() > 0);
 }
 
+// Guards against requests and demand of one message that wrap around in a sum
+// or hide those of all other gateways, also after the message has expired.
+BOOST_AUTO_TEST_CASE(HugeLoadDoesNotHideOthers) {
+  PeerLoads peers;
+  const TimePoint now{seconds(10)};
+  peers.Update(Message("sound", 1, 3), now);
+  for (const char* sender : {"one", "two"}) {
+    LoadMessage sent = Message(sender, 1, std::numeric_limits<int>::max());
+    sent.service_demands[0].routes[0].tokens_per_s = 1.8e19;
+    const auto read = DecodeLoadMessage(EncodeLoadMessage(sent));
+    BOOST_REQUIRE(read);
+    peers.Update(read.value(), now);
+  }
+  BOOST_TEST(peers.Total(kServer, now).outstanding > 0);
+  for (const char* sender : {"one", "two"}) {
+    LoadMessage sent = Message(sender, 2, 0);
+    sent.service_demands.clear();
+    peers.Update(sent, now);
+  }
+  BOOST_TEST(peers.Total(kServer, now).outstanding == 3);
+  const auto demand = peers.TotalDemand(kServer, now);
+  BOOST_REQUIRE(demand.size() == 1U);
+  BOOST_TEST(std::abs(demand[0].tokens_per_s - 1.5) < 1e-3);
+}
+
+// Messages of which bytes are changed, inserted or missing, many of which are
+// still read, at a balancer. Guards against values that end the process or are
+// taken without a bound.
+BOOST_AUTO_TEST_CASE(ChangedMessagesAreReadOrRejected) {
+  const char* const text = std::getenv("SB_MALFORMED_CASES");
+  const int cases = text == nullptr ? 300 : std::atoi(text);
+  ServerRecord server;
+  server.server_id = "s";
+  server.address = "10.0.0.1:1";
+  server.incarnation = 1;
+  server.service = "app";
+  Balancer balancer({"a", 1});
+  balancer.SetServers({server});
+  GenerationRequest generation;
+  generation.input_tokens = 1000;
+  generation.prompt = {{17, 500}, {18, 500}};
+  RequestProfile profile;
+  profile.service = "app";
+  profile.generation = &generation;
+  std::mt19937 random(1);
+  const std::vector<std::string> values = {
+      std::string("\xce\xff\xff\xff\xff", 5),
+      std::string("\xcf\xff\xff\xff\xff\xff\xff\xff\xff", 9),
+      std::string("\xd3\x80\x00\x00\x00\x00\x00\x00\x00", 9),
+      std::string("\xd2\x7f\xff\xff\xff", 5),
+      std::string("\xcb\x7f\xf0\x00\x00\x00\x00\x00\x00", 9),
+      std::string("\xff"),
+      std::string("\xc0"),
+      std::string("\x90"),
+      std::string("\xa0"),
+      std::string("\xdd\xff\xff\xff\xff", 5)};
+  int read_count = 0;
+  TimePoint now{seconds(10)};
+  for (int i = 0; i < cases; ++i) {
+    LoadMessage message = Message("one", static_cast<std::uint64_t>(i) + 1, 3);
+    message.scope = static_cast<LoadScope>(random() % 3);
+    SharedCrashCause cause;
+    cause.cause.parts = {6, 7};
+    cause.time_left = seconds(60);
+    message.crash_news.causes.push_back(cause);
+    message.forward_to = {"10.0.0.1", "x"};
+    std::string bytes = EncodeLoadMessage(message);
+    for (std::size_t changes = 1 + random() % 2; changes > 0; --changes) {
+      const std::size_t at = random() % bytes.size();
+      const std::string& value = values[random() % values.size()];
+      switch (random() % 4) {
+        case 0:
+          bytes[at] = static_cast<char>(random());
+          break;
+        case 1:
+          bytes.erase(at, 1 + random() % 3);
+          break;
+        case 2:
+          bytes.replace(at, 1, value);
+          break;
+        default:
+          bytes.insert(at, value);
+      }
+    }
+    const auto read = DecodeLoadMessage(bytes);
+    now += milliseconds(20);
+    if (!read) {
+      continue;
+    }
+    ++read_count;
+    balancer.OnPeerLoad(read.value(), now);
+    const auto choice = balancer.Choose(profile, now);
+    BOOST_REQUIRE(choice.has_value());
+    BOOST_TEST(choice->running >= 0, "case " << i);
+    BOOST_TEST(choice->pending_tokens >= 0, "case " << i);
+    BOOST_TEST(choice->uncached_tokens <= 1000, "case " << i);
+    BOOST_TEST((choice->expected_first_byte >= Duration{0}), "case " << i);
+    LoadMessage sum;
+    sum.scope = LoadScope::kDomainToRelay;
+    balancer.FillLoadMessage(sum, now);
+    BOOST_TEST(DecodeLoadMessage(EncodeLoadMessage(sum)).has_value());
+  }
+  BOOST_TEST(read_count > cases / 10);
+}
+
 // Guards against load that is counted twice or overwritten by an older message.
 BOOST_AUTO_TEST_CASE(NewestMessageOfEachGatewayCounts) {
   PeerLoads peers;
