Do not take a confirmation age out of range for a confirmation

Cause: the age was converted to nanoseconds, which overflow.

Change: a state whose confirmation is older than a year counts as unconfirmed.

AgeOutOfRangeDoesNotConfirm failed (an age was reported) and passes.

--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -28,6 +28,8 @@
 // until the next change arrives and the load on a replica that many daemons
 // poll in this way.
 constexpr Duration kFullSourceDelay = milliseconds(250);
+// A state that was confirmed longer ago counts as unconfirmed.
+constexpr Duration kMaxConfirmationAge = std::chrono::hours(24 * 365);
 constexpr Duration kLogInterval = seconds(1);
 // Renewals older than the lease of entry daemons are not forwarded.
 constexpr Duration kMaxRenewalAge = seconds(3);
@@ -316,6 +318,8 @@
     this->needs_snapshot = !read;
     BOOST_OUTCOME_TRY(state, std::move(read));
     const Json::Int64 age_ms = response["confirmed_age_ms"].asInt64();
+    const bool was_confirmed =
+        age_ms >= 0 && age_ms <= ToMilliseconds(kMaxConfirmationAge);
     {
       std::lock_guard lock(this->mutex);
       this->path = response["path"];
@@ -324,7 +328,7 @@
       LogUnreadable(*state, base);
       this->server.Publish(state);
     }
-    if (age_ms >= 0) {
+    if (was_confirmed) {
       // Measured from when the poll was sent, so that the age includes the time
       // in transit and in the source's queue.
       const TimePoint at = sent - milliseconds(age_ms);
@@ -334,7 +338,7 @@
     if (state != base && this->on_update) {
       this->on_update(state);
     }
-    if (age_ms < 0 ||
+    if (!was_confirmed ||
         milliseconds(age_ms) > this->options.max_source_confirmation_age) {
       return MakeError(ResultCode::kConfigurationUnconfirmed,
                        "the source's state was not confirmed recently");
--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -5,10 +5,14 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cstdlib>
 #include <functional>
+#include <limits>
 #include <map>
+#include <random>
 
 #include "../control/memory_log.h"
+#include "feed/feed_buffer.h"
 #include "feed/source_list.h"
 #include "local_rpc.h"
 #include "sycamorebend/feed.h"
@@ -665,6 +669,93 @@
   rpc.Join();
 }
 
+// Guards against an age that overflows, so that an old state counts as
+// confirmed now.
+BOOST_FIXTURE_TEST_CASE(AgeOutOfRangeDoesNotConfirm, Fixture) {
+  std::atomic<int> polls{0};
+  const std::vector<Json::Int64> ages = {
+      std::numeric_limits<Json::Int64>::max(), 9223372036855, 18446744073710};
+  rpc.Serve(kReplica1, [&](const Json::Value&) -> Result<Json::Value> {
+    Json::Value response = FakeResponse("x", 7, 0);
+    const auto poll = static_cast<std::size_t>(polls++);
+    response["confirmed_age_ms"] = ages[poll % ages.size()];
+    return response;
+  });
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return polls > 3; }));
+  BOOST_TEST((follower->ConfirmationAge() == Duration::max()));
+  follower->Stop();
+  rpc.Join();
+}
+
+// Responses of which members are missing or replaced. Guards against one that
+// ends the process or stops the follower.
+BOOST_FIXTURE_TEST_CASE(ChangedResponsesAreReadOrRejected, Fixture) {
+  const char* const text = std::getenv("SB_MALFORMED_CASES");
+  const int cases = text == nullptr ? 300 : std::atoi(text);
+  const std::vector<std::string> values = {"null",
+                                           "-1",
+                                           "1.5",
+                                           "1e300",
+                                           "9223372036854775807",
+                                           "18446744073709551615",
+                                           "\"x\"",
+                                           "\"\"",
+                                           "[]",
+                                           "[[[]]]",
+                                           "{}",
+                                           "{\"a\":{\"version\":1}}",
+                                           "true"};
+  SharedState state;
+  state.epoch = "x";
+  state.version = 7;
+  state.entries = {{"entry1", "10.0.1.1:80", "a", "1", false, ""}};
+  ServerRecord server;
+  server.server_id = "s";
+  server.address = "10.0.0.1:80";
+  server.service = "app";
+  server.incarnation = 1;
+  server.slots = 4;
+  state.servers = {server};
+  Json::Value sound = FakeResponse("x", 7, 0);
+  sound["snapshot"] = SharedStateToJson(state);
+  sound["deltas"] = Json::Value(Json::arrayValue);
+  sound["deltas"].append(ParseJson(R"({"from":7,"patch":{}})").value());
+  std::mt19937 random(1);
+  for (int i = 0; i < cases; ++i) {
+    Json::Value response = sound;
+    for (std::size_t changes = 1 + random() % 3; changes > 0; --changes) {
+      // Descends to a member at a random depth.
+      Json::Value* parent = &response;
+      for (;;) {
+        const auto names = parent->getMemberNames();
+        Json::Value& child = (*parent)[names[random() % names.size()]];
+        if (child.isObject() && !child.empty() && random() % 4 != 0) {
+          parent = &child;
+          continue;
+        }
+        child =
+            ParseJson("[" + values[random() % values.size()] + "]").value()[0];
+        break;
+      }
+      if (response.empty()) {
+        break;
+      }
+    }
+    if (random() % 4 == 0) {
+      response.removeMember("snapshot");
+    }
+    const auto base = random() % 2 == 0
+                          ? nullptr
+                          : std::make_shared<const SharedState>(state);
+    const auto read = internal::ReadFeedResponse(response, base);
+    if (read) {
+      BOOST_TEST(
+          ParseJson(WriteJson(SharedStateToJson(*read.value()))).has_value());
+    }
+  }
+}
+
 // Guards against a Stop that waits for a source that does not respond, and
 // against polls that are accepted after Stop.
 BOOST_FIXTURE_TEST_CASE(StopEndsCallsAndPolls, Fixture) {
