--- a/tests/platform/busy_gateway.cc
+++ b/tests/platform/busy_gateway.cc
@@ -117,10 +117,10 @@
   BOOST_REQUIRE(WaitFor([&] { return this->Serves(); }, kStepTimeout));
 }
 
-void BusyGateway::AddFaultyServer(const gateway::ScriptedServer& added) {
+void BusyGateway::AddFaultyServer(const gateway::ScriptedServer& faulty) {
   BOOST_REQUIRE(WaitFor(
       [&] {
-        return this->fleet.Announce("at-" + added.Address(), added.Address(),
+        return this->fleet.Announce("at-" + faulty.Address(), faulty.Address(),
                                     "faulty");
       },
       kStepTimeout));
--- a/tests/platform/busy_gateway.h
+++ b/tests/platform/busy_gateway.h
@@ -63,7 +63,7 @@
   ~BusyGateway() { this->engine.Release(); }
 
   // Adds a server of the service "faulty".
-  void AddFaultyServer(const gateway::ScriptedServer& server);
+  void AddFaultyServer(const gateway::ScriptedServer& faulty);
   // Sends the requests that are held until CheckHeldRequests.
   void HoldRequests();
   // Checks that the process runs and that the held requests are answered.
--- a/tests/platform/http_format_test.cc
+++ b/tests/platform/http_format_test.cc
@@ -1,5 +1,6 @@
 #include "platform/http_format.h"
 
+#include <fmt/format.h>
 #include <boost/test/unit_test.hpp>
 
 namespace sycamorebend::platform {
@@ -153,7 +154,8 @@
   }
   BOOST_TEST(read(kTokens, "16777216,5").generation->input_tokens == 16777216);
   for (const std::string value : {"16777217", "2147483647", "-1"}) {
-    const auto generation = *read(kTokens, value + "," + value).generation;
+    const auto generation =
+        *read(kTokens, fmt::format("{0},{0}", value)).generation;
     BOOST_TEST(generation.input_tokens == 0, value);
     BOOST_TEST(generation.max_output_tokens == 0, value);
     BOOST_TEST(read(kBlocks, "a:5,b:" + value).generation->prompt.size() == 1U,
