--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -1,5 +1,9 @@
 #include "platform/control_api.h"
 
+#include <cstdlib>
+#include <random>
+
+#include <fmt/format.h>
 #include <boost/test/unit_test.hpp>
 
 #include "sycamorebend/settings.h"
@@ -166,6 +170,78 @@
   }
 }
 
+// Bodies of which members are missing, repeated or replaced, or of which bytes
+// are changed, sent to each call. Guards against one that ends the process, or
+// that reaches the leader as a record that cannot be read.
+BOOST_FIXTURE_TEST_CASE(ChangedBodiesAreAnswered, Fixture) {
+  const char* const text = std::getenv("SB_MALFORMED_CASES");
+  const int cases = text == nullptr ? 300 : std::atoi(text);
+  const std::vector<std::string> values = {"null",
+                                           "-1",
+                                           "0",
+                                           "1.5",
+                                           "1e300",
+                                           "true",
+                                           "\"\"",
+                                           "\"x\"",
+                                           "[]",
+                                           "{}",
+                                           "[[1]]",
+                                           "{\"a\":{}}",
+                                           "\"\\u0000\"",
+                                           "\"\xff\"",
+                                           "9007199254740993",
+                                           "9223372036854775808",
+                                           "18446744073709551616",
+                                           "\"" + std::string(300, 'z') + "\""};
+  const std::string configuration =
+      R"({"version":3,"route_table":[{"name":"r","hostname":"h.example",
+          "path_prefix":"/a/","route_type":"idempotent","timeout_ms":1500,
+          "backend":"llm"}],"backends":[{"name":"llm"}],"tenants":[]})";
+  std::mt19937 random(1);
+  int accepted = 0;
+  for (int i = 0; i < cases; ++i) {
+    const bool heartbeat = random() % 2 == 0;
+    Json::Value body =
+        ParseJson(heartbeat ? kHeartbeatBody : configuration).value();
+    std::string odd;
+    for (std::size_t changes = random() % 3; changes > 0; --changes) {
+      const auto names = body.getMemberNames();
+      const std::string& name = names[random() % names.size()];
+      if (random() % 4 != 0) {
+        odd +=
+            fmt::format("\"{}\":{},", name, values[random() % values.size()]);
+      }
+      if (random() % 4 != 0) {
+        body.removeMember(name);
+      }
+    }
+    std::string bytes = WriteJson(body);
+    bytes.insert(1, odd);
+    if (random() % 4 == 0) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    if (random() % 8 == 0) {
+      bytes.resize(random() % bytes.size());
+    }
+    const std::vector<std::string> paths = {
+        heartbeat ? "/api/instances/i-7/heartbeat" : "/api/config/replace",
+        "/api/instances/i-7/deregister"};
+    const std::string& path = paths[random() % 8 == 0 ? 1 : 0];
+    const int status = this->Send("POST", path, bytes)->status;
+    BOOST_TEST((status == 200 || status == 400), status << " for " << bytes);
+    accepted += status == 200 ? 1 : 0;
+  }
+  BOOST_TEST(accepted > cases / 20);
+  BOOST_TEST(this->leader.calls.size() == static_cast<std::size_t>(accepted));
+  for (const auto& [method, params] : this->leader.calls) {
+    BOOST_TEST((method != "server.heartbeat" ||
+                ServerRecordFromJson(params).has_value()),
+               WriteJson(params));
+    BOOST_TEST(ParseJson(WriteJson(params)).has_value());
+  }
+}
+
 // Guards against an acknowledgement of a change that may not be committed.
 BOOST_FIXTURE_TEST_CASE(UncertainOutcomeIsNotAcknowledged, Fixture) {
   this->leader.result = MakeError(ResultCode::kNoQuorum);
