--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -24,15 +24,16 @@
 LoadMessage Message(const std::string& sender,
                     std::uint64_t sequence,
                     int outstanding) {
-  return {sender,
-          sequence,
-          LoadScope::kGateway,
-          "a",
-          {{kServer, outstanding, {2, outstanding * 100}}},
-          {{kServer, {{kRoute, 0.5, 1.5, 2}}}},
-          {{17, kServer}},
-          {},
-          {}};
+  return {
+      sender,
+      sequence,
+      LoadScope::kGateway,
+      "a",
+      {{kServer, outstanding, {2, PendingTokens::Count{outstanding} * 100}}},
+      {{kServer, {{kRoute, 0.5, 1.5, 2}}}},
+      {{17, kServer}},
+      {},
+      {}};
 }
 
 LoadMessage DomainMessage(const std::string& sender, int outstanding) {
--- a/tests/platform/busy_gateway.cc
+++ b/tests/platform/busy_gateway.cc
@@ -118,22 +118,27 @@
 }
 
 void BusyGateway::AddFaultyServer(const gateway::ScriptedServer& faulty) {
-  BOOST_REQUIRE(WaitFor(
-      [&] {
-        return this->fleet.Announce("at-" + faulty.Address(), faulty.Address(),
-                                    "faulty");
-      },
-      kStepTimeout));
-  ++this->faulty_servers;
+  this->faulty_servers.push_back(faulty.Address());
+  this->ReportFaultyServers();
   const auto known = [&] {
     return Contains(
         this->fleet.Metrics(0),
         fmt::format("gateway_servers{{service=\"faulty\",state=\"usable\"}} {}",
-                    this->faulty_servers));
+                    this->faulty_servers.size()));
   };
   BOOST_REQUIRE(WaitFor(known, kStepTimeout));
 }
 
+void BusyGateway::ReportFaultyServers() {
+  for (const std::string& address : this->faulty_servers) {
+    BOOST_REQUIRE(WaitFor(
+        [&] {
+          return this->fleet.Announce("at-" + address, address, "faulty");
+        },
+        kStepTimeout));
+  }
+}
+
 void BusyGateway::HoldRequests() {
   this->held = std::make_unique<HeldRequests>(this->Address());
   BOOST_REQUIRE(WaitFor([&] { return this->engine.Held() == this->Held(); },
--- a/tests/platform/busy_gateway.h
+++ b/tests/platform/busy_gateway.h
@@ -64,6 +64,8 @@
 
   // Adds a server of the service "faulty".
   void AddFaultyServer(const gateway::ScriptedServer& faulty);
+  // Renews the leases of these servers.
+  void ReportFaultyServers();
   // Sends the requests that are held until CheckHeldRequests.
   void HoldRequests();
   // Checks that the process runs and that the held requests are answered.
@@ -84,7 +86,7 @@
   PlatformFleet fleet;
   gateway::ScriptedServer server;
   std::unique_ptr<HeldRequests> held;
-  int faulty_servers = 0;
+  std::vector<std::string> faulty_servers;  // Addresses.
 };
 
 }  // namespace sycamorebend::platform
