--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -29,6 +29,8 @@
 // until the next change arrives and the load on a replica that many daemons
 // poll in this way.
 constexpr Duration kFullSourceDelay = milliseconds(250);
+// A state that was confirmed longer ago counts as unconfirmed.
+constexpr Duration kMaxConfirmationAge = std::chrono::hours(24 * 365);
 constexpr Duration kLogInterval = seconds(1);
 // Share of a new measurement in the smoothed delay of responses: one of four.
 constexpr int kDelaySmoothingDivisor = 4;
@@ -565,6 +567,8 @@
     BOOST_OUTCOME_TRY(state, std::move(read));
     const bool is_new = current == nullptr || state->version > current->version;
     const Json::Int64 age_ms = response["confirmed_age_ms"].asInt64();
+    const bool was_confirmed =
+        age_ms >= 0 && age_ms <= ToMilliseconds(kMaxConfirmationAge);
     {
       std::lock_guard lock(this->mutex);
       this->path = response["path"];
@@ -577,14 +581,14 @@
       this->on_update(state);
     }
     // Counted last: it does not hold for the state that was in use before.
-    if (age_ms >= 0) {
+    if (was_confirmed) {
       // Measured from when the poll was sent, so that the age includes the time
       // in transit and in the source's queue.
       const TimePoint at = poll.sent - milliseconds(age_ms);
       std::lock_guard lock(this->mutex);
       this->confirmed = std::max(this->confirmed.value_or(at), at);
     }
-    if (age_ms < 0 ||
+    if (!was_confirmed ||
         milliseconds(age_ms) > this->options.max_source_confirmation_age) {
       return MakeError(ResultCode::kConfigurationUnconfirmed,
                        "the source's state was not confirmed recently");
--- a/tests/platform/busy_gateway.cc
+++ b/tests/platform/busy_gateway.cc
@@ -117,23 +117,28 @@
   BOOST_REQUIRE(WaitFor([&] { return this->Serves(); }, kStepTimeout));
 }
 
-void BusyGateway::AddFaultyServer(const gateway::ScriptedServer& added) {
-  BOOST_REQUIRE(WaitFor(
-      [&] {
-        return this->fleet.Announce("at-" + added.Address(), added.Address(),
-                                    "faulty");
-      },
-      kStepTimeout));
-  ++this->faulty_servers;
+void BusyGateway::AddFaultyServer(const gateway::ScriptedServer& faulty) {
+  this->faulty_servers.push_back(faulty.Address());
+  this->ReportFaultyServers();
   const auto known = [&] {
     return Contains(
         this->fleet.Metrics(0),
         fmt::format("gateway_servers{{service=\"faulty\",state=\"usable\"}} {}",
-                    this->faulty_servers));
+                    this->faulty_servers.size()));
   };
   BOOST_REQUIRE(WaitFor(known, kStepTimeout));
 }
 
+void BusyGateway::ReportFaultyServers() {
+  for (const std::string& address : this->faulty_servers) {
+    BOOST_REQUIRE(WaitFor(
+        [&] {
+          return this->fleet.Announce("at-" + address, address, "faulty");
+        },
+        kStepTimeout));
+  }
+}
+
 void BusyGateway::HoldRequests() {
   this->held = std::make_unique<HeldRequests>(this->Address());
   BOOST_REQUIRE(WaitFor([&] { return this->engine.Held() == this->Held(); },
