--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -576,9 +576,9 @@
     if (is_new) {
       LogUnreadable(*state, current);
       this->server.Publish(state);
-    }
-    if (is_new && this->on_update) {
-      this->on_update(state);
+      if (this->on_update) {
+        this->on_update(state);
+      }
     }
     // Counted last: it does not hold for the state that was in use before.
     if (was_confirmed) {
