Read the number of generated cases in one place

Five tests read SB_MALFORMED_CASES and two SB_MALFORMED_SEED; tests/case_count.h does so for all of them.

--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -5,12 +5,12 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cstdlib>
 #include <functional>
 #include <limits>
 #include <map>
 #include <random>
 
+#include "../case_count.h"
 #include "../control/memory_log.h"
 #include "feed/feed_buffer.h"
 #include "feed/source_list.h"
@@ -691,8 +691,7 @@
 // Responses of which members are missing or replaced. Guards against one that
 // ends the process or stops the follower.
 BOOST_FIXTURE_TEST_CASE(ChangedResponsesAreReadOrRejected, Fixture) {
-  const char* const text = std::getenv("SB_MALFORMED_CASES");
-  const int cases = text == nullptr ? 300 : std::atoi(text);
+  const int cases = MalformedCaseCount();
   const std::vector<std::string> values = {"null",
                                            "-1",
                                            "1.5",
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -1,7 +1,6 @@
 #include "gateway/load_exchange.h"
 
 #include <cmath>
-#include <cstdlib>
 #include <limits>
 #include <map>
 #include <random>
@@ -12,6 +11,7 @@
 #include <boost/test/unit_test.hpp>
 #include <msgpack.hpp>
 
+#include "../case_count.h"
 #include "gateway/balancer.h"
 
 namespace sycamorebend::gateway {
@@ -196,8 +196,7 @@
 // still read, at a balancer. Guards against values that end the process or are
 // taken without a bound.
 BOOST_AUTO_TEST_CASE(ChangedMessagesAreReadOrRejected) {
-  const char* const text = std::getenv("SB_MALFORMED_CASES");
-  const int cases = text == nullptr ? 300 : std::atoi(text);
+  const int cases = MalformedCaseCount();
   ServerRecord server;
   server.server_id = "s";
   server.address = "10.0.0.1:1";
--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -1,11 +1,11 @@
 #include "platform/control_api.h"
 
-#include <cstdlib>
 #include <random>
 
 #include <fmt/format.h>
 #include <boost/test/unit_test.hpp>
 
+#include "case_count.h"
 #include "sycamorebend/settings.h"
 
 namespace sycamorebend::platform {
@@ -174,8 +174,7 @@
 // are changed, sent to each call. Guards against one that ends the process, or
 // that reaches the leader as a record that cannot be read.
 BOOST_FIXTURE_TEST_CASE(ChangedBodiesAreAnswered, Fixture) {
-  const char* const text = std::getenv("SB_MALFORMED_CASES");
-  const int cases = text == nullptr ? 300 : std::atoi(text);
+  const int cases = MalformedCaseCount();
   const std::vector<std::string> values = {"null",
                                            "-1",
                                            "0",
--- a/tests/platform/malformed_answer_test.cc
+++ b/tests/platform/malformed_answer_test.cc
@@ -1,5 +1,4 @@
 // Servers with malformed responses, at a gateway with other requests in work.
-#include <cstdlib>
 #include <mutex>
 #include <random>
 #include <string>
@@ -8,6 +7,7 @@
 #include <fmt/format.h>
 #include <boost/test/unit_test.hpp>
 
+#include "case_count.h"
 #include "platform/busy_gateway.h"
 
 namespace sycamorebend::platform {
@@ -208,11 +208,8 @@
 // Guards against responses that end the process, leave a caller without an
 // answer, or are taken for the response to the next request.
 BOOST_AUTO_TEST_CASE(MalformedAnswersHarmNoOtherRequest) {
-  const char* const text = std::getenv("SB_MALFORMED_CASES");
-  const int cases = text == nullptr ? 300 : std::atoi(text);
-  const char* const seed_text = std::getenv("SB_MALFORMED_SEED");
-  const auto seed =
-      static_cast<unsigned>(seed_text == nullptr ? 1 : std::atoi(seed_text));
+  const int cases = MalformedCaseCount();
+  const unsigned seed = MalformedSeed();
   MalformedServer script(seed);
   const auto serve = [&](const ReceivedRequest& request, Socket& socket) {
     return script(request, socket);
--- a/tests/platform/malformed_request_test.cc
+++ b/tests/platform/malformed_request_test.cc
@@ -3,13 +3,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 #include <random>
 #include <string>
 #include <vector>
 
 #include <fmt/format.h>
 
+#include "case_count.h"
 #include "platform/busy_gateway.h"
 
 namespace sycamorebend::platform {
@@ -18,21 +18,12 @@
 
 using Random = std::mt19937;
 
-constexpr const char* kCasesVariable = "SB_MALFORMED_CASES";
-constexpr const char* kSeedVariable = "SB_MALFORMED_SEED";
-constexpr int kDefaultCases = 300;
-constexpr unsigned kDefaultSeed = 1;
 // Of the configuration of PlatformFleet.
 constexpr std::size_t kMaxHeaderBytes = 16384;
 constexpr const char* kTokens = "X-Sycamorebend-Token-Usage";
 constexpr const char* kPromptBlocks = "X-Sycamorebend-Prefix-Hash";
 constexpr const char* kNoAnswer = "none";
 
-int ReadNumber(const char* variable, int fallback) {
-  const char* const text = std::getenv(variable);
-  return text == nullptr ? fallback : std::atoi(text);
-}
-
 std::size_t Draw(Random& random, std::size_t below) {
   return random() % below;
 }
@@ -214,9 +205,8 @@
 // Guards against malformed headers, alone and together, that end the process,
 // get no answer or harm requests in work.
 BOOST_AUTO_TEST_CASE(MalformedHeadersAreAnswered) {
-  const int cases = ReadNumber(kCasesVariable, kDefaultCases);
-  const auto seed = static_cast<unsigned>(
-      ReadNumber(kSeedVariable, static_cast<int>(kDefaultSeed)));
+  const int cases = MalformedCaseCount();
+  const unsigned seed = MalformedSeed();
   const std::vector<HeaderValues> headers = AllHeaders();
   std::vector<Change> changes = AllChanges(headers);
   Random random(seed);
