Test of draining: the follower may not have a state yet

DrainingIsAnnounced ended once with an error at its second wait, at a load above 30. By reading: the replica lists the daemon from its poll, before the follower has the response, so Current() can still be a null pointer, which the test did not check. It now waits for the state as for the rest; the condition is otherwise unchanged. The crash was not reproduced.

--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -841,7 +841,8 @@
   BOOST_TEST(Eventually([&] {
     replica.source->Tick();
     const auto state = follower->Current();
-    return state->entries.size() == 1 && state->entries[0].draining;
+    return state != nullptr && state->entries.size() == 1 &&
+           state->entries[0].draining;
   }));
   follower->Stop();
 }
