--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -37,12 +37,15 @@
   // after `poll_wait`, or later where sources are slow to respond. Its response
   // is still awaited.
   Duration late_response_margin = milliseconds(150);
-  // Time between the polls of a search, longer where sources are slow. They do
-  // not wait for each other, so that a silent source costs this time only.
-  Duration search_interval = milliseconds(50);
+  // Time over which a search spreads the polls of the known sources. They do
+  // not wait for each other, so that silent sources cost this time only. The
+  // polls are at most `poll_timeout_margin` apart.
+  Duration search_time = milliseconds(400);
   // The same while the whole state is needed, which takes a source longer to
   // send.
-  Duration snapshot_search_interval = milliseconds(150);
+  Duration snapshot_search_time = milliseconds(1200);
+  // Minimum time between the polls of a search.
+  Duration min_search_interval = milliseconds(50);
   // Another source is searched when the state of the one in use, a control
   // replica, was last confirmed longer ago than this. It is used until another
   // one is found whose state was confirmed more recently.
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -232,6 +232,7 @@
     this->left_reason = std::move(reason);
     this->next_log = this->clock.Now() + kLogInterval;
     this->sources.Restart(this->server.Current(), last);
+    this->known_sources = static_cast<int>(this->sources.Remaining());
   }
 
   // Ends a search, as `followed` responds. Other responses are not awaited any
@@ -281,9 +282,13 @@
     if (!this->full_source.empty()) {
       return kFullSourceDelay;
     }
-    Duration interval = this->NeedsSnapshot()
-                            ? this->options.snapshot_search_interval
-                            : this->options.search_interval;
+    const Duration spread =
+        (this->NeedsSnapshot() ? this->options.snapshot_search_time
+                               : this->options.search_time) /
+        std::max(this->known_sources - 1, 1);
+    Duration interval =
+        std::max(std::min(spread, this->options.poll_timeout_margin),
+                 this->options.min_search_interval);
     // When all sources respond late, further polls must not add to their load.
     interval = std::max(interval, this->response_delay);
     for (int round = 0; round < this->search_rounds &&
@@ -436,7 +441,7 @@
                       const Error& error,
                       bool full) {
     const Duration delay =
-        full ? kFullSourceDelay : this->options.search_interval;
+        full ? kFullSourceDelay : this->options.min_search_interval;
     if (source == this->followed) {
       this->followed.clear();
       if (!this->searching) {
@@ -664,6 +669,8 @@
   std::string full_source;
   // Time at which that one is asked again if none has responded before.
   SteadyClock::time_point next_full_source_poll;
+  // Number of sources that this search can ask.
+  int known_sources = 0;
   // Sources were all asked so many times by this search.
   int search_rounds = 0;
   // Responses to this search whose state was not confirmed recently.
--- a/src/feed/source_list.h
+++ b/src/feed/source_list.h
@@ -2,6 +2,7 @@
 #ifndef SYCAMOREBEND_SRC_FEED_SOURCE_LIST_H_
 #define SYCAMOREBEND_SRC_FEED_SOURCE_LIST_H_
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -28,6 +29,9 @@
   void Restart(const std::shared_ptr<const SharedState>& state,
                const std::string& left_source);
 
+  // @return number of sources that are still to be tried in this round.
+  std::size_t Remaining() const { return this->remaining.size(); }
+
   // @return true if all sources of this round were returned.
   bool RoundDone() const { return this->remaining.empty(); }
 
