Keep the lease of a server whose announcement was not stored

Operators would see: a server that announces itself is removed. After more than 60 s of one leader's term, a change of its announcement that was not committed (a full disk, a lost quorum) made the leader forget when it had heard of the server, so that the lease counted from the start of the term and had expired.

Change: the announcement is marked as not stored, so that the next one is proposed again; the time of its receipt stays.

A comment of the feed that said less than a full source does is corrected.

--- a/src/controld/server_liveness.cc
+++ b/src/controld/server_liveness.cc
@@ -14,14 +14,15 @@
                                         const SharedState& state,
                                         TimePoint now) {
   LastAnnouncement& last = this->last_announcements[announced.server_id];
-  const bool newer =
-      announced.incarnation > last.incarnation ||
-      (announced.incarnation == last.incarnation &&
-       (announced.sequence > last.sequence || last.received_at == TimePoint()));
+  const bool newer = announced.incarnation > last.incarnation ||
+                     (announced.incarnation == last.incarnation &&
+                      (announced.sequence > last.sequence ||
+                       last.received_at == TimePoint())) ||
+                     last.discarded;
   if (!newer) {
     return false;
   }
-  last = {announced.incarnation, announced.sequence, now};
+  last = {announced.incarnation, announced.sequence, now, false};
   const auto known =
       std::find_if(state.servers.begin(), state.servers.end(),
                    [&](const ServerRecord& record) {
@@ -30,6 +31,13 @@
   return known == state.servers.end() || !SameAnnouncement(*known, announced);
 }
 
+void ServerLiveness::Discard(const std::string& server_id) {
+  const auto found = this->last_announcements.find(server_id);
+  if (found != this->last_announcements.end()) {
+    found->second.discarded = true;
+  }
+}
+
 std::vector<ServerLiveness::ExpiredLease> ServerLiveness::FindExpiredLeases(
     const SharedState& state,
     TimePoint now) {
--- a/src/controld/server_liveness.h
+++ b/src/controld/server_liveness.h
@@ -44,11 +44,9 @@
                           const SharedState& state,
                           TimePoint now);
 
-  // Forgets the announcements of this server, so that the next one is not
-  // treated as a repetition.
-  void Discard(const std::string& server_id) {
-    this->last_announcements.erase(server_id);
-  }
+  // The last announcement of this server was not stored. The next one is not
+  // treated as a repetition, but the server's lease goes on.
+  void Discard(const std::string& server_id);
 
   // @return the servers of `state` whose leases have expired.
   std::vector<ExpiredLease> FindExpiredLeases(const SharedState& state,
@@ -59,6 +57,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     TimePoint received_at;
+    bool discarded = false;
   };
 
   const ServerLeases leases;
--- a/src/feed/renewals.h
+++ b/src/feed/renewals.h
@@ -62,8 +62,8 @@
   explicit FollowerTable(std::size_t limit) : limit(limit) {}
 
   // Records the caller as a follower. Control replicas are always admitted.
-  // @return false if the caller must poll another source, because this process
-  // has its maximum number of followers.
+  // @return false if this process has its maximum number of followers. The
+  // caller gets what is new and looks for a place elsewhere.
   bool Admit(const FeedPoll& poll, TimePoint now);
 
   // Frees the place of a follower that was admitted and got no state.
--- a/tests/control/replica_manager_test.cc
+++ b/tests/control/replica_manager_test.cc
@@ -230,6 +230,28 @@
       liveness.FindExpiredLeases(state, now + seconds(70))[0].remove_server);
 }
 
+// Guards against a server that is removed right after it announced itself,
+// because the announcement could not be stored and its receipt was forgotten.
+BOOST_AUTO_TEST_CASE(FailedProposalKeepsTheLease) {
+  ServerLiveness liveness{ServerLeases()};
+  SharedState state;
+  ServerRecord record;
+  record.server_id = "s";
+  record.incarnation = 5;
+  record.sequence = 1;
+  state.servers.push_back(record);
+  TimePoint now{seconds(100)};
+  liveness.Reset(now);
+  now += seconds(300);
+  record.leaving = true;
+  record.sequence = 2;
+  BOOST_TEST(liveness.RecordAnnouncement(record, state, now));
+  liveness.Discard("s");
+  BOOST_TEST(liveness.FindExpiredLeases(state, now + seconds(1)).empty());
+  BOOST_TEST(liveness.RecordAnnouncement(record, state, now + seconds(1)));
+  BOOST_TEST(!liveness.RecordAnnouncement(record, state, now + seconds(2)));
+}
+
 // Guards against a changed announcement that is not proposed.
 BOOST_AUTO_TEST_CASE(ChangedAnnouncementsAreProposed) {
   ServerLiveness liveness{ServerLeases()};
