Print the errors of a failed test program before its last output

The logs of the processes that LeaderStopsDuringOrders starts had pushed its only error out of the last 6,000 characters, so that a failure could not be traced.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -82,6 +82,8 @@
                 failed += 1
                 print(f"FAILED: {name}/{case}")
         if any(f"{name}/{case}" not in red for case in bad):
+            # The logs of processes can push these out of the last part.
+            print("\n".join(re.findall(r".*: (?:fatal )?error: .*", output)))
             print(output[-6000:])
         print(f"{name}: {len(cases) - len(bad)} of {len(cases)} cases passed")
     for case in red:
