--- a/tests/control/replica_manager_test.cc
+++ b/tests/control/replica_manager_test.cc
@@ -51,6 +51,20 @@
   ReplicaSetPlanner planner{ReplicaSetTarget{3, seconds(2), seconds(60)}};
 };
 
+// The leader's record of one backend server's announcements.
+struct AnnouncedServer {
+  AnnouncedServer() {
+    this->record.server_id = "s";
+    this->record.incarnation = 5;
+    this->record.sequence = 1;
+  }
+
+  ServerLiveness liveness{ServerLeases()};
+  SharedState state;
+  ServerRecord record;
+  TimePoint now{seconds(100)};
+};
+
 std::string TemporaryDirectory() {
   char name[] = "/tmp/sycamorebend_identity_XXXXXX";
   BOOST_REQUIRE(mkdtemp(name) != nullptr);
@@ -209,67 +223,62 @@
 
 // Guards against a new leader that marks live servers silent, and against lost
 // servers that are never removed.
-BOOST_AUTO_TEST_CASE(ServersGetAFullLeaseAtANewLeader) {
-  ServerLiveness liveness{ServerLeases()};
-  SharedState state;
-  ServerRecord record;
-  record.server_id = "s";
-  record.incarnation = 5;
-  record.sequence = 1;
-  state.servers.push_back(record);
-  TimePoint now{seconds(100)};
-  liveness.Reset(now);
-  BOOST_TEST(liveness.FindExpiredLeases(state, now + seconds(5)).empty());
-  record.sequence = 2;
-  BOOST_TEST(!liveness.RecordAnnouncement(record, state, now + seconds(5)));
-  BOOST_TEST(liveness.FindExpiredLeases(state, now + seconds(10)).empty());
-  const auto silent = liveness.FindExpiredLeases(state, now + seconds(12));
+BOOST_FIXTURE_TEST_CASE(ServersGetAFullLeaseAtANewLeader, AnnouncedServer) {
+  this->state.servers.push_back(this->record);
+  this->liveness.Reset(this->now);
+  BOOST_TEST(
+      this->liveness.FindExpiredLeases(this->state, this->now + seconds(5))
+          .empty());
+  this->record.sequence = 2;
+  BOOST_TEST(!this->liveness.RecordAnnouncement(this->record, this->state,
+                                                this->now + seconds(5)));
+  BOOST_TEST(
+      this->liveness.FindExpiredLeases(this->state, this->now + seconds(10))
+          .empty());
+  const auto silent =
+      this->liveness.FindExpiredLeases(this->state, this->now + seconds(12));
   BOOST_REQUIRE(silent.size() == 1U);
   BOOST_TEST(!silent[0].remove_server);
   BOOST_TEST(
-      liveness.FindExpiredLeases(state, now + seconds(70))[0].remove_server);
+      this->liveness.FindExpiredLeases(this->state, this->now + seconds(70))[0]
+          .remove_server);
 }
 
 // Guards against a server that is removed right after it announced itself,
 // because the announcement could not be stored and its receipt was forgotten.
-BOOST_AUTO_TEST_CASE(FailedProposalKeepsTheLease) {
-  ServerLiveness liveness{ServerLeases()};
-  SharedState state;
-  ServerRecord record;
-  record.server_id = "s";
-  record.incarnation = 5;
-  record.sequence = 1;
-  state.servers.push_back(record);
-  TimePoint now{seconds(100)};
-  liveness.Reset(now);
-  now += seconds(300);
-  record.leaving = true;
-  record.sequence = 2;
-  BOOST_TEST(liveness.RecordAnnouncement(record, state, now));
-  liveness.Discard("s");
-  BOOST_TEST(liveness.FindExpiredLeases(state, now + seconds(1)).empty());
-  BOOST_TEST(liveness.RecordAnnouncement(record, state, now + seconds(1)));
-  BOOST_TEST(!liveness.RecordAnnouncement(record, state, now + seconds(2)));
+BOOST_FIXTURE_TEST_CASE(FailedProposalKeepsTheLease, AnnouncedServer) {
+  this->state.servers.push_back(this->record);
+  this->liveness.Reset(this->now);
+  this->now += seconds(300);
+  this->record.leaving = true;
+  this->record.sequence = 2;
+  BOOST_TEST(
+      this->liveness.RecordAnnouncement(this->record, this->state, this->now));
+  this->liveness.Discard("s");
+  BOOST_TEST(
+      this->liveness.FindExpiredLeases(this->state, this->now + seconds(1))
+          .empty());
+  BOOST_TEST(this->liveness.RecordAnnouncement(this->record, this->state,
+                                               this->now + seconds(1)));
+  BOOST_TEST(!this->liveness.RecordAnnouncement(this->record, this->state,
+                                                this->now + seconds(2)));
 }
 
 // Guards against a changed announcement that is not proposed.
-BOOST_AUTO_TEST_CASE(ChangedAnnouncementsAreProposed) {
-  ServerLiveness liveness{ServerLeases()};
-  SharedState state;
-  ServerRecord record;
-  record.server_id = "s";
-  record.incarnation = 5;
-  record.sequence = 1;
-  const TimePoint now{seconds(100)};
-  BOOST_TEST(liveness.RecordAnnouncement(record, state, now));
-  state.servers.push_back(record);
-  record.sequence = 2;
-  record.leaving = true;
-  BOOST_TEST(liveness.RecordAnnouncement(record, state, now));
+BOOST_FIXTURE_TEST_CASE(ChangedAnnouncementsAreProposed, AnnouncedServer) {
+  BOOST_TEST(
+      this->liveness.RecordAnnouncement(this->record, this->state, this->now));
+  this->state.servers.push_back(this->record);
+  this->record.sequence = 2;
+  this->record.leaving = true;
+  BOOST_TEST(
+      this->liveness.RecordAnnouncement(this->record, this->state, this->now));
   // The same announcement again, or an older one, is not proposed.
-  BOOST_TEST(!liveness.RecordAnnouncement(record, state, now));
-  record.sequence = 1;
-  BOOST_TEST(!liveness.RecordAnnouncement(record, state, now));
+  BOOST_TEST(
+      !this->liveness.RecordAnnouncement(this->record, this->state, this->now));
+  this->record.sequence = 1;
+  BOOST_TEST(
+      !this->liveness.RecordAnnouncement(this->record, this->state, this->now));
 }
 
 // Guards against a leader that counts the time since its earlier term as time
