Record duty grants and fixed usage windows in the control state

duty.grant is conditional on the previous token and draws its token from the counter of fence.take, so that numbers are unique over both. A token is at least the leader's time: the platform remembers tokens of a deployment whose replicas have all lost their disks. usage.fix: the first counts of a window win; the last 64 windows are kept, and dropped ones cannot be fixed again.

--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -146,6 +146,40 @@
   std::size_t quarantined = 10000;
   std::size_t crash_findings = 256;
   std::int64_t max_quarantine_ms = 24LL * 3600 * 1000;
+  // Windows of usage that are kept.
+  std::size_t usage_windows = 64;
+  // How long an earlier holder of a duty is remembered. Much longer than the
+  // lease, since it is measured with the wall clocks of leaders.
+  std::int64_t earlier_holder_ms = 60LL * 1000;
+};
+
+// The newest grant of a duty. See sycamorebend/duties.h.
+struct DutyGrantRecord {
+  // Name of the VM that holds the duty.
+  std::string holder;
+  // Identifies the term of office in which the holder got it.
+  std::string session;
+  std::uint64_t token = 0;
+  // Time of the grant by the leader's clock.
+  std::int64_t since_ms = 0;
+  // The holder has stopped as planned and sends nothing any more.
+  bool released = false;
+  // VMs that held the duty before, with the time of the next grant by the
+  // leader's clock; only those of the last minute.
+  std::map<std::string, std::int64_t> earlier_holders;
+};
+
+// The number of requests in one window, as it was or will be reported.
+struct FixedUsage {
+  std::map<std::string, std::uint64_t> counts;  // By customer.
+  bool sent = false;
+};
+
+// The windows of usage that are kept, by window.
+struct FixedUsageTable {
+  std::map<std::uint64_t, std::shared_ptr<const FixedUsage>> windows;
+  // Earlier windows were dropped and cannot be fixed any more.
+  std::uint64_t first_window = 0;
 };
 
 // The state machine of the control replicas. Commands are JSON objects with a
@@ -180,6 +214,11 @@
   // @return the sizes of the tables: orders, change IDs, crashes, bytes.
   virtual Json::Value Counts() const = 0;
 
+  // @return the newest grants by name of the duty.
+  virtual std::map<std::string, DutyGrantRecord> DutyGrants() const = 0;
+
+  virtual FixedUsageTable FixedUsageWindows() const = 0;
+
   // @return true if a `clock.tick` at `now_ms` would change the state.
   virtual bool NeedsTick(std::int64_t now_ms) const = 0;
 };
--- a/include/sycamorebend/duties.h
+++ b/include/sycamorebend/duties.h
@@ -31,6 +31,9 @@
   // Name of the VM that holds the duty.
   std::string holder;
   std::uint64_t fencing_token = 0;
+  // On the clock of this VM: no call may begin later. Calls check it again
+  // directly before their first byte is sent.
+  TimePoint valid_until = TimePoint::max();
 };
 
 enum class DutyCallResult {
@@ -42,8 +45,11 @@
   // There was no response, or an error of the platform. The call may still be
   // executed later.
   kUnknown = 3,
+  // Not a single byte was sent: the grant had expired, the own rate limit was
+  // reached, or there was no connection. The call cannot be executed later.
+  kNotSent = 4,
 };
-inline constexpr std::size_t kDutyCallResults = 4;
+inline constexpr std::size_t kDutyCallResults = 5;
 
 // @return the name of `result` in logs and metrics.
 std::string_view DutyCallResultName(DutyCallResult result);
@@ -61,6 +67,8 @@
   int count = 0;
   // The servers may be reclaimed by the platform at short notice.
   bool reclaimable = false;
+  // For operators; not sent.
+  std::string reason;
 };
 
 // Calls of the platform's API.
@@ -102,6 +110,8 @@
   double refused_per_s = 0;
   // Requests that missed their latency target.
   double late_per_s = 0;
+  // Mean time to the first byte divided by its target; 0 without responses.
+  double first_byte_of_target = 0;
 };
 
 // Demand of all services over the last second.
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -7,11 +7,13 @@
 
 #include "control/change_table.h"
 #include "control/configuration_history.h"
+#include "control/duty_table.h"
 #include "control/field_reader.h"
 #include "control/finding_table.h"
 #include "control/order_table.h"
 #include "control/record_codec.h"
 #include "control/server_directory.h"
+#include "control/usage_records.h"
 #include "sycamorebend/control.h"
 #include "sycamorebend/settings.h"
 
@@ -21,12 +23,14 @@
 
 using internal::ChangeTable;
 using internal::ConfigurationHistory;
+using internal::DutyTable;
 using internal::FieldReader;
 using internal::FindingTable;
 using internal::OrderTable;
 using internal::RecordReader;
 using internal::RecordWriter;
 using internal::ServerDirectory;
+using internal::UsageRecords;
 
 constexpr int kSnapshotFormat = 1;
 
@@ -37,6 +41,7 @@
 constexpr char kChangeTag = 'C';
 constexpr char kOrderTag = 'O';
 constexpr char kFindingTag = 'F';
+constexpr char kUsageTag = 'U';
 // The last record. Holds the number of records before it.
 constexpr char kEndTag = 'E';
 
@@ -54,7 +59,12 @@
 // The complete state. Not thread-safe.
 struct Tables {
   explicit Tables(const ControlLimits& limits)
-      : history(limits), changes(limits), orders(limits), findings(limits) {}
+      : history(limits),
+        changes(limits),
+        orders(limits),
+        findings(limits),
+        duties(limits),
+        usage(limits) {}
 
   std::string epoch;
   std::uint64_t shared_version = 0;
@@ -62,6 +72,8 @@
   ChangeTable changes;
   OrderTable orders;
   FindingTable findings;
+  DutyTable duties;
+  UsageRecords usage;
   std::map<std::string, EntryInfo> entries;
   ServerDirectory servers;
   std::set<std::string> drained_servers;
@@ -77,6 +89,8 @@
   header["history"] = tables.history.SaveHeader();
   header["changes"] = tables.changes.SaveHeader();
   header["fence"] = Json::UInt64(tables.fence);
+  header["duties"] = tables.duties.Save();
+  header["usage"] = tables.usage.SaveHeader();
   Json::Value& entries = header["entries"] = Json::Value(Json::arrayValue);
   for (const auto& [id, entry] : tables.entries) {
     Json::Value item;
@@ -106,6 +120,8 @@
   tables.history.LoadHeader(header["history"]);
   tables.changes.LoadHeader(header["changes"]);
   tables.fence = header["fence"].asUInt64();
+  tables.duties.Load(header["duties"]);
+  tables.usage.LoadHeader(header["usage"]);
   for (const Json::Value& item : header["entries"]) {
     EntryInfo entry;
     entry.entry_id = item["entry_id"].asString();
@@ -158,6 +174,9 @@
     case kFindingTag:
       loaded = tables.findings.Load(record);
       break;
+    case kUsageTag:
+      loaded = tables.usage.Load(record);
+      break;
     default:
       break;
   }
@@ -236,6 +255,7 @@
     this->tables->changes.Save(record_sink(kChangeTag));
     this->tables->orders.Save(record_sink(kOrderTag));
     this->tables->findings.Save(record_sink(kFindingTag));
+    this->tables->usage.Save(record_sink(kUsageTag));
     std::string end;
     RecordWriter(end).Number(records);
     record_sink(kEndTag)(end);
@@ -306,9 +326,21 @@
     counts["entries"] = count(state_tables.entries.size());
     counts["servers"] = count(state_tables.servers.Records().size());
     counts["fence"] = count(state_tables.fence);
+    counts["usage_windows"] =
+        count(state_tables.usage.Windows().windows.size());
     return counts;
   }
 
+  std::map<std::string, DutyGrantRecord> DutyGrants() const override {
+    std::lock_guard lock(this->mutex);
+    return this->tables->duties.Grants();
+  }
+
+  FixedUsageTable FixedUsageWindows() const override {
+    std::lock_guard lock(this->mutex);
+    return this->tables->usage.Windows();
+  }
+
   bool NeedsTick(std::int64_t now_ms) const override {
     std::lock_guard lock(this->mutex);
     return this->tables->orders.HasExpired(now_ms) ||
@@ -379,6 +411,10 @@
         {"finding.report", &TableControlState::ReportFinding},
         {"finding.record", &TableControlState::RecordFinding},
         {"fence.take", &TableControlState::TakeFence},
+        {"duty.grant", &TableControlState::GrantDuty},
+        {"duty.release", &TableControlState::ReleaseDuty},
+        {"usage.fix", &TableControlState::FixUsage},
+        {"usage.sent", &TableControlState::RecordUsageSent},
         {"cluster.init", &TableControlState::InitCluster},
         {"replicas.set", &TableControlState::SetReplicas},
         {"clock.tick", &TableControlState::Tick},
@@ -603,6 +639,26 @@
     return response;
   }
 
+  Result<Json::Value> GrantDuty(const Json::Value& command,
+                                std::int64_t now_ms) {
+    return this->tables->duties.Grant(command, now_ms, this->tables->fence);
+  }
+
+  Result<Json::Value> ReleaseDuty(const Json::Value& command,
+                                  std::int64_t /*now_ms*/) {
+    return this->tables->duties.Release(command);
+  }
+
+  Result<Json::Value> FixUsage(const Json::Value& command,
+                               std::int64_t /*now_ms*/) {
+    return this->tables->usage.Fix(command);
+  }
+
+  Result<Json::Value> RecordUsageSent(const Json::Value& command,
+                                      std::int64_t /*now_ms*/) {
+    return this->tables->usage.RecordSent(command);
+  }
+
   // The first leader sets the epoch of the deployment; later calls change
   // nothing.
   Result<Json::Value> InitCluster(const Json::Value& command,
