Count and report usage end to end

Gateways count requests by customer and window and report changes with feed polls; replicas forward them to the leader with the renewals. Reports are absolute values relative to what the receiver's session has acknowledged, so that repeats count once and a new receiver gets everything.

--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -217,6 +217,11 @@
   // 8xx: transport between processes.
   kRpcFailed = 801,
   kPeerUnreachable = 802,
+  // 9xx: duties, which one VM at a time performs.
+  kDutyGranted = 901,
+  kDutyReleased = 902,
+  kUsageFixed = 903,
+  kDutyCallEnded = 904,
 };
 
 struct EventInfo {
--- a/include/sycamorebend/duties.h
+++ b/include/sycamorebend/duties.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -71,6 +72,23 @@
   std::string reason;
 };
 
+// How a control replica performs duties.
+struct DutyOptions {
+  // Name of this VM.
+  std::string self;
+  // The duties of this deployment.
+  std::set<Duty> duties;
+  // Different VMs must not act on a duty alternately within this time.
+  Duration lease = seconds(3);
+  // A longer pause of the process counts as a suspension, after which it
+  // confirms its leadership before it acts.
+  Duration suspension = milliseconds(300);
+  // Length of the windows of usage, and the time after the end of one at which
+  // its report is due.
+  Duration usage_window = seconds(5);
+  Duration usage_delay = seconds(10);
+};
+
 // Calls of the platform's API.
 class DutyApi {
  public:
--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -24,6 +24,25 @@
 // RPC method of the feed, at control replicas and entry daemons.
 inline constexpr std::string_view kFeedPollMethod = "feed.poll";
 
+// Reports that are sent with polls to a source of the feed. Called from any
+// thread.
+class FeedReporter {
+ public:
+  virtual ~FeedReporter() = default;
+  // @return the report to send with the next poll; null if none is due.
+  virtual Json::Value NextReport() = 0;
+  // Called with what the receiver of a report responded.
+  virtual void OnReceipt(const Json::Value& receipt) = 0;
+};
+
+// Receives the reports at a control replica, and has those that a follower
+// forwards to the leader. Called from any thread.
+class FeedReportReceiver : public FeedReporter {
+ public:
+  // @return the receipt for the sender, or kMalformedRequest.
+  virtual Result<Json::Value> Accept(const Json::Value& report) = 0;
+};
+
 struct FeedFollowerOptions {
   EntryInfo self;
   // Control replicas, which are polled first.
@@ -55,6 +74,8 @@
   // Maximum number of direct followers. Each occupies a thread of the RpcServer
   // that calls ServePoll.
   std::size_t max_followers = 32;
+  // Reports of this daemon; may be nullptr. Must outlive the follower.
+  FeedReporter* reporter = nullptr;
 };
 
 // What became of a poll.
@@ -153,6 +174,10 @@
   // created after the state machine, which publishes to this source.
   virtual void SetLog(ReplicatedLog& log) = 0;
 
+  // Sets the receiver of reports, which must outlive the calls of this source's
+  // RpcClient. Reports that arrive before get no receipt.
+  virtual void SetReportReceiver(FeedReportReceiver* receiver) = 0;
+
   // Serves a new state from now on. Called by the control state.
   virtual void Publish(std::shared_ptr<const SharedState> state) = 0;
 
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -125,6 +125,14 @@
     {Event::kRpcFailed, "rpc_failed", "A call to another process failed."},
     {Event::kPeerUnreachable, "peer_unreachable",
      "Another process cannot be reached."},
+    {Event::kDutyGranted, "duty_granted",
+     "This VM took a duty, or a new fencing token for it."},
+    {Event::kDutyReleased, "duty_released",
+     "This VM gave up a duty because it stops."},
+    {Event::kUsageFixed, "usage_fixed",
+     "The counts of a window of usage were recorded."},
+    {Event::kDutyCallEnded, "duty_call_ended",
+     "A call of a duty ended; the fields give its content and result."},
 };
 
 std::string JsonQuote(std::string_view text) {
--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -115,6 +115,14 @@
   return Success();
 }
 
+void ControlDaemon::StartDuties(const DutyOptions& options, DutyApi& api) {
+  this->duties = std::make_unique<DutyRunner>(
+      options, this->settings.log.timings.lease, api, *this->state,
+      this->control_thread, this->clock);
+  this->feed->SetReportReceiver(this->duties.get());
+  this->service.SetDuties(*this->duties);
+}
+
 std::vector<std::string> ControlDaemon::KnownReplicas() const {
   std::vector<std::string> known = this->state->Shared()->replicas;
   std::lock_guard lock(this->mutex);
@@ -207,6 +215,9 @@
   if (std::exchange(this->stopped, true)) {
     return;
   }
+  if (this->duties != nullptr) {
+    this->duties->Stop();
+  }
   this->service.StopChanges();
   this->feed->Stop();
   if (this->log != nullptr) {
--- a/src/controld/control_daemon.h
+++ b/src/controld/control_daemon.h
@@ -38,6 +38,12 @@
   // Stops gracefully: transfers leadership and waits for open calls.
   void Stop();
 
+  // Performs duties from now on. To be called once.
+  // @param api must outlive the calls that Stop ends.
+  void StartDuties(const DutyOptions& options, DutyApi& api);
+  // @return the duties, or nullptr before StartDuties.
+  DutyRunner* Duties() { return this->duties.get(); }
+
   // Replaces the seed addresses after the settings were reloaded. Thread-safe.
   void SetSeeds(std::vector<std::string> seeds);
 
@@ -66,6 +72,7 @@
   std::unique_ptr<RpcClient> rpc;
   std::unique_ptr<FeedSource> feed;
   std::unique_ptr<ControlState> state;
+  std::unique_ptr<DutyRunner> duties;
   ControlService service;
   std::unique_ptr<ControlHttp> http;
   std::unique_ptr<HttpServer> server;
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -94,6 +94,7 @@
       {"finding.report", &ControlService::ReportFinding},
       {"finding.record", &ControlService::RecordFinding},
       {"fence.take", &ControlService::TakeFence},
+      {"duty.status", &ControlService::ShowDuties},
   };
   return kMethods;
 }
@@ -395,9 +396,28 @@
   return this->Propose("fence.take", params);
 }
 
+Json::Value ControlService::DutyReport() const {
+  const DutyRunner* const runner = this->duties;
+  return runner == nullptr ? Json::Value() : runner->StatusReport();
+}
+
+Result<Json::Value> ControlService::ShowDuties(const Json::Value& /*params*/) {
+  BOOST_OUTCOME_TRY(this->Barrier());
+  Json::Value report = this->DutyReport();
+  if (report.isNull()) {
+    return MakeError(ResultCode::kNotFound,
+                     "the settings of this replica name no duties");
+  }
+  return report;
+}
+
 void ControlService::Tick() {
   this->feed.Tick();
   ReplicatedLogService* const replica_log = this->log;
+  DutyRunner* const runner = this->duties;
+  if (replica_log != nullptr && runner != nullptr) {
+    runner->Tick(*replica_log);
+  }
   if (replica_log == nullptr || this->stopping) {
     return;
   }
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -16,6 +16,7 @@
 
 #include "controld/replica_manager.h"
 #include "controld/server_liveness.h"
+#include "duties/duty_runner.h"
 #include "sycamorebend/consensus.h"
 #include "sycamorebend/control.h"
 #include "sycamorebend/feed.h"
@@ -32,6 +33,12 @@
   // @param target intended size of the replica set.
   void SetLog(ReplicatedLogService& new_log, ReplicaSetTarget target = {});
 
+  // Sets the duties of this replica, which must outlive the service.
+  void SetDuties(DutyRunner& new_duties) { this->duties = &new_duties; }
+
+  // @return the result of `duty.status`; null if this deployment has none.
+  Json::Value DutyReport() const;
+
   // Refuses further changes with kShuttingDown. Raft messages are still
   // accepted, so that leadership can be transferred.
   void StopChanges();
@@ -84,6 +91,7 @@
   Result<Json::Value> ReportFinding(const Json::Value& params);
   Result<Json::Value> RecordFinding(const Json::Value& params);
   Result<Json::Value> TakeFence(const Json::Value& params);
+  Result<Json::Value> ShowDuties(const Json::Value& params);
 
   // Proposes `params` as a command of `type` and waits for its result.
   Result<Json::Value> Propose(const std::string& type, Json::Value params);
@@ -118,6 +126,7 @@
   FeedSource& feed;
   const Clock& clock;
   std::atomic<ReplicatedLogService*> log{nullptr};
+  std::atomic<DutyRunner*> duties{nullptr};
   std::atomic<bool> stopping{false};
   std::unique_ptr<ReplicaManager> manager;
   std::mutex liveness_mutex;
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -394,6 +394,9 @@
     const OpenPoll poll = std::move(*open);
     this->open_polls.erase(open);
     if (item.response) {
+      if (this->options.reporter != nullptr) {
+        internal::PassReceipt(*this->options.reporter, item.response.value());
+      }
       this->MeasureDelay(poll);
     }
     SourceReport report;
@@ -502,12 +505,16 @@
     const Duration timeout = (snapshot ? this->options.poll_wait : wait) +
                              this->options.poll_timeout_margin;
     const TimePoint sent = this->clock.Now();
+    Json::Value params = this->Params(base, wait, sent);
+    if (this->options.reporter != nullptr) {
+      internal::AddReport(*this->options.reporter, params);
+    }
     const std::uint64_t id = ++this->last_poll_id;
     this->open_polls.push_back(
         {id, source, base, sent, SteadyClock::now() + wait});
     this->rpc.CallAsync(
-        source, std::string(kFeedPollMethod), this->Params(base, wait, sent),
-        timeout, [queue = this->responses, id](Result<Json::Value> response) {
+        source, std::string(kFeedPollMethod), params, timeout,
+        [queue = this->responses, id](Result<Json::Value> response) {
           queue->Add(id, std::move(response));
         });
   }
--- a/src/feed/feed_source.cc
+++ b/src/feed/feed_source.cc
@@ -12,6 +12,8 @@
 
 namespace {
 
+using internal::kReceiptKey;
+using internal::kReportKey;
 using internal::Renewal;
 using internal::RenewalTable;
 
@@ -40,6 +42,10 @@
 
   void SetLog(ReplicatedLog& new_log) override { this->log = &new_log; }
 
+  void SetReportReceiver(FeedReportReceiver* receiver) override {
+    this->report_receiver = receiver;
+  }
+
   void Publish(std::shared_ptr<const SharedState> state) override {
     this->server.Publish(std::move(state));
   }
@@ -57,17 +63,22 @@
         this->renewals.Add(renewal);
       }
     }
-    if (poll.renewals_only) {
-      return Json::Value(Json::objectValue);
+    const Json::Value receipt = this->AcceptReport(params[kReportKey]);
+    Result<Json::Value> response =
+        poll.renewals_only
+            ? Json::Value(Json::objectValue)
+            : this->server.Serve(
+                  poll, Json::Value(Json::arrayValue),
+                  [this, replica_log]() -> std::optional<TimePoint> {
+                    const Duration age = replica_log->ConfirmationAge();
+                    return age == Duration::max()
+                               ? std::nullopt
+                               : std::make_optional(this->clock.Now() - age);
+                  });
+    if (response && !receipt.isNull()) {
+      response.value()[kReceiptKey] = receipt;
     }
-    return this->server.Serve(
-        poll, Json::Value(Json::arrayValue),
-        [this, replica_log]() -> std::optional<TimePoint> {
-          const Duration age = replica_log->ConfirmationAge();
-          return age == Duration::max()
-                     ? std::nullopt
-                     : std::make_optional(this->clock.Now() - age);
-        });
+    return response;
   }
 
   FeedSourceStatus GetStatus() const override {
@@ -100,6 +111,21 @@
   void Stop() override { this->server.Stop(); }
 
  private:
+  // @return the receipt for a report; null without a report or a receiver.
+  Json::Value AcceptReport(const Json::Value& report) {
+    FeedReportReceiver* const receiver = this->report_receiver;
+    if (report.isNull() || receiver == nullptr) {
+      return {};
+    }
+    const Result<Json::Value> receipt = receiver->Accept(report);
+    if (!receipt) {
+      LogEvent(Severity::kWarning, Event::kReportRejected,
+               {{"source", "feed poll"}, {"reason", receipt.error().message}});
+      return {};
+    }
+    return receipt.value();
+  }
+
   // Forwards the renewals received by this replica to the leader.
   void ForwardRenewals(const ReplicatedLog::LogStatus& status, TimePoint now) {
     Json::Value params;
@@ -126,12 +152,20 @@
     params["have_version"] = Json::UInt64(state ? state->version : 0);
     params["wait_ms"] = 0;
     params["renewals_only"] = true;
-    this->rpc.CallAsync(status.leader_address, std::string(kFeedPollMethod),
-                        params, kForwardTimeout,
-                        [pending = this->pending](Result<Json::Value>) {
-                          std::lock_guard lock(pending->mutex);
-                          pending->forwarding = false;
-                        });
+    FeedReportReceiver* const receiver = this->report_receiver;
+    if (receiver != nullptr) {
+      internal::AddReport(*receiver, params);
+    }
+    this->rpc.CallAsync(
+        status.leader_address, std::string(kFeedPollMethod), params,
+        kForwardTimeout,
+        [pending = this->pending, receiver](Result<Json::Value> response) {
+          if (receiver != nullptr && response) {
+            internal::PassReceipt(*receiver, response.value());
+          }
+          std::lock_guard lock(pending->mutex);
+          pending->forwarding = false;
+        });
   }
 
   void ProposeEntryChanges(ReplicatedLog& replica_log, TimePoint now) {
@@ -216,6 +250,7 @@
   RpcClient& rpc;
   const Clock& clock;
   std::atomic<ReplicatedLog*> log{nullptr};
+  std::atomic<FeedReportReceiver*> report_receiver{nullptr};
   internal::FeedServer server;
   const std::shared_ptr<Pending> pending = std::make_shared<Pending>();
   std::mutex mutex;
--- a/src/feed/renewals.cc
+++ b/src/feed/renewals.cc
@@ -1,6 +1,7 @@
 #include "feed/renewals.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "control/field_reader.h"
 #include "sycamorebend/settings.h"
@@ -77,6 +78,19 @@
   return poll;
 }
 
+void AddReport(FeedReporter& reporter, Json::Value& params) {
+  Json::Value report = reporter.NextReport();
+  if (!report.isNull()) {
+    params[kReportKey] = std::move(report);
+  }
+}
+
+void PassReceipt(FeedReporter& reporter, const Json::Value& response) {
+  if (response.isObject() && response.isMember(kReceiptKey)) {
+    reporter.OnReceipt(response[kReceiptKey]);
+  }
+}
+
 Json::Value RenewalToJson(const Renewal& renewal, TimePoint now) {
   Json::Value value;
   value["entry_id"] = renewal.entry.entry_id;
--- a/src/feed/renewals.h
+++ b/src/feed/renewals.h
@@ -10,6 +10,7 @@
 
 #include "sycamorebend/base.h"
 #include "sycamorebend/control.h"
+#include "sycamorebend/feed.h"
 
 namespace sycamorebend {
 namespace internal {
@@ -39,6 +40,16 @@
 // @return the poll, or kMalformedRequest naming the parameter.
 Result<FeedPoll> ReadFeedPoll(const Json::Value& params, TimePoint now);
 
+// Names of a report in the parameters of a poll, and of its receipt in the
+// response.
+inline constexpr const char* kReportKey = "report";
+inline constexpr const char* kReceiptKey = "receipt";
+
+// Adds the report that is due, if there is one, to the parameters of a poll.
+void AddReport(FeedReporter& reporter, Json::Value& params);
+// Passes on the receipt in a response, if there is one.
+void PassReceipt(FeedReporter& reporter, const Json::Value& response);
+
 Json::Value RenewalToJson(const Renewal& renewal, TimePoint now);
 
 // The newest renewal of each entry daemon. Not thread-safe.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -141,6 +141,7 @@
   this->last_event = this->job.fields.resume_after;
   this->context.budgets.ForService(this->service)
       .CountRequest(this->started_at);
+  this->CountArrival();
   const std::weak_ptr<Forwarder> weak = this->weak_from_this();
   this->job.exchange->OnDisconnect([weak] {
     if (const auto forwarder = weak.lock()) {
@@ -450,6 +451,7 @@
                                         now);
   }
   this->HandleNotices(fields, now);
+  this->CountRun();
   const bool success = head.status >= kOk && head.status < kFirstRedirect;
   this->response_is_stream = this->job.route->kind == RouteKind::kStream &&
                              success && fields.authentic &&
@@ -822,10 +824,41 @@
             {"tenant", this->job.tenant == nullptr ? std::string()
                                                    : this->job.tenant->name},
             {"duration_ms", ToMilliseconds(now - this->started_at)}});
-  this->context.metrics.Add(this->Summarize(status, now));
+  const RequestResult result = this->Summarize(status, now);
+  this->context.metrics.Add(result);
+  this->CountEnd(result);
   this->self.reset();
 }
 
+void Forwarder::CountArrival() {
+  if (this->context.usage != nullptr) {
+    const GenerationRequest* const generation = this->profile.generation;
+    this->context.usage->CountRequest(
+        this->service,
+        generation == nullptr ? 0 : std::max(generation->input_tokens, 0));
+  }
+}
+
+void Forwarder::CountRun() {
+  if (this->context.usage != nullptr && this->job.tenant != nullptr &&
+      ShowsThatItRan(this->response.status, this->response_fields.authentic,
+                     this->response_fields.not_executed)) {
+    this->context.usage->CountBegun(this->job.tenant->name);
+  }
+}
+
+void Forwarder::CountEnd(const RequestResult& result) {
+  if (this->context.usage != nullptr) {
+    const auto limits = this->job.table->services.find(this->service);
+    const int event_tokens = limits == this->job.table->services.end()
+                                 ? 1
+                                 : limits->second.event_tokens;
+    this->context.usage->CountEnd(this->service, result,
+                                  static_cast<std::uint64_t>(this->events) *
+                                      static_cast<std::uint64_t>(event_tokens));
+  }
+}
+
 RequestResult Forwarder::Summarize(int status, TimePoint now) const {
   const Route& route = *this->job.route;
   RequestResult result;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -16,6 +16,7 @@
 #include "gateway/request_metrics.h"
 #include "gateway/routes.h"
 #include "gateway/server_pool.h"
+#include "gateway/usage_counter.h"
 #include "gateway/wire_format.h"
 #include "net/event_loop.h"
 #include "net/sse_splitter.h"
@@ -49,6 +50,8 @@
   std::set<Forwarder*> open = std::set<Forwarder*>();
   // When a response with a malformed header was last logged.
   TimePoint malformed_logged_at = TimePoint();
+  // Counts for usage reports; nullptr if there are none.
+  UsageCounter* usage = nullptr;
 };
 
 // An admitted request with its parsed fields, route and tenant.
@@ -147,6 +150,11 @@
                         const std::string& reason,
                         Duration retry_after = {});
   void Finish(int status, const std::string& outcome);
+  // Counts the request for usage reports: its arrival, an attempt that a server
+  // began to run, and its end.
+  void CountArrival();
+  void CountRun();
+  void CountEnd(const RequestResult& result);
   // @return the result of the request for the metrics.
   RequestResult Summarize(int status, TimePoint now) const;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -57,6 +57,14 @@
       balancer({settings.failure_domain,
                 StableHash64(settings.entry_id + RandomId())}),
       pool(loop, format),
+      incarnation(RandomId()),
+      usage(settings.usage_window > Duration(0)
+                ? std::make_unique<UsageCounter>(
+                      UsageScheduleOptions{settings.usage_window,
+                                           settings.usage_delay},
+                      UsageSource{settings.entry_id, this->incarnation},
+                      clock)
+                : nullptr),
       context{loop,
               format,
               this->balancer,
@@ -67,6 +75,7 @@
       handler(this->context),
       admin_handler(*this),
       timers(clock) {
+  this->context.usage = this->usage.get();
   this->SetRetryLimits(1);
 }
 
@@ -154,7 +163,8 @@
   options.self.entry_id = this->settings.entry_id;
   options.self.address = this->callers->Address();
   options.self.failure_domain = this->settings.failure_domain;
-  options.self.incarnation = RandomId();
+  options.self.incarnation = this->incarnation;
+  options.reporter = this->usage.get();
   options.replicas = this->settings.replicas;
   this->follower =
       FeedFollower::Start(std::move(options), *this->rpc, this->clock,
@@ -325,6 +335,9 @@
         std::chrono::duration<double>(now - this->configured_at).count());
   }
   this->PublishFeedMetrics();
+  if (this->usage != nullptr) {
+    this->usage->Publish(this->metrics);
+  }
   for (const std::string& service : this->balancer.Services()) {
     const PoolState state = this->balancer.StateOf(service, now);
     for (std::size_t i = 0; i < kServerUses; ++i) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -96,6 +96,10 @@
   Balancer balancer;
   ServerPool pool;
   RetryBudgets budgets;
+  // Identifies this process.
+  const std::string incarnation;
+  // nullptr without usage reports.
+  std::unique_ptr<UsageCounter> usage;
   ForwardContext context;
   RouteHandler handler;
   AdminHandler admin_handler;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -9,6 +9,8 @@
 constexpr double kMaxRetrySlack = 1000000;
 constexpr Duration kMinStopGrace = seconds(1);
 constexpr Duration kMaxStopGrace = seconds(3600);
+constexpr Duration kMinUsageTime = milliseconds(100);
+constexpr Duration kMaxUsageTime = seconds(3600);
 
 }  // namespace
 
@@ -33,6 +35,12 @@
       root.GetNumber("retry_ratio", 0, kMaxRetryRatio, settings.retry_ratio);
   settings.retry_slack =
       root.GetNumber("retry_slack", 0, kMaxRetrySlack, settings.retry_slack);
+  if (root.Has("usage_window_s")) {
+    settings.usage_window =
+        root.GetSeconds("usage_window_s", kMinUsageTime, kMaxUsageTime);
+    settings.usage_delay = root.GetSeconds("usage_delay_s", kMinUsageTime,
+                                           kMaxUsageTime, settings.usage_delay);
+  }
   settings.log_threshold = ReadLogSeverity(root);
   BOOST_OUTCOME_TRY(root.Finish());
   return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -30,6 +30,11 @@
   // of its requests plus a fixed number.
   double retry_ratio = 0.2;
   double retry_slack = 50;
+  // Length of the windows in which requests are counted for usage reports; 0 if
+  // there are no reports.
+  Duration usage_window{0};
+  // Time after the end of a window at which its report is due.
+  Duration usage_delay = seconds(10);
   Severity log_threshold = Severity::kInfo;
 };
 
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -12,6 +12,7 @@
 
 #include <json/value.h>
 
+#include "platform/rendered_settings.h"
 #include "sycamorebend/http.h"
 #include "sycamorebend/rpc.h"
 #include "system/process.h"
@@ -28,10 +29,13 @@
   // @param silent_seeds number of addresses that the gateways know beside
   // those of replicas, as of machines that are gone: connections to these are
   // not refused, and nothing responds.
+  // @param settings fields of the platform's settings that differ from the
+  // default.
   PlatformFleet(std::size_t replicas,
                 std::size_t gateways,
                 std::size_t max_followers,
-                std::size_t silent_seeds = 0);
+                std::size_t silent_seeds = 0,
+                TemplateFields settings = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -54,6 +58,9 @@
   // Kills all processes at once and starts them again.
   void RestartAll();
 
+  // @return the result of an RPC to a replica; null if it fails.
+  Json::Value CallReplica(std::size_t replica, const std::string& method);
+
   // Sends a configuration with `routes` to the service "app", by default one
   // open route "/a/" of host "h.example".
   // @param first replica to which it is sent first.
@@ -126,6 +133,7 @@
   std::string Get(const std::string& url);
 
   const std::size_t replica_count;
+  const TemplateFields settings;
   const TemporaryDirectory directory;
   const std::string caller_port;
   const std::string admin_port;
--- a/tests/platform/rendered_settings.cc
+++ b/tests/platform/rendered_settings.cc
@@ -24,10 +24,38 @@
       {"fault_tolerance.nodes", "1"},
       {"bounds.grace_s", "8"},
       {"bounds.retry_budget_ratio", "0.2"},
-      {"bounds.budget_slack", "56"}};
+      {"bounds.budget_slack", "56"},
+      {"cloud_api.rate_per_s", "50.0"},
+      {"cloud_api.duty_per_s", "50.0"},
+      {"cloud_api.duties|json", R"(["metering","autoscaler"])"},
+      {"bounds.lease_ms", "3000"},
+      {"bounds.thaw_ms", "300"},
+      {"bounds.report_window_s", "5"},
+      {"bounds.usage_delay_s", "10"}};
   return kFields;
 }
 
+namespace {
+
+// Renders the sections whose field is given, and removes the others.
+void RenderSections(std::string& text, const TemplateFields& fields) {
+  for (auto begin = text.find("{{#"); begin != std::string::npos;
+       begin = text.find("{{#", begin)) {
+    const auto name_end = text.find("}}", begin);
+    BOOST_REQUIRE(name_end != std::string::npos);
+    const std::string name = text.substr(begin + 3, name_end - begin - 3);
+    const std::string end_mark = "{{/" + name + "}}";
+    const auto end = text.find(end_mark, name_end);
+    BOOST_REQUIRE_MESSAGE(end != std::string::npos, name);
+    const std::string content =
+        fields.count(name) > 0 ? text.substr(name_end + 2, end - name_end - 2)
+                               : std::string();
+    text.replace(begin, end + end_mark.size() - begin, content);
+  }
+}
+
+}  // namespace
+
 std::string RenderTemplate(const std::string& name,
                            const TemplateFields& changes) {
   const char* const root = std::getenv("SB_SOURCE_DIR");
@@ -35,6 +63,7 @@
   std::ostringstream file;
   file << std::ifstream(std::string(root) + "/deploy/" + name).rdbuf();
   std::string text = file.str();
+  RenderSections(text, changes);
   for (auto begin = text.find("{{"); begin != std::string::npos;
        begin = text.find("{{", begin)) {
     const auto end = text.find("}}", begin);
