Retry a lookup at its only server after an error

Cause: a server that responded to a repeatable request with an error was excluded from its retry, so that a service with one usable server left answered 502 although attempts and budget were left. Change: if no other server may be used, servers that responded with an error are considered again. Servers that could not be reached, that stalled or refused the request stay excluded.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -166,8 +166,11 @@
   if (this->RefuseIfQuarantined(now) || this->WaitForFinding(now)) {
     return;
   }
-  const std::optional<Choice> selected =
+  std::optional<Choice> selected =
       this->context.balancer.Choose(this->profile, now);
+  if (!selected && this->ReadmitServersWithErrors()) {
+    selected = this->context.balancer.Choose(this->profile, now);
+  }
   if (!selected) {
     this->RefuseWithoutServer(now);
     return;
@@ -191,6 +194,17 @@
   this->Send(*selected);
 }
 
+bool Forwarder::ReadmitServersWithErrors() {
+  std::vector<std::string>& excluded = this->profile.excluded;
+  for (const std::string& key : this->servers_with_errors) {
+    excluded.erase(std::remove(excluded.begin(), excluded.end(), key),
+                   excluded.end());
+  }
+  const bool readmitted = !this->servers_with_errors.empty();
+  this->servers_with_errors.clear();
+  return readmitted;
+}
+
 void Forwarder::RefuseWithoutServer(TimePoint now) {
   const PoolState state = this->context.balancer.StateOf(this->service, now);
   if (this->may_have_run) {
@@ -631,6 +645,7 @@
   }
   if (error && this->CanRetry() && this->SpendRetry()) {
     this->profile.excluded.push_back(this->choice.server_key);
+    this->servers_with_errors.push_back(this->choice.server_key);
     this->Dispatch();
     return;
   }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gateway/balancer.h"
 #include "gateway/caller_connection.h"
@@ -102,6 +103,10 @@
   void Send(const Choice& selected);
   // Acts on what a server states about itself in its response.
   void HandleNotices(const ResponseFields& fields, TimePoint now);
+  // Allows the servers again that responded with an error: a second attempt at
+  // the only server that is left may succeed.
+  // @return true if there is one.
+  bool ReadmitServersWithErrors();
   // Responds that no server may be used.
   void RefuseWithoutServer(TimePoint now);
   // Ends the call in progress, if there is one.
@@ -161,6 +166,8 @@
   TimerId attempt_timer = 0;
 
   RequestProfile profile;
+  // Servers in `profile.excluded` that responded with an error.
+  std::vector<std::string> servers_with_errors;
   internal::RequestContent content;
   Choice choice;
   std::unique_ptr<ServerCall> call;
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -83,6 +83,24 @@
   BOOST_TEST(count == 2);
 }
 
+// Guards against a 502 for a lookup whose only server responded with an error:
+// the second attempt is not used up by the search for another server.
+BOOST_FIXTURE_TEST_CASE(ErrorOfTheOnlyServerIsRetriedThere, GatewayFixture) {
+  std::atomic<int> count{0};
+  ScriptedServer server([&](const ReceivedRequest& request, Socket& socket) {
+    if (++count == 1) {
+      socket.Send(MakeResponse(request, 500, "failed"));
+      return true;
+    }
+    return Echo(request, socket);
+  });
+  this->AddServer(server);
+  RawCaller caller(this->Address());
+  caller.Send(Request("r1", "/safe/x"));
+  BOOST_TEST(Contains(caller.ReadUntil("body of r1"), "HTTP/1.1 200"));
+  BOOST_TEST(count == 2);
+}
+
 // Guards against giving up a non-idempotent request although the server
 // guaranteed that it has not run it.
 BOOST_FIXTURE_TEST_CASE(RefusedOrderGoesToAnotherServer, GatewayFixture) {
