Encode a version of the shared state once for all followers

Cause: each response to feed.poll was built as a Json::Value that contained a copy of the configuration, copied again into the message and serialized by libjsonrpccpp. With 70 gateways and 1,632 routes a replica (0.6 of a core) had no processor time left for consensus. Each small change of the state copied and compared the whole configuration too, at replicas and gateways.

Change: FeedBuffer keeps the texts of the configuration, the other records and the deltas, each encoded when the first reader needs it. Responses refer to these texts (SharedText); libmicrohttpd sends them from where they are. Callers and servers of an earlier release do not name gzip and exchange the same JSON as before. SharedState holds the configuration as an immutable shared document, which deltas of other fields neither copy nor decode.

--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <json/value.h>
@@ -75,6 +76,27 @@
   std::uint64_t findings = 1;
 };
 
+// Immutable JSON document. Copies share it, so that a new version of a state
+// that contains a large document does not copy it.
+class SharedDocument {
+ public:
+  SharedDocument() : SharedDocument(Json::Value()) {}
+  // NOLINTNEXTLINE(google-explicit-constructor): a document is its value.
+  SharedDocument(Json::Value value)
+      : value(std::make_shared<const Json::Value>(std::move(value))) {}
+
+  const Json::Value& operator*() const { return *this->value; }
+  const Json::Value* operator->() const { return this->value.get(); }
+  // @return true if both are copies of the same object, and therefore equal.
+  // Documents that are equal need not be.
+  bool SharesWith(const SharedDocument& other) const {
+    return this->value == other.value;
+  }
+
+ private:
+  std::shared_ptr<const Json::Value> value;
+};
+
 // One version of the state that all entry daemons share.
 struct SharedState {
   // Identifies the control state of the deployment. Versions from different
@@ -85,7 +107,7 @@
   // Version and document of the operators' configuration. The document of
   // version 0 is null.
   std::uint64_t configuration_version = 0;
-  Json::Value configuration;
+  SharedDocument configuration;
   // When the leader accepted that version, Unix milliseconds by its clock; 0 if
   // unknown. For logs only.
   std::int64_t configuration_time_ms = 0;
@@ -105,10 +127,13 @@
 };
 
 Json::Value SharedStateToJson(const SharedState& state);
+// @return SharedStateToJson without the member kConfigurationMember.
+Json::Value SharedRecordsToJson(const SharedState& state);
+inline constexpr const char* kConfigurationMember = "configuration";
 // Leaves out single records that cannot be read, so that one odd record does
 // not keep readers from all others.
 // @return the state, or kProtocolError naming the field.
-Result<SharedState> SharedStateFromJson(const Json::Value& value);
+Result<SharedState> SharedStateFromJson(Json::Value value);
 
 // @return a patch with which PatchJson turns `before` into `after`. Objects are
 // compared member by member. In an array, the elements between the common
@@ -117,6 +142,18 @@
 // @return the patched value, or kProtocolError if the patch does not apply.
 Result<Json::Value> PatchJson(Json::Value value, const Json::Value& patch);
 
+// Adds the patch of the member `name` to a patch of an object that does not
+// contain it yet.
+void AddMemberPatch(Json::Value& patch,
+                    const std::string& name,
+                    Json::Value member_patch);
+// Removes the patch of the member `name` from a patch of an object, so that the
+// member can be patched separately.
+// @return the patch of the member, null if the member is removed; empty if
+// `patch` does not change it.
+std::optional<Json::Value> TakeMemberPatch(Json::Value& patch,
+                                           const std::string& name);
+
 // Limits of the control state. The results of commands depend on them, so they
 // must be equal on all replicas.
 struct ControlLimits {
--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -114,9 +114,14 @@
   virtual void SetDraining() = 0;
 
   // Serves another daemon's `feed.poll`; blocks for at most the poll's wait.
-  // @return the response; kConfigurationUnconfirmed if there is no state yet;
+  // @return the text of the response, which shares what is equal for all
+  // daemons; kConfigurationUnconfirmed if there is no state yet;
   // kMalformedRequest naming a parameter; kShuttingDown after Stop.
-  virtual Result<Json::Value> ServePoll(const Json::Value& params) = 0;
+  virtual Result<HttpBody> ServeEncodedPoll(const Json::Value& params) = 0;
+
+  // As ServeEncodedPoll.
+  // @return the decoded response.
+  Result<Json::Value> ServePoll(const Json::Value& params);
 
   // Ends the follower's thread and wakes blocked polls.
   virtual void Stop() = 0;
@@ -156,9 +161,13 @@
   // Serves a new state from now on. Called by the control state.
   virtual void Publish(std::shared_ptr<const SharedState> state) = 0;
 
-  // Serves `feed.poll`; blocks for at most the poll's wait. Errors as for
-  // FeedFollower::ServePoll.
-  virtual Result<Json::Value> ServePoll(const Json::Value& params) = 0;
+  // Serves `feed.poll`; blocks for at most the poll's wait. Response and errors
+  // as for FeedFollower::ServeEncodedPoll.
+  virtual Result<HttpBody> ServeEncodedPoll(const Json::Value& params) = 0;
+
+  // As ServeEncodedPoll.
+  // @return the decoded response.
+  Result<Json::Value> ServePoll(const Json::Value& params);
 
   // On the leader, proposes the entry daemons that joined, started to drain or
   // expired; otherwise forwards renewals to the leader. To be called every
--- a/include/sycamorebend/http.h
+++ b/include/sycamorebend/http.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,6 +29,36 @@
 std::optional<std::string> FindHeader(const HttpHeaders& headers,
                                       std::string_view name);
 
+// Immutable text that several responses share, with its compressed form.
+// Thread-safe.
+class SharedText {
+ public:
+  explicit SharedText(std::string text) : text(std::move(text)) {}
+
+  const std::string& Text() const { return this->text; }
+  // Compressed by the first call.
+  // @return deflate blocks (RFC 1951) none of which is the last one. They end
+  // at a byte boundary and refer to nothing before them, so that they can be
+  // part of any stream.
+  const std::string& Deflated() const;
+  // @return the CRC-32 of the text.
+  std::uint32_t Checksum() const;
+
+ private:
+  void Compress() const;
+
+  const std::string text;
+  mutable std::once_flag compressed;
+  mutable std::string deflated;
+  mutable std::uint32_t checksum = 0;
+};
+
+// A body that consists of the texts in this order.
+using HttpBody = std::vector<std::shared_ptr<const SharedText>>;
+
+// @return the whole text of a body.
+std::string JoinBody(const HttpBody& body);
+
 // ---------------------------------------------------------------------------
 // Server
 
@@ -53,6 +84,11 @@
   // Sends a whole answer.
   virtual void Respond(int status, HttpHeaders headers, std::string body) = 0;
 
+  // As Respond, for a body of which other responses have parts too. The server
+  // sends the texts from where they are, compressed (gzip) if the body is large
+  // and the caller accepts that.
+  virtual void RespondShared(int status, HttpHeaders headers, HttpBody body);
+
   // Begins a chunked answer, continued with Write and ended with FinishStream
   // or AbortStream.
   virtual void StartStream(int status, HttpHeaders headers) = 0;
@@ -130,6 +166,8 @@
   Duration total_timeout = std::chrono::minutes(30);
   // A longer body is an error (kProtocolError); 0: no limit.
   std::size_t max_body_bytes = 0;
+  // Accepts a compressed body, which is passed on decompressed.
+  bool accept_compressed = false;
   // Uses a connection of its own that is never reused. Required for calls that
   // must not run twice: libcurl sends a request again by itself when a reused
   // connection closes before the first byte of the answer.
--- a/include/sycamorebend/rpc.h
+++ b/include/sycamorebend/rpc.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <json/value.h>
@@ -27,6 +28,15 @@
   // kUnknownCommand for an unknown method.
   virtual Result<Json::Value> Call(const std::string& method,
                                    const Json::Value& params) = 0;
+
+  // As Call, for results that are kept as JSON text. Called first.
+  // @return the text of the result or an Error; empty if the results of
+  // `method` are not kept, and Call has to be used.
+  virtual std::optional<Result<HttpBody>> CallEncoded(
+      const std::string& /*method*/,
+      const Json::Value& /*params*/) {
+    return std::nullopt;
+  }
 };
 
 // Decodes RPC requests and runs them on worker threads. The owner passes the
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
   python3 curl libjsonrpccpp-dev prometheus-cpp-dev libabsl-dev libfmt-dev libboost-dev
-  libboost-test-dev libmicrohttpd-dev libcurl4-openssl-dev libjsoncpp-dev
+  libboost-test-dev libmicrohttpd-dev libcurl4-openssl-dev libjsoncpp-dev zlib1g-dev
   libssl-dev libhttp-parser-dev libev-dev libmsgpack-cxx-dev librapidcheck-dev libbenchmark-dev)
 missing=()
 for package in "${packages[@]}"; do
--- a/src/control/configuration_history.cc
+++ b/src/control/configuration_history.cc
@@ -14,15 +14,15 @@
                                const std::string& change_id,
                                const std::string& operator_name,
                                std::int64_t time_ms,
-                               const Json::Value& document) {
+                               SharedDocument document) {
   Change change;
   change.version = new_version;
   this->version = new_version;
   change.change_id = change_id;
   change.operator_name = operator_name;
   change.time_ms = time_ms;
-  change.reverse_patch = WriteJson(DiffJson(document, this->document));
-  this->document = document;
+  change.reverse_patch = WriteJson(DiffJson(*document, *this->document));
+  this->document = std::move(document);
   this->bytes += change.reverse_patch.size();
   this->changes.push_back(std::move(change));
   this->Trim();
@@ -92,7 +92,7 @@
                                           : this->changes.front().version,
                     this->version));
   }
-  Json::Value found = this->document;
+  Json::Value found = *this->document;
   for (auto newer = this->changes.rbegin();
        newer != this->changes.rend() && newer->version > wanted; ++newer) {
     BOOST_OUTCOME_TRY(reverse_patch, ParseStoredJson(newer->reverse_patch));
@@ -130,7 +130,7 @@
 Json::Value ConfigurationHistory::SaveHeader() const {
   Json::Value header;
   header["version"] = Json::UInt64(this->version);
-  header["document"] = this->document;
+  header["document"] = *this->document;
   return header;
 }
 
--- a/src/control/configuration_history.h
+++ b/src/control/configuration_history.h
@@ -25,10 +25,10 @@
            const std::string& change_id,
            const std::string& operator_name,
            std::int64_t time_ms,
-           const Json::Value& document);
+           SharedDocument document);
 
   std::uint64_t Version() const { return this->version; }
-  const Json::Value& Document() const { return this->document; }
+  const SharedDocument& Document() const { return this->document; }
   // @return when the newest version was accepted, Unix milliseconds; 0 without
   // a change.
   std::int64_t TimeMs() const {
@@ -72,7 +72,7 @@
 
   const ControlLimits& limits;
   std::uint64_t version = 0;
-  Json::Value document;
+  SharedDocument document;
   std::deque<Change> changes;  // Oldest first.
   std::size_t bytes = 0;
 };
--- a/src/control/json_delta.cc
+++ b/src/control/json_delta.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "sycamorebend/control.h"
 
@@ -34,9 +35,9 @@
   Json::Value range(Json::arrayValue);
   range.append(start);
   range.append(before.size() - tail - start);
-  range.append(inserted);
+  range.append(std::move(inserted));
   Json::Value patch;
-  patch[kRange] = range;
+  patch[kRange] = std::move(range);
   return patch;
 }
 
@@ -55,7 +56,7 @@
     }
   }
   Json::Value patch;
-  patch[kMembers] = members;
+  patch[kMembers] = std::move(members);
   return patch;
 }
 
@@ -121,6 +122,34 @@
   return patch;
 }
 
+void AddMemberPatch(Json::Value& patch,
+                    const std::string& name,
+                    Json::Value member_patch) {
+  patch[kMembers][name] = std::move(member_patch);
+}
+
+std::optional<Json::Value> TakeMemberPatch(Json::Value& patch,
+                                           const std::string& name) {
+  if (!patch.isObject()) {
+    return std::nullopt;
+  }
+  Json::Value taken;
+  if (patch.isMember(kMembers)) {
+    Json::Value& members = patch[kMembers];
+    return members.isObject() && members.removeMember(name, &taken)
+               ? std::make_optional(std::move(taken))
+               : std::nullopt;
+  }
+  if (!patch.isMember(kValue) || !patch[kValue].isObject()) {
+    return std::nullopt;
+  }
+  Json::Value member_patch;
+  if (patch[kValue].removeMember(name, &taken)) {
+    member_patch[kValue] = std::move(taken);
+  }
+  return member_patch;
+}
+
 // NOLINTNEXTLINE(misc-no-recursion)
 Result<Json::Value> PatchJson(Json::Value value, const Json::Value& patch) {
   if (!patch.isObject() || patch.size() != 1) {
--- a/src/control/shared_state.cc
+++ b/src/control/shared_state.cc
@@ -81,11 +81,16 @@
 }  // namespace
 
 Json::Value SharedStateToJson(const SharedState& state) {
+  Json::Value value = SharedRecordsToJson(state);
+  value[kConfigurationMember] = *state.configuration;
+  return value;
+}
+
+Json::Value SharedRecordsToJson(const SharedState& state) {
   Json::Value value;
   value["epoch"] = state.epoch;
   value["version"] = Json::UInt64(state.version);
   value["configuration_version"] = Json::UInt64(state.configuration_version);
-  value["configuration"] = state.configuration;
   value["configuration_time_ms"] = Json::Int64(state.configuration_time_ms);
   // Keyed by ID, so that a patch names only the entry daemons that changed.
   Json::Value& entries = value["entries"] = Json::Value(Json::objectValue);
@@ -116,7 +121,7 @@
   return value;
 }
 
-Result<SharedState> SharedStateFromJson(const Json::Value& value) {
+Result<SharedState> SharedStateFromJson(Json::Value value) {
   internal::FieldReader reader(value);
   SharedState state;
   state.epoch = reader.OptionalString("epoch");
@@ -131,7 +136,11 @@
   if (!checked) {
     return MakeError(ResultCode::kProtocolError, checked.error().message);
   }
-  state.configuration = value["configuration"];
+  Json::Value configuration;
+  if (value.isMember(kConfigurationMember)) {
+    configuration.swap(value[kConfigurationMember]);
+  }
+  state.configuration = std::move(configuration);
   state.drained_servers.insert(drained.begin(), drained.end());
   state.quarantined.insert(quarantined.begin(), quarantined.end());
   BOOST_OUTCOME_TRYV(
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -101,13 +101,28 @@
 Result<Json::Value> ControlService::Call(const std::string& method,
                                          const Json::Value& params) {
   Result<Json::Value> result = this->Dispatch(method, params);
-  const ResultCode code = result ? ResultCode::kOk : result.error().code;
+  this->CountCall(method, result ? ResultCode::kOk : result.error().code);
+  return result;
+}
+
+std::optional<Result<HttpBody>> ControlService::CallEncoded(
+    const std::string& method,
+    const Json::Value& params) {
+  // Before that, Call refuses all methods.
+  if (method != kFeedPollMethod || this->log.load() == nullptr) {
+    return std::nullopt;
+  }
+  Result<HttpBody> result = this->feed.ServeEncodedPoll(params);
+  this->CountCall(method, result ? ResultCode::kOk : result.error().code);
+  return result;
+}
+
+void ControlService::CountCall(const std::string& method, ResultCode code) {
   const bool known = Methods().count(method) > 0 ||
                      method == kRaftMessageMethod ||
                      method == kFeedPollMethod || method == kStatusMethod;
   std::lock_guard lock(this->counts_mutex);
   ++this->counts[{known ? method : "other", code}];
-  return result;
 }
 
 ControlService::CallCounts ControlService::Calls() const {
@@ -512,7 +527,7 @@
   response["configuration_version"] =
       Json::UInt64(shared->configuration_version);
   response["shared_version"] = Json::UInt64(shared->version);
-  const Json::Value visible = SharedStateToJson(*shared);
+  const Json::Value visible = SharedRecordsToJson(*shared);
   response["entries"] = visible["entries"];
   response["drained_servers"] = visible["drained_servers"];
   response["quarantined"] = visible["quarantined"];
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -38,6 +39,9 @@
 
   Result<Json::Value> Call(const std::string& method,
                            const Json::Value& params) override;
+  std::optional<Result<HttpBody>> CallEncoded(
+      const std::string& method,
+      const Json::Value& params) override;
 
   // Calls so far by method and result code. Unknown methods are counted as
   // "other".
@@ -59,6 +63,7 @@
   using Method = Result<Json::Value> (ControlService::*)(const Json::Value&);
 
   static const std::map<std::string, Method>& Methods();
+  void CountCall(const std::string& method, ResultCode code);
   Result<Json::Value> Dispatch(const std::string& method,
                                const Json::Value& params);
 
--- a/src/entry/rpc_api.cc
+++ b/src/entry/rpc_api.cc
@@ -115,17 +115,22 @@
   if (method == "entry.explain") {
     return this->Explain(params);
   }
-  if (method == "feed.poll") {
-    FeedFollower* const source = this->follower.load();
-    if (source == nullptr) {
-      return MakeError(ResultCode::kConfigurationUnconfirmed);
-    }
-    return source->ServePoll(params);
-  }
   return MakeError(ResultCode::kUnknownCommand,
                    "unknown method \"" + method + "\"");
 }
 
+std::optional<Result<HttpBody>> RpcApi::CallEncoded(const std::string& method,
+                                                    const Json::Value& params) {
+  if (method != kFeedPollMethod) {
+    return std::nullopt;
+  }
+  FeedFollower* const source = this->follower.load();
+  if (source == nullptr) {
+    return Error(MakeError(ResultCode::kConfigurationUnconfirmed));
+  }
+  return source->ServeEncodedPoll(params);
+}
+
 Json::Value RpcApi::Status() {
   // Read before the state, which then contains what was committed when the
   // quorum confirmed it.
--- a/src/entry/rpc_api.h
+++ b/src/entry/rpc_api.h
@@ -4,6 +4,7 @@
 #define SYCAMOREBEND_SRC_ENTRY_RPC_API_H_
 
 #include <atomic>
+#include <optional>
 #include <string>
 
 #include "entry/request_router.h"
@@ -29,6 +30,9 @@
 
   Result<Json::Value> Call(const std::string& method,
                            const Json::Value& params) override;
+  std::optional<Result<HttpBody>> CallEncoded(
+      const std::string& method,
+      const Json::Value& params) override;
 
  private:
   Json::Value Status();
--- a/src/entry/shared_view.cc
+++ b/src/entry/shared_view.cc
@@ -10,11 +10,11 @@
 
 // @return the policy of `state`, or nullptr if it cannot be parsed.
 std::shared_ptr<const Policy> ReadPolicy(const SharedState& state) {
-  if (state.configuration.empty()) {
+  if (state.configuration->empty()) {
     // No operator has applied a configuration yet.
     return std::make_shared<Policy>();
   }
-  Result<Policy> parsed = ParsePolicy(state.configuration);
+  Result<Policy> parsed = ParsePolicy(*state.configuration);
   if (!parsed) {
     LogEvent(Severity::kError, Event::kConfigurationConflict,
              {{"version", state.configuration_version},
--- a/src/feed/feed_buffer.h
+++ b/src/feed/feed_buffer.h
@@ -17,6 +17,7 @@
 
 #include "sycamorebend/base.h"
 #include "sycamorebend/control.h"
+#include "sycamorebend/http.h"
 
 namespace sycamorebend {
 namespace internal {
@@ -40,8 +41,10 @@
   // @return false after Stop.
   bool Wait(const std::string& epoch, std::uint64_t version, Duration wait);
 
-  // Adds epoch, version, and `deltas` or `snapshot` to `response`, for a reader
-  // that has `version` of `epoch`.
+  // Adds epoch and version to `response`, for a reader that has `version` of
+  // `epoch`.
+  // @param update set to the text of the member `deltas` or `snapshot`, empty
+  // if nothing changed. Its parts are encoded once and shared by all readers.
   // @param confirmed_at when a quorum confirmed that Current() is the newest
   // state, read before this call; empty if it never did. Set to that time for
   // the state in the response.
@@ -52,19 +55,24 @@
                    std::uint64_t version,
                    bool newest,
                    std::optional<TimePoint>& confirmed_at,
-                   Json::Value& response);
+                   Json::Value& response,
+                   HttpBody& update);
 
   void Stop();
 
  private:
   using SteadyClock = std::chrono::steady_clock;
 
+  // Changes from the version `from` to the next one that was encoded.
   struct Delta {
     std::uint64_t from = 0;
-    std::shared_ptr<const Json::Value> patch;
-    std::size_t bytes = 0;
+    std::shared_ptr<const SharedText> text;
   };
 
+  // @return the text of the newest encoded state as the member `snapshot`.
+  // `encode_mutex` must be held.
+  HttpBody EncodeSnapshot();
+
   // @return true if WriteUpdate has something for a reader that has `version`
   // of `epoch`. `mutex` must be held.
   bool HasUpdate(const std::string& epoch, std::uint64_t version) const;
@@ -78,7 +86,11 @@
   // Held while a state is encoded, which takes milliseconds; never locked with
   // `mutex` held.
   std::mutex encode_mutex;
-  std::shared_ptr<const Json::Value> encoded_json;
+  // SharedRecordsToJson of `encoded`.
+  Json::Value encoded_records;
+  // Encoded when the first reader needs them; of `encoded`.
+  std::shared_ptr<const SharedText> configuration_text;
+  std::shared_ptr<const SharedText> records_text;
   std::deque<Delta> deltas;
   std::size_t bytes = 0;
   std::optional<TimePoint> encoded_confirmed_at;
@@ -86,7 +98,7 @@
   mutable std::mutex mutex;
   std::condition_variable changed;
   std::shared_ptr<const SharedState> current;
-  // The state in `encoded_json`; changed with both mutexes held.
+  // The state that was encoded last; changed with both mutexes held.
   std::shared_ptr<const SharedState> encoded;
   // Readers that have `encoded` get no update before this time.
   SteadyClock::time_point next_encoding;
@@ -99,7 +111,7 @@
 // @return the new state; `base` itself if nothing changed; kProtocolError if
 // the response does not fit `base`.
 Result<std::shared_ptr<const SharedState>> ReadFeedResponse(
-    const Json::Value& response,
+    Json::Value response,
     std::shared_ptr<const SharedState> base);
 
 }  // namespace internal
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -155,7 +155,7 @@
     this->draining = true;
   }
 
-  Result<Json::Value> ServePoll(const Json::Value& params) override {
+  Result<HttpBody> ServeEncodedPoll(const Json::Value& params) override {
     BOOST_OUTCOME_TRY(poll, internal::ReadFeedPoll(params, this->clock.Now()));
     {
       std::lock_guard lock(this->mutex);
@@ -384,7 +384,7 @@
     this->EndSearch();
   }
 
-  void HandleResponse(const ResponseQueue::Item& item) {
+  void HandleResponse(ResponseQueue::Item& item) {
     const auto open = std::find_if(
         this->open_polls.begin(), this->open_polls.end(),
         [&](const OpenPoll& poll) { return poll.id == item.poll_id; });
@@ -516,12 +516,12 @@
   // @return an error if it cannot be applied, or if its state was not confirmed
   // recently.
   Status Apply(const OpenPoll& poll,
-               const Result<Json::Value>& result,
+               Result<Json::Value>& result,
                SourceReport& report) {
     if (!result) {
       return result.error();
     }
-    const Json::Value& response = result.value();
+    Json::Value& response = result.value();
     if (!response.isObject()) {
       return MakeError(ResultCode::kProtocolError,
                        "the feed response is not an object");
@@ -560,13 +560,14 @@
     return params;
   }
 
-  Status ApplyState(const Json::Value& response, const OpenPoll& poll) {
+  // Takes the changes out of `response`.
+  Status ApplyState(Json::Value& response, const OpenPoll& poll) {
     // Responses to other polls can have replaced the state that this poll
     // named.
     const std::shared_ptr<const SharedState> current = this->server.Current();
     BOOST_OUTCOME_TRY(this->CheckOrigin(response, current));
     Result<std::shared_ptr<const SharedState>> read =
-        internal::ReadFeedResponse(response, poll.base);
+        internal::ReadFeedResponse(TakeUpdate(response), poll.base);
     // Changes of a record that is missing here cannot be applied.
     this->needs_snapshot = !read;
     BOOST_OUTCOME_TRY(state, std::move(read));
@@ -601,6 +602,20 @@
     return Success();
   }
 
+  // Moves the large members, which would take long to copy.
+  static Json::Value TakeUpdate(Json::Value& response) {
+    Json::Value update;
+    for (const char* const key : {"epoch", "version"}) {
+      update[key] = response[key];
+    }
+    for (const char* const key : {"deltas", "snapshot"}) {
+      if (response.isMember(key)) {
+        update[key].swap(response[key]);
+      }
+    }
+    return update;
+  }
+
   // Rejects responses from another deployment, from a source that follows this
   // daemon or is too many relays away from the control replicas, and with a
   // version lower than that of `current`.
@@ -713,6 +728,11 @@
   return kNames.at(static_cast<std::size_t>(outcome));
 }
 
+Result<Json::Value> FeedFollower::ServePoll(const Json::Value& params) {
+  BOOST_OUTCOME_TRY(body, this->ServeEncodedPoll(params));
+  return ParseStoredJson(JoinBody(body));
+}
+
 std::unique_ptr<FeedFollower> FeedFollower::Start(FeedFollowerOptions options,
                                                   RpcClient& rpc,
                                                   const Clock& clock,
--- a/src/feed/feed_server.cc
+++ b/src/feed/feed_server.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "sycamorebend/settings.h"
+
 namespace sycamorebend {
 namespace internal {
 
@@ -42,9 +44,9 @@
   return admitted;
 }
 
-Result<Json::Value> FeedServer::Serve(const FeedPoll& poll,
-                                      const Json::Value& path,
-                                      const ConfirmationReader& confirmed_at) {
+Result<HttpBody> FeedServer::Serve(const FeedPoll& poll,
+                                   const Json::Value& path,
+                                   const ConfirmationReader& confirmed_at) {
   const bool admitted = this->Admit(poll);
   if (!this->buffer.Wait(poll.have_epoch, poll.have_version,
                          admitted ? poll.wait : Duration(0))) {
@@ -55,8 +57,9 @@
   std::optional<TimePoint> confirmed = confirmed_at();
   Json::Value response;
   response["path"] = path;
+  HttpBody update;
   if (!this->buffer.WriteUpdate(poll.have_epoch, poll.have_version, admitted,
-                                confirmed, response)) {
+                                confirmed, response, update)) {
     std::lock_guard lock(this->mutex);
     this->followers.Remove(poll.entry_id);
     return MakeError(ResultCode::kConfigurationUnconfirmed,
@@ -70,7 +73,15 @@
     response["busy"] = true;
     response["relays"] = this->followers.NameRelays();
   }
-  return response;
+  std::string head = WriteJson(response);
+  if (update.empty()) {
+    return HttpBody{std::make_shared<SharedText>(std::move(head))};
+  }
+  // The update is the last member.
+  head.back() = ',';
+  update.insert(update.begin(), std::make_shared<SharedText>(std::move(head)));
+  update.push_back(std::make_shared<SharedText>("}"));
+  return update;
 }
 
 FeedSourceStatus FeedServer::GetStatus() const {
--- a/src/feed/feed_server.h
+++ b/src/feed/feed_server.h
@@ -37,11 +37,11 @@
   // admitted as a follower gets its response at once, with the changes, a mark
   // and the addresses of some relays.
   // @param path entry daemons between the control replicas and the caller.
-  // @return the response; kConfigurationUnconfirmed if there is no state yet;
-  // kShuttingDown after Stop.
-  Result<Json::Value> Serve(const FeedPoll& poll,
-                            const Json::Value& path,
-                            const ConfirmationReader& confirmed_at);
+  // @return the text of the response; kConfigurationUnconfirmed if there is no
+  // state yet; kShuttingDown after Stop.
+  Result<HttpBody> Serve(const FeedPoll& poll,
+                         const Json::Value& path,
+                         const ConfirmationReader& confirmed_at);
 
   FeedSourceStatus GetStatus() const;
 
--- a/src/feed/feed_source.cc
+++ b/src/feed/feed_source.cc
@@ -44,7 +44,7 @@
     this->server.Publish(std::move(state));
   }
 
-  Result<Json::Value> ServePoll(const Json::Value& params) override {
+  Result<HttpBody> ServeEncodedPoll(const Json::Value& params) override {
     ReplicatedLog* const replica_log = this->log;
     if (replica_log == nullptr) {
       return MakeError(ResultCode::kConfigurationUnconfirmed,
@@ -58,7 +58,7 @@
       }
     }
     if (poll.renewals_only) {
-      return Json::Value(Json::objectValue);
+      return HttpBody{std::make_shared<SharedText>("{}")};
     }
     return this->server.Serve(
         poll, Json::Value(Json::arrayValue),
@@ -228,6 +228,11 @@
 
 }  // namespace
 
+Result<Json::Value> FeedSource::ServePoll(const Json::Value& params) {
+  BOOST_OUTCOME_TRY(body, this->ServeEncodedPoll(params));
+  return ParseStoredJson(JoinBody(body));
+}
+
 std::unique_ptr<FeedSource> FeedSource::Create(FeedSourceOptions options,
                                                RpcClient& rpc,
                                                const Clock& clock) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -223,7 +223,7 @@
   // not for an earlier one.
   const Duration age = this->follower->ConfirmationAge();
   const std::shared_ptr<const SharedState> state = this->follower->Current();
-  if (state != nullptr && !state->configuration.isNull()) {
+  if (state != nullptr && !state->configuration->isNull()) {
     if (!this->first_state_at) {
       this->first_state_at = this->loop.Now();
     }
@@ -234,7 +234,7 @@
   }
   if (this->handler.Table() != nullptr) {
     this->loop.Cancel(std::exchange(this->first_configuration_timer, 0));
-  } else if (state != nullptr && !state->configuration.isNull() &&
+  } else if (state != nullptr && !state->configuration->isNull() &&
              this->first_configuration_timer == 0) {
     this->first_configuration_timer = this->loop.SubscribePeriodic(
         kFirstConfigurationCheckInterval,
@@ -243,12 +243,13 @@
 }
 
 void Gateway::ApplyConfiguration(const SharedState& state) {
-  if (state.configuration.isNull() ||
+  if (state.configuration->isNull() ||
       (this->handler.Table() != nullptr &&
        this->handler.Table()->version == state.configuration_version)) {
     return;
   }
-  Result<RouteTable> read = this->format.ReadConfiguration(state.configuration);
+  Result<RouteTable> read =
+      this->format.ReadConfiguration(*state.configuration);
   if (!read) {
     // The control replicas validate a configuration before they accept it, so
     // it must come from a newer release. The previous one stays in force.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -113,6 +113,9 @@
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &Transfer::OnBeforeSend);
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
+    if (this->call.accept_compressed) {
+      curl_easy_setopt(handle, CURLOPT_ACCEPT_ENCODING, "gzip");
+    }
     if (this->call.fresh_connection) {
       curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
--- a/src/http/server_exchange.cc
+++ b/src/http/server_exchange.cc
@@ -22,6 +22,8 @@
     response = MHD_create_response_from_callback(
         MHD_SIZE_UNKNOWN, kStreamBlockBytes, &ServerExchange::ReadStream, this,
         &ServerExchange::ReleaseStream);
+  } else if (!this->parts.empty()) {
+    response = this->BuildPartsResponseLocked();
   } else {
     response = MHD_create_response_from_buffer(
         this->pending.size(), this->pending.data(), MHD_RESPMEM_MUST_COPY);
@@ -33,6 +35,18 @@
   return response;
 }
 
+MHD_Response* ServerExchange::BuildPartsResponseLocked() {
+  auto* const owned = new BodyParts(std::move(this->parts));
+  this->parts.clear();
+  std::vector<MHD_IoVec> vectors;
+  for (const BodyPart& part : *owned) {
+    vectors.push_back({part.bytes.data(), part.bytes.size()});
+  }
+  return MHD_create_response_from_iovec(
+      vectors.data(), static_cast<unsigned>(vectors.size()),
+      [](void* context) { delete static_cast<BodyParts*>(context); }, owned);
+}
+
 MHD_Result ServerExchange::QueueOrSuspend() {
   std::lock_guard lock(this->mutex);
   if (this->connection == nullptr) {
@@ -98,19 +112,35 @@
   }
 }
 
-void ServerExchange::Respond(int status,
-                             HttpHeaders headers,
-                             std::string body) {
-  std::lock_guard lock(this->mutex);
+bool ServerExchange::BeginWholeLocked(int status, HttpHeaders headers) {
   if (this->phase != Phase::kWaiting) {
-    return;
+    return false;
   }
   this->phase = Phase::kWhole;
   this->status = status;
   this->headers = std::move(headers);
-  this->pending = std::move(body);
   this->gone_callback = nullptr;
-  this->ResumeLocked();
+  return true;
+}
+
+void ServerExchange::Respond(int status,
+                             HttpHeaders headers,
+                             std::string body) {
+  std::lock_guard lock(this->mutex);
+  if (this->BeginWholeLocked(status, std::move(headers))) {
+    this->pending = std::move(body);
+    this->ResumeLocked();
+  }
+}
+
+void ServerExchange::RespondParts(int status,
+                                  HttpHeaders headers,
+                                  BodyParts body) {
+  std::lock_guard lock(this->mutex);
+  if (this->BeginWholeLocked(status, std::move(headers))) {
+    this->parts = std::move(body);
+    this->ResumeLocked();
+  }
 }
 
 void ServerExchange::StartStream(int status, HttpHeaders headers) {
@@ -227,6 +257,18 @@
   this->exchange->Respond(status, std::move(headers), std::move(body));
 }
 
+void ServerExchangeHandle::RespondShared(int status,
+                                         HttpHeaders headers,
+                                         HttpBody body) {
+  // Here rather than on libmicrohttpd's thread, which serves all connections.
+  if (!ShouldCompress(this->exchange->request.headers, body)) {
+    this->exchange->RespondParts(status, std::move(headers), PlainBody(body));
+    return;
+  }
+  headers.push_back({"Content-Encoding", "gzip"});
+  this->exchange->RespondParts(status, std::move(headers), GzipBody(body));
+}
+
 void ServerExchangeHandle::StartStream(int status, HttpHeaders headers) {
   this->exchange->StartStream(status, std::move(headers));
 }
--- a/src/http/server_exchange.h
+++ b/src/http/server_exchange.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <string>
 
+#include "http/body_parts.h"
 #include "sycamorebend/http.h"
 
 namespace sycamorebend::internal {
@@ -27,6 +28,7 @@
   void Complete(bool whole);
 
   void Respond(int status, HttpHeaders headers, std::string body);
+  void RespondParts(int status, HttpHeaders headers, BodyParts body);
   void StartStream(int status, HttpHeaders headers);
   void Write(std::string_view data);
   void FinishStream();
@@ -56,6 +58,9 @@
 
   // The caller holds `mutex`.
   void ResumeLocked();
+  // @return false if there is an answer already.
+  bool BeginWholeLocked(int status, HttpHeaders headers);
+  MHD_Response* BuildPartsResponseLocked();
   MHD_Response* BuildResponseLocked();
 
   mutable std::mutex mutex;
@@ -68,6 +73,8 @@
   int status = 0;
   HttpHeaders headers;
   std::string pending;
+  // The body instead of `pending`, until it is passed to libmicrohttpd.
+  BodyParts parts;
   std::size_t pending_offset = 0;
   std::function<void()> gone_callback;
   // Keeps this object alive while libmicrohttpd can call ReadStream.
@@ -88,6 +95,7 @@
 
   const HttpRequest& Request() const override;
   void Respond(int status, HttpHeaders headers, std::string body) override;
+  void RespondShared(int status, HttpHeaders headers, HttpBody body) override;
   void StartStream(int status, HttpHeaders headers) override;
   void Write(std::string_view data) override;
   void FinishStream() override;
--- a/src/rpc/rpc_client.cc
+++ b/src/rpc/rpc_client.cc
@@ -83,6 +83,7 @@
     call.gap_timeout = timeout;
     call.total_timeout = timeout;
     call.max_body_bytes = kMaxFetchedBytes;
+    call.accept_compressed = true;
     this->client.Start(
         std::move(call),
         std::make_shared<ResponseObserver>(
--- a/src/rpc/rpc_server.cc
+++ b/src/rpc/rpc_server.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -13,6 +15,9 @@
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusBadRequest = 400;
+// Result in whose place the text of an encoded result is put, which is thereby
+// not parsed and written again.
+constexpr const char* kResultMark = "encoded-result";
 
 class WorkerRpcServer : public RpcServer {
  public:
@@ -61,22 +66,47 @@
   }
 
   void RespondTo(HttpExchange& exchange) {
-    const auto call = [this](const std::string& method,
-                             const Json::Value& params) {
+    HttpBody encoded;
+    const auto call = [this, &encoded](const std::string& method,
+                                       const Json::Value& params) {
       internal::JsonRpcResponse response;
+      const auto set_error = [&response](const Error& error) {
+        response.error_code = static_cast<int>(error.code);
+        response.error_message = error.message;
+      };
+      if (auto text = this->service.CallEncoded(method, params)) {
+        if (*text) {
+          encoded = std::move(text->value());
+          response.result = kResultMark;
+        } else {
+          set_error(text->error());
+        }
+        return response;
+      }
       Result<Json::Value> result = this->service.Call(method, params);
       if (result) {
         response.result = std::move(result.value());
       } else {
-        response.error_code = static_cast<int>(result.error().code);
-        response.error_message = result.error().message;
+        set_error(result.error());
       }
       return response;
     };
     try {
-      exchange.Respond(
-          kStatusOk, {{"Content-Type", "application/json"}},
-          internal::HandleJsonRpcRequest(exchange.Request().body, call));
+      const HttpHeaders headers = {{"Content-Type", "application/json"}};
+      std::string message =
+          internal::HandleJsonRpcRequest(exchange.Request().body, call);
+      if (encoded.empty()) {
+        exchange.Respond(kStatusOk, headers, std::move(message));
+        return;
+      }
+      // The library writes the result as the last member.
+      const std::string mark = fmt::format("\"{}\"", kResultMark);
+      const std::size_t position = message.rfind(mark);
+      encoded.insert(encoded.begin(),
+                     std::make_shared<SharedText>(message.substr(0, position)));
+      encoded.push_back(
+          std::make_shared<SharedText>(message.substr(position + mark.size())));
+      exchange.RespondShared(kStatusOk, headers, std::move(encoded));
     } catch (const Json::Exception& exception) {
       // jsoncpp throws if the request is nested too deeply, or if a value is
       // used as one of another type.
--- a/tests/control/control_test.cc
+++ b/tests/control/control_test.cc
@@ -16,7 +16,7 @@
   BOOST_TEST((CodeOf(lost) == ResultCode::kVersionConflict));
   BOOST_TEST(lost.error().message.find("change \"b\" of operator \"bob\"") !=
              std::string::npos);
-  BOOST_TEST(this->state->Shared()->configuration["content"] == 2);
+  BOOST_TEST((*this->state->Shared()->configuration)["content"] == 2);
 }
 
 // Guards against a conflict message that names the newest change instead of the
--- a/tests/control/replace_test.cc
+++ b/tests/control/replace_test.cc
@@ -18,7 +18,7 @@
   }
 
   int Content() const {
-    return this->state->Shared()->configuration["content"].asInt();
+    return (*this->state->Shared()->configuration)["content"].asInt();
   }
 };
 
--- a/tests/entry/daemon_fixture.cc
+++ b/tests/entry/daemon_fixture.cc
@@ -18,7 +18,7 @@
   auto state = std::make_shared<SharedState>();
   state->version = 7;
   state->configuration_version = 3;
-  state->configuration = ParseJsonWithComments(R"({
+  Json::Value document = ParseJsonWithComments(R"({
     "tiers": ["urgent", "standard"],
     "classes": [
       {"name": "chat", "tier": "urgent", "match": "model=chat",
@@ -35,8 +35,9 @@
   })",
                                                "test")
                              .value();
-  state->configuration["customers"][0]["key_sha256"] = Sha256Hex(kKey);
-  state->configuration["customers"][1]["key_sha256"] = Sha256Hex("standard");
+  document["customers"][0]["key_sha256"] = Sha256Hex(kKey);
+  document["customers"][1]["key_sha256"] = Sha256Hex("standard");
+  state->configuration = std::move(document);
   return state;
 }
 
--- a/tests/entry/daemon_fixture.h
+++ b/tests/entry/daemon_fixture.h
@@ -32,8 +32,8 @@
   }
   FeedFollowerStatus GetStatus() const override { return {}; }
   void SetDraining() override { this->draining.store(true); }
-  Result<Json::Value> ServePoll(const Json::Value& params) override {
-    return params;
+  Result<HttpBody> ServeEncodedPoll(const Json::Value& params) override {
+    return HttpBody{std::make_shared<SharedText>(WriteJson(params))};
   }
   void Stop() override {}
 
--- a/tests/gateway/start_test.cc
+++ b/tests/gateway/start_test.cc
@@ -124,7 +124,9 @@
     state.epoch = "x";
     state.version = std::min(known + 1, newest);
     state.configuration_version = state.version;
-    state.configuration["number"] = Json::UInt64(state.version);
+    Json::Value document;
+    document["number"] = Json::UInt64(state.version);
+    state.configuration = std::move(document);
     Json::Value response;
     response["epoch"] = state.epoch;
     response["version"] = Json::UInt64(state.version);
--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -7,31 +7,24 @@
 
 #include "case_count.h"
 #include "sycamorebend/settings.h"
+#include "whole_response_exchange.h"
 
 namespace sycamorebend::platform {
 
 namespace {
 
 // Records the response.
-class FakeExchange : public HttpExchange {
+class FakeExchange : public WholeResponseExchange {
  public:
-  explicit FakeExchange(HttpRequest request) : request(std::move(request)) {}
+  using WholeResponseExchange::WholeResponseExchange;
 
-  const HttpRequest& Request() const override { return this->request; }
   void Respond(int new_status,
                HttpHeaders /*headers*/,
                std::string new_body) override {
     this->status = new_status;
     this->body = std::move(new_body);
   }
-  void StartStream(int, HttpHeaders) override {}
-  void Write(std::string_view) override {}
-  void FinishStream() override {}
-  void AbortStream() override {}
-  void OnCallerDisconnected(std::function<void()>) override {}
-  std::size_t PendingBytes() const override { return 0; }
 
-  HttpRequest request;
   int status = 0;
   std::string body;
 };
--- a/tests/rpc/rpc_test.cc
+++ b/tests/rpc/rpc_test.cc
@@ -24,6 +24,22 @@
     }
     return MakeError(ResultCode::kUnknownCommand, method);
   }
+  std::optional<Result<HttpBody>> CallEncoded(
+      const std::string& method,
+      const Json::Value& params) override {
+    if (method == "stored") {
+      return HttpBody{std::make_shared<SharedText>("["), this->stored,
+                      std::make_shared<SharedText>(","), this->stored,
+                      std::make_shared<SharedText>("]")};
+    }
+    if (method == "stored-fail") {
+      return Error(MakeError(ResultCode::kShuttingDown, "stopping"));
+    }
+    return std::nullopt;
+  }
+
+  std::shared_ptr<const SharedText> stored = std::make_shared<SharedText>(
+      "\"" + std::string(std::size_t{1} << 20, 'x') + "\"");
 };
 
 struct Fixture : HttpHandler {
@@ -65,6 +81,41 @@
   BOOST_TEST(result.error().message == "lost against change 7");
 }
 
+// A stored result is compressed once and arrives as if it had been written for
+// this call.
+BOOST_FIXTURE_TEST_CASE(StoredResultComesBack, Fixture) {
+  const Json::Value result =
+      Call("stored", Json::Value(Json::objectValue)).value();
+  BOOST_TEST(result.size() == 2U);
+  BOOST_TEST(result[0].asString() == std::string(std::size_t{1} << 20, 'x'));
+  BOOST_TEST(result[1] == result[0]);
+  BOOST_TEST(
+      (Call("stored-fail", Json::Value(Json::objectValue)).error().code ==
+       ResultCode::kShuttingDown));
+}
+
+// Callers of an earlier release do not accept compressed responses.
+BOOST_FIXTURE_TEST_CASE(StoredResultIsCompressedOnlyOnRequest, Fixture) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = "http://" + this->server->Address() + std::string(kRpcPath);
+  call.headers = {{"Content-Type", "application/json"}};
+  call.body =
+      R"({"id":1,"jsonrpc":"2.0","method":"stored","params":{"params":{}}})";
+  const HttpResponse plain = this->client->Fetch(call).value();
+  BOOST_TEST(!FindHeader(plain.headers, "Content-Encoding").has_value());
+  BOOST_TEST(plain.body.size() > std::size_t{2} << 20);
+  // Not decompressed, because the client does not know of it.
+  call.headers.push_back({"Accept-Encoding", "gzip"});
+  const HttpResponse compressed = this->client->Fetch(call).value();
+  BOOST_TEST(FindHeader(compressed.headers, "Content-Encoding").value() ==
+             "gzip");
+  BOOST_TEST(compressed.body.size() < std::size_t{64} << 10);
+  call.headers.pop_back();
+  call.accept_compressed = true;
+  BOOST_TEST((this->client->Fetch(call).value().body == plain.body));
+}
+
 BOOST_FIXTURE_TEST_CASE(UnknownMethodIsAnError, Fixture) {
   const auto result = Call("none", Json::Value(Json::objectValue));
   BOOST_TEST((result.error().code == ResultCode::kUnknownCommand));
