--- a/src/feed/feed_source.cc
+++ b/src/feed/feed_source.cc
@@ -50,7 +50,7 @@
     this->server.Publish(std::move(state));
   }
 
-  Result<Json::Value> ServePoll(const Json::Value& params) override {
+  Result<HttpBody> ServeEncodedPoll(const Json::Value& params) override {
     ReplicatedLog* const replica_log = this->log;
     if (replica_log == nullptr) {
       return MakeError(ResultCode::kConfigurationUnconfirmed,
@@ -64,21 +64,21 @@
       }
     }
     const Json::Value receipt = this->AcceptReport(params[kReportKey]);
-    Result<Json::Value> response =
-        poll.renewals_only
-            ? Json::Value(Json::objectValue)
-            : this->server.Serve(
-                  poll, Json::Value(Json::arrayValue),
-                  [this, replica_log]() -> std::optional<TimePoint> {
-                    const Duration age = replica_log->ConfirmationAge();
-                    return age == Duration::max()
-                               ? std::nullopt
-                               : std::make_optional(this->clock.Now() - age);
-                  });
-    if (response && !receipt.isNull()) {
-      response.value()[kReceiptKey] = receipt;
+    if (poll.renewals_only) {
+      Json::Value response(Json::objectValue);
+      if (!receipt.isNull()) {
+        response[kReceiptKey] = receipt;
+      }
+      return HttpBody{std::make_shared<SharedText>(WriteJson(response))};
     }
-    return response;
+    return this->server.Serve(
+        poll, Json::Value(Json::arrayValue), receipt,
+        [this, replica_log]() -> std::optional<TimePoint> {
+          const Duration age = replica_log->ConfirmationAge();
+          return age == Duration::max()
+                     ? std::nullopt
+                     : std::make_optional(this->clock.Now() - age);
+        });
   }
 
   FeedSourceStatus GetStatus() const override {
@@ -263,6 +263,11 @@
 
 }  // namespace
 
+Result<Json::Value> FeedSource::ServePoll(const Json::Value& params) {
+  BOOST_OUTCOME_TRY(body, this->ServeEncodedPoll(params));
+  return ParseStoredJson(JoinBody(body));
+}
+
 std::unique_ptr<FeedSource> FeedSource::Create(FeedSourceOptions options,
                                                RpcClient& rpc,
                                                const Clock& clock) {
