Read a configuration beside the request thread and fetch it without a copy

Cause: a gateway decoded a new configuration on the thread that serves requests. The platform's fetch carried the document through the leader's RPC, decoded it on the thread that also receives responses of consensus, and wrote it again each time.

Change: after its first configuration a gateway decodes new ones on the follower's thread. control.show accepts known_version; the leader confirms it and the document is sent from the process that was asked, written once. The longest wait of consensus for its thread is a metric.

Ruled out: reading ahead before the first configuration, since those before it may be outdated and are not put into force.

Tests: gateway_test, control_service_test, consensus_service_test and platform_test pass. Processor time and time to the last gateway were not measured.

--- a/include/sycamorebend/consensus.h
+++ b/include/sycamorebend/consensus.h
@@ -78,6 +78,9 @@
     // read barrier on the leader it includes every change that was committed
     // when the barrier was requested.
     std::vector<ReplicaId> committed_members;
+    // Longest time that a message, proposal or change waited for the control
+    // thread since the start.
+    Duration longest_wait{0};
   };
 
   virtual ~ReplicatedLog() = default;
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -55,10 +55,12 @@
 
   // Runs `step` on the control thread.
   void Post(std::function<void(Replica&)> step) {
-    this->dependencies.control_thread.Post(
-        [self = this->shared_from_this(), step = std::move(step)] {
-          step(*self);
-        });
+    this->dependencies.control_thread.Post([self = this->shared_from_this(),
+                                            step = std::move(step),
+                                            posted = this->Now()] {
+      self->RecordWait(posted);
+      step(*self);
+    });
   }
 
   bool Stopped() const { return this->stopped; }
@@ -76,6 +78,12 @@
   };
 
   TimePoint Now() const { return this->dependencies.clock.Now(); }
+  void RecordWait(TimePoint posted) {
+    const Duration wait = this->Now() - posted;
+    std::lock_guard lock(this->status_mutex);
+    Duration& longest = this->latest_status.longest_wait;
+    longest = std::max(longest, wait);
+  }
   void Tick();
   void ProcessOutput();
   void ApplyCommitted();
--- a/src/controld/control_http.cc
+++ b/src/controld/control_http.cc
@@ -106,6 +106,9 @@
     AddGauge(registry, "confirmation_age_seconds",
              "Time since a quorum confirmed the state; negative if never.",
              report["confirmation_age_ms"].asDouble() / 1000);
+    AddGauge(registry, "consensus_longest_wait_seconds",
+             "Longest time that consensus waited for its thread.",
+             report["longest_wait_ms"].asDouble() / 1000);
     prometheus::BuildCounter()
         .Name("sycamorebend_control_feed_redirects_total")
         .Help("Polls of daemons for which there was no place.")
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -220,8 +220,17 @@
   FieldReader reader(params);
   const std::optional<std::uint64_t> version =
       reader.OptionalUnsigned("version");
+  const std::optional<std::uint64_t> known =
+      reader.OptionalUnsigned("known_version");
   BOOST_OUTCOME_TRY(reader.Finish());
   BOOST_OUTCOME_TRY(this->Barrier());
+  if (!version && known &&
+      *known == this->state.Shared()->configuration_version) {
+    Json::Value unchanged;
+    unchanged["version"] = Json::UInt64(*known);
+    unchanged["unchanged"] = true;
+    return unchanged;
+  }
   return this->state.ShowConfiguration(version);
 }
 
@@ -522,6 +531,8 @@
   response["last_index"] = Json::UInt64(status.last_index);
   response["snapshot_index"] = Json::UInt64(status.snapshot_index);
   response["replicas"] = ReplicasToJson(status);
+  response["longest_wait_ms"] =
+      Json::Int64(ToMilliseconds(status.longest_wait));
   response["confirmation_age_ms"] = AgeToJson(age);
   response["epoch"] = shared->epoch;
   response["configuration_version"] =
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -69,6 +69,8 @@
 
   Result<Json::Value> Apply(const Json::Value& params);
   Result<Json::Value> DryRun(const Json::Value& params);
+  // control.show: a caller that has the newest version, `known_version`, gets
+  // no document.
   Result<Json::Value> Show(const Json::Value& params);
   Result<Json::Value> History(const Json::Value& params);
   // config.replace: the highest version wins. The caller has validated the
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -156,11 +156,12 @@
   options.self.failure_domain = this->settings.failure_domain;
   options.self.incarnation = RandomId();
   options.replicas = this->settings.replicas;
-  this->follower =
-      FeedFollower::Start(std::move(options), *this->rpc, this->clock,
-                          [this](const std::shared_ptr<const SharedState>&) {
-                            this->loop.Post([this] { this->OnSharedState(); });
-                          });
+  this->follower = FeedFollower::Start(
+      std::move(options), *this->rpc, this->clock,
+      [this](const std::shared_ptr<const SharedState>& state) {
+        this->ReadAhead(*state);
+        this->loop.Post([this] { this->OnSharedState(); });
+      });
 }
 
 void Gateway::OnSharedState() {
@@ -242,14 +243,50 @@
   }
 }
 
+Result<std::shared_ptr<const RouteTable>> Gateway::ReadTable(
+    const SharedState& state) const {
+  BOOST_OUTCOME_TRY(table,
+                    this->format.ReadConfiguration(*state.configuration));
+  table.version = state.configuration_version;
+  table.BuildPriorityLevels();
+  return std::make_shared<const RouteTable>(std::move(table));
+}
+
+void Gateway::ReadAhead(const SharedState& state) {
+  if (!this->read_ahead_enabled ||
+      this->last_read_version == state.configuration_version ||
+      state.configuration->isNull()) {
+    return;
+  }
+  this->last_read_version = state.configuration_version;
+  TableReadAhead read{state.configuration_version, this->ReadTable(state)};
+  std::lock_guard lock(this->read_mutex);
+  this->read_ahead = std::move(read);
+}
+
+Result<std::shared_ptr<const RouteTable>> Gateway::TakeReadTable(
+    const SharedState& state) {
+  {
+    std::lock_guard lock(this->read_mutex);
+    if (this->read_ahead &&
+        this->read_ahead->version == state.configuration_version) {
+      Result<std::shared_ptr<const RouteTable>> table =
+          std::move(this->read_ahead->table);
+      this->read_ahead.reset();
+      return table;
+    }
+  }
+  return this->ReadTable(state);
+}
+
 void Gateway::ApplyConfiguration(const SharedState& state) {
   if (state.configuration->isNull() ||
       (this->handler.Table() != nullptr &&
        this->handler.Table()->version == state.configuration_version)) {
     return;
   }
-  Result<RouteTable> read =
-      this->format.ReadConfiguration(*state.configuration);
+  const Result<std::shared_ptr<const RouteTable>> read =
+      this->TakeReadTable(state);
   if (!read) {
     // The control replicas validate a configuration before they accept it, so
     // it must come from a newer release. The previous one stays in force.
@@ -258,11 +295,9 @@
               {"message", read.error().message}});
     return;
   }
-  read.value().version = state.configuration_version;
-  read.value().BuildPriorityLevels();
-  const auto table =
-      std::make_shared<const RouteTable>(std::move(read.value()));
+  const std::shared_ptr<const RouteTable>& table = read.value();
   this->handler.SetTable(table);
+  this->read_ahead_enabled = true;
   this->configured_at = this->loop.Now();
   this->callers->SetLimits(table->limits);
   this->balancer.SetServices(table->services);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -3,7 +3,10 @@
 #ifndef SYCAMOREBEND_SRC_GATEWAY_GATEWAY_H_
 #define SYCAMOREBEND_SRC_GATEWAY_GATEWAY_H_
 
+#include <atomic>
+#include <cstdint>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 
@@ -70,6 +73,15 @@
   // Applies the newest state of the feed.
   void OnSharedState();
   void ApplyConfiguration(const SharedState& state);
+  // Called on any thread.
+  Result<std::shared_ptr<const RouteTable>> ReadTable(
+      const SharedState& state) const;
+  // Reads the configuration of `state` on the follower's thread, so that
+  // requests do not wait until a large one is decoded.
+  void ReadAhead(const SharedState& state);
+  // @return the configuration of `state`, read ahead or now.
+  Result<std::shared_ptr<const RouteTable>> TakeReadTable(
+      const SharedState& state);
   // Applies the configuration of the newest state as the first one, once
   // MayApplyFirstConfiguration allows it.
   void ApplyFirstConfiguration();
@@ -109,6 +121,17 @@
   std::unique_ptr<RpcClient> rpc;
   std::shared_ptr<ControlRpcClient> leader;
   TimerId findings_timer = 0;
+  struct TableReadAhead {
+    std::uint64_t version;
+    Result<std::shared_ptr<const RouteTable>> table;
+  };
+  std::mutex read_mutex;
+  std::optional<TableReadAhead> read_ahead;
+  // Used on the follower's thread only.
+  std::uint64_t last_read_version = 0;
+  // Set with the first configuration. Those before it may be outdated, and
+  // there are no requests that wait.
+  std::atomic<bool> read_ahead_enabled{false};
   std::unique_ptr<FeedFollower> follower;
   bool stopping = false;
   bool rejecting = false;
--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -266,6 +266,23 @@
   BOOST_TEST((ParseJson(exchange->body).value() == ParseJson(sent).value()));
 }
 
+// Guards against sending the whole configuration through the leader's RPC, and
+// writing it, for each fetch.
+BOOST_FIXTURE_TEST_CASE(KnownConfigurationIsFetchedWithoutTheDocument,
+                        Fixture) {
+  this->state->configuration_version = 3;
+  this->state->configuration = ParseJson(R"({"version":3})").value();
+  this->leader.result = ParseJson(R"({"version":3,"unchanged":true})").value();
+  BOOST_TEST(this->Send("GET", "/api/config/fetch")->body ==
+             R"({"version":3})");
+  BOOST_TEST(this->leader.calls[0].second["known_version"].asUInt64() == 3U);
+  // The leader has another version, or belongs to an earlier release.
+  this->leader.result =
+      ParseJson(R"({"version":4,"document":{"version":4}})").value();
+  BOOST_TEST(this->Send("GET", "/api/config/fetch")->body ==
+             R"({"version":4})");
+}
+
 // Guards against returning addresses of draining gateways.
 BOOST_FIXTURE_TEST_CASE(ResolveOmitsDrainingGateways, Fixture) {
   BOOST_TEST(this->Send("GET", "/api/resolve")->status == 503);
