Put an encoded result only in its own place of a batch

A batch of two calls with encoded results had the second text in the place of the last one and the placeholder in the place of the first. Further results of a batch are decoded and written by the library; a message without the placeholder is refused instead of ending the process.

Test: rpc_test/BatchGetsEachStoredResult.

--- a/src/rpc/rpc_server.cc
+++ b/src/rpc/rpc_server.cc
@@ -8,6 +8,7 @@
 
 #include "rpc/jsonrpc_codec.h"
 #include "sycamorebend/rpc.h"
+#include "sycamorebend/settings.h"
 
 namespace sycamorebend {
 
@@ -75,11 +76,16 @@
         response.error_message = error.message;
       };
       if (auto text = this->service.CallEncoded(method, params)) {
-        if (*text) {
+        if (!*text) {
+          set_error(text->error());
+        } else if (encoded.empty()) {
           encoded = std::move(text->value());
           response.result = kResultMark;
+        } else if (auto again = ParseStoredJson(JoinBody(text->value()))) {
+          // A further call of a batch, which no process of this project sends.
+          response.result = std::move(again.value());
         } else {
-          set_error(text->error());
+          set_error(again.error());
         }
         return response;
       }
@@ -99,9 +105,18 @@
         exchange.Respond(kStatusOk, headers, std::move(message));
         return;
       }
-      // The library writes the result as the last member.
+      // Within a string of the message, the quotation marks are escaped.
       const std::string mark = fmt::format("\"{}\"", kResultMark);
-      const std::size_t position = message.rfind(mark);
+      const std::string member = "\"result\":" + mark;
+      const std::size_t found = message.find(member);
+      if (found == std::string::npos) {
+        LogEvent(Severity::kError, Event::kRpcFailed,
+                 {{"method", exchange.Request().path},
+                  {"message", "the encoded result has no place"}});
+        exchange.Respond(kStatusBadRequest, {}, {});
+        return;
+      }
+      const std::size_t position = found + member.size() - mark.size();
       encoded.insert(encoded.begin(),
                      std::make_shared<SharedText>(message.substr(0, position)));
       encoded.push_back(
--- a/tests/rpc/rpc_test.cc
+++ b/tests/rpc/rpc_test.cc
@@ -7,6 +7,7 @@
 
 #include "gateway/scripted_server.h"
 #include "sycamorebend/rpc.h"
+#include "sycamorebend/settings.h"
 
 namespace sycamorebend {
 
@@ -116,6 +117,23 @@
   BOOST_TEST((this->client->Fetch(call).value().body == plain.body));
 }
 
+// Guards against a stored result in the place of another one.
+BOOST_FIXTURE_TEST_CASE(BatchGetsEachStoredResult, Fixture) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = "http://" + this->server->Address() + std::string(kRpcPath);
+  call.body =
+      R"([{"id":"\"result\":\"encoded-result\"","jsonrpc":"2.0",)"
+      R"("method":"stored","params":{"params":{}}},)"
+      R"({"id":2,"jsonrpc":"2.0","method":"stored","params":{"params":{}}}])";
+  const Json::Value responses =
+      ParseJson(this->client->Fetch(call).value().body).value();
+  BOOST_TEST(responses.size() == 2U);
+  for (const Json::Value& response : responses) {
+    BOOST_TEST(response["result"].size() == 2U);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(UnknownMethodIsAnError, Fixture) {
   const auto result = Call("none", Json::Value(Json::objectValue));
   BOOST_TEST((result.error().code == ResultCode::kUnknownCommand));
