Decode autoscaling, reclaimable engines and when they leave

Cause: the decision how many engines to order needs limits and prices from the configuration, and the kind of each engine. Change: ServiceLimits::scaling, ServerRecord::reclaimable and leaves_at_ms. The remaining time becomes a point in time with a tolerance of 1 s, so that each announcement of a leaving server is not a log entry. Records without the fields, or with odd values of them, are read as before. Minimum above maximum is accepted, as the platform accepts it.

--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -47,13 +47,19 @@
   int slots = 1;
   // The server is stopping and gets no new requests.
   bool leaving = false;
+  // The platform may reclaim the server at short notice.
+  bool reclaimable = false;
+  // When a server that is leaving will end, Unix milliseconds by the clock of
+  // the replica that received the announcement; 0 if it was not stated.
+  std::int64_t leaves_at_ms = 0;
   // No announcement was received for longer than the announcement lease. The
   // server may still work: only its path to the control replicas may have
   // failed.
   bool silent = false;
 };
 
-// @return true if the records are equal except for their sequence numbers.
+// @return true if the records are equal except for their sequence numbers and
+// for small differences of the time at which they leave.
 bool SameAnnouncement(const ServerRecord& a, const ServerRecord& b);
 
 // JSON form of a record in commands and in the shared state.
--- a/src/control/server_directory.cc
+++ b/src/control/server_directory.cc
@@ -1,6 +1,7 @@
 #include "control/server_directory.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <iterator>
 
 #include "control/field_reader.h"
@@ -12,13 +13,19 @@
 
 constexpr std::uint64_t kMaxSlots = 1U << 20U;
 
+// Each announcement states the remaining time again, and is delayed by some
+// time. Differences up to this are no change, so that they need no log entry.
+constexpr std::int64_t kLeaveTimeToleranceMs = 1000;
+
 }  // namespace
 
 bool SameAnnouncement(const ServerRecord& a, const ServerRecord& b) {
   return a.server_id == b.server_id && a.incarnation == b.incarnation &&
          a.service == b.service && a.address == b.address &&
          a.failure_domain == b.failure_domain && a.slots == b.slots &&
-         a.leaving == b.leaving && a.silent == b.silent;
+         a.leaving == b.leaving && a.silent == b.silent &&
+         a.reclaimable == b.reclaimable &&
+         std::abs(a.leaves_at_ms - b.leaves_at_ms) <= kLeaveTimeToleranceMs;
 }
 
 Json::Value ServerRecordToJson(const ServerRecord& record) {
@@ -32,6 +39,14 @@
   value["slots"] = record.slots;
   value["leaving"] = record.leaving;
   value["silent"] = record.silent;
+  // Absent in records of servers to which they do not apply, as in those of
+  // earlier releases.
+  if (record.reclaimable) {
+    value["reclaimable"] = true;
+  }
+  if (record.leaves_at_ms > 0) {
+    value["leaves_at_ms"] = Json::Int64(record.leaves_at_ms);
+  }
   return value;
 }
 
@@ -47,6 +62,13 @@
   const std::uint64_t slots = reader.Unsigned("slots");
   record.leaving = reader.OptionalBool("leaving");
   record.silent = reader.OptionalBool("silent");
+  if (value.isObject()) {
+    // An odd value of these must not make a server unknown.
+    record.reclaimable = value["reclaimable"] == Json::Value(true);
+    const Json::Value& leaves_at = value["leaves_at_ms"];
+    record.leaves_at_ms =
+        leaves_at.isUInt64() && leaves_at.isInt64() ? leaves_at.asInt64() : 0;
+  }
   if (slots == 0 || slots > kMaxSlots) {
     reader.Reject("slots", "a number from 1 to 1048576");
   }
--- a/src/gateway/routes.h
+++ b/src/gateway/routes.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "sycamorebend/base.h"
+#include "sycamorebend/scaling.h"
 
 namespace sycamorebend::gateway {
 
@@ -70,6 +71,8 @@
   std::int64_t cache_tokens = 0;
   // Number of tokens in one event of an engine's stream.
   int event_tokens = 1;
+  // Set if the number of servers is to be decided by the control replicas.
+  std::optional<ScalingRules> scaling;
 };
 
 struct CallerLimits {
--- a/tests/control/server_directory_test.cc
+++ b/tests/control/server_directory_test.cc
@@ -86,4 +86,39 @@
   BOOST_TEST(directory.Expire("s", 5));
 }
 
+// Guards against a log entry for each announcement of a server that states the
+// remaining time again, and against changes that are not stored.
+BOOST_AUTO_TEST_CASE(RemainingTimeIsNoChange) {
+  ServerDirectory directory;
+  ServerRecord record = Record("s", 5, 3, true);
+  record.reclaimable = true;
+  record.leaves_at_ms = 9000;
+  BOOST_TEST(directory.Announce(record, kNow));
+  record.sequence = 4;
+  record.leaves_at_ms = 9120;
+  BOOST_TEST(!directory.Announce(record, kNow));
+  record.sequence = 5;
+  record.leaves_at_ms = 12000;
+  BOOST_TEST(directory.Announce(record, kNow));
+  ServerDirectory loaded;
+  loaded.Load(directory.Save());
+  BOOST_TEST(loaded.Records().at("s").reclaimable);
+  BOOST_TEST(loaded.Records().at("s").leaves_at_ms == 12000);
+}
+
+// Guards against servers that become unknown by fields of another release.
+BOOST_AUTO_TEST_CASE(RecordsOfOtherReleasesAreRead) {
+  Json::Value value = ServerRecordToJson(Record("s", 5, 3));
+  BOOST_TEST(!value.isMember("reclaimable"));
+  BOOST_TEST(!value.isMember("leaves_at_ms"));
+  BOOST_TEST(!ServerRecordFromJson(value).value().reclaimable);
+  value["reclaimable"] = "perhaps";
+  value["leaves_at_ms"] = -3.5;
+  value["later"] = Json::Value(Json::arrayValue);
+  const auto read = ServerRecordFromJson(value);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(!read.value().reclaimable);
+  BOOST_TEST(read.value().leaves_at_ms == 0);
+}
+
 }  // namespace sycamorebend::internal
--- a/tests/platform/configuration_format_test.cc
+++ b/tests/platform/configuration_format_test.cc
@@ -43,6 +43,34 @@
 
 }  // namespace
 
+// Guards against prices and limits that are parsed into the wrong member, and
+// against refusing a document that the platform accepts.
+BOOST_AUTO_TEST_CASE(ParsesAutoscaling) {
+  Json::Value document = Document();
+  document["backends"][0]["autoscaling"] =
+      ParseJson(R"({"min_replicas": 1, "max_replicas": 60, "startup_s": 4.5,
+                    "spot_price": 0.18, "zone_prices": {"a": 0.85, "b": 1.2},
+                    "later": []})")
+          .value();
+  document["backends"][1]["autoscaling"] =
+      ParseJson(R"({"min_replicas": 9, "max_replicas": 2})").value();
+  const auto read = ReadConfiguration(document);
+  BOOST_REQUIRE(read);
+  const auto& services = read.value().services;
+  BOOST_REQUIRE(services.at("llm").scaling.has_value());
+  const ScalingRules& rules = *services.at("llm").scaling;
+  BOOST_TEST(rules.min_engines == 1);
+  BOOST_TEST(rules.max_engines == 60);
+  BOOST_TEST(ToMilliseconds(rules.startup) == 4500);
+  BOOST_TEST(rules.reclaimable_price.value_or(0) == 0.18);
+  BOOST_TEST(rules.domain_prices.at("b") == 1.2);
+  BOOST_TEST(services.at("app").scaling->min_engines == 9);
+  BOOST_TEST(!services.at("app").scaling->reclaimable_price.has_value());
+  BOOST_TEST(ErrorAfter([](Json::Value& changed) {
+               changed["backends"][0]["autoscaling"]["max_replicas"] = "many";
+             }).find("max_replicas") != std::string::npos);
+}
+
 // Guards against fields that are parsed into the wrong member.
 BOOST_AUTO_TEST_CASE(ParsesAllFields) {
   const auto read = ReadConfiguration(Document());
--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -91,6 +91,26 @@
   BOOST_TEST(record.value().leaving);
 }
 
+// Guards against orders and routing that do not know which servers will leave,
+// and against servers that become unknown by odd values of these fields.
+BOOST_FIXTURE_TEST_CASE(HeartbeatStatesWhenTheServerLeaves, Fixture) {
+  Json::Value beat = ParseJson(kHeartbeatBody).value();
+  const auto send = [&] {
+    this->Send("POST", "/api/instances/i-7/heartbeat", WriteJson(beat));
+    return ServerRecordFromJson(this->leader.calls.back().second).value();
+  };
+  BOOST_TEST(!send().reclaimable);
+  BOOST_TEST(send().leaves_at_ms == 0);
+  beat["spot"] = true;
+  beat["leaves_ms"] = 2400.5;
+  BOOST_TEST(send().reclaimable);
+  BOOST_TEST(send().leaves_at_ms == this->clock.WallTimeMs() + 2400);
+  beat["leaves_ms"] = "soon";
+  beat["spot"] = 1;
+  BOOST_TEST(!send().reclaimable);
+  BOOST_TEST(send().leaves_at_ms == 0);
+}
+
 // Guards against registering a server from a malformed heartbeat.
 BOOST_FIXTURE_TEST_CASE(MalformedHeartbeatIsRejected, Fixture) {
   Json::Value beat = ParseJson(kHeartbeatBody).value();
