Order engines while this replica holds the duty

Last orders and reasons are in duty.status ("scaling"), in metrics, and in the log events 905 and 906. No run of whole processes.

--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -222,6 +222,8 @@
   kDutyReleased = 902,
   kUsageFixed = 903,
   kDutyCallEnded = 904,
+  kScalingRulesRead = 905,
+  kScalingHeld = 906,
 };
 
 struct EventInfo {
--- a/include/sycamorebend/scaling.h
+++ b/include/sycamorebend/scaling.h
@@ -93,9 +93,10 @@
   kRejected = 1,
   // May still be executed later.
   kUnknown = 2,
-  // Not executed: the holder has no valid right to order, or the rate limit was
-  // reached.
+  // The holder has no valid right to order at the moment.
   kNotSent = 3,
+  // The rate limit of the platform was exceeded.
+  kLimited = 4,
 };
 
 // @return the name of `outcome` in logs and metrics.
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -133,6 +133,10 @@
      "The counts of a window of usage were recorded."},
     {Event::kDutyCallEnded, "duty_call_ended",
      "A call of a duty ended; the fields give its content and result."},
+    {Event::kScalingRulesRead, "scaling_rules_read",
+     "The leader decides how many engines of a service to order by new rules."},
+    {Event::kScalingHeld, "scaling_held",
+     "The reason why no engine of a service is removed has changed."},
 };
 
 std::string JsonQuote(std::string_view text) {
--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -123,6 +123,17 @@
   this->service.SetDuties(*this->duties);
 }
 
+void ControlDaemon::StartEngineOrders(
+    EngineOrderRunner::RulesReader read_rules) {
+  this->engine_orders = std::make_unique<EngineOrderRunner>(
+      *this->duties, *this->duties, *this->duties,
+      [this] { return this->Shared(); }, std::move(read_rules), this->clock);
+  this->service.SetEngineOrders(*this->engine_orders);
+  this->control_thread.PostAndWait([this] {
+    this->duties->SetTickTask([this] { this->engine_orders->Tick(); });
+  });
+}
+
 std::vector<std::string> ControlDaemon::KnownReplicas() const {
   std::vector<std::string> known = this->state->Shared()->replicas;
   std::lock_guard lock(this->mutex);
--- a/src/controld/control_daemon.h
+++ b/src/controld/control_daemon.h
@@ -13,6 +13,7 @@
 #include "controld/control_service.h"
 #include "controld/control_settings.h"
 #include "controld/replica_identity.h"
+#include "scaling/order_runner.h"
 
 namespace sycamorebend {
 
@@ -41,6 +42,9 @@
   // Performs duties from now on. To be called once.
   // @param api must outlive the calls that Stop ends.
   void StartDuties(const DutyOptions& options, DutyApi& api);
+  // Orders engines from now on, after StartDuties. To be called once.
+  // @param read_rules reads the rules of all services from a configuration.
+  void StartEngineOrders(EngineOrderRunner::RulesReader read_rules);
   // @return the duties, or nullptr before StartDuties.
   DutyRunner* Duties() { return this->duties.get(); }
 
@@ -73,6 +77,7 @@
   std::unique_ptr<FeedSource> feed;
   std::unique_ptr<ControlState> state;
   std::unique_ptr<DutyRunner> duties;
+  std::unique_ptr<EngineOrderRunner> engine_orders;
   ControlService service;
   std::unique_ptr<ControlHttp> http;
   std::unique_ptr<HttpServer> server;
--- a/src/controld/control_http.cc
+++ b/src/controld/control_http.cc
@@ -45,6 +45,56 @@
                           : value.asDouble());
 }
 
+void AddScalingMetrics(prometheus::Registry& registry,
+                       const Json::Value& services) {
+  auto& work = prometheus::BuildGauge()
+                   .Name("sycamorebend_control_scaling_work_engines")
+                   .Help("Work of a service in fully used engines.")
+                   .Register(registry);
+  auto& capacity = prometheus::BuildGauge()
+                       .Name("sycamorebend_control_scaling_capacity")
+                       .Help(
+                           "Learned capacity of an engine, relative to the "
+                           "starting value.")
+                       .Register(registry);
+  auto& held = prometheus::BuildGauge()
+                   .Name("sycamorebend_control_scaling_held")
+                   .Help("1 if no engine may be removed at the moment.")
+                   .Register(registry);
+  auto& engines = prometheus::BuildGauge()
+                      .Name("sycamorebend_control_scaling_engines")
+                      .Help("Engines as announced and as ordered.")
+                      .Register(registry);
+  auto& orders = prometheus::BuildCounter()
+                     .Name("sycamorebend_control_scaling_orders_total")
+                     .Help("Orders of engines by outcome.")
+                     .Register(registry);
+  for (const std::string& name : services.getMemberNames()) {
+    const Json::Value& service = services[name];
+    for (const char* load : {"present", "steady", "peak"}) {
+      work.Add({{"service", name}, {"load", load}})
+          .Set(service[std::string(load) + "_engines"].asDouble());
+    }
+    capacity.Add({{"service", name}}).Set(service["capacity"].asDouble());
+    held.Add({{"service", name}})
+        .Set(service["hold_reason"].asString().empty() ? 0 : 1);
+    for (const Json::Value& group : service["groups"]) {
+      for (const char* state : {"announced", "ordered"}) {
+        engines
+            .Add({{"service", name},
+                  {"failure_domain", group["failure_domain"].asString()},
+                  {"kind", group["kind"].asString()},
+                  {"state", state}})
+            .Set(group[state].asDouble());
+      }
+    }
+    for (const std::string& outcome : service["orders"].getMemberNames()) {
+      orders.Add({{"service", name}, {"outcome", outcome}})
+          .Increment(service["orders"][outcome].asDouble());
+    }
+  }
+}
+
 }  // namespace
 
 ControlHttp::ControlHttp(ControlService& service, const ControlThreads& threads)
@@ -117,6 +167,10 @@
       AddGauge(registry, name, "Size of the control state.", counts[name]);
     }
   }
+  const Json::Value duties = service.DutyReport();
+  if (duties.isMember("scaling")) {
+    AddScalingMetrics(registry, duties["scaling"]);
+  }
   auto& calls = prometheus::BuildCounter()
                     .Name("sycamorebend_control_calls_total")
                     .Help("RPC calls by method and result code.")
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -398,7 +398,15 @@
 
 Json::Value ControlService::DutyReport() const {
   const DutyRunner* const runner = this->duties;
-  return runner == nullptr ? Json::Value() : runner->StatusReport();
+  if (runner == nullptr) {
+    return {};
+  }
+  Json::Value report = runner->StatusReport();
+  const EngineOrderRunner* const orders = this->engine_orders;
+  if (orders != nullptr) {
+    report["scaling"] = orders->StatusReport();
+  }
+  return report;
 }
 
 Result<Json::Value> ControlService::ShowDuties(const Json::Value& /*params*/) {
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -17,6 +17,7 @@
 #include "controld/replica_manager.h"
 #include "controld/server_liveness.h"
 #include "duties/duty_runner.h"
+#include "scaling/order_runner.h"
 #include "sycamorebend/consensus.h"
 #include "sycamorebend/control.h"
 #include "sycamorebend/feed.h"
@@ -36,6 +37,11 @@
   // Sets the duties of this replica, which must outlive the service.
   void SetDuties(DutyRunner& new_duties) { this->duties = &new_duties; }
 
+  // Sets the orders of engines, which must outlive the service.
+  void SetEngineOrders(const EngineOrderRunner& orders) {
+    this->engine_orders = &orders;
+  }
+
   // @return the result of `duty.status`; null if this deployment has none.
   Json::Value DutyReport() const;
 
@@ -127,6 +133,7 @@
   const Clock& clock;
   std::atomic<ReplicatedLogService*> log{nullptr};
   std::atomic<DutyRunner*> duties{nullptr};
+  std::atomic<const EngineOrderRunner*> engine_orders{nullptr};
   std::atomic<bool> stopping{false};
   std::unique_ptr<ReplicaManager> manager;
   std::mutex liveness_mutex;
--- a/src/scaling/engine_scaler.cc
+++ b/src/scaling/engine_scaler.cc
@@ -20,8 +20,8 @@
 }
 
 std::string_view OrderOutcomeName(OrderOutcome outcome) {
-  constexpr std::array<std::string_view, 4> kNames = {"accepted", "rejected",
-                                                      "unknown", "not_sent"};
+  constexpr std::array<std::string_view, 5> kNames = {
+      "accepted", "rejected", "unknown", "not_sent", "limited"};
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
--- a/tests/platform/configuration_format_test.cc
+++ b/tests/platform/configuration_format_test.cc
@@ -66,6 +66,10 @@
   BOOST_TEST(rules.domain_prices.at("b") == 1.2);
   BOOST_TEST(services.at("app").scaling->min_engines == 9);
   BOOST_TEST(!services.at("app").scaling->reclaimable_price.has_value());
+  const auto alone = ReadScalingRules(document);
+  BOOST_TEST(alone.size() == 2U);
+  BOOST_TEST((alone.at("llm") == rules));
+  BOOST_TEST(ReadScalingRules(Json::Value()).empty());
   BOOST_TEST(ErrorAfter([](Json::Value& changed) {
                changed["backends"][0]["autoscaling"]["max_replicas"] = "many";
              }).find("max_replicas") != std::string::npos);
