--- a/src/scaling/engine_scaler.cc
+++ b/src/scaling/engine_scaler.cc
@@ -257,6 +257,10 @@
       }
       this->LimitReductions(reclaimable, wanted.reclaimable);
     }
+    for (auto& [domain, count] : wanted.ordinary) {
+      count = std::max(count,
+                       this->rules.min_engines - wanted.reclaimable.at(domain));
+    }
     const std::string reason = this->Reason();
     for (const auto& [domain, count] : wanted.ordinary) {
       targets[{domain, EngineKind::kOrdinary}] = {count, reason};
--- a/tests/scaling/engine_scaler_test.cc
+++ b/tests/scaling/engine_scaler_test.cc
@@ -218,6 +218,15 @@
   BOOST_TEST(All() > before);
 }
 
+// Guards against fewer engines than operators ask for.
+BOOST_FIXTURE_TEST_CASE(FewerThanTheMinimum, ScalingFixture) {
+  rules.min_engines = 35;
+  scaler->SetRules(rules);
+  reports = false;
+  Run(10, 0);
+  BOOST_TEST(All() == 105);
+}
+
 // Guards against orders that follow each fluctuation of the load.
 BOOST_FIXTURE_TEST_CASE(Noise, ReducedFleet) {
   const std::size_t before = orders.size();
