--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -364,6 +364,13 @@
                         ? Json::Value(FormatTime(duty["since_ms"].asInt64()))
                         : Json::Value();
   }
+  Json::Value engines(Json::arrayValue);
+  for (const std::string& service : report["scaling"].getMemberNames()) {
+    for (Json::Value group : report["scaling"][service]["groups"]) {
+      group["service"] = service;
+      engines.append(std::move(group));
+    }
+  }
   this->out << FormatTable({{"DUTY", "duty"},
                             {"HOLDER", "holder"},
                             {"SINCE", "since"},
@@ -376,6 +383,14 @@
                             {"REQUESTS", "requests"},
                             {"SENT", "sent"}},
                            report["windows"])
+            << FormatTable({{"SERVICE", "service"},
+                            {"DOMAIN", "failure_domain"},
+                            {"KIND", "kind"},
+                            {"ANNOUNCED", "announced"},
+                            {"ORDERED", "ordered"},
+                            {"REFUSED", "refused"},
+                            {"REASON", "reason"}},
+                           engines)
             << fmt::format("{} windows are not sent, {} requests came late\n",
                            FormatCell(report["unsent_windows"]),
                            FormatCell(report["late_requests"]));
--- a/src/ctl/help.cc
+++ b/src/ctl/help.cc
@@ -202,8 +202,9 @@
 
 Shows, for each duty of the deployment, the VM that holds it, since when and with
 which fencing token, the number of its calls by result and the last one; then the
-newest windows of usage and whether the platform accepted them. Calls are counted
-by the leader since it started. --output=json prints everything.
+newest windows of usage and whether the platform accepted them; then the engines
+of each service as announced and as ordered, with the reason of the last order.
+Calls are counted by the leader since it started. --output=json prints everything.
 
 Example
   sycamorebend-ctl duties --control=10.0.0.1:7000,10.0.0.2:7000
