--- a/tests/platform/busy_gateway.cc
+++ b/tests/platform/busy_gateway.cc
@@ -101,8 +101,12 @@
   }
 }
 
-BusyGateway::BusyGateway()
-    : fleet(/*replicas=*/3, /*gateways=*/1, /*max_followers=*/8),
+BusyGateway::BusyGateway(const TemplateFields& changes)
+    : fleet(/*replicas=*/3,
+            /*gateways=*/1,
+            /*max_followers=*/8,
+            /*silent_seeds=*/0,
+            changes),
       server([this](const ReceivedRequest& request, Socket& socket) {
         return this->engine(request, socket);
       }) {
--- a/tests/platform/busy_gateway.h
+++ b/tests/platform/busy_gateway.h
@@ -59,7 +59,8 @@
 // /fs/    resumable stream            faulty
 class BusyGateway {
  public:
-  BusyGateway();
+  // @param changes template fields that replace the default ones.
+  explicit BusyGateway(const TemplateFields& changes = {});
   ~BusyGateway() { this->engine.Release(); }
 
   // Adds a server of the service "faulty".
@@ -72,6 +73,7 @@
   void CheckHeldRequests();
 
   std::string Address() const { return this->fleet.CallerAddress(0); }
+  PlatformFleet& Fleet() { return this->fleet; }
   ChildProcess& Process() { return this->fleet.Gateway(0); }
   // @return the response up to the end of its head.
   std::string Send(const std::string& request) const;
--- a/tests/platform/endless_answer_test.cc
+++ b/tests/platform/endless_answer_test.cc
@@ -1,8 +1,6 @@
 // Servers that send bytes without end, many at once.
 #include <atomic>
 #include <cstdlib>
-#include <filesystem>
-#include <iterator>
 #include <memory>
 #include <string>
 #include <thread>
@@ -129,24 +127,6 @@
   return false;
 }
 
-// @return the largest amount of memory that the process has used.
-std::size_t PeakMemory(ChildProcess& process) {
-  constexpr std::string_view kField = "VmHWM:";
-  constexpr std::size_t kBytesPerKb = 1024;
-  const std::string status =
-      ReadFile(fmt::format("/proc/{}/status", process.Pid()));
-  const std::size_t at = status.find(kField);
-  BOOST_REQUIRE(at != std::string::npos);
-  return std::strtoul(status.c_str() + at + kField.size(), nullptr, 10) *
-         kBytesPerKb;
-}
-
-std::size_t OpenFiles(ChildProcess& process) {
-  const std::filesystem::directory_iterator files(
-      fmt::format("/proc/{}/fd", process.Pid()));
-  return static_cast<std::size_t>(std::distance(begin(files), end(files)));
-}
-
 // A caller that reads all that it is sent, or nothing.
 struct EndlessCaller {
   EndlessCaller(const std::string& address, std::string target, bool reads)
@@ -192,8 +172,8 @@
   gateway.AddFaultyServer(first);
   gateway.AddFaultyServer(second);
   gateway.HoldRequests();
-  const std::size_t before = PeakMemory(gateway.Process());
-  const std::size_t files = OpenFiles(gateway.Process());
+  const std::size_t before = gateway.Process().PeakMemory();
+  const std::size_t files = gateway.Process().OpenFiles();
 
   const std::vector<EndlessAnswer> answers = AllAnswers();
   std::vector<std::unique_ptr<EndlessCaller>> callers;
@@ -218,14 +198,15 @@
   BOOST_TEST(WaitFor([&] { return gateway.OpenRequests() == gateway.Held(); },
                      kStepTimeout),
              gateway.OpenRequests() << " requests in work");
-  const std::size_t used = PeakMemory(gateway.Process()) - before;
+  const std::size_t used = gateway.Process().PeakMemory() - before;
   BOOST_TEST_MESSAGE("memory: " << used << " bytes of " << allowed << " for "
                                 << callers.size() << " requests");
   BOOST_TEST(used <= allowed);
   // Also those of callers that have not read.
-  BOOST_TEST(WaitFor([&] { return OpenFiles(gateway.Process()) <= files; },
+  BOOST_TEST(WaitFor([&] { return gateway.Process().OpenFiles() <= files; },
                      kStepTimeout),
-             OpenFiles(gateway.Process()) << " open files, at first " << files);
+             gateway.Process().OpenFiles()
+                 << " open files, at first " << files);
   gateway.CheckHeldRequests();
 }
 
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <sstream>
+#include <utility>
 
 #include <boost/test/unit_test.hpp>
 
@@ -49,8 +50,10 @@
 PlatformFleet::PlatformFleet(std::size_t replicas,
                              std::size_t gateways,
                              std::size_t max_followers,
-                             std::size_t silent_seeds)
+                             std::size_t silent_seeds,
+                             TemplateFields changes)
     : replica_count(replicas),
+      changes(std::move(changes)),
       caller_port(UnusedPort()),
       admin_port(UnusedPort()),
       api_port(UnusedPort()),
@@ -313,17 +316,19 @@
     }
   }
   seeds += "]";
-  const TemplateFields fields = {
-      {"ip", machine.ip},
-      {"node_name|json", Quoted(name)},
-      {"listen.frontend|json", at(this->caller_port)},
-      {"listen.readiness|json", at(this->admin_port)},
-      {"listen.control_plane|json", at(this->api_port)},
-      {"listen.registry|json", at(this->directory_port)},
-      {"internal_ports.0", this->internal_port},
-      {"seed_nodes|json", seeds},
-      {"data_dir|json", Quoted(DataPath(machine))},
-      {"fault_tolerance.nodes", "2"}};
+  TemplateFields fields = {{"ip", machine.ip},
+                           {"node_name|json", Quoted(name)},
+                           {"listen.frontend|json", at(this->caller_port)},
+                           {"listen.readiness|json", at(this->admin_port)},
+                           {"listen.control_plane|json", at(this->api_port)},
+                           {"listen.registry|json", at(this->directory_port)},
+                           {"internal_ports.0", this->internal_port},
+                           {"seed_nodes|json", seeds},
+                           {"data_dir|json", Quoted(DataPath(machine))},
+                           {"fault_tolerance.nodes", "2"}};
+  for (const auto& [field, value] : this->changes) {
+    fields[field] = value;
+  }
   std::string text =
       RenderTemplate(is_replica ? "control.json" : "gateway.json", fields);
   const std::string limit = "\"max_followers\": ";
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -12,6 +12,7 @@
 
 #include <json/value.h>
 
+#include "platform/rendered_settings.h"
 #include "sycamorebend/http.h"
 #include "sycamorebend/rpc.h"
 #include "system/process.h"
@@ -28,10 +29,12 @@
   // @param silent_seeds number of addresses that the gateways know beside
   // those of replicas, as of machines that are gone: connections to these are
   // not refused, and nothing responds.
+  // @param changes template fields that replace the default ones.
   PlatformFleet(std::size_t replicas,
                 std::size_t gateways,
                 std::size_t max_followers,
-                std::size_t silent_seeds = 0);
+                std::size_t silent_seeds = 0,
+                TemplateFields changes = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -126,6 +129,7 @@
   std::string Get(const std::string& url);
 
   const std::size_t replica_count;
+  const TemplateFields changes;
   const TemporaryDirectory directory;
   const std::string caller_port;
   const std::string admin_port;
--- a/tests/platform/rendered_settings.cc
+++ b/tests/platform/rendered_settings.cc
@@ -22,6 +22,8 @@
       {"data_dir|json", "\"/data\""},
       {"bootstrap", "true"},
       {"fault_tolerance.nodes", "1"},
+      {"limits.memory_mb", "160"},
+      {"limits.max_fds", "4100"},
       {"bounds.grace_s", "8"},
       {"bounds.retry_budget_ratio", "0.2"},
       {"bounds.budget_slack", "56"}};
--- a/tests/system/process.cc
+++ b/tests/system/process.cc
@@ -13,8 +13,10 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
+#include <string_view>
 #include <thread>
 
 #include <fmt/format.h>
@@ -145,6 +147,27 @@
   return !this->ended;
 }
 
+std::size_t ChildProcess::PeakMemory() const {
+  constexpr std::string_view kField = "VmHWM:";
+  constexpr std::size_t kBytesPerKb = 1024;
+  const std::string status =
+      ReadFile("/proc/" + std::to_string(this->pid) + "/status");
+  const std::size_t at = status.find(kField);
+  return at == std::string::npos
+             ? 0
+             : std::strtoul(status.c_str() + at + kField.size(), nullptr, 10) *
+                   kBytesPerKb;
+}
+
+std::size_t ChildProcess::OpenFiles() const {
+  std::error_code error;
+  const std::filesystem::directory_iterator files(
+      "/proc/" + std::to_string(this->pid) + "/fd", error);
+  return error ? 0
+               : static_cast<std::size_t>(
+                     std::distance(begin(files), end(files)));
+}
+
 int ChildProcess::WaitForExit(Duration limit) {
   WaitFor([this] { return !this->Running(); }, limit);
   return this->ended ? this->exit_status : -1;
--- a/tests/system/process.h
+++ b/tests/system/process.h
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -61,6 +62,11 @@
   void Kill();
   // @return true if the process has not ended.
   bool Running();
+  // @return the largest number of bytes of memory that the process has used
+  // (VmHWM); 0 once it has ended.
+  std::size_t PeakMemory() const;
+  // @return its number of open descriptors; 0 once it has ended.
+  std::size_t OpenFiles() const;
   // Waits for the end of the process.
   // @return the exit status, 128 + signal for a terminated process, or -1 if
   // the process has not ended within `limit`.
