Bound the memory and connections that callers take of a gateway

Cause: each request had a limit, all of them together had none. A body over the limit was read to its end, and buffers that grow by doubling were up to twice as large as their content.

A connection asks before it reads. What does not fit waits.

Ruled out: counting received bytes without reservations (many bodies begin, none can end), and refusing at the ceiling.

Processor time was not measured.

--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -164,6 +164,7 @@
   kRequestRejected = 201,
   kCallerGone = 202,
   kRequestFinished = 203,
+  kCallersShed = 204,
   // 3xx: routing and placement decisions.
   kRequestDispatched = 301,
   kRequestQueued = 302,
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -37,6 +37,8 @@
      "A caller closed its connection before the answer was whole."},
     {Event::kRequestFinished, "request_finished",
      "A request ended; the fields give its outcome and times."},
+    {Event::kCallersShed, "callers_shed",
+     "Connections of callers were closed for lack of memory or descriptors."},
     {Event::kRequestDispatched, "request_dispatched",
      "Routing decision: a request was sent to a backend server."},
     {Event::kRequestQueued, "request_queued",
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,7 @@
 #include "gateway/gateway.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -14,6 +16,26 @@
 constexpr int kUnavailable = 503;
 constexpr int kFeedThreads = 1;
 
+// Connections to the admin address and to the metrics address.
+constexpr std::size_t kAdminConnections = 32;
+// Descriptors that callers leave to those connections (64), the feed, the
+// exchange, the log, the listening sockets and connections to servers: 128, or
+// a quarter of all if that is more.
+constexpr std::size_t kMinReservedFiles = 128;
+constexpr std::size_t kReservedFraction = 4;
+
+// @param max_files descriptors that the process may open; 0: not stated.
+std::size_t MaxCallerConnections(std::size_t max_files) {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  const auto system = static_cast<std::size_t>(limit.rlim_cur);
+  const std::size_t files =
+      max_files == 0 ? system : std::min(max_files, system);
+  const std::size_t reserved =
+      std::max(kMinReservedFiles, files / kReservedFraction);
+  return files > reserved ? files - reserved : kAdminConnections;
+}
+
 // Time after the stop signal during which new requests are accepted: callers
 // that resolved the addresses just before the signal keep using them for a
 // while.
@@ -66,6 +88,7 @@
               this->quarantine},
       handler(this->context),
       admin_handler(*this),
+      caller_memory(loop, MemoryCeiling(settings.memory_mb)),
       timers(clock) {
   this->SetRetryLimits(1);
 }
@@ -95,11 +118,15 @@
   BOOST_OUTCOME_TRY(
       started_callers,
       CallerServer::Start(this->loop, this->settings.caller_address,
-                          this->handler));
+                          this->handler,
+                          {&this->caller_memory,
+                           MaxCallerConnections(this->settings.max_files)}));
   this->callers = std::move(started_callers);
-  BOOST_OUTCOME_TRY(started_admin, CallerServer::Start(
-                                       this->loop, this->settings.admin_address,
-                                       this->admin_handler));
+  BOOST_OUTCOME_TRY(
+      started_admin,
+      CallerServer::Start(this->loop, this->settings.admin_address,
+                          this->admin_handler,
+                          {&this->caller_memory, kAdminConnections}));
   this->admin = std::move(started_admin);
   this->ListenForMetrics();
   BOOST_OUTCOME_TRY(
@@ -129,7 +156,8 @@
   if (address.empty()) {
     return;
   }
-  auto started = CallerServer::Start(this->loop, address, this->admin_handler);
+  auto started = CallerServer::Start(this->loop, address, this->admin_handler,
+                                     {&this->caller_memory, kAdminConnections});
   if (started) {
     this->metrics_server = std::move(started.value());
     return;
@@ -310,6 +338,9 @@
 void Gateway::PublishMetrics() {
   const TimePoint now = this->loop.Now();
   this->request_metrics.Publish(this->metrics);
+  this->caller_memory.Publish(this->metrics);
+  this->callers->Publish(this->metrics, "callers");
+  this->admin->Publish(this->metrics, "admin");
   this->quarantine.Publish(this->metrics, now);
   this->metrics.SetGauge("sycamorebend_gateway_open_requests",
                          "Requests without an end.", {},
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -99,6 +99,7 @@
   ForwardContext context;
   RouteHandler handler;
   AdminHandler admin_handler;
+  CallerMemory caller_memory;
   std::unique_ptr<CallerServer> callers;
   std::unique_ptr<CallerServer> admin;
   std::unique_ptr<CallerServer> metrics_server;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -7,6 +7,10 @@
 constexpr std::int64_t kMaxPort = 65535;
 constexpr double kMaxRetryRatio = 10;
 constexpr double kMaxRetrySlack = 1000000;
+constexpr std::int64_t kMinMemoryMb = 40;
+constexpr std::int64_t kMaxMemoryMb = 1 << 20;
+constexpr std::int64_t kMinFiles = 192;
+constexpr std::int64_t kMaxFiles = 1 << 20;
 constexpr Duration kMinStopGrace = seconds(1);
 constexpr Duration kMaxStopGrace = seconds(3600);
 
@@ -33,6 +37,11 @@
       root.GetNumber("retry_ratio", 0, kMaxRetryRatio, settings.retry_ratio);
   settings.retry_slack =
       root.GetNumber("retry_slack", 0, kMaxRetrySlack, settings.retry_slack);
+  settings.memory_mb = static_cast<std::size_t>(
+      root.GetInteger("memory_mb", kMinMemoryMb, kMaxMemoryMb,
+                      static_cast<std::int64_t>(settings.memory_mb)));
+  settings.max_files = static_cast<std::size_t>(
+      root.GetInteger("max_fds", kMinFiles, kMaxFiles, 0));
   settings.log_threshold = ReadLogSeverity(root);
   BOOST_OUTCOME_TRY(root.Finish());
   return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/caller_memory.h"
 #include "sycamorebend/base.h"
 #include "sycamorebend/settings.h"
 
@@ -30,6 +31,10 @@
   // of its requests plus a fixed number.
   double retry_ratio = 0.2;
   double retry_slack = 50;
+  // Memory of the machine, of which a part is used for callers.
+  std::size_t memory_mb = kDefaultMemoryMb;
+  // Descriptors that the process may open; 0: the limit of the system.
+  std::size_t max_files = 0;
   Severity log_threshold = Severity::kInfo;
 };
 
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -67,7 +67,7 @@
     std::size_t& framing = Of(parser).framing_bytes;
     framing -= std::min(framing, size * kFramingPerBodyByte);
     Of(parser).sink.OnBody({at, size});
-    return 0;
+    return Of(parser).failed ? kParserError : 0;
   }
 
   static int OnComplete(http_parser* parser) {
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -58,6 +58,13 @@
   // Signals connection close, which ends a response without a length.
   void End();
 
+  // Makes the reader fail at the present piece. May be called by the sink.
+  void Stop() { this->failed = true; }
+  // @return bytes of a head that is not complete.
+  std::size_t HeldHeadBytes() const {
+    return this->in_message ? this->head_bytes : 0;
+  }
+
   // The next response has no body, because it belongs to a HEAD request.
   void ExpectNoBody(bool expected) { this->no_body = expected; }
 
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdlib>
+#include <utility>
 
 #include "net/socket_address.h"
 
@@ -111,6 +112,7 @@
   if (this->fd < 0) {
     return;
   }
+  this->loop.Cancel(std::exchange(this->drain_timer, 0));
   this->loop.Unwatch(this->fd);
   ::close(this->fd);
   this->fd = -1;
@@ -130,6 +132,46 @@
   this->UpdateWatch();
 }
 
+void TcpConnection::CloseAfterDrain(Duration time, std::size_t bytes) {
+  if (this->fd < 0 || !this->connected || this->ended) {
+    this->CloseAfterFlush();
+    return;
+  }
+  this->observer = nullptr;
+  this->closing_self = this->shared_from_this();
+  this->drain_left = bytes;
+  const std::weak_ptr<TcpConnection> weak = this->weak_from_this();
+  this->drain_timer = this->loop.SubscribeOnce(this->loop.Now() + time, [weak] {
+    if (const auto self = weak.lock()) {
+      self->drain_timer = 0;
+      self->Close();
+    }
+  });
+  this->reading = true;
+  if (this->UnsentBytes() == 0) {
+    this->ShutdownSending();
+  }
+  this->UpdateWatch();
+}
+
+void TcpConnection::ShutdownSending() {
+  ::shutdown(this->fd, SHUT_WR);
+}
+
+void TcpConnection::Drain() {
+  static thread_local char dropped[kReadBytes];
+  const ssize_t size = ::recv(this->fd, dropped, sizeof(dropped), 0);
+  if (size < 0 && WouldBlock()) {
+    return;
+  }
+  const auto count = static_cast<std::size_t>(std::max<ssize_t>(0, size));
+  if (count == 0 || count >= *this->drain_left) {
+    this->Close();
+    return;
+  }
+  *this->drain_left -= count;
+}
+
 void TcpConnection::ResetUnlessFlushed() {
   this->reset_unless_flushed = true;
   SetLinger(this->fd, true);
@@ -160,6 +202,13 @@
 
 void TcpConnection::OnReadable() {
   const auto self = this->shared_from_this();
+  if (this->drain_left) {
+    this->Drain();
+    return;
+  }
+  if (this->observer != nullptr && !this->observer->MayRead()) {
+    return;
+  }
   static thread_local char buffer[kReadBytes];
   const ssize_t size = ::recv(this->fd, buffer, sizeof(buffer), 0);
   if (size > 0) {
@@ -233,7 +282,9 @@
     this->out.erase(0, this->out_sent);
     this->out_sent = 0;
   }
-  if (drained && this->closing_self != nullptr) {
+  if (drained && this->drain_left) {
+    this->ShutdownSending();
+  } else if (drained && this->closing_self != nullptr) {
     this->CloseFlushed();
     return;
   }
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,9 @@
  public:
   virtual ~ConnectionObserver() = default;
   virtual void OnConnected() {}
+  // @return false to leave received bytes in the socket for now. Unless reading
+  // is paused, the question is repeated in the next turn of the loop.
+  virtual bool MayRead() { return true; }
   virtual void OnData(std::string_view data) = 0;
   // Called last. The connection is closed unless it ended by kEndOfStream.
   virtual void OnEnd(ConnectionEnd end) = 0;
@@ -64,6 +68,10 @@
   // Closes once all written data was passed to the socket. The connection
   // keeps itself alive until then.
   void CloseAfterFlush();
+  // The same, but then also reads and drops what the peer still sends, until it
+  // closes, for at most `time` and `bytes`. A close with unread data resets the
+  // connection, and the peer may lose the response.
+  void CloseAfterDrain(Duration time, std::size_t bytes);
   // Any other end than CloseAfterFlush, that of the process included, resets
   // the connection. Data that the peer has not read may be lost.
   void ResetUnlessFlushed();
@@ -81,6 +89,9 @@
   TcpConnection(EventLoop& loop, int fd, bool connected);
 
   void FinishConnect();
+  void Drain();
+  // Ends the sending side of a connection that is draining.
+  void ShutdownSending();
   void Flush();
   // Closes a connection whose written data was passed to the socket.
   void CloseFlushed();
@@ -96,6 +107,9 @@
   bool reset_unless_flushed = false;
   // Set while the connection flushes before it closes.
   std::shared_ptr<TcpConnection> closing_self;
+  // Bytes that may still be dropped before the connection closes.
+  std::optional<std::size_t> drain_left;
+  TimerId drain_timer = 0;
   ConnectionObserver* observer = nullptr;
   std::string out;
   std::size_t out_sent = 0;
--- a/tests/gateway/caller_test.cc
+++ b/tests/gateway/caller_test.cc
@@ -98,6 +98,26 @@
   BOOST_TEST(Contains(head.ReadToEnd(), "HTTP/1.1 431"));
 }
 
+// Guards against a body over the limit that is read to its end, and against a
+// caller that sees a reset instead of the status.
+BOOST_FIXTURE_TEST_CASE(ChunksPastTheLimitAreRejectedAtOnce, OneServer) {
+  this->OnLoop([this] {
+    CallerLimits limits;
+    limits.body_bytes = 1000;
+    this->callers->SetLimits(limits);
+  });
+  RawCaller caller(this->Address());
+  caller.Send(
+      "POST /once/x HTTP/1.1\r\nHost: shop.example\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n");
+  for (int i = 0; i < 10; ++i) {
+    caller.Send(Chunk(std::string(64 << 10, 'x')));
+  }
+  BOOST_TEST(Contains(caller.ReadToEnd(), "HTTP/1.1 413"));
+  BOOST_TEST(!caller.WasReset());
+  BOOST_TEST(this->server.Requests().empty());
+}
+
 // Guards against forwarding requests without a matching route, a valid API key
 // or a configuration.
 BOOST_FIXTURE_TEST_CASE(RequestsWithoutPermissionAreRejected, OneServer) {
