--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -51,9 +51,9 @@
                              std::size_t gateways,
                              std::size_t max_followers,
                              std::size_t silent_seeds,
-                             TemplateFields settings)
+                             TemplateFields changes)
     : replica_count(replicas),
-      settings(std::move(settings)),
+      changes(std::move(changes)),
       caller_port(UnusedPort()),
       admin_port(UnusedPort()),
       api_port(UnusedPort()),
@@ -331,7 +331,9 @@
                            {"seed_nodes|json", seeds},
                            {"data_dir|json", Quoted(DataPath(machine))},
                            {"fault_tolerance.nodes", "2"}};
-  fields.insert(this->settings.begin(), this->settings.end());
+  for (const auto& [field, value] : this->changes) {
+    fields[field] = value;
+  }
   std::string text =
       RenderTemplate(is_replica ? "control.json" : "gateway.json", fields);
   const std::string limit = "\"max_followers\": ";
