--- a/src/duties/duty_runner.cc
+++ b/src/duties/duty_runner.cc
@@ -72,6 +72,12 @@
   }
 }
 
+void DutyRunner::SetTickTask(std::function<void()> task) {
+  this->control_thread.Post([this, task = std::move(task)]() mutable {
+    this->tick_task = std::move(task);
+  });
+}
+
 void DutyRunner::Tick(ReplicatedLog& replica_log) {
   this->log = &replica_log;
   const TimePoint now = this->clock.Now();
--- a/src/duties/duty_runner.h
+++ b/src/duties/duty_runner.h
@@ -46,10 +46,9 @@
   // Performs periodic work. To be called every 200 ms.
   void Tick(ReplicatedLog& replica_log);
 
-  // Called at the end of each tick.
-  void SetTickTask(std::function<void()> task) {
-    this->tick_task = std::move(task);
-  }
+  // Calls `task` at the end of each tick from now on. May be called from any
+  // thread.
+  void SetTickTask(std::function<void()> task);
 
   std::optional<DutyGrant> Current(Duty duty) override;
   void Renew(Duty duty) override;
--- a/src/duties/usage_table.cc
+++ b/src/duties/usage_table.cc
@@ -236,6 +236,19 @@
   }
 }
 
+bool UsageTable::AllAcknowledged() const {
+  for (const auto& [source, gateway] : this->gateways) {
+    for (const auto& [window, cells] : gateway.windows) {
+      for (const auto& [customer, cell] : cells) {
+        if (cell.changed > this->acknowledged) {
+          return false;
+        }
+      }
+    }
+  }
+  return true;
+}
+
 void UsageTable::Drop(std::uint64_t window, TimePoint limit) {
   for (auto gateway = this->gateways.begin();
        gateway != this->gateways.end();) {
--- a/src/duties/usage_table.h
+++ b/src/duties/usage_table.h
@@ -76,6 +76,9 @@
   // Notes the receipt for a report; anything else is ignored.
   void OnReceipt(const Json::Value& receipt);
 
+  // @return true if all counts were acknowledged.
+  bool AllAcknowledged() const;
+
   // Drops windows before `window`, and gateways without windows whose last
   // report is older than `limit`.
   void Drop(std::uint64_t window, TimePoint limit);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -26,6 +26,9 @@
 constexpr Duration kStopAbortMargin = milliseconds(400);
 constexpr Duration kStopExitMargin = milliseconds(150);
 constexpr Duration kStopCheckInterval = milliseconds(50);
+// Maximum time that a stop waits for the last usage report. Reports are sent
+// with polls, at most 1.5 s apart, and acknowledged within 0.5 s.
+constexpr Duration kUsageReportWait = milliseconds(2500);
 // The first configuration is applied after this time even if no quorum has
 // confirmed it: on a VM that is partitioned from the replicas, a possibly
 // outdated configuration is better than none.
@@ -388,6 +391,13 @@
                                [this] { this->AdvanceStop(); });
 }
 
+bool Gateway::UsageIsReported() {
+  const TimePoint now = this->loop.Now();
+  this->quiet_since = this->quiet_since.value_or(now);
+  return this->usage == nullptr || this->usage->AllReported() ||
+         now - *this->quiet_since >= kUsageReportWait;
+}
+
 void Gateway::AdvanceStop() {
   const Duration elapsed = this->loop.Now() - this->stop_began;
   const Duration grace = this->settings.stop_grace;
@@ -404,7 +414,8 @@
     this->handler.EndOpenRequests();
     return;
   }
-  const bool finished = this->context.open.empty() && this->callers->Quiet();
+  const bool finished = this->context.open.empty() && this->callers->Quiet() &&
+                        this->UsageIsReported();
   if (finished || elapsed >= grace - kStopExitMargin) {
     LogEvent(Severity::kInfo, Event::kProcessStopped,
              {{"open_requests", this->context.open.size()}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -82,6 +82,8 @@
   // confirmed it.
   std::int64_t ConfirmationAgeMs() const;
   void AdvanceStop();
+  // @return true if the end of a stop need not wait for usage reports.
+  bool UsageIsReported();
   // Copies the current values to `metrics`.
   void PublishMetrics();
   void PublishFeedMetrics();
@@ -117,6 +119,8 @@
   bool stopping = false;
   bool rejecting = false;
   TimePoint stop_began;
+  // Time when the last request had ended.
+  std::optional<TimePoint> quiet_since;
   // The newest state that was applied, except for its configuration.
   std::shared_ptr<const SharedState> handled_state;
   // Time of the first state that has a configuration.
--- a/src/gateway/usage_counter.cc
+++ b/src/gateway/usage_counter.cc
@@ -82,6 +82,11 @@
   this->table.OnReceipt(receipt);
 }
 
+bool UsageCounter::AllReported() const {
+  std::lock_guard lock(this->mutex);
+  return this->table.AllAcknowledged();
+}
+
 void UsageCounter::Publish(Metrics& metrics) const {
   std::lock_guard lock(this->mutex);
   const auto total = [&metrics](const std::string& name,
--- a/src/gateway/usage_counter.h
+++ b/src/gateway/usage_counter.h
@@ -44,6 +44,9 @@
   Json::Value NextReport() override;
   void OnReceipt(const Json::Value& receipt) override;
 
+  // @return true if a control replica has all counts.
+  bool AllReported() const;
+
   void Publish(Metrics& metrics) const;
 
  private:
--- a/tests/duties/usage_test.cc
+++ b/tests/duties/usage_test.cc
@@ -77,6 +77,16 @@
   BOOST_TEST((other.Sum(kWindow) == Counts{{"x", 1}, {"y", 1}}));
 }
 
+// Guards against a gateway that ends before its last counts have arrived.
+BOOST_FIXTURE_TEST_CASE(LastCountsAreAwaited, TableFixture) {
+  BOOST_TEST(this->gateway.AllAcknowledged());
+  this->gateway.Count(kSource, kWindow, "x");
+  this->Send(this->gateway, this->replica, /*receipt_arrives=*/false);
+  BOOST_TEST(!this->gateway.AllAcknowledged());
+  this->Send(this->gateway, this->replica);
+  BOOST_TEST(this->gateway.AllAcknowledged());
+}
+
 // Guards against reports that send all counts again each second.
 BOOST_FIXTURE_TEST_CASE(ReportsHaveChangesOnly, TableFixture) {
   this->gateway.Count(kSource, kWindow, "x");
--- a/tests/platform/duty_fleet_test.cc
+++ b/tests/platform/duty_fleet_test.cc
@@ -141,6 +141,26 @@
   this->CheckRules();
 }
 
+// Guards against a gateway that ends before it has reported its last requests.
+BOOST_FIXTURE_TEST_CASE(StoppedGatewayReportsEverything, DutyFixture) {
+  this->SendRequests(10);
+  this->fleet.Gateway(0).Signal(SIGTERM);
+  BOOST_TEST(this->fleet.Gateway(0).WaitForExit(kStepTimeout) == 0);
+  BOOST_TEST(WaitFor([&] { return this->AllReported(); }, kReportTimeout));
+  this->CheckRules();
+}
+
+// Guards against windows that are reported again with other counts, or lower
+// tokens, after all processes lost power.
+BOOST_FIXTURE_TEST_CASE(UsageIsReportedAfterAPowerLoss, DutyFixture) {
+  this->SendRequests(6);
+  BOOST_REQUIRE(WaitFor([&] { return this->AllReported(); }, kReportTimeout));
+  this->fleet.RestartAll();
+  this->SendRequests(6);
+  BOOST_TEST(WaitFor([&] { return this->AllReported(); }, kReportTimeout));
+  this->CheckRules();
+}
+
 // Guards against a holder that acts after a freeze in which another one took
 // the duty.
 BOOST_FIXTURE_TEST_CASE(FrozenHolderSendsNothing, DutyFixture) {
