--- a/tests/platform/duty_fleet_test.cc
+++ b/tests/platform/duty_fleet_test.cc
@@ -126,6 +126,27 @@
   this->CheckRules();
 }
 
+// Guards against operators who cannot see who holds a duty.
+BOOST_FIXTURE_TEST_CASE(OperatorsSeeTheDuty, DutyFixture) {
+  this->SendRequests(2);
+  BOOST_REQUIRE(WaitFor([&] { return this->AllReported(); }, kReportTimeout));
+  const std::size_t holder = this->Holder();
+  const std::string address = this->fleet.ReplicaAddress(holder);
+  const CommandResult shown =
+      RunCommand("sycamorebend-ctl", {"duties", "--control=" + address});
+  BOOST_TEST(shown.exit_status == 0);
+  BOOST_TEST_INFO(shown.output);
+  BOOST_TEST(gateway::Contains(shown.output, this->platform.LastOwner()));
+  HttpCall call;
+  call.url = "http://" + address + "/metrics";
+  const Result<HttpResponse> page = this->client->Fetch(call);
+  BOOST_REQUIRE(page);
+  BOOST_TEST(gateway::Contains(
+      page.value().body,
+      fmt::format("duty_token{{duty=\"usage\",holder=\"control-{}\"}}",
+                  holder)));
+}
+
 // Guards against a planned stop that leaves the duty with a VM that is gone,
 // and against counts that are lost by it.
 BOOST_FIXTURE_TEST_CASE(StoppedHolderReleasesTheDuty, DutyFixture) {
