Test that missing engines are ordered across a kill of the holder

Starts three control replicas with a stand-in of the platform: rules from the configuration, engines from heartbeats, the grant and the order's format.

--- a/src/scaling/order_runner.h
+++ b/src/scaling/order_runner.h
@@ -51,11 +51,11 @@
     std::map<OrderOutcome, std::uint64_t> orders;
   };
 
-  void ReadRules(const SharedState& shared);
+  void ReadRules(const SharedState& state);
   void Decide(const std::string& name,
               Service& service,
-              const SharedState& shared,
-              const DemandReport& demand);
+              const SharedState& state,
+              const DemandReport& report);
   void Send(const std::string& name, const EngineOrder& order);
   void OnResult(const std::string& name,
                 const EngineOrder& order,
--- a/tests/platform/duty_stand_in.cc
+++ b/tests/platform/duty_stand_in.cc
@@ -15,6 +15,8 @@
 constexpr int kBadRequest = 400;
 constexpr int kConflict = 409;
 
+}  // namespace
+
 std::string HeaderOf(const HttpRequest& request, const std::string& name) {
   for (const HttpHeader& header : request.headers) {
     if (strcasecmp(header.name.c_str(), name.c_str()) == 0) {
@@ -24,8 +26,6 @@
   return {};
 }
 
-}  // namespace
-
 DutyStandIn::DutyStandIn() {
   HttpServerOptions options;
   options.address = "127.0.0.1:0";
--- a/tests/platform/duty_stand_in.h
+++ b/tests/platform/duty_stand_in.h
@@ -17,6 +17,9 @@
 
 namespace sycamorebend::platform {
 
+// @return the value of a header of `request`; empty if it has none.
+std::string HeaderOf(const HttpRequest& request, const std::string& name);
+
 class DutyStandIn : public HttpHandler {
  public:
   DutyStandIn();
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -155,6 +155,9 @@
   if (!routes.isNull()) {
     document["route_table"] = routes;
   }
+  if (!this->scaling.isNull()) {
+    document["backends"][0]["autoscaling"] = this->scaling;
+  }
   return this->PostToReplicas("/api/config/replace", document, first);
 }
 
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -68,6 +68,9 @@
   bool Replace(std::uint64_t version,
                std::size_t first = 0,
                const Json::Value& routes = {});
+  // Sets the rules by which the number of servers of "app" is decided, for the
+  // configurations sent from now on.
+  void SetScaling(const Json::Value& rules) { this->scaling = rules; }
   // Reports an engine of a service, "app" or "faulty", as ready.
   // @return true if a replica acknowledged it.
   bool Announce(const std::string& engine,
@@ -144,6 +147,7 @@
   const std::unique_ptr<RpcClient> rpc = RpcClient::Create(*client);
   // Addresses and sockets of the silent seeds.
   std::vector<std::string> silent_ips;
+  Json::Value scaling;
   std::vector<int> silent_sockets;
   std::vector<Machine> machines;
 };
