--- a/src/scaling/engine_scaler.cc
+++ b/src/scaling/engine_scaler.cc
@@ -49,6 +49,7 @@
 // No engine is removed for this long after targets were missed.
 constexpr Duration kMissedHold = seconds(15);
 constexpr double kMissedShare = 0.05;
+constexpr int kMinSecondsMissed = 2;
 
 // No engine is removed while the work is this much above the steady work.
 constexpr double kPeakInProgress = 1.3;
@@ -163,8 +164,10 @@
     const double share = std::min(1.0, ReportingShare(demand));
     const double work = WorkOf(demand) / share;
     this->window.Add(work, this->now);
-    if (demand.late_per_s + demand.refused_per_s >
-        kMissedShare * demand.requests_per_s) {
+    const bool missed = demand.late_per_s + demand.refused_per_s >
+                        kMissedShare * demand.requests_per_s;
+    this->seconds_missed = missed ? this->seconds_missed + 1 : 0;
+    if (this->seconds_missed >= kMinSecondsMissed) {
       this->missed_at = this->now;
     }
     if (share < kMinReportingShareToReduce) {
@@ -202,6 +205,9 @@
         kPeakInProgress * this->window.Steady(this->now)) {
       return "a peak is in progress";
     }
+    if (this->IsDisturbed()) {
+      return "reclaimable engines are leaving or not available";
+    }
     return {};
   }
 
@@ -339,7 +345,7 @@
   void ReduceOrdinary(Fleet& wanted, const Fleet& plan, const FleetNeed& need) {
     const int all = wanted.Ordinary();
     const int surplus = all - plan.Ordinary();
-    if (!this->hold_reason.empty() || this->IsDisturbed() ||
+    if (!this->hold_reason.empty() ||
         surplus <= std::max<double>(kKeptSurplus, kKeptSurplusShare * all) ||
         !this->IsReductionDue(EngineKind::kOrdinary)) {
       return;
@@ -397,7 +403,7 @@
     }
     const int all = Sum(ordered);
     const bool reduce =
-        this->hold_reason.empty() && !this->IsDisturbed() &&
+        this->hold_reason.empty() &&
         surplus > std::max<double>(kKeptSurplus, kKeptSurplusShare * all) &&
         this->IsReductionDue(EngineKind::kReclaimable);
     int step =
@@ -430,6 +436,7 @@
   OrderLedger ledger;
   std::optional<TimePoint> decided_at;
   TimePoint now;
+  int seconds_missed = 0;
   std::optional<TimePoint> missed_at;
   std::map<EngineKind, TimePoint> reduced_at;
   std::string hold_reason = "there is no decision yet";
