--- a/src/scaling/order_runner.cc
+++ b/src/scaling/order_runner.cc
@@ -109,7 +109,7 @@
   }
   this->configuration_version = state.configuration_version;
   const std::map<std::string, ScalingRules> rules =
-      this->read_rules(state.configuration);
+      this->read_rules(*state.configuration);
   for (auto service = this->services.begin();
        service != this->services.end();) {
     service = rules.count(service->first) == 0 ? this->services.erase(service)
