Send usage also where ticks come late; accept fractions in bounds

A tick more than thaw_ms after the last one counts as a suspension, after which a newer confirmation is required. Where every tick is late, as on a slow machine, the grant was never usable at a tick. It is now tried again 120 ms later.

--- a/src/duties/duty_runner.cc
+++ b/src/duties/duty_runner.cc
@@ -28,6 +28,11 @@
 constexpr std::uint64_t kMaxFutureWindows = 2;
 // Gateways without a report for this long are forgotten.
 constexpr Duration kGatewayRetention = seconds(60);
+// Time after which a quorum has probably confirmed the leadership again. On a
+// slow machine each tick can come so late that it looks like a suspension.
+constexpr Duration kConfirmationWait = milliseconds(120);
+// Ticks that are on time must not look like a suspension.
+constexpr Duration kMinSuspension = milliseconds(250);
 // Back-off of failed calls, doubled with each.
 constexpr Duration kMinBackOff = milliseconds(200);
 constexpr Duration kMaxBackOff = seconds(2);
@@ -63,7 +68,7 @@
   DutyLeaseOptions lease;
   lease.self = this->options.self;
   lease.lease = this->options.lease;
-  lease.suspension = this->options.suspension;
+  lease.suspension = std::max(this->options.suspension, kMinSuspension);
   lease.leader_lease = leader_lease;
   const std::string process = RandomId();
   for (const Duty duty : this->options.duties) {
@@ -250,6 +255,7 @@
   }
   const std::optional<DutyGrant> grant = this->Current(Duty::kUsage);
   if (!grant) {
+    this->RetrySoon();
     return;
   }
   this->window_in_flight = next;
@@ -260,6 +266,19 @@
                     });
 }
 
+void DutyRunner::RetrySoon() {
+  if (std::exchange(this->retrying, true)) {
+    return;
+  }
+  this->control_thread.SubscribeOnce(this->clock.Now() + kConfirmationWait,
+                                     [this] {
+                                       this->retrying = false;
+                                       if (this->leader_term != 0) {
+                                         this->SendUsage();
+                                       }
+                                     });
+}
+
 void DutyRunner::OnUsageSent(std::uint64_t window, DutyCallResult result) {
   this->window_in_flight.reset();
   if (result == DutyCallResult::kAccepted) {
--- a/src/duties/duty_runner.h
+++ b/src/duties/duty_runner.h
@@ -88,6 +88,8 @@
   void FixWindow(std::uint64_t window);
   // Sends the next window that was not accepted.
   void SendUsage();
+  // Calls SendUsage when the grant has probably become usable.
+  void RetrySoon();
   void OnUsageSent(std::uint64_t window, DutyCallResult result);
   void RecordSent(std::uint64_t window);
   // Proposes a command unless one with the same `key` is in flight.
@@ -124,6 +126,7 @@
   std::optional<std::uint64_t> window_in_flight;
   // The window tried last; the next one is tried first.
   std::uint64_t last_tried = 0;
+  bool retrying = false;
   Duration back_off{0};
   TimePoint next_attempt;
 
--- a/tests/platform/settings_templates_test.cc
+++ b/tests/platform/settings_templates_test.cc
@@ -67,6 +67,7 @@
       {"cloud_api", "1"},
       {"cloud_api.address|json", "\"10.9.0.1:80\""},
       {"bounds.report_window_s", "2.5"},
+      {"bounds.lease_ms", "2500.5"},
       {"cloud_api.duties|json", R"(["autoscaler", "of a later release"])"}};
   const auto control = ReadControl(api);
   BOOST_REQUIRE(control);
@@ -74,7 +75,7 @@
   const DutyOptions& duties = control.value().duties->duties;
   BOOST_TEST((duties.duties == std::set<Duty>{Duty::kServerOrders}));
   BOOST_TEST(duties.self == "edge-a-1");
-  BOOST_TEST((duties.lease == seconds(3)));
+  BOOST_TEST((duties.lease == microseconds(2500500)));
   BOOST_TEST((duties.usage_window == milliseconds(2500)));
   BOOST_TEST(control.value().duties->api.address == "10.9.0.1:80");
   const auto gateway = ReadGateway(api);
