Expect less of engines that have queues

The mean time to the first byte, which gateways report, limits how far the learned capacity is extrapolated beyond the load that was served. Measured: scaling_test (28 cases), platform_test, platform_order_test pass.

--- a/include/sycamorebend/scaling.h
+++ b/include/sycamorebend/scaling.h
@@ -66,6 +66,8 @@
   double output_tokens_per_s = 0;
   double refused_per_s = 0;
   double late_per_s = 0;
+  // Mean time to the first byte divided by its target; 0 without responses.
+  double first_byte_of_target = 0;
   // Live gateways, and those of them whose reports are included.
   std::size_t gateways = 0;
   std::size_t reporting_gateways = 0;
--- a/src/scaling/engine_capacity.cc
+++ b/src/scaling/engine_capacity.cc
@@ -23,6 +23,9 @@
 constexpr double kWellMetShare = 0.01;
 constexpr double kMetShare = 0.03;
 constexpr double kMissedShare = 0.05;
+// Mean time to the first byte, as a share of its target, above which engines
+// already have queues although few responses are late.
+constexpr double kWellMetFirstByte = 0.5;
 // Fewer requests than this in a second say nothing.
 constexpr double kMinRequests = 20;
 
@@ -94,8 +97,9 @@
   this->seconds_met = share <= kMetShare ? this->seconds_met + 1 : 0;
   this->seconds_missed = share >= kMissedShare ? this->seconds_missed + 1 : 0;
   if (this->seconds_met >= kMinSecondsMet) {
-    this->ObserveMet(load,
-                     share <= kWellMetShare ? kWellMetFactor : kMetFactor);
+    const bool well_met = share <= kWellMetShare &&
+                          demand.first_byte_of_target <= kWellMetFirstByte;
+    this->ObserveMet(load, well_met ? kWellMetFactor : kMetFactor);
   } else if (this->seconds_missed >= kMinSecondsMissed) {
     this->ObserveMissed(load, now);
   }
--- a/src/scaling/order_runner.cc
+++ b/src/scaling/order_runner.cc
@@ -39,6 +39,7 @@
     demand.output_tokens_per_s = found->second.output_tokens_per_s;
     demand.refused_per_s = found->second.refused_per_s;
     demand.late_per_s = found->second.late_per_s;
+    demand.first_byte_of_target = found->second.first_byte_of_target;
   }
   demand.gateways = report.gateways;
   demand.reporting_gateways = report.reporting_gateways;
--- a/tests/scaling/engine_capacity_test.cc
+++ b/tests/scaling/engine_capacity_test.cc
@@ -50,6 +50,19 @@
   BOOST_TEST(capacity.Value() < WorkOf(Demand(4.4e6, 0)) / 90);
 }
 
+// Guards against a fleet that is reduced although engines have queues already.
+BOOST_AUTO_TEST_CASE(QueuesLimitWhatIsExpected) {
+  EngineCapacity quick;
+  EngineCapacity queueing;
+  TimePoint now{seconds(1000)};
+  ServiceDemand demand = Demand(4e6, 0);
+  Observe(quick, demand, 90, 60, now);
+  demand.first_byte_of_target = 0.7;
+  Observe(queueing, demand, 90, 60, now);
+  BOOST_TEST(queueing.Value() > WorkOf(demand) / 90);
+  BOOST_TEST(queueing.Value() < quick.Value());
+}
+
 // Guards against blaming the load for late responses at idle engines.
 BOOST_AUTO_TEST_CASE(LateResponsesOfIdleEnginesSayNothing) {
   EngineCapacity capacity;
