Bound the bodies that an HTTP server receives at one time

Cause: control replicas and entry daemons buffered each body up to its limit, with no limit on all of them together. A chunked body over its limit kept its buffer until its end.

Change: IncomingBodies (no I/O of its own) counts the bodies that an address is receiving. The buffer of a body over its limit is freed at the first byte over it.

Ruled out for now: pausing new bodies as the gateway does, which needs suspended uploads in libmicrohttpd.

--- a/include/sycamorebend/http.h
+++ b/include/sycamorebend/http.h
@@ -82,6 +82,9 @@
   std::string address;  // "IP:port"; port 0 picks a free one.
   int threads = 2;
   std::size_t max_body_bytes = 4 << 20;
+  // Limit on the bodies in progress of all connections together: 32 of the
+  // largest at one time.
+  std::size_t max_incoming_bytes = 128 << 20;
   std::size_t max_header_bytes = 64 << 10;
   // Longest time to receive one request.
   Duration receive_timeout = seconds(10);
--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+// Calls in progress at the RPC address: 16 of the largest bodies.
+constexpr std::size_t kMaxIncomingBytes = 64 << 20;
 constexpr int kClientThreads = 1;
 constexpr Duration kTickPeriod = milliseconds(200);
 // Threads in addition to those of the followers: for polls with which other
@@ -86,6 +88,7 @@
   HttpServerOptions options;
   options.address = this->settings.log.address;
   options.threads = 1;
+  options.max_incoming_bytes = kMaxIncomingBytes;
   BOOST_OUTCOME_TRY(started, HttpServer::Start(options, *this->http));
   this->server = std::move(started);
   return Success();
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "http/hangup_watcher.h"
+#include "http/incoming_bodies.h"
 #include "http/listener.h"
 #include "http/server_exchange.h"
 #include "sycamorebend/http.h"
@@ -20,6 +21,7 @@
 namespace {
 
 using internal::HangupWatcher;
+using internal::IncomingBodies;
 using internal::ServerExchange;
 using internal::ServerExchangeHandle;
 
@@ -42,7 +44,10 @@
 class MicrohttpdServer : public HttpServer {
  public:
   MicrohttpdServer(HttpServerOptions options, HttpHandler& handler)
-      : options(std::move(options)), handler(handler) {}
+      : options(std::move(options)),
+        handler(handler),
+        incoming(this->options.max_incoming_bytes,
+                 [](int fd) { shutdown(fd, SHUT_RDWR); }) {}
 
   ~MicrohttpdServer() override { this->Stop(); }
 
@@ -186,7 +191,7 @@
     if (*upload_size > 0) {
       const std::string_view data(upload, *upload_size);
       *upload_size = 0;
-      return this->Receive(*exchange, data);
+      return this->Receive(connection, *exchange, data);
     }
     return this->Dispatch(connection, exchange);
   }
@@ -237,21 +242,32 @@
                     static_cast<int>(info.code), info.name, info.message));
   }
 
-  MHD_Result Receive(ServerExchange& exchange, std::string_view data) {
+  MHD_Result Receive(MHD_Connection* connection,
+                     ServerExchange& exchange,
+                     std::string_view data) {
     if (this->clock.Now() - exchange.started > this->options.receive_timeout) {
       return MHD_NO;
     }
     if (exchange.request.body.size() + data.size() >
         this->options.max_body_bytes) {
+      // The rest is dropped, so that the caller sees the status.
       exchange.body_too_large = true;
+      exchange.request.body = std::string();
+      this->incoming.Remove(&exchange);
+      return MHD_YES;
+    }
+    if (exchange.body_too_large) {
       return MHD_YES;
     }
     exchange.request.body.append(data);
+    this->incoming.Set(&exchange, SocketOf(connection),
+                       exchange.request.body.capacity(), this->clock.Now());
     return MHD_YES;
   }
 
   MHD_Result Dispatch(MHD_Connection* connection, ExchangeSlot& exchange) {
     exchange->dispatched = true;
+    this->incoming.Remove(exchange.get());
     {
       std::lock_guard lock(this->mutex);
       if (this->stopping) {
@@ -283,6 +299,8 @@
       return;
     }
     const ExchangeSlot exchange = *slot;
+    // The socket is still open here.
+    server->incoming.Remove(exchange.get());
     delete slot;
     *request_context = nullptr;
     if (exchange->watch_id != 0) {
@@ -298,6 +316,7 @@
   const HttpServerOptions options;
   HttpHandler& handler;
   SystemClock clock;
+  IncomingBodies incoming;
   HangupWatcher watcher;
   internal::Listener listener;
   std::mutex stop_mutex;
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -4,11 +4,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <fstream>
 #include <future>
 #include <map>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -93,6 +95,44 @@
   BOOST_TEST(FindHeader(response.headers, "x-test").value_or("") == "1");
 }
 
+// Guards against bodies that stop short of their end and take all memory, and
+// against a request in the limits that is refused beside them.
+BOOST_FIXTURE_TEST_CASE(StalledBodiesTakeBoundedMemory, Fixture) {
+  HttpServerOptions options;
+  options.address = "127.0.0.1:0";
+  options.max_incoming_bytes = 2 << 20;
+  this->server = std::move(HttpServer::Start(options, handler).value());
+  handler.routes["/echo"] = [](std::shared_ptr<HttpExchange> exchange) {
+    exchange->Respond(200, {}, exchange->Request().body);
+  };
+  std::vector<int> stalled;
+  stalled.reserve(16);
+  for (int i = 0; i < 16; ++i) {
+    stalled.push_back(this->Connect(
+        "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n" +
+        std::string(600000, 'x')));
+  }
+  HttpCall call = MakeCall("/echo");
+  call.method = "POST";
+  call.body = std::string(100000, 'y');
+  const HttpResponse response = client->Fetch(call).value();
+  BOOST_TEST(response.status == 200);
+  int ended = 0;
+  // The ceiling holds three of them, or fewer with unused parts of buffers.
+  while (ended < 13) {
+    ended = 0;
+    for (const int fd : stalled) {
+      char byte = 0;
+      const ssize_t size = recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+      ended += size == 0 || (size < 0 && errno != EAGAIN) ? 1 : 0;
+    }
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  for (const int fd : stalled) {
+    close(fd);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(StreamDeliversAllPieces, Fixture) {
   std::thread writer;
   handler.routes["/stream"] = [&](std::shared_ptr<HttpExchange> exchange) {
