--- a/tests/duties/duty_lease_test.cc
+++ b/tests/duties/duty_lease_test.cc
@@ -39,7 +39,7 @@
   // @return the first proposal.
   std::optional<DutyProposal> Pass(Duration time) {
     for (Duration passed{0}; passed < time; passed += kTick) {
-      const auto proposal = this->lease.Advance(this->observation);
+      auto proposal = this->lease.Advance(this->observation);
       if (proposal) {
         return proposal;
       }
--- a/tests/platform/duty_fleet_test.cc
+++ b/tests/platform/duty_fleet_test.cc
@@ -40,7 +40,7 @@
               kGateways,
               /*max_followers=*/8,
               /*silent_seeds=*/0,
-              {{"cloud_api", "1"},
+              {{"cloud_api.address", "1"},
                {"cloud_api.address|json", '"' + this->platform.Address() + '"'},
                {"cloud_api.duties|json", R"(["metering"])"},
                {"bounds.report_window_s", "2"}}) {
--- a/tests/platform/order_fleet_test.cc
+++ b/tests/platform/order_fleet_test.cc
@@ -64,7 +64,7 @@
   PlatformFleet fleet(
       kReplicas, /*gateways=*/0, /*max_followers=*/8,
       /*silent_seeds=*/0,
-      {{"cloud_api", "1"},
+      {{"cloud_api.address", "1"},
        {"cloud_api.address|json", '"' + platform.server->Address() + '"'},
        {"cloud_api.duties|json", R"(["autoscaler"])"}});
   fleet.SetScaling(
--- a/tests/platform/rendered_settings.cc
+++ b/tests/platform/rendered_settings.cc
@@ -39,7 +39,15 @@
 
 namespace {
 
-// Renders the sections whose field is given, and removes the others.
+// @return true if `name` has fields of its own.
+bool IsTable(const std::string& name, const TemplateFields& fields) {
+  const auto first = fields.lower_bound(name + '.');
+  return first != fields.end() && first->first.rfind(name + '.', 0) == 0;
+}
+
+// Renders the sections whose field is given, and removes the others. The
+// platform renders a section over a table once for each entry: the settings
+// would name its keys several times, and the process would not start.
 void RenderSections(std::string& text, const TemplateFields& fields) {
   for (auto begin = text.find("{{#"); begin != std::string::npos;
        begin = text.find("{{#", begin)) {
@@ -49,6 +57,7 @@
     const std::string end_mark = "{{/" + name + "}}";
     const auto end = text.find(end_mark, name_end);
     BOOST_REQUIRE_MESSAGE(end != std::string::npos, name);
+    BOOST_REQUIRE_MESSAGE(!IsTable(name, DefaultTemplateFields()), name);
     const std::string content =
         fields.count(name) > 0 ? text.substr(name_end + 2, end - name_end - 2)
                                : std::string();
--- a/tests/platform/settings_templates_test.cc
+++ b/tests/platform/settings_templates_test.cc
@@ -64,7 +64,7 @@
   BOOST_TEST(!ReadControl({}).value().duties.has_value());
   BOOST_TEST((ReadGateway({}).value().usage_window == Duration(0)));
   const TemplateFields api = {
-      {"cloud_api", "1"},
+      {"cloud_api.address", "1"},
       {"cloud_api.address|json", "\"10.9.0.1:80\""},
       {"bounds.report_window_s", "2.5"},
       {"bounds.lease_ms", "2500.5"},
