Learn the speed of uneven engines and spread chats over their slots

Cause: each gateway sends an engine a request about every 20 s and so knows nothing of its speed; all chats share a short prompt part, so they were bound to the few engines that have it and waited for their slots while others were idle; the range of a route followed the requests that run, which lag behind arrivals by seconds.

Change, active for a service whose servers state a host time in their load reports: ServerSpeed sums nominal and measured times of all gateways (one more member at the end of load messages) and replaces the momentary slowness; the stated host time counts with its age; shared parts below 1,000 tokens do not bind a request; an eighth of the slots counts as taken; time per slot is averaged from the first answer on; the partition plans for arrivals times duration. The refusal rule moves to prefill_budget, unchanged.

Ruled out, by trials on the engine model of the tests (90 engines, 70 gateways): rendezvous hashing weighted by speed, slow engines last in the order, fewer candidates, a paces' median as the only unit, refusal at 0.6 of the target.

--- a/src/gateway/balancer.cc
+++ b/src/gateway/balancer.cc
@@ -31,6 +31,8 @@
 // Penalty for a request that would make requests of other routes late, which
 // share the engine.
 constexpr double kDelaysOthersPenaltyMs = 1200;
+// Interval at which the usual pace of a service is determined anew.
+constexpr Duration kUsualPaceInterval = seconds(1);
 // Interval at which the routes are classified and the engines assigned anew.
 constexpr Duration kPartitionInterval = milliseconds(50);
 // Upper bound of the random value added to each score, so that gateways with
@@ -60,6 +62,16 @@
 // preferred servers and a random sample.
 constexpr std::size_t kMaxFullScanServers = 32;
 constexpr int kRandomCandidates = 3;
+// The same for a request that has no preferred servers although its service has
+// servers of uneven speed.
+constexpr int kRandomCandidatesWithoutAffinity = 6;
+// A shared part of a prompt with fewer tokens than this does not determine the
+// choice of a server of uneven speed: it is read in less time than the requests
+// that share it would wait for slots of the few servers that have it.
+constexpr int kMinAffinityTokens = 1000;
+// Part of the slots of a server of uneven speed that requests of other gateways
+// may have taken since they last reported.
+constexpr double kUnseenSlotsFraction = 0.125;
 // Random servers of the whole pool that are evaluated besides, first and if no
 // server was found that can begin the request in time.
 constexpr int kOutsideCandidates = 1;
@@ -106,6 +118,14 @@
       std::chrono::duration<double, std::milli>(ms));
 }
 
+// @return the output that a request asks for; 0 if unknown.
+int OutputTokens(const RequestProfile& profile) {
+  return profile.generation == nullptr
+             ? 0
+             : profile.generation->expected_output_tokens.value_or(
+                   profile.generation->max_output_tokens);
+}
+
 // @return the prompt tokens that an engine prefills before those of a new
 // request at `level`. It serves higher priorities first, but finishes a prompt
 // that it has begun.
@@ -262,11 +282,47 @@
   return 1 + (server.slowness - 1) * std::exp2(-std::max(0.0, age));
 }
 
-double Balancer::ExpectedMs(const Pool& pool,
-                            const Server& server,
-                            const GatewayLoad& peer_load,
-                            double tokens,
-                            TimePoint now) const {
+void Balancer::SetUneven(Pool& pool) {
+  pool.uneven_speed = true;
+  pool.partition.PlanForArrivals();
+}
+
+double Balancer::PaceOf(const Pool& pool, const Server& server, TimePoint now) {
+  return pool.uneven_speed
+             ? this->speed.Pace(server.key_hash32, pool.usual_pace, now) *
+                   this->speed.HostFactor(server.key_hash32, now)
+             : this->Slowness(server, now);
+}
+
+void Balancer::RecordSpeed(const Server& server,
+                           const Choice& choice,
+                           Duration elapsed,
+                           TimePoint now) {
+  const auto pool = this->pools.find(server.record.service);
+  if (pool != this->pools.end() && pool->second.uneven_speed) {
+    this->speed.Record(server.key_hash32, choice.nominal_ms,
+                       ToMs(elapsed) - kIdleFirstByteMs, now);
+  }
+}
+
+void Balancer::UpdateUsualPace(Pool& pool, TimePoint now) {
+  if (!pool.uneven_speed || now < pool.next_usual_pace) {
+    return;
+  }
+  pool.next_usual_pace = now + kUsualPaceInterval;
+  std::vector<std::uint32_t> hashes;
+  hashes.reserve(pool.servers.size());
+  for (const Server* server : pool.servers) {
+    hashes.push_back(server->key_hash32);
+  }
+  pool.usual_pace = this->speed.MedianPace(hashes, now);
+}
+
+double Balancer::NominalMs(const Pool& pool,
+                           const Server& server,
+                           const GatewayLoad& peer_load,
+                           double tokens,
+                           TimePoint now) const {
   double running = server.outstanding + peer_load.outstanding;
   if (server.load_report && now - server.load_report_at < kLoadReportTtl) {
     // Add the requests that this gateway has sent since the report.
@@ -276,11 +332,10 @@
                                       server.load_report->waiting + since);
   }
   const int slots = std::max(1, server.record.slots);
-  const double waiting = std::max(0.0, running + 1 - slots);
-  return (kIdleFirstByteMs + tokens / kPrefillTokensPerMs +
-          kRunningRequestDelayMs * running +
-          pool.service_time_ms / slots * waiting) *
-         this->Slowness(server, now);
+  const double margin = pool.uneven_speed ? kUnseenSlotsFraction * slots : 0;
+  const double waiting = std::max(0.0, running + 1 + margin - slots);
+  return tokens / kPrefillTokensPerMs + kRunningRequestDelayMs * running +
+         pool.service_time_ms / slots * waiting;
 }
 
 void Balancer::FillLoadMessage(LoadMessage& message, TimePoint now) {
@@ -301,6 +356,8 @@
     this->peer_loads.AddGatewayLoads(message, now);
   }
   this->FillPlacements(message, now);
+  message.speed_news =
+      this->speed.NewsDue(message.scope != LoadScope::kGateway, now);
 }
 
 int Balancer::SlotsPerServer(const Pool& pool) const {
@@ -324,8 +381,12 @@
   placement.unique_tokens =
       prompt.empty() ? profile.generation->input_tokens : prompt.back().tokens;
   this->UpdatePartition(pool, profile.service, now);
+  this->UpdateUsualPace(pool, now);
   placement.engines = pool.partition.EnginesOf(profile.route);
-  if (prompt.empty()) {
+  if (prompt.empty() ||
+      (pool.uneven_speed &&
+       placement.generation->input_tokens - placement.unique_tokens <
+           kMinAffinityTokens)) {
     return placement;
   }
   FindPreferredServers(pool, placement, now);
@@ -473,7 +534,11 @@
   sample.insert(sample.end(), placement.holders.begin(),
                 placement.holders.end());
   const EngineRange& range = placement.engines.own;
-  for (int i = 0; i < kRandomCandidates && range.Size() > 0; ++i) {
+  const int random_candidates =
+      pool.uneven_speed && placement.preferred_servers.empty()
+          ? kRandomCandidatesWithoutAffinity
+          : kRandomCandidates;
+  for (int i = 0; i < random_candidates && range.Size() > 0; ++i) {
     sample.push_back(range.begin + this->random.Next() % range.Size());
   }
   for (int i = 0; i < outside; ++i) {
@@ -484,10 +549,10 @@
 
 double Balancer::Score(const Server& server,
                        double expected_ms,
-                       int uncached,
+                       double read_ms,
                        double transfer_penalty_ms,
                        double partition_penalty_ms) {
-  return expected_ms + kPrefillWorkWeight * uncached / kPrefillTokensPerMs +
+  return expected_ms + kPrefillWorkWeight * read_ms +
          kScoreJitterMs * this->random.Unit() +
          kErrorPenaltyMs *
              std::max(0.0, server.error_rate - kToleratedErrorRate) +
@@ -516,23 +581,30 @@
   const GatewayLoad peer_load = this->peer_loads.Total(server.key_hash32, now);
   PendingTokens pending = server.pending;
   pending.Add(peer_load.pending);
-  const double expected_ms = this->ExpectedMs(
+  const double nominal_ms = this->NominalMs(
       pool, server, peer_load,
       TokensAhead(pending, placement.priority_level, pool.prompt_tokens) +
           uncached,
       now);
+  const double pace = this->PaceOf(pool, server, now);
+  // Paces that are learned leave out the constant part.
+  const double expected_ms = pool.uneven_speed
+                                 ? kIdleFirstByteMs + nominal_ms * pace
+                                 : (kIdleFirstByteMs + nominal_ms) * pace;
+  // Without learned paces, all servers are taken to read equally fast.
+  const double read_ms_per_token =
+      (pool.uneven_speed ? pace : 1) / kPrefillTokensPerMs;
   // Reading a cached prefix again takes the time from other requests.
   const double reread_ms =
       placement.holders.empty()
           ? 0
-          : std::max(0, uncached - placement.unique_tokens) /
-                kPrefillTokensPerMs;
+          : std::max(0, uncached - placement.unique_tokens) * read_ms_per_token;
   Candidate candidate;
   candidate.index = index;
   // A silent server is used only if no other one is usable.
   candidate.avoided = UseOf(server, now) != ServerUse::kUsable;
   candidate.score = this->Score(
-      server, expected_ms, uncached,
+      server, expected_ms, uncached * read_ms_per_token,
       kDomainPenaltyMs + kDomainPenaltyMsPerKb * placement.request_kb,
       delays_others   ? kDelaysOthersPenaltyMs
       : !in_partition ? kOtherPartitionPenaltyMs
@@ -546,10 +618,11 @@
   choice.address = server.record.address;
   choice.uncached_tokens = uncached;
   choice.expected_first_byte = FromMs(expected_ms);
-  choice.prefill_time = FromMs(uncached / kPrefillTokensPerMs);
+  choice.prefill_time = FromMs(uncached * read_ms_per_token);
+  choice.nominal_ms = nominal_ms;
   choice.running = server.outstanding + peer_load.outstanding;
   choice.pending_tokens = pending.Total();
-  choice.slowness = this->Slowness(server, now);
+  choice.slowness = pace;
   const bool holder =
       std::find(placement.holders.begin(), placement.holders.end(), index) !=
       placement.holders.end();
@@ -716,6 +789,17 @@
 
 void Balancer::OnPeerLoad(const LoadMessage& message, TimePoint now) {
   this->peer_loads.Update(message, now);
+  this->speed.OnPeerNews(message.scope != LoadScope::kGateway,
+                         message.scope != LoadScope::kGateway
+                             ? message.failure_domain
+                             : message.sender,
+                         message.speed_news, now);
+  for (const SpeedSum& sum : message.speed_news.sums) {
+    const auto server = this->servers_by_hash.find(sum.server_hash);
+    if (server != this->servers_by_hash.end()) {
+      SetUneven(this->pools[server->second->record.service]);
+    }
+  }
   for (const PromptPlacement& placement : message.placements) {
     const auto found = this->servers_by_hash.find(placement.server_hash);
     if (found == this->servers_by_hash.end()) {
@@ -738,6 +822,7 @@
 
 void Balancer::Forget(const Server& server) {
   this->servers_by_hash.erase(server.key_hash32);
+  this->speed.Forget(server.key_hash32);
   for (auto& [service, pool] : this->pools) {
     for (auto& [block, holders] : pool.holders) {
       holders.erase(std::remove(holders.begin(), holders.end(), &server),
@@ -751,10 +836,11 @@
                       TimePoint now) {
   if (profile.generation != nullptr) {
     Pool& pool = this->pools[profile.service];
-    pool.partition.OnSent(profile.route,
-                          {profile.gap_target, profile.priority,
-                           choice.uncached_tokens, profile.target},
-                          now);
+    pool.partition.OnSent(
+        profile.route,
+        {profile.gap_target, profile.priority, choice.uncached_tokens,
+         profile.target, OutputTokens(profile)},
+        now);
     pool.prompt_tokens +=
         kPromptEwmaWeight * (choice.uncached_tokens - pool.prompt_tokens);
   }
@@ -779,7 +865,7 @@
   this->pools[profile.service].partition.OnRefused(
       profile.route,
       {profile.gap_target, profile.priority, choice.uncached_tokens,
-       profile.target},
+       profile.target, OutputTokens(profile)},
       now);
 }
 
@@ -791,6 +877,7 @@
     return;
   }
   server->pending.Remove(choice.priority_level, choice.uncached_tokens);
+  this->RecordSpeed(*server, choice, elapsed, now);
   const double ratio =
       std::clamp(ToMs(elapsed) / std::max(kIdleFirstByteMs,
                                           ToMs(choice.expected_first_byte)),
@@ -815,8 +902,11 @@
     pool.partition.OnDone(profile.route, elapsed, now);
   }
   if (outcome == AttemptOutcome::kAnswered) {
-    pool.service_time_ms +=
-        kServiceTimeEwmaWeight * (ToMs(elapsed) - pool.service_time_ms);
+    ++pool.answered;
+    const double weight = pool.uneven_speed ? std::max(kServiceTimeEwmaWeight,
+                                                       1.0 / pool.answered)
+                                            : kServiceTimeEwmaWeight;
+    pool.service_time_ms += weight * (ToMs(elapsed) - pool.service_time_ms);
   }
   Server* const server = this->FindServer(choice.server_key);
   if (server == nullptr) {
@@ -847,6 +937,9 @@
   } else if (outcome == AttemptOutcome::kRefused) {
     this->Avoid(*server, kRefusalAvoidTime, now);
   } else if (outcome == AttemptOutcome::kStalled) {
+    if (!first_byte_seen) {
+      this->RecordSpeed(*server, choice, elapsed, now);
+    }
     server->slowness = std::min(kMaxSlowness, this->Slowness(*server, now) * 2);
     server->slowness_at = now;
   }
@@ -860,6 +953,10 @@
     server->load_report = report;
     server->load_report_at = now;
     server->outstanding_at_report = server->outstanding;
+    if (report.host_percent) {
+      SetUneven(this->pools[server->record.service]);
+      this->speed.RecordHostTime(server->key_hash32, *report.host_percent, now);
+    }
   }
 }
 
--- a/src/gateway/balancer.h
+++ b/src/gateway/balancer.h
@@ -18,6 +18,7 @@
 
 #include "gateway/engine_partition.h"
 #include "gateway/load_exchange.h"
+#include "gateway/server_speed.h"
 #include "gateway/wire_format.h"
 #include "routing/random.h"
 #include "sycamorebend/base.h"
@@ -67,6 +68,9 @@
   int running = 0;
   PendingTokens::Count pending_tokens = 0;
   double slowness = 1;
+  // The part of `expected_first_byte` that depends on the speed of the server,
+  // at pace 1.
+  double nominal_ms = 0;
 };
 
 // Result of one attempt at a server.
@@ -226,8 +230,14 @@
   struct Pool {
     // Moving average of the time that a request occupies a slot.
     double service_time_ms = 50;
+    double answered = 0;  // Requests in the average.
     // Moving average of the uncached tokens of a prompt.
     double prompt_tokens = 0;
+    // The servers state how long work takes on their hosts, which other work
+    // shares, or another gateway has measured their speed.
+    bool uneven_speed = false;
+    double usual_pace = 1;
+    TimePoint next_usual_pace;
     // Sorted by key hash, which gives the same order at every gateway.
     std::vector<Server*> servers;
     EnginePartition partition;
@@ -266,10 +276,11 @@
   Placement PlaceRequest(Pool& pool,
                          const RequestProfile& profile,
                          TimePoint now);
+  // @param read_ms time that the server reads the uncached part of the prompt.
   // @return the score of a server; lower is better.
   double Score(const Server& server,
                double expected_ms,
-               int uncached,
+               double read_ms,
                double transfer_penalty_ms,
                double partition_penalty_ms);
   // @param hit_rate probability that the server has cached a block that no
@@ -330,14 +341,24 @@
   // Updates what depends on the load of all gateways, if it is due.
   void UpdatePartition(Pool& pool, const std::string& service, TimePoint now);
   double Slowness(const Server& server, TimePoint now) const;
-  // @return the expected time to the first byte in ms, from the load of all
-  // gateways.
+  // @return the time that work takes at the server, relative to the constants
+  // of the estimates.
+  double PaceOf(const Pool& pool, const Server& server, TimePoint now);
+  // @return the part of the expected time to the first byte in ms that depends
+  // on the speed of the server, at pace 1, from the load of all gateways.
   // @param tokens prompt tokens to prefill until then.
-  double ExpectedMs(const Pool& pool,
-                    const Server& server,
-                    const GatewayLoad& peer_load,
-                    double tokens,
-                    TimePoint now) const;
+  double NominalMs(const Pool& pool,
+                   const Server& server,
+                   const GatewayLoad& peer_load,
+                   double tokens,
+                   TimePoint now) const;
+  // Records how long a server took for the work before the first byte.
+  void RecordSpeed(const Server& server,
+                   const Choice& choice,
+                   Duration elapsed,
+                   TimePoint now);
+  static void SetUneven(Pool& pool);
+  void UpdateUsualPace(Pool& pool, TimePoint now);
   void RecordPromptBlocks(Pool& pool,
                           Server& server,
                           const GenerationRequest& generation,
@@ -358,6 +379,7 @@
   internal::Random random;
   std::map<std::string, Pool> pools;
   PeerLoads peer_loads;
+  ServerSpeed speed;
   std::unordered_map<std::string, std::unique_ptr<Server>> servers;
   std::unordered_map<std::uint32_t, Server*> servers_by_hash;
   // Notices of servers whose records were removed: a record may return.
--- a/src/gateway/engine_partition.cc
+++ b/src/gateway/engine_partition.cc
@@ -13,6 +13,12 @@
 // few requests per second, shorter than a burst.
 constexpr double kDecaySeconds = 2;
 constexpr double kEwmaWeight = 0.05;
+// Time of a step that decodes about half of an engine's slots and, now and
+// then, prefills a chunk; used until requests have ended.
+constexpr double kHealthyStepSeconds = 0.007;
+constexpr double kMinDone = 10;
+// A rate is not extrapolated from less time than this.
+constexpr double kMinObservedSeconds = 0.5;
 // A prompt that fills at least this fraction of a chunk is long.
 constexpr double kLongPromptChunkFraction = 0.75;
 // Time of one decode step, without the prefill chunk that runs with it.
@@ -88,9 +94,14 @@
     load.demand.route_hash = StableHash32(route);
     load.prompt_tokens = request.uncached_tokens;
     load.updated_at = now;
+    load.begun_at = now;
+    load.asked_seconds = request.output_tokens * kHealthyStepSeconds;
   }
   this->Advance(load, now);
   load.limits = request;
+  load.asked_seconds +=
+      kEwmaWeight *
+      (request.output_tokens * kHealthyStepSeconds - load.asked_seconds);
   load.requests.Add(1, now);
   load.tokens.Add(request.uncached_tokens, now);
   return load;
@@ -119,8 +130,10 @@
   RouteLoad& load = found->second;
   this->Advance(load, now);
   load.outstanding = std::max(0, load.outstanding - 1);
+  ++load.done;
   load.seconds +=
-      kEwmaWeight *
+      (this->plans_for_arrivals ? std::max(kEwmaWeight, 1 / load.done)
+                                : kEwmaWeight) *
       (std::chrono::duration<double>(elapsed).count() - load.seconds);
 }
 
@@ -157,15 +170,37 @@
       });
 }
 
+RouteDemand EnginePartition::DemandOf(const RouteLoad& load,
+                                      TimePoint now) const {
+  RouteDemand demand{load.demand.route_hash, load.requests.PerSecond(now),
+                     load.tokens.PerSecond(now),
+                     load.request_seconds.PerSecond(now)};
+  if (!this->plans_for_arrivals) {
+    return demand;
+  }
+  // The sums have covered only a part of their time since the first request.
+  const double covered =
+      1 - std::exp(-std::max(kMinObservedSeconds,
+                             SecondsBetween(load.begun_at, now)) /
+                   kDecaySeconds);
+  demand.requests_per_s /= covered;
+  demand.tokens_per_s /= covered;
+  // The first requests to end are the shortest.
+  const double seconds = load.done < kMinDone
+                             ? std::max(load.asked_seconds, load.seconds)
+                             : load.seconds;
+  demand.outstanding =
+      std::max(demand.outstanding, demand.requests_per_s * seconds);
+  return demand;
+}
+
 std::vector<RouteDemand> EnginePartition::LocalDemand(TimePoint now) {
   std::vector<RouteDemand> demand;
   for (auto& [name, load] : this->routes) {
     this->Advance(load, now);
-    const double requests_per_s = load.requests.PerSecond(now);
-    if (requests_per_s > kMinRequestsPerSecond || load.outstanding > 0) {
-      demand.push_back({load.demand.route_hash, requests_per_s,
-                        load.tokens.PerSecond(now),
-                        load.request_seconds.PerSecond(now)});
+    const RouteDemand own = this->DemandOf(load, now);
+    if (own.requests_per_s > kMinRequestsPerSecond || load.outstanding > 0) {
+      demand.push_back(own);
     }
   }
   return demand;
--- a/src/gateway/engine_partition.h
+++ b/src/gateway/engine_partition.h
@@ -55,6 +55,8 @@
   int uncached_tokens = 0;
   // Maximum time to its first event that meets the target.
   Duration target{0};
+  // Output that the request asks for; 0 if unknown.
+  int output_tokens = 0;
 };
 
 // Engines [begin, end) of the fixed engine order.
@@ -84,6 +86,10 @@
  public:
   // @param event_tokens number of tokens in one event of a stream.
   void SetEventTokens(int tokens) { this->event_tokens = tokens; }
+  // Plans for the requests that the arrivals of a route will keep at the
+  // engines, not only for those there now: streams accumulate for seconds after
+  // arrivals have risen, and their engines are full by the time that shows.
+  void PlanForArrivals() { this->plans_for_arrivals = true; }
 
   void OnSent(const std::string& route,
               const RequestLoad& request,
@@ -121,6 +127,11 @@
   struct RouteLoad {
     RequestLoad limits;
     double seconds = 0;  // Moving average per request.
+    double done = 0;     // Requests in the average.
+    // Moving average of the time that requests take at a healthy engine, from
+    // the output that they ask for.
+    double asked_seconds = 0;
+    TimePoint begun_at;  // First request.
     int outstanding = 0;
     // Time integral of `outstanding`; its rate is the average number of
     // requests at the engines.
@@ -145,6 +156,8 @@
                     const RequestLoad& request,
                     TimePoint now);
   void Advance(RouteLoad& load, TimePoint now);
+  // @return the load of the route by this gateway.
+  RouteDemand DemandOf(const RouteLoad& load, TimePoint now) const;
   bool HasLongPrompts(const RouteLoad& load) const;
   // @return true if prefill of the prompts of `heavy` makes requests of `load`
   // miss their targets.
@@ -163,6 +176,7 @@
 
   const PrefillModel model{};
   int event_tokens = 1;
+  bool plans_for_arrivals = false;
   // The groups need more engines than there are.
   bool overloaded = false;
   std::size_t engine_count = 0;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "gateway/prefill_budget.h"
 #include "net/http_writer.h"
 
 namespace sycamorebend::gateway {
@@ -44,14 +45,6 @@
 constexpr Duration kQuietReturnSpread = milliseconds(400);
 constexpr Duration kMalformedLogInterval = seconds(10);
 
-// A generation is refused if its first event is expected later than this
-// fraction of the target. A longer queue does not increase the prefill
-// throughput of the engines; if the estimates are off by a quarter, it makes
-// all requests behind it late.
-constexpr double kMaxExpectedTargetFraction = 0.8;
-// A prompt is not refused for its own size if its expected queueing time is at
-// most this fraction of the target.
-constexpr double kNegligibleWaitFraction = 0.15;
 // Range of the Retry-After time for refused generations, as a fraction of the
 // remaining time until the deadline. Callers wait for at most a third of it.
 constexpr double kMinRetryAfterFraction = 0.2;
@@ -280,11 +273,11 @@
 bool Forwarder::WouldMissTarget(const Choice& selected) const {
   // A request that was already sent to a server or that resumes a stream is not
   // refused: its caller has waited, and it adds no new load.
-  const Duration wait = selected.expected_first_byte - selected.prefill_time;
   return this->profile.generation != nullptr && this->attempts == 0 &&
-         selected.running > 0 && !this->last_event &&
-         selected.expected_first_byte > this->profile.max_first_byte_time &&
-         wait > Scale(this->job.route->target, kNegligibleWaitFraction);
+         !this->last_event &&
+         QueueMissesTarget({selected.expected_first_byte, selected.prefill_time,
+                            selected.running},
+                           this->job.route->target);
 }
 
 Duration Forwarder::OverloadRetryAfter() const {
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -68,6 +68,12 @@
 using EncodedNews = std::tuple<std::vector<EncodedCandidate>,
                                EncodedHashes,
                                std::vector<EncodedCause>>;
+// Server, nominal and measured time.
+using EncodedSpeed = std::tuple<std::uint32_t, std::int64_t, std::int64_t>;
+// Server, percent and age in milliseconds.
+using EncodedHostTime = std::tuple<std::uint32_t, int, std::int64_t>;
+using EncodedSpeedNews =
+    std::tuple<std::vector<EncodedSpeed>, std::vector<EncodedHostTime>>;
 // Members that are missing at the end are left empty, so that gateways of
 // different releases understand each other.
 using EncodedMessage = std::tuple<std::string,
@@ -78,11 +84,16 @@
                                   std::string,
                                   std::vector<EncodedPlacement>,
                                   EncodedNews,
-                                  std::vector<std::string>>;
+                                  std::vector<std::string>,
+                                  EncodedSpeedNews>;
 // Upper bound of the findings that a message reports for a cause; keeps corrupt
 // messages from prolonging a quarantine without limit.
 constexpr int kMaxFindings = 100;
 constexpr Duration kMaxQuarantine = std::chrono::hours(6);
+// Upper bounds of what a message reports about the speed of a server.
+constexpr std::int64_t kMaxSpeedSumMs = 1 << 24;
+constexpr int kMaxHostPercent = 10000;
+constexpr std::int64_t kMaxHostAgeMs = 60000;
 
 }  // namespace
 
@@ -173,6 +184,34 @@
   return news;
 }
 
+EncodedSpeedNews EncodeSpeedNews(const SpeedNews& news) {
+  EncodedSpeedNews encoded;
+  for (const SpeedSum& sum : news.sums) {
+    std::get<0>(encoded).emplace_back(sum.server_hash, sum.nominal_ms,
+                                      sum.measured_ms);
+  }
+  for (const HostTime& host : news.host_times) {
+    std::get<1>(encoded).emplace_back(host.server_hash, host.percent,
+                                      ToMilliseconds(host.age));
+  }
+  return encoded;
+}
+
+SpeedNews DecodeSpeedNews(const EncodedSpeedNews& encoded) {
+  SpeedNews news;
+  for (const auto& [server, nominal, measured] : std::get<0>(encoded)) {
+    news.sums.push_back(
+        {server, std::clamp<std::int64_t>(nominal, 0, kMaxSpeedSumMs),
+         std::clamp<std::int64_t>(measured, 0, kMaxSpeedSumMs)});
+  }
+  for (const auto& [server, percent, age] : std::get<1>(encoded)) {
+    news.host_times.push_back(
+        {server, std::clamp(percent, 1, kMaxHostPercent),
+         milliseconds(std::clamp<std::int64_t>(age, 0, kMaxHostAgeMs))});
+  }
+  return news;
+}
+
 PendingTokens DecodePending(const std::vector<int>& encoded) {
   PendingTokens pending;
   for (std::size_t i = 0; i + 1 < encoded.size(); i += 2) {
@@ -184,10 +223,10 @@
 }  // namespace
 
 std::string EncodeLoadMessage(const LoadMessage& message) {
-  EncodedMessage encoded(message.sender, message.sequence, {}, {},
-                         static_cast<int>(message.scope),
-                         message.failure_domain, {},
-                         EncodeNews(message.crash_news), message.forward_to);
+  EncodedMessage encoded(
+      message.sender, message.sequence, {}, {}, static_cast<int>(message.scope),
+      message.failure_domain, {}, EncodeNews(message.crash_news),
+      message.forward_to, EncodeSpeedNews(message.speed_news));
   for (const GatewayLoad& load : message.server_loads) {
     std::get<2>(encoded).emplace_back(load.server_hash, load.outstanding,
                                       EncodePending(load.pending));
@@ -234,6 +273,7 @@
     message.forward_to = std::get<8>(encoded);
     message.forward_to.resize(
         std::min(message.forward_to.size(), kMaxForwards));
+    message.speed_news = DecodeSpeedNews(std::get<9>(encoded));
   } catch (const std::exception& error) {
     return MakeError(ResultCode::kProtocolError, error.what());
   }
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -16,6 +16,7 @@
 
 #include "gateway/engine_partition.h"
 #include "gateway/pending_tokens.h"
+#include "gateway/server_speed.h"
 #include "net/datagram_socket.h"
 #include "net/event_loop.h"
 #include "routing/crash_tracker.h"
@@ -82,6 +83,7 @@
   CrashNews crash_news;
   // IPs of the gateways to which the receiver forwards the message.
   std::vector<std::string> forward_to;
+  SpeedNews speed_news;
 };
 
 std::string EncodeLoadMessage(const LoadMessage& message);
--- a/src/gateway/wire_format.h
+++ b/src/gateway/wire_format.h
@@ -62,6 +62,8 @@
   int running = 0;
   int waiting = 0;
   int slots = 1;
+  // Time that work takes on the server's host at this moment; 100 is usual.
+  std::optional<int> host_percent;
 };
 
 // Fields of a response besides its status and body.
--- a/tests/gateway/engine_partition_test.cc
+++ b/tests/gateway/engine_partition_test.cc
@@ -195,6 +195,20 @@
   BOOST_TEST(load.Engines() == 0U);
 }
 
+// Load: arrivals that rise at once, of streams that last for two seconds.
+// Guards against engines that are full before their number follows.
+BOOST_AUTO_TEST_CASE(EnginesFollowArrivalsBeforeStreamsAccumulate) {
+  LoadGenerator late;
+  LoadGenerator planned;
+  planned.partition.PlanForArrivals();
+  for (LoadGenerator* load : {&late, &planned}) {
+    load->partition.SetEventTokens(5);
+    load->Run(20, 40, 4000, 6);
+    load->Run(100, 40, 4000, 1);
+  }
+  BOOST_TEST(planned.Engines() > late.Engines());
+}
+
 // Guards against a prompt class without any engine.
 BOOST_AUTO_TEST_CASE(EachClassKeepsAnEngine) {
   LoadGenerator load;
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -33,7 +33,8 @@
       {{kServer, {{kRoute, 0.5, 1.5, 2}}}},
       {{17, kServer}},
       {},
-      {}};
+      {},
+      {{{kServer, 200, 300}}, {{kServer, 250, milliseconds(40)}}}};
 }
 
 LoadMessage DomainMessage(const std::string& sender, int outstanding) {
@@ -76,6 +77,12 @@
   BOOST_TEST(read.value().placements[0].block == 17U);
   BOOST_TEST(read.value().placements[0].server_hash == kServer);
   BOOST_TEST(read.value().server_loads[0].pending.Total() == 300);
+  BOOST_REQUIRE(read.value().speed_news.sums.size() == 1U);
+  BOOST_TEST(read.value().speed_news.sums[0].nominal_ms == 200);
+  BOOST_TEST(read.value().speed_news.sums[0].measured_ms == 300);
+  BOOST_REQUIRE(read.value().speed_news.host_times.size() == 1U);
+  BOOST_TEST(read.value().speed_news.host_times[0].percent == 250);
+  BOOST_TEST((read.value().speed_news.host_times[0].age == milliseconds(40)));
 }
 
 // Guards against findings about crashes that are lost on their way, and against
--- a/tests/platform/http_format_test.cc
+++ b/tests/platform/http_format_test.cc
@@ -81,9 +81,26 @@
   BOOST_TEST(!fields.not_executed);
   BOOST_TEST(fields.load->waiting == 1);
   BOOST_TEST(fields.load->slots == 8);
+  BOOST_TEST(!fields.load->host_percent);
   BOOST_TEST(ToMilliseconds(*fields.keep_alive) == 7000);
 }
 
+// Guards against a fourth figure that is not read, and against one that cannot
+// be read and makes the other three useless.
+BOOST_AUTO_TEST_CASE(HostTimeIsReadIfStated) {
+  const auto read = [](const std::string& load) {
+    net::MessageHead head;
+    head.headers = {{"X-Sycamorebend-Instance-Load", load}};
+    return HttpFormat().ReadResponseFields(head).load;
+  };
+  BOOST_TEST(read("3,1,8,250")->host_percent.value() == 250);
+  for (const char* const load : {"3,1,8,", "3,1,8,0", "3,1,8,-5", "3,1,8,x"}) {
+    BOOST_REQUIRE_MESSAGE(read(load), load);
+    BOOST_TEST(read(load)->slots == 8);
+    BOOST_TEST(!read(load)->host_percent, load);
+  }
+}
+
 // Guards against notices of servers that are not read, and against malformed
 // ones that are obeyed.
 BOOST_AUTO_TEST_CASE(NoticesOfServersAreRead) {
