--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -164,6 +164,7 @@
   kRequestRejected = 201,
   kCallerGone = 202,
   kRequestFinished = 203,
+  kCallersShed = 204,
   // 3xx: routing and placement decisions.
   kRequestDispatched = 301,
   kRequestQueued = 302,
@@ -217,6 +218,13 @@
   // 8xx: transport between processes.
   kRpcFailed = 801,
   kPeerUnreachable = 802,
+  // 9xx: duties, which one VM at a time performs.
+  kDutyGranted = 901,
+  kDutyReleased = 902,
+  kUsageFixed = 903,
+  kDutyCallEnded = 904,
+  kScalingRulesRead = 905,
+  kScalingHeld = 906,
 };
 
 struct EventInfo {
--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <json/value.h>
@@ -47,13 +48,19 @@
   int slots = 1;
   // The server is stopping and gets no new requests.
   bool leaving = false;
+  // The platform may reclaim the server at short notice.
+  bool reclaimable = false;
+  // When a server that is leaving will end, Unix milliseconds by the clock of
+  // the replica that received the announcement; 0 if it was not stated.
+  std::int64_t leaves_at_ms = 0;
   // No announcement was received for longer than the announcement lease. The
   // server may still work: only its path to the control replicas may have
   // failed.
   bool silent = false;
 };
 
-// @return true if the records are equal except for their sequence numbers.
+// @return true if the records are equal except for their sequence numbers and
+// for small differences of the time at which they leave.
 bool SameAnnouncement(const ServerRecord& a, const ServerRecord& b);
 
 // JSON form of a record in commands and in the shared state.
@@ -75,6 +82,27 @@
   std::uint64_t findings = 1;
 };
 
+// Immutable JSON document. Copies share it, so that a new version of a state
+// that contains a large document does not copy it.
+class SharedDocument {
+ public:
+  SharedDocument() : SharedDocument(Json::Value()) {}
+  // NOLINTNEXTLINE(google-explicit-constructor): a document is its value.
+  SharedDocument(Json::Value value)
+      : value(std::make_shared<const Json::Value>(std::move(value))) {}
+
+  const Json::Value& operator*() const { return *this->value; }
+  const Json::Value* operator->() const { return this->value.get(); }
+  // @return true if both are copies of the same object, and therefore equal.
+  // Documents that are equal need not be.
+  bool SharesWith(const SharedDocument& other) const {
+    return this->value == other.value;
+  }
+
+ private:
+  std::shared_ptr<const Json::Value> value;
+};
+
 // One version of the state that all entry daemons share.
 struct SharedState {
   // Identifies the control state of the deployment. Versions from different
@@ -85,7 +113,7 @@
   // Version and document of the operators' configuration. The document of
   // version 0 is null.
   std::uint64_t configuration_version = 0;
-  Json::Value configuration;
+  SharedDocument configuration;
   // When the leader accepted that version, Unix milliseconds by its clock; 0 if
   // unknown. For logs only.
   std::int64_t configuration_time_ms = 0;
@@ -105,10 +133,13 @@
 };
 
 Json::Value SharedStateToJson(const SharedState& state);
+// @return SharedStateToJson without the member kConfigurationMember.
+Json::Value SharedRecordsToJson(const SharedState& state);
+inline constexpr const char* kConfigurationMember = "configuration";
 // Leaves out single records that cannot be read, so that one odd record does
 // not keep readers from all others.
 // @return the state, or kProtocolError naming the field.
-Result<SharedState> SharedStateFromJson(const Json::Value& value);
+Result<SharedState> SharedStateFromJson(Json::Value value);
 
 // @return a patch with which PatchJson turns `before` into `after`. Objects are
 // compared member by member. In an array, the elements between the common
@@ -117,6 +148,18 @@
 // @return the patched value, or kProtocolError if the patch does not apply.
 Result<Json::Value> PatchJson(Json::Value value, const Json::Value& patch);
 
+// Adds the patch of the member `name` to a patch of an object that does not
+// contain it yet.
+void AddMemberPatch(Json::Value& patch,
+                    const std::string& name,
+                    Json::Value member_patch);
+// Removes the patch of the member `name` from a patch of an object, so that the
+// member can be patched separately.
+// @return the patch of the member, null if the member is removed; empty if
+// `patch` does not change it.
+std::optional<Json::Value> TakeMemberPatch(Json::Value& patch,
+                                           const std::string& name);
+
 // Limits of the control state. The results of commands depend on them, so they
 // must be equal on all replicas.
 struct ControlLimits {
@@ -146,6 +189,40 @@
   std::size_t quarantined = 10000;
   std::size_t crash_findings = 256;
   std::int64_t max_quarantine_ms = 24LL * 3600 * 1000;
+  // Windows of usage that are kept.
+  std::size_t usage_windows = 64;
+  // How long an earlier holder of a duty is remembered. Much longer than the
+  // lease, since it is measured with the wall clocks of leaders.
+  std::int64_t earlier_holder_ms = 60LL * 1000;
+};
+
+// The newest grant of a duty. See sycamorebend/duties.h.
+struct DutyGrantRecord {
+  // Name of the VM that holds the duty.
+  std::string holder;
+  // Identifies the term of office in which the holder got it.
+  std::string session;
+  std::uint64_t token = 0;
+  // Time of the grant by the leader's clock.
+  std::int64_t since_ms = 0;
+  // The holder has stopped as planned and sends nothing any more.
+  bool released = false;
+  // VMs that held the duty before, with the time of the next grant by the
+  // leader's clock; only those of the last minute.
+  std::map<std::string, std::int64_t> earlier_holders;
+};
+
+// The number of requests in one window, as it was or will be reported.
+struct FixedUsage {
+  std::map<std::string, std::uint64_t> counts;  // By customer.
+  bool sent = false;
+};
+
+// The windows of usage that are kept, by window.
+struct FixedUsageTable {
+  std::map<std::uint64_t, std::shared_ptr<const FixedUsage>> windows;
+  // Earlier windows were dropped and cannot be fixed any more.
+  std::uint64_t first_window = 0;
 };
 
 // The state machine of the control replicas. Commands are JSON objects with a
@@ -180,6 +257,11 @@
   // @return the sizes of the tables: orders, change IDs, crashes, bytes.
   virtual Json::Value Counts() const = 0;
 
+  // @return the newest grants by name of the duty.
+  virtual std::map<std::string, DutyGrantRecord> DutyGrants() const = 0;
+
+  virtual FixedUsageTable FixedUsageWindows() const = 0;
+
   // @return true if a `clock.tick` at `now_ms` would change the state.
   virtual bool NeedsTick(std::int64_t now_ms) const = 0;
 };
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -37,6 +37,8 @@
      "A caller closed its connection before the answer was whole."},
     {Event::kRequestFinished, "request_finished",
      "A request ended; the fields give its outcome and times."},
+    {Event::kCallersShed, "callers_shed",
+     "Connections of callers were closed for lack of memory or descriptors."},
     {Event::kRequestDispatched, "request_dispatched",
      "Routing decision: a request was sent to a backend server."},
     {Event::kRequestQueued, "request_queued",
@@ -125,6 +127,18 @@
     {Event::kRpcFailed, "rpc_failed", "A call to another process failed."},
     {Event::kPeerUnreachable, "peer_unreachable",
      "Another process cannot be reached."},
+    {Event::kDutyGranted, "duty_granted",
+     "This VM took a duty, or a new fencing token for it."},
+    {Event::kDutyReleased, "duty_released",
+     "This VM gave up a duty because it stops."},
+    {Event::kUsageFixed, "usage_fixed",
+     "The counts of a window of usage were recorded."},
+    {Event::kDutyCallEnded, "duty_call_ended",
+     "A call of a duty ended; the fields give its content and result."},
+    {Event::kScalingRulesRead, "scaling_rules_read",
+     "The leader decides how many engines of a service to order by new rules."},
+    {Event::kScalingHeld, "scaling_held",
+     "The reason why no engine of a service is removed has changed."},
 };
 
 std::string JsonQuote(std::string_view text) {
--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -115,6 +115,25 @@
   return Success();
 }
 
+void ControlDaemon::StartDuties(const DutyOptions& options, DutyApi& api) {
+  this->duties = std::make_unique<DutyRunner>(
+      options, this->settings.log.timings.lease, api, *this->state,
+      this->control_thread, this->clock);
+  this->feed->SetReportReceiver(this->duties.get());
+  this->service.SetDuties(*this->duties);
+}
+
+void ControlDaemon::StartEngineOrders(
+    EngineOrderRunner::RulesReader read_rules) {
+  this->engine_orders = std::make_unique<EngineOrderRunner>(
+      *this->duties, *this->duties, *this->duties,
+      [this] { return this->Shared(); }, std::move(read_rules), this->clock);
+  this->service.SetEngineOrders(*this->engine_orders);
+  this->control_thread.PostAndWait([this] {
+    this->duties->SetTickTask([this] { this->engine_orders->Tick(); });
+  });
+}
+
 std::vector<std::string> ControlDaemon::KnownReplicas() const {
   std::vector<std::string> known = this->state->Shared()->replicas;
   std::lock_guard lock(this->mutex);
@@ -207,6 +226,9 @@
   if (std::exchange(this->stopped, true)) {
     return;
   }
+  if (this->duties != nullptr) {
+    this->duties->Stop();
+  }
   this->service.StopChanges();
   this->feed->Stop();
   if (this->log != nullptr) {
--- a/src/controld/control_http.cc
+++ b/src/controld/control_http.cc
@@ -45,6 +45,85 @@
                           : value.asDouble());
 }
 
+void AddScalingMetrics(prometheus::Registry& registry,
+                       const Json::Value& services) {
+  auto& work = prometheus::BuildGauge()
+                   .Name("sycamorebend_control_scaling_work_engines")
+                   .Help("Work of a service in fully used engines.")
+                   .Register(registry);
+  auto& capacity = prometheus::BuildGauge()
+                       .Name("sycamorebend_control_scaling_capacity")
+                       .Help(
+                           "Learned capacity of an engine, relative to the "
+                           "starting value.")
+                       .Register(registry);
+  auto& held = prometheus::BuildGauge()
+                   .Name("sycamorebend_control_scaling_held")
+                   .Help("1 if no engine may be removed at the moment.")
+                   .Register(registry);
+  auto& engines = prometheus::BuildGauge()
+                      .Name("sycamorebend_control_scaling_engines")
+                      .Help("Engines as announced and as ordered.")
+                      .Register(registry);
+  auto& orders = prometheus::BuildCounter()
+                     .Name("sycamorebend_control_scaling_orders_total")
+                     .Help("Orders of engines by outcome.")
+                     .Register(registry);
+  for (const std::string& name : services.getMemberNames()) {
+    const Json::Value& service = services[name];
+    for (const char* load : {"present", "steady", "peak"}) {
+      work.Add({{"service", name}, {"load", load}})
+          .Set(service[std::string(load) + "_engines"].asDouble());
+    }
+    capacity.Add({{"service", name}}).Set(service["capacity"].asDouble());
+    held.Add({{"service", name}})
+        .Set(service["hold_reason"].asString().empty() ? 0 : 1);
+    for (const Json::Value& group : service["groups"]) {
+      for (const char* state : {"announced", "ordered"}) {
+        engines
+            .Add({{"service", name},
+                  {"failure_domain", group["failure_domain"].asString()},
+                  {"kind", group["kind"].asString()},
+                  {"state", state}})
+            .Set(group[state].asDouble());
+      }
+    }
+    for (const std::string& outcome : service["orders"].getMemberNames()) {
+      orders.Add({{"service", name}, {"outcome", outcome}})
+          .Increment(service["orders"][outcome].asDouble());
+    }
+  }
+}
+
+void AddDutyMetrics(prometheus::Registry& registry, const Json::Value& report) {
+  AddGauge(registry, "usage_unsent_windows",
+           "Fixed windows of usage that the platform has not accepted.",
+           report["unsent_windows"]);
+  prometheus::BuildCounter()
+      .Name("sycamorebend_control_usage_late_requests_total")
+      .Help("Requests that were reported after their window was fixed.")
+      .Register(registry)
+      .Add({})
+      .Increment(report["late_requests"].asDouble());
+  auto& calls = prometheus::BuildCounter()
+                    .Name("sycamorebend_control_duty_calls_total")
+                    .Help("Calls of duties by result.")
+                    .Register(registry);
+  auto& tokens = prometheus::BuildGauge()
+                     .Name("sycamorebend_control_duty_token")
+                     .Help("Newest fencing token of a duty, by holder.")
+                     .Register(registry);
+  for (const Json::Value& duty : report["duties"]) {
+    const std::string name = duty["duty"].asString();
+    tokens.Add({{"duty", name}, {"holder", duty["holder"].asString()}})
+        .Set(duty["token"].asDouble());
+    for (const std::string& result : duty["calls"].getMemberNames()) {
+      calls.Add({{"duty", name}, {"result", result}})
+          .Increment(duty["calls"][result].asDouble());
+    }
+  }
+}
+
 }  // namespace
 
 ControlHttp::ControlHttp(ControlService& service, const ControlThreads& threads)
@@ -106,6 +185,9 @@
     AddGauge(registry, "confirmation_age_seconds",
              "Time since a quorum confirmed the state; negative if never.",
              report["confirmation_age_ms"].asDouble() / 1000);
+    AddGauge(registry, "consensus_longest_wait_seconds",
+             "Longest time that consensus waited for its thread.",
+             report["longest_wait_ms"].asDouble() / 1000);
     prometheus::BuildCounter()
         .Name("sycamorebend_control_feed_redirects_total")
         .Help("Polls of daemons for which there was no place.")
@@ -117,6 +199,13 @@
       AddGauge(registry, name, "Size of the control state.", counts[name]);
     }
   }
+  const Json::Value duties = service.DutyReport();
+  if (!duties.isNull()) {
+    AddDutyMetrics(registry, duties);
+  }
+  if (duties.isMember("scaling")) {
+    AddScalingMetrics(registry, duties["scaling"]);
+  }
   auto& calls = prometheus::BuildCounter()
                     .Name("sycamorebend_control_calls_total")
                     .Help("RPC calls by method and result code.")
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -94,6 +94,7 @@
       {"finding.report", &ControlService::ReportFinding},
       {"finding.record", &ControlService::RecordFinding},
       {"fence.take", &ControlService::TakeFence},
+      {"duty.status", &ControlService::ShowDuties},
   };
   return kMethods;
 }
@@ -101,13 +102,28 @@
 Result<Json::Value> ControlService::Call(const std::string& method,
                                          const Json::Value& params) {
   Result<Json::Value> result = this->Dispatch(method, params);
-  const ResultCode code = result ? ResultCode::kOk : result.error().code;
+  this->CountCall(method, result ? ResultCode::kOk : result.error().code);
+  return result;
+}
+
+std::optional<Result<HttpBody>> ControlService::CallEncoded(
+    const std::string& method,
+    const Json::Value& params) {
+  // Before that, Call refuses all methods.
+  if (method != kFeedPollMethod || this->log.load() == nullptr) {
+    return std::nullopt;
+  }
+  Result<HttpBody> result = this->feed.ServeEncodedPoll(params);
+  this->CountCall(method, result ? ResultCode::kOk : result.error().code);
+  return result;
+}
+
+void ControlService::CountCall(const std::string& method, ResultCode code) {
   const bool known = Methods().count(method) > 0 ||
                      method == kRaftMessageMethod ||
                      method == kFeedPollMethod || method == kStatusMethod;
   std::lock_guard lock(this->counts_mutex);
   ++this->counts[{known ? method : "other", code}];
-  return result;
 }
 
 ControlService::CallCounts ControlService::Calls() const {
@@ -205,8 +221,17 @@
   FieldReader reader(params);
   const std::optional<std::uint64_t> version =
       reader.OptionalUnsigned("version");
+  const std::optional<std::uint64_t> known =
+      reader.OptionalUnsigned("known_version");
   BOOST_OUTCOME_TRY(reader.Finish());
   BOOST_OUTCOME_TRY(this->Barrier());
+  if (!version && known &&
+      *known == this->state.Shared()->configuration_version) {
+    Json::Value unchanged;
+    unchanged["version"] = Json::UInt64(*known);
+    unchanged["unchanged"] = true;
+    return unchanged;
+  }
   return this->state.ShowConfiguration(version);
 }
 
@@ -395,9 +420,36 @@
   return this->Propose("fence.take", params);
 }
 
+Json::Value ControlService::DutyReport() const {
+  const DutyRunner* const runner = this->duties;
+  if (runner == nullptr) {
+    return {};
+  }
+  Json::Value report = runner->StatusReport();
+  const EngineOrderRunner* const orders = this->engine_orders;
+  if (orders != nullptr) {
+    report["scaling"] = orders->StatusReport();
+  }
+  return report;
+}
+
+Result<Json::Value> ControlService::ShowDuties(const Json::Value& /*params*/) {
+  BOOST_OUTCOME_TRY(this->Barrier());
+  Json::Value report = this->DutyReport();
+  if (report.isNull()) {
+    return MakeError(ResultCode::kNotFound,
+                     "the settings of this replica name no duties");
+  }
+  return report;
+}
+
 void ControlService::Tick() {
   this->feed.Tick();
   ReplicatedLogService* const replica_log = this->log;
+  DutyRunner* const runner = this->duties;
+  if (replica_log != nullptr && runner != nullptr) {
+    runner->Tick(*replica_log);
+  }
   if (replica_log == nullptr || this->stopping) {
     return;
   }
@@ -507,12 +559,14 @@
   response["last_index"] = Json::UInt64(status.last_index);
   response["snapshot_index"] = Json::UInt64(status.snapshot_index);
   response["replicas"] = ReplicasToJson(status);
+  response["longest_wait_ms"] =
+      Json::Int64(ToMilliseconds(status.longest_wait));
   response["confirmation_age_ms"] = AgeToJson(age);
   response["epoch"] = shared->epoch;
   response["configuration_version"] =
       Json::UInt64(shared->configuration_version);
   response["shared_version"] = Json::UInt64(shared->version);
-  const Json::Value visible = SharedStateToJson(*shared);
+  const Json::Value visible = SharedRecordsToJson(*shared);
   response["entries"] = visible["entries"];
   response["drained_servers"] = visible["drained_servers"];
   response["quarantined"] = visible["quarantined"];
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -16,6 +17,8 @@
 
 #include "controld/replica_manager.h"
 #include "controld/server_liveness.h"
+#include "duties/duty_runner.h"
+#include "scaling/order_runner.h"
 #include "sycamorebend/consensus.h"
 #include "sycamorebend/control.h"
 #include "sycamorebend/feed.h"
@@ -32,12 +35,26 @@
   // @param target intended size of the replica set.
   void SetLog(ReplicatedLogService& new_log, ReplicaSetTarget target = {});
 
+  // Sets the duties of this replica, which must outlive the service.
+  void SetDuties(DutyRunner& new_duties) { this->duties = &new_duties; }
+
+  // Sets the orders of engines, which must outlive the service.
+  void SetEngineOrders(const EngineOrderRunner& orders) {
+    this->engine_orders = &orders;
+  }
+
+  // @return the result of `duty.status`; null if this deployment has none.
+  Json::Value DutyReport() const;
+
   // Refuses further changes with kShuttingDown. Raft messages are still
   // accepted, so that leadership can be transferred.
   void StopChanges();
 
   Result<Json::Value> Call(const std::string& method,
                            const Json::Value& params) override;
+  std::optional<Result<HttpBody>> CallEncoded(
+      const std::string& method,
+      const Json::Value& params) override;
 
   // Calls so far by method and result code. Unknown methods are counted as
   // "other".
@@ -59,11 +76,14 @@
   using Method = Result<Json::Value> (ControlService::*)(const Json::Value&);
 
   static const std::map<std::string, Method>& Methods();
+  void CountCall(const std::string& method, ResultCode code);
   Result<Json::Value> Dispatch(const std::string& method,
                                const Json::Value& params);
 
   Result<Json::Value> Apply(const Json::Value& params);
   Result<Json::Value> DryRun(const Json::Value& params);
+  // control.show: a caller that has the newest version, `known_version`, gets
+  // no document.
   Result<Json::Value> Show(const Json::Value& params);
   Result<Json::Value> History(const Json::Value& params);
   // config.replace: the highest version wins. The caller has validated the
@@ -84,6 +104,7 @@
   Result<Json::Value> ReportFinding(const Json::Value& params);
   Result<Json::Value> RecordFinding(const Json::Value& params);
   Result<Json::Value> TakeFence(const Json::Value& params);
+  Result<Json::Value> ShowDuties(const Json::Value& params);
 
   // Proposes `params` as a command of `type` and waits for its result.
   Result<Json::Value> Propose(const std::string& type, Json::Value params);
@@ -118,6 +139,8 @@
   FeedSource& feed;
   const Clock& clock;
   std::atomic<ReplicatedLogService*> log{nullptr};
+  std::atomic<DutyRunner*> duties{nullptr};
+  std::atomic<const EngineOrderRunner*> engine_orders{nullptr};
   std::atomic<bool> stopping{false};
   std::unique_ptr<ReplicaManager> manager;
   std::mutex liveness_mutex;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "gateway/balancer.h"
 #include "gateway/caller_connection.h"
@@ -16,6 +17,7 @@
 #include "gateway/request_metrics.h"
 #include "gateway/routes.h"
 #include "gateway/server_pool.h"
+#include "gateway/usage_counter.h"
 #include "gateway/wire_format.h"
 #include "net/event_loop.h"
 #include "net/sse_splitter.h"
@@ -49,6 +51,8 @@
   std::set<Forwarder*> open = std::set<Forwarder*>();
   // When a response with a malformed header was last logged.
   TimePoint malformed_logged_at = TimePoint();
+  // Counts for usage reports; nullptr if there are none.
+  UsageCounter* usage = nullptr;
 };
 
 // An admitted request with its parsed fields, route and tenant.
@@ -102,6 +106,10 @@
   void Send(const Choice& selected);
   // Acts on what a server states about itself in its response.
   void HandleNotices(const ResponseFields& fields, TimePoint now);
+  // Allows the servers again that responded with an error: a second attempt at
+  // the only server that is left may succeed.
+  // @return true if there is one.
+  bool ReadmitServersWithErrors();
   // Responds that no server may be used.
   void RefuseWithoutServer(TimePoint now);
   // Ends the call in progress, if there is one.
@@ -147,6 +155,11 @@
                         const std::string& reason,
                         Duration retry_after = {});
   void Finish(int status, const std::string& outcome);
+  // Counts the request for usage reports: its arrival, an attempt that a server
+  // began to run, and its end.
+  void CountArrival();
+  void CountRun();
+  void CountEnd(const RequestResult& result);
   // @return the result of the request for the metrics.
   RequestResult Summarize(int status, TimePoint now) const;
 
@@ -161,6 +174,8 @@
   TimerId attempt_timer = 0;
 
   RequestProfile profile;
+  // Servers in `profile.excluded` that responded with an error.
+  std::vector<std::string> servers_with_errors;
   internal::RequestContent content;
   Choice choice;
   std::unique_ptr<ServerCall> call;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,5 +1,7 @@
 #include "gateway/gateway.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -14,6 +16,26 @@
 constexpr int kUnavailable = 503;
 constexpr int kFeedThreads = 1;
 
+// Connections to the admin address and to the metrics address.
+constexpr std::size_t kAdminConnections = 32;
+// Descriptors that callers leave to those connections (64), the feed, the
+// exchange, the log, the listening sockets and connections to servers: 128, or
+// a quarter of all if that is more.
+constexpr std::size_t kMinReservedFiles = 128;
+constexpr std::size_t kReservedFraction = 4;
+
+// @param max_files descriptors that the process may open; 0: not stated.
+std::size_t MaxCallerConnections(std::size_t max_files) {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  const auto system = static_cast<std::size_t>(limit.rlim_cur);
+  const std::size_t files =
+      max_files == 0 ? system : std::min(max_files, system);
+  const std::size_t reserved =
+      std::max(kMinReservedFiles, files / kReservedFraction);
+  return files > reserved ? files - reserved : kAdminConnections;
+}
+
 // Time after the stop signal during which new requests are accepted: callers
 // that resolved the addresses just before the signal keep using them for a
 // while.
@@ -26,6 +48,9 @@
 constexpr Duration kStopAbortMargin = milliseconds(400);
 constexpr Duration kStopExitMargin = milliseconds(150);
 constexpr Duration kStopCheckInterval = milliseconds(50);
+// Maximum time that a stop waits for the last usage report. Reports are sent
+// with polls, at most 1.5 s apart, and acknowledged within 0.5 s.
+constexpr Duration kUsageReportWait = milliseconds(2500);
 // The first configuration is applied after this time even if no quorum has
 // confirmed it: on a VM that is partitioned from the replicas, a possibly
 // outdated configuration is better than none.
@@ -57,6 +82,14 @@
       balancer({settings.failure_domain,
                 StableHash64(settings.entry_id + RandomId())}),
       pool(loop, format),
+      incarnation(RandomId()),
+      usage(settings.usage_window > Duration(0)
+                ? std::make_unique<UsageCounter>(
+                      UsageScheduleOptions{settings.usage_window,
+                                           settings.usage_delay},
+                      UsageSource{settings.entry_id, this->incarnation},
+                      clock)
+                : nullptr),
       context{loop,
               format,
               this->balancer,
@@ -66,7 +99,9 @@
               this->quarantine},
       handler(this->context),
       admin_handler(*this),
+      caller_memory(loop, MemoryCeiling(settings.memory_mb)),
       timers(clock) {
+  this->context.usage = this->usage.get();
   this->SetRetryLimits(1);
 }
 
@@ -95,11 +130,15 @@
   BOOST_OUTCOME_TRY(
       started_callers,
       CallerServer::Start(this->loop, this->settings.caller_address,
-                          this->handler));
+                          this->handler,
+                          {&this->caller_memory,
+                           MaxCallerConnections(this->settings.max_files)}));
   this->callers = std::move(started_callers);
-  BOOST_OUTCOME_TRY(started_admin, CallerServer::Start(
-                                       this->loop, this->settings.admin_address,
-                                       this->admin_handler));
+  BOOST_OUTCOME_TRY(
+      started_admin,
+      CallerServer::Start(this->loop, this->settings.admin_address,
+                          this->admin_handler,
+                          {&this->caller_memory, kAdminConnections}));
   this->admin = std::move(started_admin);
   this->ListenForMetrics();
   BOOST_OUTCOME_TRY(
@@ -129,7 +168,8 @@
   if (address.empty()) {
     return;
   }
-  auto started = CallerServer::Start(this->loop, address, this->admin_handler);
+  auto started = CallerServer::Start(this->loop, address, this->admin_handler,
+                                     {&this->caller_memory, kAdminConnections});
   if (started) {
     this->metrics_server = std::move(started.value());
     return;
@@ -154,13 +194,15 @@
   options.self.entry_id = this->settings.entry_id;
   options.self.address = this->callers->Address();
   options.self.failure_domain = this->settings.failure_domain;
-  options.self.incarnation = RandomId();
+  options.self.incarnation = this->incarnation;
+  options.reporter = this->usage.get();
   options.replicas = this->settings.replicas;
-  this->follower =
-      FeedFollower::Start(std::move(options), *this->rpc, this->clock,
-                          [this](const std::shared_ptr<const SharedState>&) {
-                            this->loop.Post([this] { this->OnSharedState(); });
-                          });
+  this->follower = FeedFollower::Start(
+      std::move(options), *this->rpc, this->clock,
+      [this](const std::shared_ptr<const SharedState>& state) {
+        this->ReadAhead(*state);
+        this->loop.Post([this] { this->OnSharedState(); });
+      });
 }
 
 void Gateway::OnSharedState() {
@@ -223,7 +265,7 @@
   // not for an earlier one.
   const Duration age = this->follower->ConfirmationAge();
   const std::shared_ptr<const SharedState> state = this->follower->Current();
-  if (state != nullptr && !state->configuration.isNull()) {
+  if (state != nullptr && !state->configuration->isNull()) {
     if (!this->first_state_at) {
       this->first_state_at = this->loop.Now();
     }
@@ -234,7 +276,7 @@
   }
   if (this->handler.Table() != nullptr) {
     this->loop.Cancel(std::exchange(this->first_configuration_timer, 0));
-  } else if (state != nullptr && !state->configuration.isNull() &&
+  } else if (state != nullptr && !state->configuration->isNull() &&
              this->first_configuration_timer == 0) {
     this->first_configuration_timer = this->loop.SubscribePeriodic(
         kFirstConfigurationCheckInterval,
@@ -242,13 +284,50 @@
   }
 }
 
+Result<std::shared_ptr<const RouteTable>> Gateway::ReadTable(
+    const SharedState& state) const {
+  BOOST_OUTCOME_TRY(table,
+                    this->format.ReadConfiguration(*state.configuration));
+  table.version = state.configuration_version;
+  table.BuildPriorityLevels();
+  return std::make_shared<const RouteTable>(std::move(table));
+}
+
+void Gateway::ReadAhead(const SharedState& state) {
+  if (!this->read_ahead_enabled ||
+      this->last_read_version == state.configuration_version ||
+      state.configuration->isNull()) {
+    return;
+  }
+  this->last_read_version = state.configuration_version;
+  TableReadAhead read{state.configuration_version, this->ReadTable(state)};
+  std::lock_guard lock(this->read_mutex);
+  this->read_ahead = std::move(read);
+}
+
+Result<std::shared_ptr<const RouteTable>> Gateway::TakeReadTable(
+    const SharedState& state) {
+  {
+    std::lock_guard lock(this->read_mutex);
+    if (this->read_ahead &&
+        this->read_ahead->version == state.configuration_version) {
+      Result<std::shared_ptr<const RouteTable>> table =
+          std::move(this->read_ahead->table);
+      this->read_ahead.reset();
+      return table;
+    }
+  }
+  return this->ReadTable(state);
+}
+
 void Gateway::ApplyConfiguration(const SharedState& state) {
-  if (state.configuration.isNull() ||
+  if (state.configuration->isNull() ||
       (this->handler.Table() != nullptr &&
        this->handler.Table()->version == state.configuration_version)) {
     return;
   }
-  Result<RouteTable> read = this->format.ReadConfiguration(state.configuration);
+  const Result<std::shared_ptr<const RouteTable>> read =
+      this->TakeReadTable(state);
   if (!read) {
     // The control replicas validate a configuration before they accept it, so
     // it must come from a newer release. The previous one stays in force.
@@ -257,11 +336,9 @@
               {"message", read.error().message}});
     return;
   }
-  read.value().version = state.configuration_version;
-  read.value().BuildPriorityLevels();
-  const auto table =
-      std::make_shared<const RouteTable>(std::move(read.value()));
+  const std::shared_ptr<const RouteTable>& table = read.value();
   this->handler.SetTable(table);
+  this->read_ahead_enabled = true;
   this->configured_at = this->loop.Now();
   this->callers->SetLimits(table->limits);
   this->balancer.SetServices(table->services);
@@ -310,6 +387,9 @@
 void Gateway::PublishMetrics() {
   const TimePoint now = this->loop.Now();
   this->request_metrics.Publish(this->metrics);
+  this->caller_memory.Publish(this->metrics);
+  this->callers->Publish(this->metrics, "callers");
+  this->admin->Publish(this->metrics, "admin");
   this->quarantine.Publish(this->metrics, now);
   this->metrics.SetGauge("sycamorebend_gateway_open_requests",
                          "Requests without an end.", {},
@@ -325,6 +405,9 @@
         std::chrono::duration<double>(now - this->configured_at).count());
   }
   this->PublishFeedMetrics();
+  if (this->usage != nullptr) {
+    this->usage->Publish(this->metrics);
+  }
   for (const std::string& service : this->balancer.Services()) {
     const PoolState state = this->balancer.StateOf(service, now);
     for (std::size_t i = 0; i < kServerUses; ++i) {
@@ -375,6 +458,13 @@
                                [this] { this->AdvanceStop(); });
 }
 
+bool Gateway::UsageIsReported() {
+  const TimePoint now = this->loop.Now();
+  this->quiet_since = this->quiet_since.value_or(now);
+  return this->usage == nullptr || this->usage->AllReported() ||
+         now - *this->quiet_since >= kUsageReportWait;
+}
+
 void Gateway::AdvanceStop() {
   const Duration elapsed = this->loop.Now() - this->stop_began;
   const Duration grace = this->settings.stop_grace;
@@ -391,7 +481,8 @@
     this->handler.EndOpenRequests();
     return;
   }
-  const bool finished = this->context.open.empty() && this->callers->Quiet();
+  const bool finished = this->context.open.empty() && this->callers->Quiet() &&
+                        this->UsageIsReported();
   if (finished || elapsed >= grace - kStopExitMargin) {
     LogEvent(Severity::kInfo, Event::kProcessStopped,
              {{"open_requests", this->context.open.size()}});
--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -7,31 +7,24 @@
 
 #include "case_count.h"
 #include "sycamorebend/settings.h"
+#include "whole_response_exchange.h"
 
 namespace sycamorebend::platform {
 
 namespace {
 
 // Records the response.
-class FakeExchange : public HttpExchange {
+class FakeExchange : public WholeResponseExchange {
  public:
-  explicit FakeExchange(HttpRequest request) : request(std::move(request)) {}
+  using WholeResponseExchange::WholeResponseExchange;
 
-  const HttpRequest& Request() const override { return this->request; }
   void Respond(int new_status,
                HttpHeaders /*headers*/,
                std::string new_body) override {
     this->status = new_status;
     this->body = std::move(new_body);
   }
-  void StartStream(int, HttpHeaders) override {}
-  void Write(std::string_view) override {}
-  void FinishStream() override {}
-  void AbortStream() override {}
-  void OnCallerDisconnected(std::function<void()>) override {}
-  std::size_t PendingBytes() const override { return 0; }
 
-  HttpRequest request;
   int status = 0;
   std::string body;
 };
@@ -91,6 +84,26 @@
   BOOST_TEST(record.value().leaving);
 }
 
+// Guards against orders and routing that do not know which servers will leave,
+// and against servers that become unknown by odd values of these fields.
+BOOST_FIXTURE_TEST_CASE(HeartbeatStatesWhenTheServerLeaves, Fixture) {
+  Json::Value beat = ParseJson(kHeartbeatBody).value();
+  const auto send = [&] {
+    this->Send("POST", "/api/instances/i-7/heartbeat", WriteJson(beat));
+    return ServerRecordFromJson(this->leader.calls.back().second).value();
+  };
+  BOOST_TEST(!send().reclaimable);
+  BOOST_TEST(send().leaves_at_ms == 0);
+  beat["spot"] = true;
+  beat["leaves_ms"] = 2400.5;
+  BOOST_TEST(send().reclaimable);
+  BOOST_TEST(send().leaves_at_ms == this->clock.WallTimeMs() + 2400);
+  beat["leaves_ms"] = "soon";
+  beat["spot"] = 1;
+  BOOST_TEST(!send().reclaimable);
+  BOOST_TEST(send().leaves_at_ms == 0);
+}
+
 // Guards against registering a server from a malformed heartbeat.
 BOOST_FIXTURE_TEST_CASE(MalformedHeartbeatIsRejected, Fixture) {
   Json::Value beat = ParseJson(kHeartbeatBody).value();
@@ -273,6 +286,23 @@
   BOOST_TEST((ParseJson(exchange->body).value() == ParseJson(sent).value()));
 }
 
+// Guards against sending the whole configuration through the leader's RPC, and
+// writing it, for each fetch.
+BOOST_FIXTURE_TEST_CASE(KnownConfigurationIsFetchedWithoutTheDocument,
+                        Fixture) {
+  this->state->configuration_version = 3;
+  this->state->configuration = ParseJson(R"({"version":3})").value();
+  this->leader.result = ParseJson(R"({"version":3,"unchanged":true})").value();
+  BOOST_TEST(this->Send("GET", "/api/config/fetch")->body ==
+             R"({"version":3})");
+  BOOST_TEST(this->leader.calls[0].second["known_version"].asUInt64() == 3U);
+  // The leader has another version, or belongs to an earlier release.
+  this->leader.result =
+      ParseJson(R"({"version":4,"document":{"version":4}})").value();
+  BOOST_TEST(this->Send("GET", "/api/config/fetch")->body ==
+             R"({"version":4})");
+}
+
 // Guards against returning addresses of draining gateways.
 BOOST_FIXTURE_TEST_CASE(ResolveOmitsDrainingGateways, Fixture) {
   BOOST_TEST(this->Send("GET", "/api/resolve")->status == 503);
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -12,6 +12,7 @@
 
 #include <json/value.h>
 
+#include "platform/rendered_settings.h"
 #include "sycamorebend/http.h"
 #include "sycamorebend/rpc.h"
 #include "system/process.h"
@@ -28,10 +29,12 @@
   // @param silent_seeds number of addresses that the gateways know beside
   // those of replicas, as of machines that are gone: connections to these are
   // not refused, and nothing responds.
+  // @param changes template fields that replace the default ones.
   PlatformFleet(std::size_t replicas,
                 std::size_t gateways,
                 std::size_t max_followers,
-                std::size_t silent_seeds = 0);
+                std::size_t silent_seeds = 0,
+                TemplateFields changes = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -54,6 +57,9 @@
   // Kills all processes at once and starts them again.
   void RestartAll();
 
+  // @return the result of an RPC to a replica; null if it fails.
+  Json::Value CallReplica(std::size_t replica, const std::string& method);
+
   // Sends a configuration with `routes` to the service "app", by default one
   // open route "/a/" of host "h.example".
   // @param first replica to which it is sent first.
@@ -61,6 +67,9 @@
   bool Replace(std::uint64_t version,
                std::size_t first = 0,
                const Json::Value& routes = {});
+  // Sets the rules by which the number of servers of "app" is decided, for the
+  // configurations sent from now on.
+  void SetScaling(const Json::Value& rules) { this->scaling = rules; }
   // Reports an engine of a service, "app" or "faulty", as ready.
   // @return true if a replica acknowledged it.
   bool Announce(const std::string& engine,
@@ -126,6 +135,7 @@
   std::string Get(const std::string& url);
 
   const std::size_t replica_count;
+  const TemplateFields changes;
   const TemporaryDirectory directory;
   const std::string caller_port;
   const std::string admin_port;
@@ -136,6 +146,7 @@
   const std::unique_ptr<RpcClient> rpc = RpcClient::Create(*client);
   // Addresses and sockets of the silent seeds.
   std::vector<std::string> silent_ips;
+  Json::Value scaling;
   std::vector<int> silent_sockets;
   std::vector<Machine> machines;
 };
