Log what a gateway tries while no replica responds, and the age of what it rejects by

Its log could not tell a gateway that knows no live replica from one that found a live one late, or from one that trusted an older state.

feed_silent: once a second after 1.5 s without news, the versions that the process goes on with, their confirmation, and each source that failed with its last failure. request_rejected (401, 404) names the configuration and the age of its confirmation. unconfirmed_requests_total counts requests that arrived while the configuration had not been confirmed for max_confirmation_age_ms, which the template takes from config_apply_ms. No decision changes.

--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -203,6 +203,7 @@
   kFeedUpstreamChanged = 608,
   kFindingRecorded = 609,
   kFeedResumed = 610,
+  kFeedSilent = 611,
   // 7xx: consensus and storage.
   kLeaderElected = 701,
   kLeadershipLost = 702,
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -105,6 +105,8 @@
      "A crash finding was recorded."},
     {Event::kFeedResumed, "feed_resumed",
      "A source of the feed answers after a time without news."},
+    {Event::kFeedSilent, "feed_silent",
+     "No source of the feed gives a state that can be used."},
     {Event::kLeaderElected, "leader_elected", "This replica is the leader."},
     {Event::kLeadershipLost, "leadership_lost",
      "This replica is no longer the leader."},
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <condition_variable>
 #include <deque>
+#include <map>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -49,6 +50,8 @@
 // ends. A poll that is held until its wait is over, and one change of the
 // source, are shorter.
 constexpr Duration kLoggedGap = milliseconds(1500);
+// Sources that one line about silent sources names.
+constexpr std::size_t kMaxLoggedSources = 16;
 
 // A poll whose response is awaited.
 struct OpenPoll {
@@ -257,6 +260,7 @@
 
   void SendSearchPoll() {
     const SteadyClock::time_point now = SteadyClock::now();
+    this->LogSilence();
     if (!this->IsLate() && !this->followed.empty() &&
         this->sources.RoundDone()) {
       // The source in use responds, and none is better: all were asked.
@@ -365,6 +369,34 @@
     }
   }
 
+  // Logs that no response could be applied for a while, and with what result
+  // each source was tried, at most once in kLogInterval.
+  void LogSilence() {
+    const TimePoint now = this->clock.Now();
+    if (!this->last_news || now - *this->last_news < kLoggedGap ||
+        now < this->next_silence_log) {
+      return;
+    }
+    this->next_silence_log = now + kLogInterval;
+    std::string tried;
+    for (const auto& [source, reason] : this->last_failures) {
+      tried += (tried.empty() ? "" : ", ") + source + " (" + reason + ")";
+    }
+    const std::shared_ptr<const SharedState> state = this->server.Current();
+    LogEvent(Severity::kWarning, Event::kFeedSilent,
+             {{"gap_ms", ToMilliseconds(now - *this->last_news)},
+              {"state_version", state == nullptr ? 0 : state->version},
+              {"configuration_version",
+               state == nullptr ? 0 : state->configuration_version},
+              {"confirmed_age_ms", AgeMilliseconds(this->ConfirmationAge())},
+              {"tried", tried}});
+  }
+
+  // @return the age in milliseconds; -1 if there was no confirmation.
+  static std::int64_t AgeMilliseconds(Duration age) {
+    return age == Duration::max() ? -1 : ToMilliseconds(age);
+  }
+
   void LogChange(const std::string& to) {
     LogEvent(Severity::kInfo, Event::kFeedUpstreamChanged,
              {{"from", this->used_source},
@@ -401,6 +433,9 @@
     }
     SourceReport report;
     const Status applied = this->Apply(poll, item.response, report);
+    if (!applied && this->last_failures.size() < kMaxLoggedSources) {
+      this->last_failures[poll.source] = applied.error().message;
+    }
     if (!applied || report.full) {
       this->CountPoll(applied ? FeedPollOutcome::kRedirected
                               : FeedPollOutcome::kFailed);
@@ -478,6 +513,7 @@
   // Logs the end of a time without news.
   void RecordNews(const std::string& source) {
     const TimePoint now = this->clock.Now();
+    this->last_failures.clear();
     Duration gap{0};
     std::uint64_t failed_polls = 0;
     {
@@ -720,6 +756,10 @@
   // Time of the last response that was applied. Changed by the follower's
   // thread only.
   std::optional<TimePoint> last_news;
+  // Last failure of each source since `last_news`, and the time of the next
+  // line about them. Used only by the follower's thread.
+  std::map<std::string, std::string> last_failures;
+  TimePoint next_silence_log;
   // Failed polls since `last_news`.
   std::uint64_t failed_in_gap = 0;
   // Entry daemons between the control replicas and this one.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -102,6 +102,9 @@
       caller_memory(loop, MemoryCeiling(settings.memory_mb)),
       timers(clock) {
   this->context.usage = this->usage.get();
+  this->handler.SetConfirmationAge(
+      [this] { return this->follower->ConfirmationAge(); },
+      this->settings.max_confirmation_age);
   this->SetRetryLimits(1);
 }
 
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -7,6 +7,8 @@
 constexpr std::int64_t kMaxPort = 65535;
 constexpr double kMaxRetryRatio = 10;
 constexpr double kMaxRetrySlack = 1000000;
+constexpr double kMinConfirmationAgeMs = 100;
+constexpr double kMaxConfirmationAgeMs = 3600 * 1000;
 constexpr std::int64_t kMinMemoryMb = 40;
 constexpr std::int64_t kMaxMemoryMb = 1 << 20;
 constexpr std::int64_t kMinFiles = 192;
@@ -39,6 +41,12 @@
       root.GetNumber("retry_ratio", 0, kMaxRetryRatio, settings.retry_ratio);
   settings.retry_slack =
       root.GetNumber("retry_slack", 0, kMaxRetrySlack, settings.retry_slack);
+  settings.max_confirmation_age = Scale(
+      milliseconds(1),
+      root.GetNumber(
+          "max_confirmation_age_ms", kMinConfirmationAgeMs,
+          kMaxConfirmationAgeMs,
+          static_cast<double>(ToMilliseconds(settings.max_confirmation_age))));
   if (root.Has("usage_window_s")) {
     settings.usage_window =
         root.GetSeconds("usage_window_s", kMinUsageTime, kMaxUsageTime);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -31,6 +31,8 @@
   // of its requests plus a fixed number.
   double retry_ratio = 0.2;
   double retry_slack = 50;
+  // A configuration that a quorum confirmed longer ago may be outdated.
+  Duration max_confirmation_age = seconds(2);
   // Length of the windows in which requests are counted for usage reports; 0 if
   // there are no reports.
   Duration usage_window{0};
--- a/src/gateway/request_metrics.cc
+++ b/src/gateway/request_metrics.cc
@@ -85,6 +85,10 @@
                      {{"status", std::to_string(status)}},
                      static_cast<double>(count));
   }
+  metrics.SetTotal("sycamorebend_gateway_unconfirmed_requests_total",
+                   "Requests that arrived while the configuration in force was "
+                   "not confirmed in time.",
+                   {}, static_cast<double>(this->unconfirmed));
   for (auto& [route, histogram] : this->first_event) {
     metrics.AddToHistogram("sycamorebend_gateway_first_event_seconds",
                            "Time to the first event or the whole answer.",
--- a/src/gateway/request_metrics.h
+++ b/src/gateway/request_metrics.h
@@ -53,6 +53,9 @@
   }
   // Counts a request that was rejected before forwarding.
   void AddRejected(int status) { ++this->rejected[status]; }
+  // Counts a request that arrived while no quorum had confirmed the
+  // configuration in force for long.
+  void AddUnconfirmed() { ++this->unconfirmed; }
   // Writes the totals to `metrics`; may be called repeatedly.
   void Publish(Metrics& metrics);
 
@@ -71,6 +74,7 @@
   // By framing and outcome.
   std::map<std::pair<std::string, std::string>, std::uint64_t> attempt_ends;
   std::map<int, std::uint64_t> rejected;
+  std::uint64_t unconfirmed = 0;
   std::map<std::string, Histogram> first_event;
   std::map<std::string, Histogram> longest_gaps;
   std::set<std::string> tenants;
--- a/src/gateway/route_handler.cc
+++ b/src/gateway/route_handler.cc
@@ -47,6 +47,26 @@
             {"target", exchange.Head().target},
             {"status", status},
             {"reason", reason}});
+  this->Respond(exchange, status);
+}
+
+void RouteHandler::RejectByTable(CallerExchange& exchange,
+                                 const RequestFields& fields,
+                                 int status,
+                                 const std::string& reason) {
+  const Duration age = this->confirmation_age();
+  LogEvent(Severity::kWarning, Event::kRequestRejected,
+           {{"request_id", fields.request_id},
+            {"target", exchange.Head().target},
+            {"status", status},
+            {"reason", reason},
+            {"configuration_version", this->table->version},
+            {"confirmed_age_ms",
+             age == Duration::max() ? -1 : ToMilliseconds(age)}});
+  this->Respond(exchange, status);
+}
+
+void RouteHandler::Respond(CallerExchange& exchange, int status) {
   this->context.metrics.AddRejected(status);
   HttpHeaders headers;
   if (status == kUnavailable) {
@@ -81,18 +101,21 @@
                  "there is no configuration yet");
     return;
   }
+  if (this->confirmation_age() > this->max_confirmation_age) {
+    this->context.metrics.AddUnconfirmed();
+  }
   job.table = this->table;
   job.route = this->table->Find(job.fields.host, exchange->Head().Path());
   if (job.route == nullptr) {
-    this->Reject(*exchange, job.fields, kNotFound, "no route matches");
+    this->RejectByTable(*exchange, job.fields, kNotFound, "no route matches");
     return;
   }
   job.tenant = this->table->FindTenant(job.fields.api_key);
   if (job.tenant == nullptr && !job.route->open &&
       !this->table->tenants.empty()) {
-    this->Reject(*exchange, job.fields, kUnauthorized,
-                 job.fields.api_key.empty() ? "there is no API key"
-                                            : "the API key is unknown");
+    this->RejectByTable(*exchange, job.fields, kUnauthorized,
+                        job.fields.api_key.empty() ? "there is no API key"
+                                                   : "the API key is unknown");
     return;
   }
   job.exchange = std::move(exchange);
--- a/tests/platform/rendered_settings.cc
+++ b/tests/platform/rendered_settings.cc
@@ -27,6 +27,7 @@
       {"bounds.grace_s", "8"},
       {"bounds.retry_budget_ratio", "0.2"},
       {"bounds.budget_slack", "56"},
+      {"bounds.config_apply_ms", "2000"},
       {"cloud_api.rate_per_s", "50.0"},
       {"cloud_api.duty_per_s", "50.0"},
       {"cloud_api.duties|json", R"(["metering","autoscaler"])"},
