--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -33,6 +33,9 @@
   bool draining = false;
   // "IP:port" at which it serves the feed to others; empty if it does not.
   std::string feed_address;
+  // "IP:port" at which it receives a ReplicaNotice as a datagram; empty if it
+  // does not. Known to control replicas only.
+  std::string notice_address;
 };
 
 // A backend server that announced itself to the control replicas.
--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -43,6 +43,19 @@
   virtual Result<Json::Value> Accept(const Json::Value& report) = 0;
 };
 
+// The control replicas of a deployment, named by one of its processes to
+// another that may have missed that they were replaced. It proves nothing: the
+// replicas are polled, and their responses are checked as those of any source.
+struct ReplicaNotice {
+  // Deployment and version of the shared state that names the replicas.
+  std::string epoch;
+  std::uint64_t version = 0;
+  // "IP:port" of their RPC servers.
+  std::vector<std::string> replicas;
+  // Entry daemon that the notice is for; empty if it is for any process.
+  std::string entry_id;
+};
+
 struct FeedFollowerOptions {
   EntryInfo self;
   // Control replicas, which are polled first.
@@ -134,6 +147,16 @@
   // Reports with the following polls that this daemon is draining.
   virtual void SetDraining() = 0;
 
+  // Replaces the control replicas of the options, after the settings were read
+  // again.
+  virtual void SetReplicas(std::vector<std::string> replicas) = 0;
+
+  // Polls the replicas that `notice` names as well, until a state that is as
+  // new as the notice was applied.
+  // @return false if it is of no use: of another deployment, older than
+  // Current(), or, without a state, not for this daemon.
+  virtual bool OnReplicaNotice(const ReplicaNotice& notice) = 0;
+
   // Serves another daemon's `feed.poll`; blocks for at most the poll's wait.
   // @return the text of the response, which shares what is equal for all
   // daemons; kConfigurationUnconfirmed if there is no state yet;
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -100,6 +100,7 @@
     item["incarnation"] = entry.incarnation;
     item["draining"] = entry.draining;
     item["feed_address"] = entry.feed_address;
+    item["notice_address"] = entry.notice_address;
     entries.append(item);
   }
   header["servers"] = tables.servers.Save();
@@ -130,6 +131,7 @@
     entry.incarnation = item["incarnation"].asString();
     entry.draining = item["draining"].asBool();
     entry.feed_address = item["feed_address"].asString();
+    entry.notice_address = item["notice_address"].asString();
     tables.entries[entry.entry_id] = std::move(entry);
   }
   tables.servers.Load(header["servers"]);
@@ -561,6 +563,7 @@
     entry.incarnation = reader.Name("incarnation");
     entry.draining = reader.OptionalBool("draining");
     entry.feed_address = reader.OptionalString("feed_address");
+    entry.notice_address = reader.OptionalString("notice_address");
     BOOST_OUTCOME_TRY(reader.Finish());
     this->shared_state_changed = true;
     this->tables->entries[entry.entry_id] = std::move(entry);
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -158,6 +158,12 @@
     this->draining = true;
   }
 
+  void SetReplicas(std::vector<std::string> /*replicas*/) override {}
+
+  bool OnReplicaNotice(const ReplicaNotice& /*notice*/) override {
+    return false;
+  }
+
   Result<HttpBody> ServeEncodedPoll(const Json::Value& params) override {
     BOOST_OUTCOME_TRY(poll, internal::ReadFeedPoll(params, this->clock.Now()));
     {
--- a/src/feed/feed_source.cc
+++ b/src/feed/feed_source.cc
@@ -207,7 +207,8 @@
     return known.incarnation != renewed.incarnation ||
            known.address != renewed.address ||
            known.failure_domain != renewed.failure_domain ||
-           known.feed_address != renewed.feed_address;
+           known.feed_address != renewed.feed_address ||
+           known.notice_address != renewed.notice_address;
   }
 
   void Propose(ReplicatedLog& replica_log,
@@ -227,6 +228,7 @@
     command["incarnation"] = entry.incarnation;
     command["draining"] = entry.draining;
     command["feed_address"] = entry.feed_address;
+    command["notice_address"] = entry.notice_address;
     replica_log.Propose(
         WriteJson(command),
         [pending = this->pending, type, entry](Result<std::string> response) {
--- a/src/feed/renewals.cc
+++ b/src/feed/renewals.cc
@@ -37,10 +37,15 @@
   if (reader.Finish() && !IsAddress(renewal.entry.address)) {
     reader.Reject("address", kAddressFormat);
   }
+  renewal.entry.notice_address = reader.OptionalString("notice_address");
   if (reader.Finish() && !renewal.entry.feed_address.empty() &&
       !IsAddress(renewal.entry.feed_address)) {
     reader.Reject("feed_address", kAddressFormat);
   }
+  if (reader.Finish() && !renewal.entry.notice_address.empty() &&
+      !IsAddress(renewal.entry.notice_address)) {
+    reader.Reject("notice_address", kAddressFormat);
+  }
   constexpr std::uint64_t kMaxAgeMs = 3600ULL * 1000;
   renewal.sent = now - milliseconds(std::min(age_ms, kMaxAgeMs));
   BOOST_OUTCOME_TRY(reader.Finish());
@@ -101,6 +106,9 @@
   if (!renewal.entry.feed_address.empty()) {
     value["feed_address"] = renewal.entry.feed_address;
   }
+  if (!renewal.entry.notice_address.empty()) {
+    value["notice_address"] = renewal.entry.notice_address;
+  }
   // Rounded up, so that rounding never makes a renewal appear newer.
   value["age_ms"] = Json::Int64(ToMilliseconds(now - renewal.sent) + 1);
   return value;
--- /dev/null
+++ b/src/feed/replica_notice.h
@@ -0,0 +1,42 @@
+// Datagrams by which a process that lost contact with the control replicas
+// learns the addresses of the present ones.
+#ifndef SYCAMOREBEND_SRC_FEED_REPLICA_NOTICE_H_
+#define SYCAMOREBEND_SRC_FEED_REPLICA_NOTICE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "sycamorebend/base.h"
+#include "sycamorebend/feed.h"
+
+namespace sycamorebend {
+namespace internal {
+
+// Asks another process of the deployment for a ReplicaNotice.
+struct ReplicaQuery {
+  // Deployment and version of the newest state of the sender.
+  std::string epoch;
+  std::uint64_t version = 0;
+};
+
+using ReplicaDatagram = std::variant<ReplicaQuery, ReplicaNotice>;
+
+std::string EncodeReplicaDatagram(const ReplicaDatagram& datagram);
+
+// @return true if `data` begins like a datagram of this kind. Other messages in
+// MessagePack never do.
+bool IsReplicaDatagram(std::string_view data);
+
+// @return the datagram, or kProtocolError if `data` is not one.
+Result<ReplicaDatagram> DecodeReplicaDatagram(std::string_view data);
+
+// @return as RPC parameters, and back; the error is kMalformedRequest.
+Json::Value ReplicaNoticeToJson(const ReplicaNotice& notice);
+Result<ReplicaNotice> ReplicaNoticeFromJson(const Json::Value& params);
+
+}  // namespace internal
+}  // namespace sycamorebend
+
+#endif  // SYCAMOREBEND_SRC_FEED_REPLICA_NOTICE_H_
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -198,6 +198,7 @@
   options.self.address = this->callers->Address();
   options.self.failure_domain = this->settings.failure_domain;
   options.self.incarnation = this->incarnation;
+  options.self.notice_address = this->settings.exchange_address;
   options.reporter = this->usage.get();
   options.replicas = this->settings.replicas;
   this->follower = FeedFollower::Start(
--- a/tests/entry/daemon_fixture.h
+++ b/tests/entry/daemon_fixture.h
@@ -32,6 +32,10 @@
   }
   FeedFollowerStatus GetStatus() const override { return {}; }
   void SetDraining() override { this->draining.store(true); }
+  void SetReplicas(std::vector<std::string> /*replicas*/) override {}
+  bool OnReplicaNotice(const ReplicaNotice& /*notice*/) override {
+    return false;
+  }
   Result<HttpBody> ServeEncodedPoll(const Json::Value& params) override {
     return HttpBody{std::make_shared<SharedText>(WriteJson(params))};
   }
--- a/tests/platform/fleet_feed_test.cc
+++ b/tests/platform/fleet_feed_test.cc
@@ -113,6 +113,53 @@
   BOOST_TEST((elapsed < kApplyTime));
 }
 
+// Replaces all control replicas of the start, one after the other.
+static void ReplaceAllReplicas(PlatformFleet& fleet, std::size_t replicas) {
+  const auto all_vote = [&] { return fleet.Voters() == replicas; };
+  BOOST_REQUIRE(WaitFor(all_vote, kStepTimeout));
+  for (std::size_t i = 0; i < replicas; ++i) {
+    fleet.ReplaceReplica(i);
+    BOOST_REQUIRE(WaitFor(all_vote, kStepTimeout));
+  }
+}
+
+// Guards against a gateway that goes on by an old configuration for good, since
+// all replicas that it knows were replaced while it was frozen.
+BOOST_AUTO_TEST_CASE(GatewayThatMissedTheReplacementOfAllReplicasGetsChanges) {
+  constexpr std::size_t kReplicas = 5;
+  constexpr std::size_t kGateways = 3;
+  PlatformFleet fleet(kReplicas, kGateways, /*max_followers=*/64);
+  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(1); }, kStepTimeout));
+  BOOST_REQUIRE(
+      WaitFor([&] { return fleet.InForce(1) == kGateways; }, kStepTimeout));
+  fleet.Gateway(0).Signal(SIGSTOP);
+  ReplaceAllReplicas(fleet, kReplicas);
+  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(2); }, kStepTimeout));
+  fleet.Gateway(0).Signal(SIGCONT);
+  BOOST_TEST(
+      WaitFor([&] { return fleet.InForce(2) == kGateways; }, kStepTimeout));
+}
+
+// Guards against the same where no gateway knows a live replica.
+BOOST_AUTO_TEST_CASE(GatewaysThatAllMissedTheReplacementGetChanges) {
+  constexpr std::size_t kReplicas = 5;
+  constexpr std::size_t kGateways = 3;
+  PlatformFleet fleet(kReplicas, kGateways, /*max_followers=*/64);
+  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(1); }, kStepTimeout));
+  BOOST_REQUIRE(
+      WaitFor([&] { return fleet.InForce(1) == kGateways; }, kStepTimeout));
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    fleet.Gateway(i).Signal(SIGSTOP);
+  }
+  ReplaceAllReplicas(fleet, kReplicas);
+  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(2); }, kStepTimeout));
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    fleet.Gateway(i).Signal(SIGCONT);
+  }
+  BOOST_TEST(
+      WaitFor([&] { return fleet.InForce(2) == kGateways; }, kStepTimeout));
+}
+
 // Guards against an address in the shared state or in a look-up at which the
 // named program does not serve what the address is given out for.
 BOOST_AUTO_TEST_CASE(AddressesGivenOutAreServed) {
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -53,6 +53,7 @@
                              std::size_t silent_seeds,
                              TemplateFields changes)
     : replica_count(replicas),
+      max_followers(max_followers),
       changes(std::move(changes)),
       caller_port(UnusedPort()),
       admin_port(UnusedPort()),
@@ -63,11 +64,17 @@
     this->silent_ips.push_back(this->IpOf(replicas + gateways + i));
     this->ListenSilently(this->silent_ips.back());
   }
+  // Three of the replicas are named at the start, however many there are.
+  Bootstrap bootstrap{true, {this->IpOf(0), this->IpOf(1), this->IpOf(2)}};
   for (std::size_t i = 0; i < replicas + gateways; ++i) {
-    this->machines.push_back(
-        this->WriteMachine(i, i < replicas, max_followers));
+    if (i == replicas) {
+      bootstrap.seeds.insert(bootstrap.seeds.end(), this->silent_ips.begin(),
+                             this->silent_ips.end());
+    }
+    this->machines.push_back(this->WriteMachine(i, i < replicas, bootstrap));
     this->Start(i);
   }
+  this->next_index = replicas + gateways + silent_seeds;
 }
 
 PlatformFleet::~PlatformFleet() {
@@ -106,6 +113,19 @@
   std::filesystem::remove_all(DataPath(machine));
 }
 
+void PlatformFleet::ReplaceReplica(std::size_t replica) {
+  this->machines.at(replica).process->Kill();
+  Bootstrap bootstrap{false, {}};
+  for (std::size_t i = 0; i < this->replica_count; ++i) {
+    if (i != replica) {
+      bootstrap.seeds.push_back(this->machines[i].ip);
+    }
+  }
+  this->machines[replica] =
+      this->WriteMachine(this->next_index++, /*is_replica=*/true, bootstrap);
+  this->Start(replica);
+}
+
 void PlatformFleet::RestartAll() {
   for (const Machine& machine : this->machines) {
     machine.process->Signal(SIGKILL);
@@ -302,7 +322,7 @@
 
 PlatformFleet::Machine PlatformFleet::WriteMachine(std::size_t index,
                                                    bool is_replica,
-                                                   std::size_t max_followers) {
+                                                   const Bootstrap& bootstrap) {
   Machine machine;
   machine.ip = this->IpOf(index);
   machine.program = is_replica ? "sycamorebend-platform-control"
@@ -313,27 +333,22 @@
   const auto at = [&machine](const std::string& port) {
     return Quoted(machine.ip + ":" + port);
   };
-  // Three of the replicas are named at the start, however many there are.
-  const auto seed = [this](std::size_t i) {
-    return Quoted(this->IpOf(i) + ":" + this->api_port);
-  };
-  std::string seeds = "[" + seed(0) + "," + seed(1) + "," + seed(2);
-  if (!is_replica) {
-    for (const std::string& ip : this->silent_ips) {
-      seeds += "," + Quoted(ip + ":" + this->api_port);
-    }
+  Json::Value seeds(Json::arrayValue);
+  for (const std::string& ip : bootstrap.seeds) {
+    seeds.append(ip + ":" + this->api_port);
   }
-  seeds += "]";
-  TemplateFields fields = {{"ip", machine.ip},
-                           {"node_name|json", Quoted(name)},
-                           {"listen.frontend|json", at(this->caller_port)},
-                           {"listen.readiness|json", at(this->admin_port)},
-                           {"listen.control_plane|json", at(this->api_port)},
-                           {"listen.registry|json", at(this->directory_port)},
-                           {"internal_ports.0", this->internal_port},
-                           {"seed_nodes|json", seeds},
-                           {"data_dir|json", Quoted(DataPath(machine))},
-                           {"fault_tolerance.nodes", "2"}};
+  TemplateFields fields = {
+      {"ip", machine.ip},
+      {"node_name|json", Quoted(name)},
+      {"listen.frontend|json", at(this->caller_port)},
+      {"listen.readiness|json", at(this->admin_port)},
+      {"listen.control_plane|json", at(this->api_port)},
+      {"listen.registry|json", at(this->directory_port)},
+      {"internal_ports.0", this->internal_port},
+      {"seed_nodes|json", WriteJson(seeds)},
+      {"bootstrap", bootstrap.first_start ? "true" : "false"},
+      {"data_dir|json", Quoted(DataPath(machine))},
+      {"fault_tolerance.nodes", "2"}};
   for (const auto& [field, value] : this->changes) {
     fields[field] = value;
   }
@@ -345,7 +360,7 @@
     BOOST_REQUIRE(found != std::string::npos);
     text.replace(found + limit.size(),
                  text.find(',', found) - found - limit.size(),
-                 std::to_string(max_followers));
+                 std::to_string(this->max_followers));
   }
   WriteFile(machine.settings_path, text);
   return machine;
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -54,6 +54,9 @@
   }
   // Kills a replica and deletes its data directory.
   void LoseDisk(std::size_t replica);
+  // Kills a replica for good, and starts another one with an empty disk at a
+  // new address. Its seeds are the other replicas; those of the gateways stay.
+  void ReplaceReplica(std::size_t replica);
   // Kills all processes at once and starts them again.
   void RestartAll();
 
@@ -112,6 +115,13 @@
     std::size_t log_start = 0;
   };
 
+  // What the settings of a machine say of the replicas.
+  struct Bootstrap {
+    bool first_start = true;
+    // IPs of the seeds.
+    std::vector<std::string> seeds;
+  };
+
   void Start(std::size_t index);
   static std::string DataPath(const Machine& machine) {
     return machine.settings_path + ".data";
@@ -125,7 +135,7 @@
   Json::Value StatusAt(std::size_t replica);
   Machine WriteMachine(std::size_t index,
                        bool is_replica,
-                       std::size_t max_followers);
+                       const Bootstrap& bootstrap);
   // @param first replica to which it is sent first.
   // @return true if a replica responded with success.
   bool PostToReplicas(const std::string& path,
@@ -135,6 +145,7 @@
   std::string Get(const std::string& url);
 
   const std::size_t replica_count;
+  const std::size_t max_followers;
   const TemplateFields changes;
   const TemporaryDirectory directory;
   const std::string caller_port;
@@ -149,6 +160,8 @@
   Json::Value scaling;
   std::vector<int> silent_sockets;
   std::vector<Machine> machines;
+  // Index of the next machine, which gives it its address.
+  std::size_t next_index = 0;
 };
 
 }  // namespace sycamorebend::platform
