--- a/tests/platform/fleet_feed_test.cc
+++ b/tests/platform/fleet_feed_test.cc
@@ -115,7 +115,7 @@
 
 // Replaces all control replicas of the start, one after the other.
 static void ReplaceAllReplicas(PlatformFleet& fleet, std::size_t replicas) {
-  const auto all_vote = [&] { return fleet.Voters() == replicas; };
+  const auto all_vote = [&] { return fleet.PresentReplicasVote(); };
   BOOST_REQUIRE(WaitFor(all_vote, kStepTimeout));
   for (std::size_t i = 0; i < replicas; ++i) {
     fleet.ReplaceReplica(i);
@@ -123,21 +123,38 @@
   }
 }
 
+// Waits until all gateways know each other.
+static void WaitForCompleteState(PlatformFleet& fleet,
+                                 std::uint64_t next_version) {
+  BOOST_REQUIRE(
+      WaitFor([&] { return fleet.Replace(next_version); }, kStepTimeout));
+  const auto complete = [&] {
+    const Json::Value state = fleet.SharedStateAt(fleet.ReplicaAddress(0));
+    return state["entries"].size() == fleet.Gateways();
+  };
+  BOOST_REQUIRE(WaitFor(complete, kStepTimeout));
+  // A later version comes with the entries.
+  ++next_version;
+  BOOST_REQUIRE(
+      WaitFor([&] { return fleet.Replace(next_version); }, kStepTimeout));
+  BOOST_REQUIRE(
+      WaitFor([&] { return fleet.InForce(next_version) == fleet.Gateways(); },
+              kStepTimeout));
+}
+
 // Guards against a gateway that goes on by an old configuration for good, since
 // all replicas that it knows were replaced while it was frozen.
 BOOST_AUTO_TEST_CASE(GatewayThatMissedTheReplacementOfAllReplicasGetsChanges) {
   constexpr std::size_t kReplicas = 5;
   constexpr std::size_t kGateways = 3;
   PlatformFleet fleet(kReplicas, kGateways, /*max_followers=*/64);
-  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(1); }, kStepTimeout));
-  BOOST_REQUIRE(
-      WaitFor([&] { return fleet.InForce(1) == kGateways; }, kStepTimeout));
+  WaitForCompleteState(fleet, 1);
   fleet.Gateway(0).Signal(SIGSTOP);
   ReplaceAllReplicas(fleet, kReplicas);
-  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(2); }, kStepTimeout));
+  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(3); }, kStepTimeout));
   fleet.Gateway(0).Signal(SIGCONT);
   BOOST_TEST(
-      WaitFor([&] { return fleet.InForce(2) == kGateways; }, kStepTimeout));
+      WaitFor([&] { return fleet.InForce(3) == kGateways; }, kStepTimeout));
 }
 
 // Guards against the same where no gateway knows a live replica.
@@ -145,19 +162,17 @@
   constexpr std::size_t kReplicas = 5;
   constexpr std::size_t kGateways = 3;
   PlatformFleet fleet(kReplicas, kGateways, /*max_followers=*/64);
-  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(1); }, kStepTimeout));
-  BOOST_REQUIRE(
-      WaitFor([&] { return fleet.InForce(1) == kGateways; }, kStepTimeout));
+  WaitForCompleteState(fleet, 1);
   for (std::size_t i = 0; i < kGateways; ++i) {
     fleet.Gateway(i).Signal(SIGSTOP);
   }
   ReplaceAllReplicas(fleet, kReplicas);
-  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(2); }, kStepTimeout));
+  BOOST_REQUIRE(WaitFor([&] { return fleet.Replace(3); }, kStepTimeout));
   for (std::size_t i = 0; i < kGateways; ++i) {
     fleet.Gateway(i).Signal(SIGCONT);
   }
   BOOST_TEST(
-      WaitFor([&] { return fleet.InForce(2) == kGateways; }, kStepTimeout));
+      WaitFor([&] { return fleet.InForce(3) == kGateways; }, kStepTimeout));
 }
 
 // Guards against an address in the shared state or in a look-up at which the
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
+#include <set>
 #include <sstream>
 #include <utility>
 
@@ -260,6 +261,25 @@
   return voters;
 }
 
+bool PlatformFleet::PresentReplicasVote() {
+  const std::size_t leader = this->Leader();
+  if (leader == this->replica_count) {
+    return false;
+  }
+  const Json::Value status = this->StatusAt(leader);
+  std::set<std::string> voters;
+  for (const Json::Value& replica : status["replicas"]) {
+    if (replica["voter"].asBool()) {
+      voters.insert(replica["address"].asString());
+    }
+  }
+  std::set<std::string> present;
+  for (std::size_t i = 0; i < this->replica_count; ++i) {
+    present.insert(this->ReplicaAddress(i));
+  }
+  return voters == present;
+}
+
 std::string PlatformFleet::ReplicaAddress(std::size_t replica) const {
   return this->machines.at(replica).ip + ":" + this->internal_port;
 }
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -89,6 +89,9 @@
   std::size_t Leader();
   // @return number of voters in the replica set.
   std::size_t Voters();
+  // @return true if the voters of the replica set are the present replicas, and
+  // no other.
+  bool PresentReplicasVote();
   std::string ReplicaAddress(std::size_t replica) const;
   std::string CallerAddress(std::size_t gateway) const;
   // @return the metrics page of a gateway; empty if it does not respond.
