Let a gateway without contact ask others for the control replicas

Cause: a gateway learns the addresses of the replicas from its settings and from the state that these replicas serve. One that is away while all of them are replaced knows only addresses that are gone. Class: membership that is learned only from members that may leave.

Change: a gateway whose state was not confirmed for 1 s asks three other gateways at a time, over the socket of the load exchange; one that knows a newer state of the same deployment, confirmed within 1 s, names the replicas. They are polled like seeds, and what they respond is checked as before. Seeds are taken from the settings again on SIGHUP, and once a second without contact. Entry daemons try other relays in each round; before, the same six of 380. Requests that an unconfirmed configuration does not allow get 503 with Retry-After instead of 404 or 401, which are final for callers.

AllRelaysAreTriedInTurn: only kMaxRelaysPerRound of 40 relays were ever asked. feed_test, gateway_test and gateway_forward_test pass.

--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -153,7 +153,7 @@
 
   // Polls the replicas that `notice` names as well, until a state that is as
   // new as the notice was applied.
-  // @return false if it is of no use: of another deployment, older than
+  // @return false if it is of no use: of another deployment, not newer than
   // Current(), or, without a state, not for this daemon.
   virtual bool OnReplicaNotice(const ReplicaNotice& notice) = 0;
 
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -107,6 +107,8 @@
      "A source of the feed answers after a time without news."},
     {Event::kFeedSilent, "feed_silent",
      "No source of the feed gives a state that can be used."},
+    {Event::kReplicaNoticeUsed, "replica_notice_used",
+     "Another process named control replicas, which are now polled."},
     {Event::kLeaderElected, "leader_elected", "This replica is the leader."},
     {Event::kLeadershipLost, "leadership_lost",
      "This replica is no longer the leader."},
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -1,4 +1,5 @@
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <array>
@@ -84,12 +85,15 @@
     this->changed.notify_all();
   }
 
-  // Waits until there is a response, Stop was called or `end` is reached.
+  // Waits until there is a response, Wake or Stop was called or `end` is
+  // reached.
   // @return the oldest response; empty if there is none.
   std::optional<Item> Take(SteadyClock::time_point end) {
     std::unique_lock lock(this->mutex);
-    this->changed.wait_until(
-        lock, end, [this] { return this->stopped || !this->items.empty(); });
+    this->changed.wait_until(lock, end, [this] {
+      return this->stopped || this->woken || !this->items.empty();
+    });
+    this->woken = false;
     if (this->stopped || this->items.empty()) {
       return std::nullopt;
     }
@@ -98,6 +102,15 @@
     return item;
   }
 
+  // Ends the wait of Take.
+  void Wake() {
+    {
+      std::lock_guard lock(this->mutex);
+      this->woken = true;
+    }
+    this->changed.notify_all();
+  }
+
   bool Stopped() const {
     std::lock_guard lock(this->mutex);
     return this->stopped;
@@ -117,6 +130,7 @@
   mutable std::mutex mutex;
   std::condition_variable changed;
   bool stopped = false;
+  bool woken = false;
   std::deque<Item> items;
 };
 
@@ -158,10 +172,32 @@
     this->draining = true;
   }
 
-  void SetReplicas(std::vector<std::string> /*replicas*/) override {}
+  void SetReplicas(std::vector<std::string> replicas) override {
+    {
+      std::lock_guard lock(this->mutex);
+      this->new_replicas = std::move(replicas);
+    }
+    this->responses->Wake();
+  }
 
-  bool OnReplicaNotice(const ReplicaNotice& /*notice*/) override {
-    return false;
+  bool OnReplicaNotice(const ReplicaNotice& notice) override {
+    const std::shared_ptr<const SharedState> state = this->server.Current();
+    const bool of_use =
+        state == nullptr
+            ? notice.entry_id == this->options.self.entry_id
+            : notice.epoch == state->epoch && notice.version > state->version;
+    if (!of_use) {
+      return false;
+    }
+    {
+      std::lock_guard lock(this->mutex);
+      if (this->new_notice && this->new_notice->version > notice.version) {
+        return false;
+      }
+      this->new_notice = notice;
+    }
+    this->responses->Wake();
+    return true;
   }
 
   Result<HttpBody> ServeEncodedPoll(const Json::Value& params) override {
@@ -205,6 +241,7 @@
   void Run() {
     this->StartSearch({}, "this daemon starts", Duration(0));
     while (!this->responses->Stopped()) {
+      this->TakeNotice();
       this->SendDuePolls();
       const SteadyClock::time_point next =
           this->searching ? this->next_search_poll : this->late_at;
@@ -215,6 +252,40 @@
     }
   }
 
+  // Takes over what SetReplicas and OnReplicaNotice were called with.
+  void TakeNotice() {
+    std::optional<std::vector<std::string>> replicas;
+    std::optional<ReplicaNotice> notice;
+    {
+      std::lock_guard lock(this->mutex);
+      replicas = std::exchange(this->new_replicas, std::nullopt);
+      notice = std::exchange(this->new_notice, std::nullopt);
+    }
+    if (replicas) {
+      this->sources.SetReplicas(std::move(*replicas));
+    }
+    const std::shared_ptr<const SharedState> state = this->server.Current();
+    if (!notice || (this->noticed_version == notice->version &&
+                    this->NoticeIsOpen(state))) {
+      return;
+    }
+    this->noticed_version = notice->version;
+    this->sources.SetNoticed(notice->replicas);
+    if (this->searching) {
+      LogEvent(
+          Severity::kInfo, Event::kReplicaNoticeUsed,
+          {{"replicas", fmt::format("{}", fmt::join(notice->replicas, ","))},
+           {"state_version", notice->version}});
+      this->next_search_poll = SteadyClock::now();
+    }
+  }
+
+  // @return true if no state is known that is as new as the newest notice.
+  bool NoticeIsOpen(const std::shared_ptr<const SharedState>& state) const {
+    return this->noticed_version &&
+           (state == nullptr || state->version < *this->noticed_version);
+  }
+
   // Polls the source in use unless a poll of it is open, and the next source of
   // a search when that is due.
   void SendDuePolls() {
@@ -588,6 +659,10 @@
       this->full_source = poll.source;
     }
     this->next_full_source_poll = SteadyClock::now() + this->options.poll_wait;
+    if (this->noticed_version && !this->NoticeIsOpen(this->server.Current())) {
+      this->noticed_version.reset();
+      this->sources.ClearNoticed();
+    }
     this->search_rounds = 0;
     this->RecordNews(poll.source);
     return Success();
@@ -722,6 +797,8 @@
       std::make_shared<ResponseQueue>();
   // Used only by the follower's thread.
   SourceList sources;
+  // Version of the notice whose replicas `sources` has.
+  std::optional<std::uint64_t> noticed_version;
   // The last response could not be applied to the current state.
   bool needs_snapshot = false;
   std::vector<OpenPoll> open_polls;
@@ -755,6 +832,9 @@
   internal::FeedServer server;
   mutable std::mutex mutex;
   RenewalTable renewals;
+  // Not yet taken over by the follower's thread.
+  std::optional<std::vector<std::string>> new_replicas;
+  std::optional<ReplicaNotice> new_notice;
   bool draining;
   // A quorum confirmed the current state at this time or later.
   std::optional<TimePoint> confirmed;
--- a/src/feed/source_list.cc
+++ b/src/feed/source_list.cc
@@ -9,9 +9,9 @@
 
 namespace {
 
-// Relays from the shared state that are tried in one round. Trying all of 380
-// relays while the control replicas are down would delay the next attempt to
-// reach these.
+// Relays from the shared state that are tried in one round, others in the next
+// one. Trying all of 380 relays while the control replicas are down would delay
+// the next attempt to reach these.
 constexpr std::size_t kMaxRelaysPerRound = 6;
 // Relays of one redirect that are tried before the other sources, for the same
 // reason.
@@ -19,7 +19,8 @@
 
 }  // namespace
 
-SourceList::SourceList(const FeedFollowerOptions& options) : options(options) {}
+SourceList::SourceList(const FeedFollowerOptions& options)
+    : options(options), replicas(options.replicas) {}
 
 std::string SourceList::Next(const std::shared_ptr<const SharedState>& state) {
   if (this->remaining.empty()) {
@@ -51,6 +52,15 @@
     }
   }
   addresses.resize(std::min(addresses.size(), kMaxRedirects));
+  this->Prepend(std::move(addresses));
+}
+
+void SourceList::SetNoticed(const std::vector<std::string>& addresses) {
+  this->noticed = addresses;
+  this->Prepend(addresses);
+}
+
+void SourceList::Prepend(std::vector<std::string> addresses) {
   std::vector<std::string> other_sources;
   std::swap(other_sources, this->remaining);
   this->Append(std::move(addresses));
@@ -61,11 +71,11 @@
 }
 
 void SourceList::Refill(const std::shared_ptr<const SharedState>& state) {
-  std::vector<std::string> replicas = this->options.replicas;
+  std::vector<std::string> known = this->replicas;
+  known.insert(known.end(), this->noticed.begin(), this->noticed.end());
   std::vector<std::string> entries;
   if (state != nullptr) {
-    replicas.insert(replicas.end(), state->replicas.begin(),
-                    state->replicas.end());
+    known.insert(known.end(), state->replicas.begin(), state->replicas.end());
     for (const EntryInfo& entry : state->entries) {
       if (!entry.draining && IsAddress(entry.feed_address) &&
           entry.entry_id != this->options.self.entry_id) {
@@ -75,16 +85,25 @@
   }
   // Those that were configured are not tried first: all daemons know the same
   // few.
-  this->Append(std::move(replicas));
+  this->Append(std::move(known));
   this->Append(this->options.relays);
-  const std::size_t before = this->remaining.size();
-  this->Append(std::move(entries));
-  this->remaining.resize(
-      std::min(this->remaining.size(), before + kMaxRelaysPerRound));
+  this->AppendSomeRelays(std::move(entries));
   std::reverse(this->remaining.begin(), this->remaining.end());
 }
 
-void SourceList::Append(std::vector<std::string> addresses) {
+void SourceList::AppendSomeRelays(std::vector<std::string> relays) {
+  this->Sort(relays);
+  std::vector<std::string> some;
+  const std::size_t count = std::min(relays.size(), kMaxRelaysPerRound);
+  for (std::size_t i = 0; i < count; ++i) {
+    some.push_back(
+        relays[(this->round * kMaxRelaysPerRound + i) % relays.size()]);
+  }
+  ++this->round;
+  this->Append(std::move(some));
+}
+
+void SourceList::Sort(std::vector<std::string>& addresses) const {
   const auto rank = [this](const std::string& address) {
     return StableHash64(this->options.self.entry_id + " " + address);
   };
@@ -92,6 +111,10 @@
             [&](const std::string& left, const std::string& right) {
               return rank(left) < rank(right);
             });
+}
+
+void SourceList::Append(std::vector<std::string> addresses) {
+  this->Sort(addresses);
   for (std::string& address : addresses) {
     if (std::find(this->remaining.begin(), this->remaining.end(), address) ==
         this->remaining.end()) {
--- a/src/feed/source_list.h
+++ b/src/feed/source_list.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <json/value.h>
@@ -38,11 +39,31 @@
   // Adds the addresses to which a busy source redirects. They are tried next.
   void AddRedirects(const Json::Value& relays);
 
+  // Replaces the control replicas of the options, from the next round on.
+  void SetReplicas(std::vector<std::string> new_replicas) {
+    this->replicas = std::move(new_replicas);
+  }
+
+  // Sets control replicas that another process has named. They are tried next,
+  // and in each round as long as they are set.
+  void SetNoticed(const std::vector<std::string>& addresses);
+  void ClearNoticed() { this->noticed.clear(); }
+
  private:
   void Refill(const std::shared_ptr<const SharedState>& state);
   void Append(std::vector<std::string> addresses);
+  // Appends kMaxRelaysPerRound of `relays`, others in each round.
+  void AppendSomeRelays(std::vector<std::string> relays);
+  // Tries `addresses` before the sources that remain.
+  void Prepend(std::vector<std::string> addresses);
+  // Sorts in the order of this daemon.
+  void Sort(std::vector<std::string>& addresses) const;
 
   const FeedFollowerOptions& options;
+  std::vector<std::string> replicas;
+  std::vector<std::string> noticed;
+  // Number of the round, which selects its relays.
+  std::size_t round = 0;
   // Sources of this round that are still to be tried, last one first.
   std::vector<std::string> remaining;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -100,7 +100,9 @@
       handler(this->context),
       admin_handler(*this),
       caller_memory(loop, MemoryCeiling(settings.memory_mb)),
-      timers(clock) {
+      replica_finder(StableHash64(settings.entry_id)),
+      timers(clock),
+      configured_replicas(settings.replicas) {
   this->context.usage = this->usage.get();
   this->handler.SetConfirmationAge(
       [this] { return this->follower->ConfirmationAge(); },
@@ -110,6 +112,7 @@
 
 Gateway::~Gateway() {
   this->loop.Cancel(this->findings_timer);
+  this->loop.Cancel(this->find_replicas_timer);
   this->timers.Stop();
   if (this->follower != nullptr) {
     this->follower->Stop();
@@ -158,6 +161,10 @@
             this->quarantine.OnPeerLoad(message, this->loop.Now());
           }));
   this->exchange = std::move(started_exchange);
+  this->exchange->SetDatagramHandler(
+      [this](std::string_view data, const sockaddr_in& from) {
+        this->OnReplicaDatagram(data, from);
+      });
   this->balancer.SetHeavyLoadCallback([this] { this->exchange->SendEarly(); });
   this->quarantine.SetCrashCallback([this] { this->exchange->SendEarly(); });
   LogEvent(Severity::kInfo, Event::kListening,
@@ -207,6 +214,48 @@
         this->ReadAhead(*state);
         this->loop.Post([this] { this->OnSharedState(); });
       });
+  this->find_replicas_timer = this->loop.SubscribePeriodic(
+      ReplicaFinder::kAskInterval, [this] { this->FindReplicas(); });
+}
+
+void Gateway::FindReplicas() {
+  const std::vector<std::string> asked = this->replica_finder.GatewaysToAsk(
+      this->follower->ConfirmationAge(), this->loop.Now());
+  const std::shared_ptr<const SharedState> state = this->follower->Current();
+  if (asked.empty() || state == nullptr) {
+    return;
+  }
+  const std::string query = internal::EncodeReplicaDatagram(
+      internal::ReplicaQuery{state->epoch, state->version});
+  for (const std::string& ip : asked) {
+    this->exchange->SendDatagram(ip, query);
+  }
+  this->replica_queries += asked.size();
+}
+
+void Gateway::OnReplicaDatagram(std::string_view data,
+                                const sockaddr_in& from) {
+  const Result<internal::ReplicaDatagram> datagram =
+      internal::DecodeReplicaDatagram(data);
+  if (!datagram) {
+    LogEvent(
+        Severity::kWarning, Event::kReportRejected,
+        {{"source", "replica datagram"}, {"reason", datagram.error().message}});
+    return;
+  }
+  if (const auto* query =
+          std::get_if<internal::ReplicaQuery>(&datagram.value())) {
+    const std::optional<ReplicaNotice> notice = this->replica_finder.Answer(
+        *query, this->follower->Current().get(),
+        this->follower->ConfirmationAge(), this->loop.Now());
+    if (notice) {
+      this->exchange->SendDatagram(from,
+                                   internal::EncodeReplicaDatagram(*notice));
+    }
+    return;
+  }
+  const auto& notice = std::get<ReplicaNotice>(datagram.value());
+  this->replica_notices += this->follower->OnReplicaNotice(notice) ? 1 : 0;
 }
 
 void Gateway::OnSharedState() {
@@ -223,10 +272,15 @@
                                this->loop.Now());
   this->SetRetryLimits(state->entries.size());
   std::vector<ExchangePeer> gateways;
+  std::vector<std::string> others;
   for (const EntryInfo& entry : state->entries) {
     gateways.push_back({entry.address.substr(0, entry.address.find(':')),
                         entry.failure_domain});
+    if (entry.entry_id != this->settings.entry_id) {
+      others.push_back(gateways.back().ip);
+    }
   }
+  this->replica_finder.SetGateways(std::move(others));
   this->exchange->SetGateways(gateways);
   this->balancer.SetExchangeInterval(this->exchange->Interval());
   this->quarantine.SetExchangeInterval(this->exchange->Interval());
@@ -239,8 +293,26 @@
 
 std::vector<std::string> Gateway::Replicas() const {
   const auto state = this->follower->Current();
-  return state != nullptr && !state->replicas.empty() ? state->replicas
-                                                      : this->settings.replicas;
+  if (state != nullptr && !state->replicas.empty()) {
+    return state->replicas;
+  }
+  std::lock_guard lock(this->replicas_mutex);
+  return this->configured_replicas;
+}
+
+void Gateway::SetReplicas(const std::vector<std::string>& replicas) {
+  {
+    std::lock_guard lock(this->replicas_mutex);
+    if (std::exchange(this->configured_replicas, replicas) == replicas) {
+      return;
+    }
+  }
+  this->follower->SetReplicas(replicas);
+}
+
+bool Gateway::WithoutReplicas() const {
+  return this->follower->ConfirmationAge() >
+         this->settings.max_confirmation_age;
 }
 
 void Gateway::ReportFindings() {
@@ -448,6 +520,14 @@
       "sycamorebend_gateway_state_confirmed_age_seconds",
       "Time since a quorum confirmed the shared state; negative if never.", {},
       static_cast<double>(this->ConfirmationAgeMs()) / 1000);
+  this->metrics.SetTotal(
+      "sycamorebend_gateway_replica_queries_total",
+      "Other gateways that were asked for the control replicas.", {},
+      static_cast<double>(this->replica_queries));
+  this->metrics.SetTotal(
+      "sycamorebend_gateway_replica_notices_total",
+      "Notices of control replicas that were not known or were replaced.", {},
+      static_cast<double>(this->replica_notices));
 }
 
 void Gateway::BeginStop() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,12 +9,16 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "control/leader_rpc_client.h"
 #include "gateway/balancer.h"
 #include "gateway/caller_connection.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/load_exchange.h"
+#include "gateway/replica_finder.h"
 #include "gateway/route_handler.h"
 #include "gateway/server_pool.h"
 #include "gateway/wire_format.h"
@@ -46,6 +50,11 @@
                                                 const Clock& clock);
   ~Gateway();
 
+  // Replaces the control replicas of the settings, after these were read again.
+  void SetReplicas(const std::vector<std::string>& replicas);
+  // @return true if no control replica has confirmed the state for a while.
+  bool WithoutReplicas() const;
+
   // Begins a graceful stop, which stops the loop when it is complete.
   void BeginStop();
 
@@ -70,6 +79,9 @@
   Status Listen();
   void ListenForMetrics();
   void StartFollower();
+  // Asks other gateways for the control replicas while none responds.
+  void FindReplicas();
+  void OnReplicaDatagram(std::string_view data, const sockaddr_in& from);
   // Applies the newest state of the feed.
   void OnSharedState();
   void ApplyConfiguration(const SharedState& state);
@@ -122,6 +134,10 @@
   std::unique_ptr<CallerServer> admin;
   std::unique_ptr<CallerServer> metrics_server;
   std::unique_ptr<LoadExchange> exchange;
+  ReplicaFinder replica_finder;
+  TimerId find_replicas_timer = 0;
+  std::uint64_t replica_queries = 0;
+  std::uint64_t replica_notices = 0;
   // Runs the timers of calls to the leader, which may be made on any thread.
   ControlThread timers;
   std::unique_ptr<HttpClient> http_client;
@@ -132,6 +148,9 @@
     std::uint64_t version;
     Result<std::shared_ptr<const RouteTable>> table;
   };
+  // Control replicas of the settings. Read from any thread.
+  mutable std::mutex replicas_mutex;
+  std::vector<std::string> configured_replicas;
   std::mutex read_mutex;
   std::optional<TableReadAhead> read_ahead;
   // Used on the follower's thread only.
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -16,7 +16,19 @@
   return ReadGatewaySettings(std::move(root));
 }
 
-void Reload(const std::string& path) {
+// Interval at which the settings are read again while no control replica
+// responds: they may name others by then, also without a signal.
+constexpr Duration kSeedReadInterval = seconds(1);
+
+// Takes over the control replicas of the settings if they can be read.
+void ReadSeeds(const std::string& path, Gateway& gateway) {
+  const Result<GatewaySettings> settings = LoadSettings(path);
+  if (settings) {
+    gateway.SetReplicas(settings.value().replicas);
+  }
+}
+
+void Reload(const std::string& path, net::EventLoop& loop, Gateway& gateway) {
   const Result<GatewaySettings> settings = LoadSettings(path);
   if (!settings) {
     // The settings in force stay.
@@ -25,6 +37,9 @@
     return;
   }
   SetLogThreshold(settings.value().log_threshold);
+  loop.Post([&gateway, replicas = settings.value().replicas] {
+    gateway.SetReplicas(replicas);
+  });
   LogEvent(Severity::kInfo, Event::kSettingsReloaded, {{"path", path}});
 }
 
@@ -38,13 +53,18 @@
   const SystemClock clock;
   const std::unique_ptr<net::EventLoop> loop = net::EventLoop::Create(clock);
   BOOST_OUTCOME_TRY(gateway, Gateway::Start(settings, format, *loop, clock));
+  loop->SubscribePeriodic(kSeedReadInterval, [&] {
+    if (gateway->WithoutReplicas()) {
+      ReadSeeds(settings_path, *gateway);
+    }
+  });
   std::atomic<bool> ended = false;
   std::thread waiter([&] {
     while (!ended) {
       int signal_number = 0;
       sigwait(&signals, &signal_number);
       if (signal_number == SIGHUP) {
-        Reload(settings_path);
+        Reload(settings_path, *loop, *gateway);
       } else if (!ended) {
         loop->Post([&gateway] { gateway->BeginStop(); });
       }
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -9,6 +9,8 @@
 #include <fmt/format.h>
 #include <msgpack.hpp>
 
+#include "feed/replica_notice.h"
+
 namespace sycamorebend::gateway {
 
 namespace {
@@ -454,10 +456,12 @@
   std::unique_ptr<LoadExchange> exchange(new LoadExchange(
       loop, address, failure_domain, std::move(source), std::move(sink)));
   LoadExchange* const raw = exchange.get();
-  BOOST_OUTCOME_TRY(socket, net::DatagramSocket::Bind(
-                                loop, address, [raw](std::string_view data) {
-                                  raw->Receive(data);
-                                }));
+  BOOST_OUTCOME_TRY(
+      socket,
+      net::DatagramSocket::Bind(
+          loop, address, [raw](std::string_view data, const sockaddr_in& from) {
+            raw->Receive(data, from);
+          }));
   exchange->socket = std::move(socket);
   exchange->timer =
       loop.SubscribePeriodic(kRoundInterval, [raw] { raw->SendRound(); });
@@ -472,7 +476,13 @@
   this->plan = PlanExchange(this->self, gateways);
 }
 
-void LoadExchange::Receive(std::string_view data) {
+void LoadExchange::Receive(std::string_view data, const sockaddr_in& from) {
+  if (internal::IsReplicaDatagram(data)) {
+    if (this->handle_datagram) {
+      this->handle_datagram(data, from);
+    }
+    return;
+  }
   Result<LoadMessage> message = DecodeLoadMessage(data);
   if (!message) {
     LogEvent(Severity::kWarning, Event::kReportRejected,
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -200,6 +200,20 @@
       MessageSink sink);
   ~LoadExchange();
 
+  // Receives the datagrams of other kinds that arrive at the address.
+  using DatagramHandler =
+      std::function<void(std::string_view data, const sockaddr_in& from)>;
+  void SetDatagramHandler(DatagramHandler handler) {
+    this->handle_datagram = std::move(handler);
+  }
+  // Sends a datagram of another kind to a gateway.
+  void SendDatagram(const std::string& ip, std::string_view data) {
+    this->socket->Send(ip + this->port, data);
+  }
+  void SendDatagram(const sockaddr_in& address, std::string_view data) {
+    this->socket->Send(address, data);
+  }
+
   // @param gateways all gateways, including this one.
   void SetGateways(const std::vector<ExchangePeer>& gateways);
   // @return the time between two messages to the same gateway.
@@ -215,7 +229,7 @@
                LoadSource source,
                MessageSink sink);
 
-  void Receive(std::string_view data);
+  void Receive(std::string_view data, const sockaddr_in& from);
   // Relays the sum of another failure domain to the gateways of this domain.
   void RelayInDomain(LoadMessage message);
   // Forwards a sum to the gateways that it names.
@@ -231,6 +245,7 @@
   const std::string sender;
   const LoadSource source;
   const MessageSink sink;
+  DatagramHandler handle_datagram;
   std::unique_ptr<net::DatagramSocket> socket;
   ExchangePlan plan;
   TimerId timer = 0;
--- a/src/gateway/route_handler.cc
+++ b/src/gateway/route_handler.cc
@@ -55,6 +55,11 @@
                                  int status,
                                  const std::string& reason) {
   const Duration age = this->confirmation_age();
+  // A newer configuration may allow the request, and these statuses are final
+  // for callers: another gateway may know it.
+  if (age > this->max_confirmation_age) {
+    status = kUnavailable;
+  }
   LogEvent(Severity::kWarning, Event::kRequestRejected,
            {{"request_id", fields.request_id},
             {"target", exchange.Head().target},
--- a/src/net/datagram_socket.cc
+++ b/src/net/datagram_socket.cc
@@ -56,20 +56,28 @@
 void DatagramSocket::Send(const std::string& address, std::string_view data) {
   sockaddr_in peer{};
   if (ParseAddress(address, peer)) {
-    // UDP gives no delivery guarantee, so a failed send is ignored.
-    ::sendto(this->fd, data.data(), data.size(), 0,
-             reinterpret_cast<sockaddr*>(&peer), sizeof(peer));
+    this->Send(peer, data);
   }
 }
 
+void DatagramSocket::Send(const sockaddr_in& address, std::string_view data) {
+  // UDP gives no delivery guarantee, so a failed send is ignored.
+  ::sendto(this->fd, data.data(), data.size(), 0,
+           reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+}
+
 void DatagramSocket::OnReadable() {
   static thread_local char buffer[kMaxDatagramBytes];
   for (int i = 0; i < kMaxReadsPerCall; ++i) {
-    const ssize_t size = ::recv(this->fd, buffer, sizeof(buffer), 0);
+    sockaddr_in from{};
+    socklen_t from_size = sizeof(from);
+    const ssize_t size =
+        ::recvfrom(this->fd, buffer, sizeof(buffer), 0,
+                   reinterpret_cast<sockaddr*>(&from), &from_size);
     if (size < 0) {
       return;
     }
-    this->on_receive({buffer, static_cast<std::size_t>(size)});
+    this->on_receive({buffer, static_cast<std::size_t>(size)}, from);
   }
 }
 
--- a/src/net/datagram_socket.h
+++ b/src/net/datagram_socket.h
@@ -2,6 +2,8 @@
 #ifndef SYCAMOREBEND_SRC_NET_DATAGRAM_SOCKET_H_
 #define SYCAMOREBEND_SRC_NET_DATAGRAM_SOCKET_H_
 
+#include <netinet/in.h>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -14,7 +16,9 @@
 
 class DatagramSocket : public FdHandler {
  public:
-  using ReceiveCallback = std::function<void(std::string_view data)>;
+  // @param from the sender's address, as the datagram states it.
+  using ReceiveCallback =
+      std::function<void(std::string_view data, const sockaddr_in& from)>;
 
   // @param address "IP:port".
   // @return the socket, or kListenFailed.
@@ -24,6 +28,7 @@
 
   // Sends one datagram; it may be lost.
   void Send(const std::string& address, std::string_view data);
+  void Send(const sockaddr_in& address, std::string_view data);
 
   void OnReadable() override;
   void OnWritable() override {}
--- a/tests/feed/feed_test.cc
+++ b/tests/feed/feed_test.cc
@@ -10,6 +10,7 @@
 #include <limits>
 #include <map>
 #include <random>
+#include <set>
 
 #include "../case_count.h"
 #include "../control/memory_log.h"
@@ -581,6 +582,91 @@
   }
 }
 
+// Guards against a daemon that knows more relays than it asks in one round, and
+// asks the same ones in each: all of those may be gone.
+BOOST_AUTO_TEST_CASE(AllRelaysAreTriedInTurn) {
+  constexpr int kRelays = 40;
+  const auto state = std::make_shared<SharedState>();
+  state->replicas = {kReplica1};
+  for (int i = 0; i < kRelays; ++i) {
+    EntryInfo entry;
+    entry.entry_id = "e" + std::to_string(i);
+    entry.feed_address = "127.0.0.1:" + std::to_string(8000 + i);
+    state->entries.push_back(entry);
+  }
+  FeedFollowerOptions options;
+  options.self.entry_id = "follower";
+  internal::SourceList sources(options);
+  std::set<std::string> tried;
+  for (int i = 0; i < 3 * kRelays; ++i) {
+    tried.insert(sources.Next(state));
+  }
+  BOOST_TEST(tried.size() == kRelays + 1);
+}
+
+// Guards against a daemon that was away while all replicas that it knows were
+// replaced, and never hears of the present ones.
+BOOST_FIXTURE_TEST_CASE(FollowerUsesReplicasOfANotice, Fixture) {
+  Replica gone(rpc, clock, kReplica1);
+  gone.Init();
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 1; }));
+  rpc.DropCalls(kReplica1);
+  Replica present(rpc, clock, kReplica2);
+  present.Init();
+  present.Drain("s1");
+  const std::vector<std::string> replicas = {kReplica2};
+  // Of another deployment, and of the state that the follower has.
+  BOOST_TEST(!follower->OnReplicaNotice({"y", 2, replicas, "e1"}));
+  BOOST_TEST(!follower->OnReplicaNotice({"x", 1, replicas, "e1"}));
+  BOOST_TEST(follower->OnReplicaNotice({"x", 2, replicas, {}}));
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 2; }));
+  follower->Stop();
+}
+
+// Guards against a state of another deployment that is used because a notice
+// named its replicas.
+BOOST_FIXTURE_TEST_CASE(NoticeDoesNotChangeTheDeployment, Fixture) {
+  Replica gone(rpc, clock, kReplica1);
+  gone.Init("x");
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 1; }));
+  rpc.DropCalls(kReplica1);
+  Replica other(rpc, clock, kReplica2);
+  other.Init("y");
+  other.Drain("s1");
+  BOOST_TEST(follower->OnReplicaNotice({"x", 2, {kReplica2}, {}}));
+  BOOST_TEST(Eventually([&] { return rpc.Calls(kReplica2) > 2; }));
+  BOOST_TEST(VersionOf(*follower) == 1);
+  BOOST_TEST(follower->Current()->epoch == "x");
+  follower->Stop();
+}
+
+// Guards against a daemon without a state, whose seeds are gone, that takes a
+// notice for another daemon, or none.
+BOOST_FIXTURE_TEST_CASE(FollowerWithoutAStateUsesItsOwnNotice, Fixture) {
+  Replica present(rpc, clock, kReplica2);
+  present.Init();
+  rpc.DropCalls(kReplica1);
+  const auto follower = this->Follow("e1", {kReplica1});
+  BOOST_TEST(!follower->OnReplicaNotice({"x", 1, {kReplica2}, {}}));
+  BOOST_TEST(!follower->OnReplicaNotice({"x", 1, {kReplica2}, "e2"}));
+  BOOST_TEST(follower->OnReplicaNotice({"x", 1, {kReplica2}, "e1"}));
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 1; }));
+  follower->Stop();
+}
+
+// Guards against seeds of the settings that are read again and not used.
+BOOST_FIXTURE_TEST_CASE(FollowerUsesReplicasOfNewSettings, Fixture) {
+  Replica present(rpc, clock, kReplica2);
+  present.Init();
+  rpc.DropCalls(kReplica1);
+  const auto follower = this->Follow("e1", {kReplica1});
+  follower->SetReplicas({kReplica2});
+  BOOST_TEST(Eventually([&] { return VersionOf(*follower) == 1; }));
+  follower->Stop();
+}
+
 // Guards against waiting for a silent source as long as for one that holds a
 // poll until there is a change: several silent ones in a row would delay
 // changes for seconds.
--- a/tests/gateway/caller_test.cc
+++ b/tests/gateway/caller_test.cc
@@ -138,6 +138,34 @@
   BOOST_TEST(Contains(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 503"));
 }
 
+// Guards against final statuses (404, 401) for requests that only the newer
+// configuration allows, from a gateway that has had no contact to the control
+// replicas for a while. What its configuration allows is still served.
+BOOST_FIXTURE_TEST_CASE(UnconfirmedConfigurationRejectsForNowOnly, OneServer) {
+  this->SetTable([](RouteTable& table) {
+    table.routes.front().open = false;
+    table.tenants = {{"t", 0}};
+    table.keys = {{"secret", 0}};
+  });
+  this->OnLoop([this] {
+    this->handler.SetConfirmationAge([] { return seconds(3); }, seconds(2));
+  });
+  RawCaller caller(this->Address());
+  caller.Send(Request("r1", "/nowhere/x"));
+  const std::string unknown = caller.ReadUntil("\r\n\r\n");
+  BOOST_TEST(Contains(unknown, "HTTP/1.1 503"));
+  BOOST_TEST(Contains(unknown, "Retry-After: "));
+  caller.Send(Request("r2", "/safe/x", "", "Key: wrong\r\n"));
+  BOOST_TEST(Contains(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 503"));
+  caller.Send(Request("r3", "/safe/x", "", "Key: secret\r\n"));
+  BOOST_TEST(Contains(caller.ReadUntil("body of r3"), "HTTP/1.1 200"));
+  this->OnLoop([this] {
+    this->handler.SetConfirmationAge([] { return seconds(1); }, seconds(2));
+  });
+  caller.Send(Request("r4", "/nowhere/x"));
+  BOOST_TEST(Contains(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 404"));
+}
+
 // Guards against a stopping gateway that aborts requests in progress or keeps
 // idle connections open.
 BOOST_FIXTURE_TEST_CASE(StoppingServerFinishesAndCloses, GatewayFixture) {
