Let refused callers send the rest of their request

What callers saw: a caller whose body or headers are over the limit could get a reset instead of the status 413 or 431, "Failed sending data to the peer" in entry_daemon_test/Input/OversizedBodyIsRejected.

Cause: the server responds before it reads the rest, and libmicrohttpd closes the socket right after the response. A close with unread data resets the connection, and the next send of the caller fails. libcurl then gives up without reading the response.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,3 +1,4 @@
+#include <fcntl.h>
 #include <fmt/format.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
@@ -6,7 +7,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <set>
 #include <utility>
 
@@ -14,6 +17,7 @@
 #include "http/incoming_bodies.h"
 #include "http/listener.h"
 #include "http/server_exchange.h"
+#include "http/socket_drainer.h"
 #include "sycamorebend/http.h"
 
 namespace sycamorebend {
@@ -24,6 +28,7 @@
 using internal::IncomingBodies;
 using internal::ServerExchange;
 using internal::ServerExchangeHandle;
+using internal::SocketDrainer;
 
 constexpr int kStatusBodyTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
@@ -47,7 +52,8 @@
       : options(std::move(options)),
         handler(handler),
         incoming(this->options.max_incoming_bytes,
-                 [](int fd) { shutdown(fd, SHUT_RDWR); }) {}
+                 [](int fd) { shutdown(fd, SHUT_RDWR); }),
+        drainer(this->options.receive_timeout) {}
 
   ~MicrohttpdServer() override { this->Stop(); }
 
@@ -216,7 +222,8 @@
     for (const HttpHeader& header : request.headers) {
       header_bytes += header.name.size() + header.value.size();
     }
-    // Answered before the body is read; the connection is closed afterwards.
+    // Answered before the body is read; the connection is closed afterwards by
+    // the drainer.
     if (header_bytes > this->options.max_header_bytes) {
       exchange.dispatched = true;
       RefuseInput(exchange, kStatusHeadersTooLarge,
@@ -267,6 +274,7 @@
 
   MHD_Result Dispatch(MHD_Connection* connection, ExchangeSlot& exchange) {
     exchange->dispatched = true;
+    exchange->received = true;
     this->incoming.Remove(exchange.get());
     {
       std::lock_guard lock(this->mutex);
@@ -290,7 +298,7 @@
   }
 
   static void OnCompleted(void* context,
-                          MHD_Connection* /*connection*/,
+                          MHD_Connection* connection,
                           void** request_context,
                           MHD_RequestTerminationCode code) {
     auto* const server = static_cast<MicrohttpdServer*>(context);
@@ -310,13 +318,34 @@
       std::lock_guard lock(server->mutex);
       server->open.erase(exchange);
     }
-    exchange->Complete(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    const bool whole = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+    // libmicrohttpd reports its own response to incomplete headers as an error.
+    const bool headers_refused = code == MHD_REQUEST_TERMINATED_WITH_ERROR &&
+                                 exchange->request.method.empty();
+    if ((whole && !exchange->received) || headers_refused) {
+      server->DrainAfterResponse(SocketOf(connection));
+    }
+    exchange->Complete(whole);
+  }
+
+  // The caller may still be sending when libmicrohttpd closes the connection.
+  void DrainAfterResponse(int fd) {
+    const int duplicate = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+    if (duplicate < 0) {
+      LogEvent(Severity::kWarning, Event::kCallersShed,
+               {{"count", 1},
+                {"reason", "no descriptor to drain a refused caller"},
+                {"message", std::strerror(errno)}});
+      return;
+    }
+    this->drainer.Add(duplicate);
   }
 
   const HttpServerOptions options;
   HttpHandler& handler;
   SystemClock clock;
   IncomingBodies incoming;
+  SocketDrainer drainer;
   HangupWatcher watcher;
   internal::Listener listener;
   std::mutex stop_mutex;
--- a/src/http/server_exchange.h
+++ b/src/http/server_exchange.h
@@ -45,6 +45,8 @@
   std::size_t declared_body_bytes = 0;
   bool body_too_large = false;
   bool dispatched = false;
+  // The whole request was read.
+  bool received = false;
   std::uint64_t watch_id = 0;
 
  private:
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -70,6 +70,47 @@
   std::unique_ptr<HttpClient> client = HttpClient::Create(2);
 };
 
+// Waits for a slow caller as long as a test may take.
+struct PatientServer : Fixture {
+  PatientServer() {
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    options.max_body_bytes = 1 << 20;
+    options.receive_timeout = seconds(600);
+    this->server = std::move(HttpServer::Start(options, handler).value());
+  }
+};
+
+// @return false if the connection is reset.
+bool SendAll(int fd, std::string_view data) {
+  // Data that the peer does not read blocks, instead of being buffered here.
+  const int buffer_bytes = 16 << 10;
+  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof(buffer_bytes));
+  while (!data.empty()) {
+    const ssize_t size = send(fd, data.data(), data.size(), MSG_NOSIGNAL);
+    if (size < 0) {
+      return false;
+    }
+    data.remove_prefix(static_cast<std::size_t>(size));
+  }
+  return true;
+}
+
+std::string ReadToEnd(int fd) {
+  std::string text;
+  char buffer[4096];
+  for (ssize_t size = 0; (size = recv(fd, buffer, sizeof(buffer), 0)) > 0;) {
+    text.append(buffer, static_cast<std::size_t>(size));
+  }
+  return text;
+}
+
+std::string ReadAll(int fd) {
+  std::string text = ReadToEnd(fd);
+  close(fd);
+  return text;
+}
+
 // Gives the exchange to the test.
 struct Capture {
   Route AsRoute() {
@@ -260,6 +301,52 @@
   BOOST_TEST(std::string(buffer).find("body_too_large") != std::string::npos);
 }
 
+// Guards against a refused caller that is reset while it still sends, and that
+// loses the status if it reads only afterwards.
+BOOST_FIXTURE_TEST_CASE(RefusedCallerSendsItsWholeBodyFirst, PatientServer) {
+  const std::string head = "POST /echo HTTP/1.1\r\nHost: a\r\n";
+  const std::string rest(2 << 20, 'x');
+  const int body = Connect(
+      head + "Content-Length: " + std::to_string(rest.size()) + "\r\n\r\n");
+  BOOST_TEST(SendAll(body, rest));
+  BOOST_TEST(ReadAll(body).substr(0, 12) == "HTTP/1.1 413");
+  const int headers = Connect(head + "X-Huge: ");
+  BOOST_TEST(SendAll(headers, rest));
+  BOOST_TEST(ReadAll(headers).substr(0, 12) == "HTTP/1.1 431");
+}
+
+// Guards against a refused caller that is reset after it has read the status,
+// while the rest of its body is on its way.
+BOOST_FIXTURE_TEST_CASE(RefusedCallerSendsItsBodyAfterTheStatus,
+                        PatientServer) {
+  const int fd = Connect(
+      "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2097155\r\n\r\nabc");
+  BOOST_TEST(ReadToEnd(fd).substr(0, 12) == "HTTP/1.1 413");
+  BOOST_TEST(SendAll(fd, std::string(2 << 20, 'x')));
+  close(fd);
+}
+
+// Guards against refused callers that keep their connections: one that sends
+// without end, and one that sends nothing.
+BOOST_FIXTURE_TEST_CASE(RefusedCallersAreDisconnected, Fixture) {
+  const std::string head =
+      "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n";
+  const int endless = Connect(head);
+  const std::string block(1 << 20, 'x');
+  int blocks = 0;
+  while (blocks < 256 && SendAll(endless, block)) {
+    ++blocks;
+  }
+  close(endless);
+  BOOST_TEST(blocks < 256);
+  const int silent = Connect(head);
+  // Fails once the server has closed its socket.
+  while (SendAll(silent, "x")) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  close(silent);
+}
+
 // Guards against a truncated body that reaches the handler as a whole request.
 BOOST_FIXTURE_TEST_CASE(TruncatedBodyNeverReachesHandler, Fixture) {
   std::atomic<int> calls{0};
