Let callers repeat calls that a planned stop cancels

What callers saw: an order could fail with 804 "cancelled" (ran unknown, no retry) while a control replica was stopped as planned, although another one became leader.

Cause: a call that passed the check for a stop, but reached the log after the log had stopped, was answered with kCancelled. Entry daemons repeat a call on another replica after kShuttingDown and not after kCancelled.

Change: control replicas report a proposal or read that their log cancelled or dropped as kShuttingDown. Entry daemons treat both codes as "may have run".

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -24,15 +24,20 @@
 constexpr Duration kMaxTickGap = seconds(1);
 constexpr std::string_view kStatusMethod = "control.status";
 
-// @return the value, or kCancelled if the log was stopped and dropped the
-// callback that sets it.
+// @return the value, or kShuttingDown if the log was stopped and cancelled or
+// dropped the callback that sets it. Callers then repeat the call on another
+// replica; kCancelled would be final for them.
 template <typename T, template <typename> class Future>
 Result<T> Wait(Future<Result<T>> future) {
   try {
-    return future.get();
+    Result<T> result = future.get();
+    if (result || result.error().code != ResultCode::kCancelled) {
+      return result;
+    }
   } catch (const std::future_error&) {
-    return MakeError(ResultCode::kCancelled, "this replica is stopping");
+    // The callback was dropped.
   }
+  return MakeError(ResultCode::kShuttingDown, "this replica is stopping");
 }
 
 std::pair<std::uint64_t, std::uint64_t> Version(const ServerRecord& record) {
--- a/tests/control/memory_log.h
+++ b/tests/control/memory_log.h
@@ -38,6 +38,10 @@
         std::max(this->largest_command.load(), command.size());
     this->control_thread.Post(
         [this, command = std::move(command), callback = std::move(callback)] {
+          if (this->stopped) {
+            callback(MakeError(ResultCode::kCancelled));
+            return;
+          }
           std::string response = this->Commit(command);
           if (this->lose_next_response.exchange(false)) {
             callback(MakeError(ResultCode::kTransportTimeout, "response lost"));
@@ -49,8 +53,10 @@
 
   void ReadBarrier(StatusCallback callback) override {
     const Status leading = this->CheckLeader();
-    this->control_thread.Post(
-        [leading, callback = std::move(callback)] { callback(leading); });
+    this->control_thread.Post([this, leading, callback = std::move(callback)] {
+      callback(this->stopped ? Status(MakeError(ResultCode::kCancelled))
+                             : leading);
+    });
   }
 
   Duration ConfirmationAge() const override {
@@ -103,7 +109,8 @@
     return Json::Value(Json::objectValue);
   }
 
-  void Stop() override {}
+  // Pending callbacks fail with kCancelled, and later ones too.
+  void Stop() override { this->stopped = true; }
 
   // Makes this replica a follower of the leader at `address`.
   void Follow(const std::string& address) {
@@ -175,6 +182,7 @@
   const Clock& clock;
   mutable std::mutex mutex;
   std::mutex apply_mutex;
+  std::atomic<bool> stopped{false};
   LogStatus status;
 };
 
--- a/tests/control/service_test.cc
+++ b/tests/control/service_test.cc
@@ -313,6 +313,33 @@
   BOOST_TEST(this->Call("raft.message", "{}").has_value());
 }
 
+// Guards against an order that fails because its call was accepted before a
+// planned stop of the replica: entry daemons do not repeat a cancelled call.
+BOOST_FIXTURE_TEST_CASE(CallsCancelledByAStopCanBeRepeated, Fixture) {
+  std::promise<void> release;
+  std::shared_future<void> released = release.get_future().share();
+  this->node.control_thread.Post([released] { released.wait(); });
+  std::promise<Result<Json::Value>> begun;
+  this->rpc->CallAsync(
+      this->node.Address(), "order.begin",
+      ParseJson(R"({"customer":"c","key":"k","attempt_id":"a",)"
+                R"("entry_id":"e","body_digest":"d"})")
+          .value(),
+      seconds(60),
+      [&](Result<Json::Value> result) { begun.set_value(result); });
+  while (this->node.log.largest_command == 0) {
+    std::this_thread::yield();
+  }
+  this->node.log.Stop();
+  release.set_value();
+  const Result<Json::Value> result = begun.get_future().get();
+  BOOST_REQUIRE(!result);
+  BOOST_TEST((result.error().code == ResultCode::kShuttingDown));
+  BOOST_TEST(
+      (this->CallError("order.get", R"({"customer":"c","key":"k"})").code ==
+       ResultCode::kShuttingDown));
+}
+
 // Guards against invalid settings that are accepted at startup.
 BOOST_AUTO_TEST_CASE(SettingsAreChecked) {
   const std::string good =
