Keep lost entry daemons and former replicas in the control state

Nobody could tell it, as entry.expire and replicas.set forgot the addresses of what they removed.

The control state now keeps them: entry daemons that expired without draining, at most 1,024, until the same ID or address joins; removed replicas, at most 16, until their address returns; both for an hour by the times of commands. An entry whose notice address is in use by a present one is not kept.

--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -197,6 +197,11 @@
   // How long an earlier holder of a duty is remembered. Much longer than the
   // lease, since it is measured with the wall clocks of leaders.
   std::int64_t earlier_holder_ms = 60LL * 1000;
+  // Lost entry daemons and former replicas that are kept, and for how long.
+  // A process that was away for longer is found when it is started again.
+  std::size_t lost_entries = 1024;
+  std::size_t former_replicas = 16;
+  std::int64_t lost_retention_ms = 3600LL * 1000;
 };
 
 // The newest grant of a duty. See sycamorebend/duties.h.
@@ -228,6 +233,29 @@
   std::uint64_t first_window = 0;
 };
 
+// An entry daemon whose lease expired although it was not draining. It may have
+// missed that the control replicas were replaced.
+struct LostEntry {
+  std::string entry_id;
+  std::string notice_address;  // "IP:port" for a ReplicaNotice.
+  // Unix milliseconds by the leader's clock.
+  std::int64_t expired_ms = 0;
+};
+
+// A control replica that was removed from the replica set.
+struct FormerReplica {
+  std::string address;  // "IP:port" of its RPC server.
+  // Unix milliseconds by the leader's clock.
+  std::int64_t removed_ms = 0;
+};
+
+// Processes that may know none of the present control replicas, oldest losses
+// first. Not part of the shared state.
+struct LostMembers {
+  std::vector<LostEntry> entries;
+  std::vector<FormerReplica> replicas;
+};
+
 // The state machine of the control replicas. Commands are JSON objects with a
 // `type`. Apply returns {"result": ...} or {"error": {"code", "message"}} as
 // JSON text. Methods may be called from any thread.
@@ -265,6 +293,8 @@
 
   virtual FixedUsageTable FixedUsageWindows() const = 0;
 
+  virtual LostMembers Lost() const = 0;
+
   // @return true if a `clock.tick` at `now_ms` would change the state.
   virtual bool NeedsTick(std::int64_t now_ms) const = 0;
 };
--- a/src/control/control_state.cc
+++ b/src/control/control_state.cc
@@ -10,6 +10,7 @@
 #include "control/duty_table.h"
 #include "control/field_reader.h"
 #include "control/finding_table.h"
+#include "control/lost_member_table.h"
 #include "control/order_table.h"
 #include "control/record_codec.h"
 #include "control/server_directory.h"
@@ -26,6 +27,7 @@
 using internal::DutyTable;
 using internal::FieldReader;
 using internal::FindingTable;
+using internal::LostMemberTable;
 using internal::OrderTable;
 using internal::RecordReader;
 using internal::RecordWriter;
@@ -64,7 +66,8 @@
         orders(limits),
         findings(limits),
         duties(limits),
-        usage(limits) {}
+        usage(limits),
+        lost(limits) {}
 
   std::string epoch;
   std::uint64_t shared_version = 0;
@@ -75,6 +78,7 @@
   DutyTable duties;
   UsageRecords usage;
   std::map<std::string, EntryInfo> entries;
+  LostMemberTable lost;
   ServerDirectory servers;
   std::set<std::string> drained_servers;
   std::vector<std::string> replicas;
@@ -112,6 +116,7 @@
   for (const std::string& replica : tables.replicas) {
     replicas.append(replica);
   }
+  header["lost"] = tables.lost.Save();
   return header;
 }
 
@@ -141,6 +146,7 @@
   for (const Json::Value& replica : header["replicas"]) {
     tables.replicas.push_back(replica.asString());
   }
+  tables.lost.Load(header["lost"]);
 }
 
 Error DamagedSnapshot(const std::string& detail) {
@@ -330,6 +336,8 @@
     counts["fence"] = count(state_tables.fence);
     counts["usage_windows"] =
         count(state_tables.usage.Windows().windows.size());
+    counts["lost_entries"] = count(state_tables.lost.Entries());
+    counts["former_replicas"] = count(state_tables.lost.Replicas());
     return counts;
   }
 
@@ -343,11 +351,17 @@
     return this->tables->usage.Windows();
   }
 
+  LostMembers Lost() const override {
+    std::lock_guard lock(this->mutex);
+    return this->tables->lost.All();
+  }
+
   bool NeedsTick(std::int64_t now_ms) const override {
     std::lock_guard lock(this->mutex);
     return this->tables->orders.HasExpired(now_ms) ||
            this->tables->findings.HasCrashesToEvaluate(now_ms) ||
-           this->tables->findings.HasExpiredRecorded(now_ms);
+           this->tables->findings.HasExpiredRecorded(now_ms) ||
+           this->tables->lost.HasExpired(now_ms);
   }
 
  private:
@@ -359,6 +373,7 @@
   bool AdvanceTime(std::int64_t now_ms) {
     this->tables->orders.Expire(now_ms);
     this->tables->changes.Expire(now_ms);
+    this->tables->lost.Expire(now_ms);
     const std::vector<std::string> newly_quarantined =
         this->tables->findings.EvaluateCrashes(now_ms);
     for (const std::string& fingerprint : newly_quarantined) {
@@ -566,6 +581,7 @@
     entry.notice_address = reader.OptionalString("notice_address");
     BOOST_OUTCOME_TRY(reader.Finish());
     this->shared_state_changed = true;
+    this->tables->lost.RemoveEntry(entry);
     this->tables->entries[entry.entry_id] = std::move(entry);
     return this->SharedVersionResult();
   }
@@ -595,15 +611,28 @@
   }
 
   Result<Json::Value> ExpireEntry(const Json::Value& command,
-                                  std::int64_t /*now_ms*/) {
+                                  std::int64_t now_ms) {
     BOOST_OUTCOME_TRY(found, this->FindEntry(command));
     if (found != this->tables->entries.end()) {
+      const EntryInfo expired = std::move(found->second);
       this->tables->entries.erase(found);
+      if (!expired.draining && !this->HasEntryAt(expired.notice_address)) {
+        this->tables->lost.AddEntry(expired, now_ms);
+      }
       this->shared_state_changed = true;
     }
     return this->SharedVersionResult();
   }
 
+  // @return true if a present entry daemon has this notice address.
+  bool HasEntryAt(const std::string& notice_address) const {
+    const std::map<std::string, EntryInfo>& entries = this->tables->entries;
+    return std::any_of(entries.begin(), entries.end(),
+                       [&notice_address](const auto& item) {
+                         return item.second.notice_address == notice_address;
+                       });
+  }
+
   Result<Json::Value> BeginOrder(const Json::Value& command,
                                  std::int64_t now_ms) {
     return this->tables->orders.Begin(command, now_ms);
@@ -677,12 +706,20 @@
   }
 
   Result<Json::Value> SetReplicas(const Json::Value& command,
-                                  std::int64_t /*now_ms*/) {
+                                  std::int64_t now_ms) {
     FieldReader reader(command);
     std::vector<std::string> addresses = reader.Names("addresses");
     BOOST_OUTCOME_TRY(reader.Finish());
     std::sort(addresses.begin(), addresses.end());
     if (addresses != this->tables->replicas) {
+      for (const std::string& earlier : this->tables->replicas) {
+        if (!std::binary_search(addresses.begin(), addresses.end(), earlier)) {
+          this->tables->lost.AddReplica(earlier, now_ms);
+        }
+      }
+      for (const std::string& present : addresses) {
+        this->tables->lost.RemoveReplica(present);
+      }
       this->tables->replicas = std::move(addresses);
       this->shared_state_changed = true;
     }
