Tell lost processes of the present control replicas

The first notice to a process is logged (612); metrics count all. FeedSource names the times of the renewals that it has received.

--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -204,6 +204,7 @@
   kFindingRecorded = 609,
   kFeedResumed = 610,
   kFeedSilent = 611,
+  kReplicaNoticeSent = 612,
   // 7xx: consensus and storage.
   kLeaderElected = 701,
   kLeadershipLost = 702,
--- a/include/sycamorebend/feed.h
+++ b/include/sycamorebend/feed.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -217,6 +218,10 @@
   // @return the decoded response.
   Result<Json::Value> ServePoll(const Json::Value& params);
 
+  // @return when the newest renewal of each entry daemon that reached this
+  // replica within the lease was sent, by entry_id.
+  virtual std::map<std::string, TimePoint> RenewalTimes() const = 0;
+
   // On the leader, proposes the entry daemons that joined, started to drain or
   // expired; otherwise forwards renewals to the leader. To be called every
   // 200 ms.
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -107,6 +107,8 @@
      "A source of the feed answers after a time without news."},
     {Event::kFeedSilent, "feed_silent",
      "No source of the feed gives a state that can be used."},
+    {Event::kReplicaNoticeSent, "replica_notice_sent",
+     "A lost process is told of the present control replicas."},
     {Event::kLeaderElected, "leader_elected", "This replica is the leader."},
     {Event::kLeadershipLost, "leadership_lost",
      "This replica is no longer the leader."},
--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -91,6 +91,11 @@
   options.max_incoming_bytes = kMaxIncomingBytes;
   BOOST_OUTCOME_TRY(started, HttpServer::Start(options, *this->http));
   this->server = std::move(started);
+  BOOST_OUTCOME_TRY(
+      sender, NoticeSender::Create(this->settings.log.address, *this->rpc));
+  this->notice_sender = std::move(sender);
+  this->notifier = std::make_unique<ReplicaNotifier>(*this->notice_sender);
+  this->service.SetNotifier(*this->notifier);
   return Success();
 }
 
--- a/src/controld/control_daemon.h
+++ b/src/controld/control_daemon.h
@@ -78,6 +78,8 @@
   std::unique_ptr<ControlState> state;
   std::unique_ptr<DutyRunner> duties;
   std::unique_ptr<EngineOrderRunner> engine_orders;
+  std::unique_ptr<NoticeSender> notice_sender;
+  std::unique_ptr<ReplicaNotifier> notifier;
   ControlService service;
   std::unique_ptr<ControlHttp> http;
   std::unique_ptr<HttpServer> server;
--- a/src/controld/control_http.cc
+++ b/src/controld/control_http.cc
@@ -194,6 +194,18 @@
         .Register(registry)
         .Add({})
         .Increment(report["feed_redirects"].asDouble());
+    auto& notices =
+        prometheus::BuildCounter()
+            .Name("sycamorebend_control_replica_notices_total")
+            .Help("Notices of the present replicas to lost processes.")
+            .Register(registry);
+    for (const std::string& receiver : report["notices"].getMemberNames()) {
+      const Json::Value& outcomes = report["notices"][receiver];
+      for (const std::string& outcome : outcomes.getMemberNames()) {
+        notices.Add({{"receiver", receiver}, {"outcome", outcome}})
+            .Increment(outcomes[outcome].asDouble());
+      }
+    }
     const Json::Value& counts = report["counts"];
     for (const std::string& name : counts.getMemberNames()) {
       AddGauge(registry, name, "Size of the control state.", counts[name]);
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -460,6 +460,7 @@
   this->manager->Tick();
   const std::shared_ptr<const SharedState> shared = this->state.Shared();
   this->ProposeLeaseExpiries(status, *shared);
+  this->NotifyLost(status, *shared);
   if (shared->epoch.empty()) {
     Json::Value command;
     command["epoch"] = RandomId();
@@ -532,6 +533,17 @@
   }
 }
 
+void ControlService::NotifyLost(const ReplicatedLog::LogStatus& status,
+                                const SharedState& shared) {
+  ReplicaNotifier* const lost_notifier = this->notifier;
+  if (lost_notifier == nullptr) {
+    return;
+  }
+  const std::map<std::string, TimePoint> renewals = this->feed.RenewalTimes();
+  const LostMembers lost = this->state.Lost();
+  lost_notifier->Tick({status.term, shared, renewals, lost}, this->clock.Now());
+}
+
 bool ControlService::Ready() const {
   const ReplicatedLogService* const replica_log = this->log;
   return replica_log != nullptr && !this->stopping &&
@@ -574,6 +586,10 @@
   const FeedSourceStatus feed_status = this->feed.GetStatus();
   response["counts"]["feed_followers"] = Json::UInt64(feed_status.followers);
   response["feed_redirects"] = Json::UInt64(feed_status.redirects);
+  const ReplicaNotifier* const lost_notifier = this->notifier;
+  if (lost_notifier != nullptr) {
+    response["notices"] = lost_notifier->StatusReport();
+  }
   return response;
 }
 
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -16,6 +16,7 @@
 #include <json/value.h>
 
 #include "controld/replica_manager.h"
+#include "controld/replica_notifier.h"
 #include "controld/server_liveness.h"
 #include "duties/duty_runner.h"
 #include "scaling/order_runner.h"
@@ -43,6 +44,11 @@
     this->engine_orders = &orders;
   }
 
+  // Sets the notifier of lost processes, which must outlive the service.
+  void SetNotifier(ReplicaNotifier& new_notifier) {
+    this->notifier = &new_notifier;
+  }
+
   // @return the result of `duty.status`; null if this deployment has none.
   Json::Value DutyReport() const;
 
@@ -121,6 +127,9 @@
   // have expired.
   void ProposeLeaseExpiries(const ReplicatedLog::LogStatus& status,
                             const SharedState& shared);
+  // Leader only: tells lost processes of the present replicas.
+  void NotifyLost(const ReplicatedLog::LogStatus& status,
+                  const SharedState& shared);
 
   struct ProposalsInFlight {
     std::mutex mutex;
@@ -141,6 +150,7 @@
   std::atomic<ReplicatedLogService*> log{nullptr};
   std::atomic<DutyRunner*> duties{nullptr};
   std::atomic<const EngineOrderRunner*> engine_orders{nullptr};
+  std::atomic<ReplicaNotifier*> notifier{nullptr};
   std::atomic<bool> stopping{false};
   std::unique_ptr<ReplicaManager> manager;
   std::mutex liveness_mutex;
--- a/src/feed/feed_source.cc
+++ b/src/feed/feed_source.cc
@@ -85,6 +85,15 @@
     return this->server.GetStatus();
   }
 
+  std::map<std::string, TimePoint> RenewalTimes() const override {
+    std::map<std::string, TimePoint> times;
+    std::lock_guard lock(this->mutex);
+    for (const auto& [id, renewal] : this->renewals.All()) {
+      times[id] = renewal.sent;
+    }
+    return times;
+  }
+
   void Tick() override {
     ReplicatedLog* const replica_log = this->log;
     if (replica_log == nullptr) {
@@ -255,7 +264,7 @@
   std::atomic<FeedReportReceiver*> report_receiver{nullptr};
   internal::FeedServer server;
   const std::shared_ptr<Pending> pending = std::make_shared<Pending>();
-  std::mutex mutex;
+  mutable std::mutex mutex;
   RenewalTable renewals;
   // Used by Tick only. Terms start at 1.
   Term leader_term = 0;
