Let only its own deployment remove a control replica

Callers saw: nothing yet. A replica that was cut off asked whoever answered at an address that it knew whether it was still a member, and erased its state on the answer. Such an address can belong to another deployment by now, whose leader knows nobody of this one.

The response of replica.member now has the epoch of the deployment, and the replica acts on it only if that is its own. As the state of a replica that was started again is empty until its log is confirmed, the epoch is stored with the identity. A replica that does not know its epoch, because it was removed right after the start, acts if the other one had its address as a replica, or if its log is empty. A response without an epoch, of an earlier release, may be of any deployment, so it removes nobody with entries any more.

--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -59,7 +59,7 @@
   BOOST_OUTCOME_TRY(daemon->Listen());
   if (settings.seeds.empty()) {
     BOOST_OUTCOME_TRY(
-        daemon->StartLog({settings.log.id, settings.log.initial_replicas}));
+        daemon->StartLog({settings.log.id, settings.log.initial_replicas, ""}));
     return daemon;
   }
   const std::string& directory = settings.log.data_directory;
@@ -99,17 +99,18 @@
   return Success();
 }
 
-Status ControlDaemon::StartLog(const ReplicaIdentity& identity) {
+Status ControlDaemon::StartLog(const ReplicaIdentity& new_identity) {
   ReplicatedLogOptions options = this->settings.log;
-  options.id = identity.id;
+  options.id = new_identity.id;
   if (!this->settings.seeds.empty()) {
-    options.initial_replicas = identity.initial_replicas;
-    options.join = identity.initial_replicas.empty();
+    options.initial_replicas = new_identity.initial_replicas;
+    options.join = new_identity.initial_replicas.empty();
   }
   BOOST_OUTCOME_TRY(started,
                     CreateReplicatedLog(options, *this->state, *this->rpc,
                                         this->control_thread, this->clock));
   this->log = std::move(started);
+  this->identity = new_identity;
   ReplicaSetTarget target;
   target.voters = this->settings.voters;
   this->service.SetLog(*this->log, target);
@@ -118,7 +119,7 @@
                                          [this] { this->service.Tick(); });
   LogEvent(Severity::kInfo, Event::kListening,
            {{"address", this->server->Address()},
-            {"id", static_cast<std::uint64_t>(identity.id)},
+            {"id", static_cast<std::uint64_t>(new_identity.id)},
             {"failure_domain", this->settings.failure_domain}});
   return Success();
 }
@@ -159,29 +160,40 @@
 }
 
 Status ControlDaemon::Advance() {
-  ReplicaId assigned = 0;
+  ReplicaIdentity assigned;
+  Json::Value membership;
   {
     std::lock_guard lock(this->leader_responses->mutex);
-    assigned = std::exchange(this->leader_responses->assigned_id, 0);
-    this->removed_from_set =
-        this->removed_from_set || this->leader_responses->removed;
+    assigned.id = std::exchange(this->leader_responses->assigned_id, 0);
+    assigned.epoch = this->leader_responses->assigned_epoch;
+    membership = std::exchange(this->leader_responses->membership, {});
   }
   if (this->log == nullptr) {
-    if (assigned == 0) {
+    if (assigned.id == 0) {
       this->RequestIdentity();
       return Success();
     }
-    const ReplicaIdentity identity{assigned, {}};
     BOOST_OUTCOME_TRY(
-        StoreIdentity(this->settings.log.data_directory, identity));
-    return this->StartLog(identity);
+        StoreIdentity(this->settings.log.data_directory, assigned));
+    return this->StartLog(assigned);
   }
   if (!this->settings.seeds.empty()) {
+    BOOST_OUTCOME_TRY(this->StoreEpoch());
+    this->UpdateMembership(membership);
     this->CheckMembership();
   }
   return Success();
 }
 
+Status ControlDaemon::StoreEpoch() {
+  const std::string epoch = this->state->Shared()->epoch;
+  if (epoch.empty() || epoch == this->identity.epoch) {
+    return Success();
+  }
+  this->identity.epoch = epoch;
+  return StoreIdentity(this->settings.log.data_directory, this->identity);
+}
+
 void ControlDaemon::RequestIdentity() {
   const TimePoint now = this->clock.Now();
   {
@@ -202,6 +214,10 @@
         leader_responses->join_pending = false;
         if (response) {
           leader_responses->assigned_id = response.value()["id"].asUInt64();
+          // Not in the response of an earlier release.
+          const Json::Value& epoch = response.value()["epoch"];
+          leader_responses->assigned_epoch =
+              epoch.isString() ? epoch.asString() : std::string();
         } else {
           LogEvent(Severity::kInfo, Event::kRpcFailed,
                    {{"method", kReplicaJoinMethod},
@@ -210,6 +226,19 @@
       });
 }
 
+void ControlDaemon::UpdateMembership(const Json::Value& response) {
+  if (ConfirmsRemoval(response, this->identity.epoch,
+                      this->log->GetStatus().last_index > 0)) {
+    this->removed_from_set = true;
+  } else if (response.isObject() && response["member"] == Json::Value(false)) {
+    LogEvent(Severity::kWarning, Event::kRpcFailed,
+             {{"method", kReplicaMemberMethod},
+              {"message",
+               "the removal is not certain: the response is of another "
+               "deployment or of an earlier release"}});
+  }
+}
+
 void ControlDaemon::CheckMembership() {
   const TimePoint now = this->clock.Now();
   if (this->log->ConfirmationAge() < kMembershipCheckAge ||
@@ -218,14 +247,20 @@
   }
   this->next_request = now + kMembershipCheckAge;
   Json::Value params;
-  params["id"] = Json::UInt64(this->log->GetStatus().id);
+  params["id"] = Json::UInt64(this->identity.id);
+  params["epoch"] = this->identity.epoch;
+  params["address"] = this->settings.log.address;
   this->leader_client->Call(
       kReplicaMemberMethod, params, now + kMembershipCheckAge,
       [leader_responses =
            this->leader_responses](Result<Json::Value> response) {
-        if (response && response.value()["member"] == Json::Value(false)) {
+        if (!response) {
+          LogEvent(Severity::kInfo, Event::kRpcFailed,
+                   {{"method", kReplicaMemberMethod},
+                    {"message", response.error().message}});
+        } else {
           std::lock_guard lock(leader_responses->mutex);
-          leader_responses->removed = true;
+          leader_responses->membership = response.value();
         }
       });
 }
--- a/src/controld/control_daemon.h
+++ b/src/controld/control_daemon.h
@@ -63,8 +63,12 @@
   explicit ControlDaemon(const ControlSettings& settings);
 
   Status Listen();
-  Status StartLog(const ReplicaIdentity& identity);
+  Status StartLog(const ReplicaIdentity& new_identity);
   void RequestIdentity();
+  // Stores the epoch of the deployment with the identity once it is known.
+  Status StoreEpoch();
+  // Acts on the response to kReplicaMemberMethod; null if there is none.
+  void UpdateMembership(const Json::Value& response);
   void CheckMembership();
   // @return the addresses of the replica set, then the seeds not in it.
   std::vector<std::string> KnownReplicas() const;
@@ -93,10 +97,14 @@
     std::mutex mutex;
     bool join_pending = false;
     ReplicaId assigned_id = 0;
-    bool removed = false;
+    std::string assigned_epoch;
+    // Newest response to kReplicaMemberMethod; null if there is none.
+    Json::Value membership;
   };
   const std::shared_ptr<LeaderResponses> leader_responses =
       std::make_shared<LeaderResponses>();
+  // As stored, if the replica set manages its own membership.
+  ReplicaIdentity identity;
   TimePoint next_request;
   bool removed_from_set = false;
   bool stopped = false;
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -331,11 +331,40 @@
 }
 
 Result<Json::Value> ControlService::JoinReplica(const Json::Value& params) {
-  return this->manager->Join(params);
+  BOOST_OUTCOME_TRY(response, this->manager->Join(params));
+  response["epoch"] = this->state.Shared()->epoch;
+  return response;
 }
 
 Result<Json::Value> ControlService::CheckMember(const Json::Value& params) {
-  return this->manager->CheckMember(params);
+  FieldReader reader(params);
+  // Empty if the caller does not know its deployment, or is of an earlier
+  // release.
+  const std::string caller_epoch = reader.OptionalString("epoch");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  // Waits until the state contains what was committed.
+  BOOST_OUTCOME_TRY(response, this->manager->CheckMember(params));
+  const std::string epoch = this->state.Shared()->epoch;
+  if (!caller_epoch.empty() && caller_epoch != epoch) {
+    // The caller goes on to the next replica that it knows.
+    return MakeError(ResultCode::kNotLeader,
+                     "this is a replica of another deployment");
+  }
+  response["epoch"] = epoch;
+  response["known_address"] =
+      this->KnowsReplicaAt(reader.OptionalString("address"));
+  return response;
+}
+
+bool ControlService::KnowsReplicaAt(const std::string& address) const {
+  const std::shared_ptr<const SharedState> shared = this->state.Shared();
+  const std::vector<std::string>& present = shared->replicas;
+  const std::vector<FormerReplica> former = this->state.Lost().replicas;
+  return std::find(present.begin(), present.end(), address) != present.end() ||
+         std::any_of(former.begin(), former.end(),
+                     [&address](const FormerReplica& replica) {
+                       return replica.address == address;
+                     });
 }
 
 Result<Json::Value> ControlService::Drain(const Json::Value& params) {
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -101,6 +101,8 @@
   Result<Json::Value> Leave(const Json::Value& params);
   Result<Json::Value> JoinReplica(const Json::Value& params);
   Result<Json::Value> CheckMember(const Json::Value& params);
+  // @return true if a replica at `address` is, or was lately, in the set.
+  bool KnowsReplicaAt(const std::string& address) const;
   Result<Json::Value> Drain(const Json::Value& params);
   Result<Json::Value> Undrain(const Json::Value& params);
   Result<Json::Value> ChangeReplicas(const Json::Value& params);
--- a/src/controld/replica_identity.cc
+++ b/src/controld/replica_identity.cc
@@ -96,6 +96,9 @@
     item["address"] = replica.address;
     value["founders"].append(item);
   }
+  if (!identity.epoch.empty()) {
+    value["epoch"] = identity.epoch;
+  }
   return WriteJson(value);
 }
 
@@ -140,7 +143,8 @@
   const Result<Json::Value> value = ParseJson(text.str());
   if (!value || !value.value()["id"].isUInt64() ||
       value.value()["id"].asUInt64() == 0 ||
-      !value.value()["founders"].isArray()) {
+      !value.value()["founders"].isArray() ||
+      !value.value().get("epoch", "").isString()) {
     return MakeError(ResultCode::kLogCorrupt,
                      path.string() + " is not a valid replica identity");
   }
@@ -156,6 +160,8 @@
     identity.initial_replicas.push_back(
         {item["id"].asUInt64(), item["address"].asString()});
   }
+  // Not in a file of an earlier release.
+  identity.epoch = value.value()["epoch"].asString();
   return std::optional<ReplicaIdentity>(std::move(identity));
 }
 
--- a/src/controld/replica_identity.h
+++ b/src/controld/replica_identity.h
@@ -21,6 +21,9 @@
   // The initial replica set; empty for a replica that joined later. Needed
   // until the log has its first entry.
   std::vector<ReplicaAddress> initial_replicas;
+  // Epoch of the replica's deployment; empty until it is known. The state of a
+  // replica that was started again is empty at first.
+  std::string epoch;
 };
 
 // @param seeds addresses of the initial replicas; must be the same set on each
--- a/src/controld/replica_manager.cc
+++ b/src/controld/replica_manager.cc
@@ -41,6 +41,20 @@
 
 }  // namespace
 
+bool ConfirmsRemoval(const Json::Value& response,
+                     const std::string& own_epoch,
+                     bool has_entries) {
+  if (!response.isObject() || response["member"] != Json::Value(false)) {
+    return false;
+  }
+  if (own_epoch.empty()) {
+    return !has_entries || response["known_address"] == Json::Value(true);
+  }
+  // Missing in the response of an earlier release, which may be of any
+  // deployment.
+  return response["epoch"] == Json::Value(own_epoch);
+}
+
 void ReplicaSetPlanner::UpdateReachability(const LogStatus& status,
                                            TimePoint now) {
   // What was seen in an earlier term says nothing about the time since then.
--- a/src/controld/replica_manager.h
+++ b/src/controld/replica_manager.h
@@ -21,10 +21,24 @@
 // the leader. Parameters {address}; result {id}.
 inline constexpr const char* kReplicaJoinMethod = "replica.join";
 // RPC method with which a replica whose state is no longer confirmed asks the
-// leader whether it is still in the replica set. Parameters {id}; result
-// {member}.
+// leader whether it is still in the replica set. Parameters {id, epoch,
+// address}; result {member, epoch, known_address}, the last one true if a
+// replica at that address is, or was lately, in the set. A replica of another
+// deployment fails it with kNotLeader.
 inline constexpr const char* kReplicaMemberMethod = "replica.member";
 
+// Decides whether a replica erases its state after a response to
+// kReplicaMemberMethod. The address that it has asked may be that of another
+// deployment by now.
+// @param own_epoch epoch of the replica's deployment; empty if unknown.
+// @param has_entries whether its log has any.
+// @return true if its own deployment has removed it. If it does not know its
+// deployment, as it was removed right after the start: if the other one had it
+// as a replica, or if it has nothing that could be lost.
+bool ConfirmsRemoval(const Json::Value& response,
+                     const std::string& own_epoch,
+                     bool has_entries);
+
 struct ReplicaSetTarget {
   // Intended number of voters. 0: the operators manage the replica set.
   int voters = 0;
--- a/tests/control/replica_manager_test.cc
+++ b/tests/control/replica_manager_test.cc
@@ -152,9 +152,10 @@
 BOOST_AUTO_TEST_CASE(IdentityIsStoredUntilErased) {
   const std::string directory = TemporaryDirectory();
   BOOST_TEST(!LoadIdentity(directory).value().has_value());
-  BOOST_REQUIRE(StoreIdentity(directory, {9, {{1, "10.0.0.1:7"}}}));
+  BOOST_REQUIRE(StoreIdentity(directory, {9, {{1, "10.0.0.1:7"}}, "epoch"}));
   const auto loaded = LoadIdentity(directory).value();
   BOOST_TEST(loaded->id == 9U);
+  BOOST_TEST(loaded->epoch == "epoch");
   BOOST_TEST(loaded->initial_replicas[0].address == "10.0.0.1:7");
   std::ofstream(directory + "/log-1") << "x";
   BOOST_TEST(!WasErased(directory).value());
@@ -168,7 +169,7 @@
   requires_erased();
   BOOST_REQUIRE(EraseReplica(directory));
   requires_erased();
-  BOOST_REQUIRE(StoreIdentity(directory, {12, {}}));
+  BOOST_REQUIRE(StoreIdentity(directory, {12, {}, ""}));
   BOOST_TEST(LoadIdentity(directory).value()->id == 12U);
   BOOST_TEST(!WasErased(directory).value());
   BOOST_REQUIRE(EraseReplica(directory));
@@ -187,7 +188,7 @@
 // the log of a replica that no longer knew its ID.
 BOOST_AUTO_TEST_CASE(IdentityIsDurableBeforeItIsUsed) {
   const std::string directory = TemporaryDirectory();
-  BOOST_REQUIRE(StoreIdentity(directory, {9, {}}));
+  BOOST_REQUIRE(StoreIdentity(directory, {9, {}, ""}));
   int directory_syncs = 0;
   const auto sync = [&](int file) {
     struct stat status = {};
@@ -295,4 +296,25 @@
   BOOST_TEST(this->PlanAfter(seconds(3)).has_value());
 }
 
+// Guards against a replica that erases its state on the word of another
+// deployment, or of a leader that does not say which one it leads.
+BOOST_AUTO_TEST_CASE(OnlyTheOwnDeploymentRemovesAReplica) {
+  Json::Value response;
+  response["member"] = false;
+  BOOST_TEST(!ConfirmsRemoval(response, "a", true));
+  BOOST_TEST(!ConfirmsRemoval(response, "", true));
+  BOOST_TEST(ConfirmsRemoval(response, "", false));
+  response["epoch"] = "b";
+  BOOST_TEST(!ConfirmsRemoval(response, "a", true));
+  BOOST_TEST(!ConfirmsRemoval(response, "a", false));
+  BOOST_TEST(!ConfirmsRemoval(response, "", true));
+  response["known_address"] = true;
+  BOOST_TEST(!ConfirmsRemoval(response, "a", true));
+  BOOST_TEST(ConfirmsRemoval(response, "", true));
+  response["epoch"] = "a";
+  BOOST_TEST(ConfirmsRemoval(response, "a", true));
+  response["member"] = true;
+  BOOST_TEST(!ConfirmsRemoval(response, "a", true));
+}
+
 }  // namespace sycamorebend
