--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -336,11 +336,40 @@
 }
 
 Result<Json::Value> ControlService::JoinReplica(const Json::Value& params) {
-  return this->manager->Join(params);
+  BOOST_OUTCOME_TRY(response, this->manager->Join(params));
+  response["epoch"] = this->state.Shared()->epoch;
+  return response;
 }
 
 Result<Json::Value> ControlService::CheckMember(const Json::Value& params) {
-  return this->manager->CheckMember(params);
+  FieldReader reader(params);
+  // Empty if the caller does not know its deployment, or is of an earlier
+  // release.
+  const std::string caller_epoch = reader.OptionalString("epoch");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  // Waits until the state contains what was committed.
+  BOOST_OUTCOME_TRY(response, this->manager->CheckMember(params));
+  const std::string epoch = this->state.Shared()->epoch;
+  if (!caller_epoch.empty() && caller_epoch != epoch) {
+    // The caller goes on to the next replica that it knows.
+    return MakeError(ResultCode::kNotLeader,
+                     "this is a replica of another deployment");
+  }
+  response["epoch"] = epoch;
+  response["known_address"] =
+      this->KnowsReplicaAt(reader.OptionalString("address"));
+  return response;
+}
+
+bool ControlService::KnowsReplicaAt(const std::string& address) const {
+  const std::shared_ptr<const SharedState> shared = this->state.Shared();
+  const std::vector<std::string>& present = shared->replicas;
+  const std::vector<FormerReplica> former = this->state.Lost().replicas;
+  return std::find(present.begin(), present.end(), address) != present.end() ||
+         std::any_of(former.begin(), former.end(),
+                     [&address](const FormerReplica& replica) {
+                       return replica.address == address;
+                     });
 }
 
 Result<Json::Value> ControlService::Drain(const Json::Value& params) {
@@ -465,6 +494,7 @@
   this->manager->Tick();
   const std::shared_ptr<const SharedState> shared = this->state.Shared();
   this->ProposeLeaseExpiries(status, *shared);
+  this->NotifyLost(status, *shared);
   if (shared->epoch.empty()) {
     Json::Value command;
     command["epoch"] = RandomId();
@@ -537,6 +567,17 @@
   }
 }
 
+void ControlService::NotifyLost(const ReplicatedLog::LogStatus& status,
+                                const SharedState& shared) {
+  ReplicaNotifier* const lost_notifier = this->notifier;
+  if (lost_notifier == nullptr) {
+    return;
+  }
+  const std::map<std::string, TimePoint> renewals = this->feed.RenewalTimes();
+  const LostMembers lost = this->state.Lost();
+  lost_notifier->Tick({status.term, shared, renewals, lost}, this->clock.Now());
+}
+
 bool ControlService::Ready() const {
   const ReplicatedLogService* const replica_log = this->log;
   return replica_log != nullptr && !this->stopping &&
@@ -579,6 +620,10 @@
   const FeedSourceStatus feed_status = this->feed.GetStatus();
   response["counts"]["feed_followers"] = Json::UInt64(feed_status.followers);
   response["feed_redirects"] = Json::UInt64(feed_status.redirects);
+  const ReplicaNotifier* const lost_notifier = this->notifier;
+  if (lost_notifier != nullptr) {
+    response["notices"] = lost_notifier->StatusReport();
+  }
   return response;
 }
 
