Render sections in the review's stand-in and test it against the templates

Seen: the cases of review/ no longer start. The stand-in of the platform filled in plain placeholders only and did not know limits.*, which the templates in deploy/ use now. No test noticed.

Change: render() handles sections, inverted sections and {{@}}, {{,}} and {{.}} as DEPLOY.md says.

With a placeholder {{bounds.new_field}} added to deploy/gateway.json: "render.py: deploy/gateway.json: the stand-in doesn't know the field bounds.new_field", and the first case fails.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -20,12 +20,13 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 # Bounds of the small deployments (SYSTEM.md).
-CONTACT_S = 3.0
-ACK_S = 4.0
-CATCH_UP_S = 4.0
-GRACE_S = 8.0
-CONFIG_APPLY_S = 2.0
-RECOVERY_S = 12.0
+SEED_LAG_S = 3
+CONTACT_S = 3
+ACK_S = 4
+CATCH_UP_S = 4
+GRACE_S = 8
+CONFIG_APPLY_S = 2
+RECOVERY_S = 12
 
 
 class CannotRun(Exception):
@@ -45,21 +46,178 @@
     return found
 
 
-def render(template, fields):
-    """Fills in a template as DEPLOY.md tells; only plain placeholders are used."""
-    with open(os.path.join(ROOT, template), encoding="utf-8") as file:
-        text = file.read()
+ABSENT = object()  # A field that the platform doesn't have on these days.
+
+
+class Scope:
+    """The names that a part of a template sees."""
+
+    def __init__(self, template, entry, key=None, comma="", outer=None):
+        self.template, self.entry, self.key = template, entry, key
+        self.comma, self.outer = comma, outer
+
+    def fail(self, text):
+        raise CannotRun(f"{self.template}: {text}")
 
-    def value(match):
-        path, _, form = match.group(1).partition("|")
-        current = fields
+    def find(self, path):
+        """@return the value of a field, or ABSENT if the platform leaves it out."""
+        if path == ".":
+            return self.entry
+        first = path.split(".")[0]
+        scope = self
+        while scope is not None and not scope.has(first):
+            scope = scope.outer
+        if scope is None:
+            self.fail(f"the stand-in doesn't know the field {path}")
+        current = scope.entry
         for part in path.split("."):
-            current = current[int(part)] if isinstance(current, list) else current[part]
-        if form == "json" or isinstance(current, (bool, dict, list)):
-            return json.dumps(current)
-        return str(current)
+            if current is ABSENT:
+                return ABSENT
+            if isinstance(current, dict) and part in current:
+                current = current[part]
+            elif isinstance(current, list) and part.isdigit() and int(part) < len(current):
+                current = current[int(part)]
+            else:
+                self.fail(f"the stand-in doesn't know the field {path}")
+        return current
+
+    def has(self, name):
+        if isinstance(self.entry, list):
+            return name.isdigit() and int(name) < len(self.entry)
+        return isinstance(self.entry, dict) and name in self.entry
+
+    def placeholder(self, name):
+        if name == ",":
+            return self.comma
+        if name == "@":
+            if self.key is None:
+                self.fail("{{@}} outside of a section over a list or table")
+            return str(self.key)
+        path, _, form = name.partition("|")
+        if form not in ("", "json"):
+            self.fail(f"unknown form {form} of the field {path}")
+        value = self.find(path)
+        if value is ABSENT:
+            value = None
+        if form == "json":
+            return json.dumps(value, default=lambda absent: None)
+        if value is None:
+            return ""
+        if isinstance(value, list):
+            return ",".join(json.dumps(item) if isinstance(item, (bool, dict, list)) else str(item)
+                            for item in value)
+        return json.dumps(value) if isinstance(value, (bool, dict)) else str(value)
+
+    def entries(self, path):
+        """@return the scopes in which a section is rendered."""
+        value = self.find(path)
+        if value is ABSENT or value is None or value is False:
+            return []
+        if not isinstance(value, (dict, list)):
+            return [Scope(self.template, value, self.key, self.comma, self)]
+        items = list(value.items() if isinstance(value, dict) else enumerate(value))
+        return [Scope(self.template, entry, key, "," if i + 1 < len(items) else "", self)
+                for i, (key, entry) in enumerate(items)]
+
+
+def parse_template(template, tokens, section=None):
+    """@param tokens text and placeholders in turn; taken from the front.
+    @return texts, placeholders and sections with their contents."""
+    parts = []
+    while tokens:
+        text = tokens.pop(0)
+        parts.append(("text", text))
+        if not tokens:
+            break
+        name = tokens.pop(0)
+        if name[0] in "#^":
+            parts.append((name[0], name[1:], parse_template(template, tokens, name[1:])))
+        elif name[0] == "/":
+            if name[1:] != section:
+                raise CannotRun(f"{template}: {{{{{name}}}}} ends no section")
+            return parts
+        else:
+            parts.append(("field", name))
+    if section is not None:
+        raise CannotRun(f"{template}: the section {section} has no end")
+    return parts
+
+
+def render_parts(parts, scope):
+    rendered = []
+    for kind, *rest in parts:
+        if kind == "text":
+            rendered.append(rest[0])
+        elif kind == "field":
+            rendered.append(scope.placeholder(rest[0]))
+        elif kind == "#":
+            rendered += [render_parts(rest[1], inner) for inner in scope.entries(rest[0])]
+        elif scope.find(rest[0]) in (ABSENT, None) or scope.find(rest[0]) is False:
+            rendered.append(render_parts(rest[1], scope))
+    return "".join(rendered)
+
+
+def render_text(template, text, fields):
+    """Fills in a template as DEPLOY.md tells.
+    @param template its name, for errors.  A field that isn't in `fields` is one:
+    the platform would leave it empty, and the stand-in is what lacks it."""
+    parts = parse_template(template, re.split(r"\{\{([^{}]+)\}\}", text))
+    return render_parts(parts, Scope(template, fields))
 
-    return re.sub(r"\{\{([^}]+)\}\}", value, text)
+
+def render(template, fields):
+    with open(os.path.join(ROOT, template), encoding="utf-8") as file:
+        return render_text(template, file.read(), fields)
+
+
+# The machines and bounds of karoo-platen (SYSTEM.md), as in the example of
+# DEPLOY.md.
+LIMITS = {
+    "gateway": {"cpu_quota": 0.25, "speed_factor": 1, "memory_mb": 260, "max_fds": 4100,
+                "bandwidth_mbps": 1000.0, "disk_mb": 0},
+    "control": {"cpu_quota": 0.6, "speed_factor": 1, "memory_mb": 256, "max_fds": 4096,
+                "bandwidth_mbps": 1000.0, "disk_mb": 128},
+}
+BOUNDS = {
+    "seed_lag_s": SEED_LAG_S, "reuse_after_s": 2, "contact_ms": CONTACT_S * 1000,
+    "ack_ms": ACK_S * 1000, "catch_up_s": CATCH_UP_S, "drain_ms": 2000, "grace_s": GRACE_S,
+    "loss_slack_ms": 200, "config_apply_ms": CONFIG_APPLY_S * 1000, "downgrade_slack_ms": 250,
+    "partition_max_ms": 5000, "fail_closed": False, "revoke_ms": 5000,
+    "retry_budget_ratio": 0.2, "retry_window_s": 10, "budget_slack": 56,
+    "recovery_s": RECOVERY_S, "delivery_slack_ms": 120, "reuse_window_s": 9, "ttl_max_s": 5,
+}
+SERVES = {"gateway": ["edge"], "control": ["control_plane", "registry"]}
+
+
+def settings_fields(name, role, ip, zone, ports, seeds, bootstrap, data):
+    """The fields of a machine's settings.
+    @param seeds addresses of machines that serve control.
+    @param data its disk; gateways have none."""
+    listens = ["frontend", "readiness"] if role == "gateway" else ["control_plane", "registry"]
+    return {
+        "node_name": name,
+        "role": role,
+        "machine_class": "edge" if role == "gateway" else "core",
+        "serves": SERVES[role],
+        "ip": ip,
+        "zone": zone,
+        "region": "gauteng",
+        "zones": {zone: "gauteng" for zone in "abc"},
+        "listen": {listen: f"{ip}:{ports[listen]}" for listen in listens},
+        "internal_ports": [ports["internal"], ports["internal"] + 15],
+        "seed_nodes": [f"{seed}:{ports['control_plane']}" for seed in seeds],
+        "bootstrap": bootstrap,
+        "in_tolerance": role == "control",
+        "limits": LIMITS[role],
+        "data_dir": data if role == "control" else None,
+        "discovery": "registration",
+        "entrypoint": "registry",
+        "heartbeat_ms": 1200,
+        "fault_tolerance": {"nodes": 1, "zones": 0, "regions": 0},
+        "bounds": BOUNDS,
+        "config_mode": "highest",
+        "cloud_api": ABSENT,
+    }
 
 
 class Machine:
@@ -77,24 +235,8 @@
         fleet = self.fleet
         if self.role == "control":
             os.makedirs(self.data, exist_ok=True)
-        ports = fleet.ports
-        fields = {
-            "node_name": self.name,
-            "ip": self.ip,
-            "zone": self.zone,
-            "listen": {
-                "frontend": f"{self.ip}:{ports['frontend']}",
-                "readiness": f"{self.ip}:{ports['readiness']}",
-                "control_plane": f"{self.ip}:{ports['control_plane']}",
-                "registry": f"{self.ip}:{ports['registry']}",
-            },
-            "internal_ports": [ports["internal"], ports["internal"] + 15],
-            "seed_nodes": [f"{ip}:{ports['control_plane']}" for ip in fleet.seeds],
-            "bootstrap": bootstrap,
-            "data_dir": self.data if self.role == "control" else None,
-            "fault_tolerance": {"nodes": 1, "zones": 0, "regions": 0},
-            "bounds": {"grace_s": GRACE_S, "retry_budget_ratio": 0.2, "budget_slack": 56},
-        }
+        fields = settings_fields(self.name, self.role, self.ip, self.zone, fleet.ports, fleet.seeds,
+                                 bootstrap, self.data)
         command, template = fleet.commands[self.role]
         settings = os.path.join(self.folder, "settings")
         with open(settings, "w", encoding="utf-8") as file:
--- a/tests/platform/settings_templates_test.cc
+++ b/tests/platform/settings_templates_test.cc
@@ -1,4 +1,10 @@
 // The settings templates in deploy/, filled in as the platform does.
+#include <sys/wait.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+
 #include <boost/test/unit_test.hpp>
 
 #include "gateway/gateway_settings.h"
@@ -23,6 +29,33 @@
   return ReadPlatformControlSettings(Render("control.json", changes));
 }
 
+// Runs a script of review/lib/, which must succeed.
+// @return its output.
+std::string RunReviewScript(const std::string& name,
+                            const std::string& argument) {
+  const char* const root = std::getenv("SB_SOURCE_DIR");
+  BOOST_REQUIRE(root != nullptr);
+  const std::string command = "python3 -B '" + std::string(root) +
+                              "/review/lib/" + name + "' " + argument;
+  std::FILE* const pipe = popen(command.c_str(), "r");
+  BOOST_REQUIRE(pipe != nullptr);
+  std::string output;
+  std::array<char, 4096> buffer;
+  std::size_t size = 0;
+  while ((size = std::fread(buffer.data(), 1, buffer.size(), pipe)) > 0) {
+    output.append(buffer.data(), size);
+  }
+  const int status = pclose(pipe);
+  BOOST_REQUIRE_MESSAGE(WIFEXITED(status) && WEXITSTATUS(status) == 0, command);
+  return output;
+}
+
+SettingsObject RenderForReview(const std::string& role) {
+  auto object = SettingsObject::Parse(RunReviewScript("render.py", role), role);
+  BOOST_REQUIRE(object);
+  return std::move(object.value());
+}
+
 }  // namespace
 
 // A deployment played at a share of its size has fractions in its bounds.
@@ -93,4 +126,28 @@
   BOOST_TEST((settings.value().address_ttl == seconds(2)));
 }
 
+// Guards against templates with fields or sections that the scripts in review/
+// cannot render: their cases would no longer start.
+BOOST_AUTO_TEST_CASE(ReviewScriptsRenderGatewayTemplate) {
+  const auto settings =
+      gateway::ReadGatewaySettings(RenderForReview("gateway"));
+  BOOST_REQUIRE_MESSAGE(settings, settings.error().message);
+  BOOST_TEST(settings.value().replicas.size() == 3U);
+  BOOST_TEST(settings.value().memory_mb == 260U);
+  BOOST_TEST(settings.value().max_files == 4100U);
+  BOOST_TEST((settings.value().usage_window == Duration(0)));
+}
+
+// Guards against the same with the settings of control replicas.
+BOOST_AUTO_TEST_CASE(ReviewScriptsRenderControlTemplate) {
+  const auto settings = ReadPlatformControlSettings(RenderForReview("control"));
+  BOOST_REQUIRE_MESSAGE(settings, settings.error().message);
+  BOOST_TEST(settings.value().control.bootstrap);
+  BOOST_TEST(!settings.value().duties.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReviewScriptsRenderSections) {
+  RunReviewScript("render_test.py", "");
+}
+
 }  // namespace sycamorebend::platform
