--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -230,17 +230,20 @@
         self.stopped = False
         self.exits = 0
 
-    def start(self, bootstrap=False):
-        """Places the settings file and starts the program, as at every start."""
+    def start(self, bootstrap=False, seeds=None, keep_settings=False):
+        """Places the settings file and starts the program, as at every start.
+        @param seeds those of the settings file; None: the operator's list.
+        @param keep_settings the file of the start before stays as it is."""
         fleet = self.fleet
         if self.role == "control":
             os.makedirs(self.data, exist_ok=True)
-        fields = settings_fields(self.name, self.role, self.ip, self.zone, fleet.ports, fleet.seeds,
-                                 bootstrap, self.data)
+        fields = settings_fields(self.name, self.role, self.ip, self.zone, fleet.ports,
+                                 fleet.seeds if seeds is None else seeds, bootstrap, self.data)
         command, template = fleet.commands[self.role]
         settings = os.path.join(self.folder, "settings")
-        with open(settings, "w", encoding="utf-8") as file:
-            file.write(render(template, fields))
+        if not keep_settings:
+            with open(settings, "w", encoding="utf-8") as file:
+                file.write(render(template, fields))
         environment = {"PATH": os.environ.get("PATH", ""), "HOME": "/tmp", "LANG": "C.UTF-8",
                        "SYCAMOREBEND_SETTINGS": settings}
         with open(os.path.join(self.folder, "log"), "ab") as log:
@@ -290,9 +293,25 @@
         pid = os.getpid()
         self.prefix = f"127.{64 + pid % 128}.{pid // 128 % 250}"
         self.ports = self.free_ports()
-        self.seeds = []
+        self.seed_lists = []  # The operator's lists, each with the time of its begin.
         self.machines = []
 
+    @property
+    def seeds(self):
+        """The operator's list: addresses of machines that serve control."""
+        return self.seeds_before(0)
+
+    @seeds.setter
+    def seeds(self, addresses):
+        self.seed_lists.append((time.monotonic(), list(addresses)))
+
+    def seeds_before(self, lag_s):
+        """@return the operator's list of `lag_s` ago, or the first one."""
+        end = time.monotonic() - lag_s
+        lists = self.seed_lists or [(0, [])]
+        return next((addresses for begun, addresses in reversed(lists) if begun <= end),
+                    lists[0][1])
+
     def free_ports(self):
         """Ports that are free on the first addresses of this fleet."""
         names = ["frontend", "readiness", "control_plane", "registry", "internal"]
@@ -318,13 +337,14 @@
         self.machines.append(machine)
         return machine
 
-    def call(self, method, machine, port, path, body=None, timeout=1.0):
+    def call(self, method, machine, port, path, body=None, timeout=1.0, headers=None):
         """One call; the status and the body, or 0 and the reason without an answer."""
         connection = http.client.HTTPConnection(machine.ip, self.ports[port], timeout=timeout)
         try:
             data = None if body is None else json.dumps(body)
             connection.request(method, path, data,
-                               {"Content-Type": "application/json"} if data else {})
+                               dict(headers or {},
+                                    **({"Content-Type": "application/json"} if data else {})))
             response = connection.getresponse()
             return response.status, response.read()
         except (OSError, http.client.HTTPException) as error:
