Let a removed control replica find the present ones

Callers saw: a replica that was frozen while it was removed and all others were replaced never came back, so that the deployment stayed with one machine less. It asked only addresses that were gone, and read new seeds only after a signal.

It now takes the leader's replica.notice: of its own deployment, or any if it knows none. It asks the replicas of the newest one first, also after its state was erased. While no replica responds it reads the seeds in its settings file again once a second. replica.join names the epoch, so that a replica of another deployment refuses it.

--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -32,7 +32,8 @@
 
 }  // namespace
 
-ControlDaemon::ControlDaemon(const ControlSettings& settings)
+ControlDaemon::ControlDaemon(const ControlSettings& settings,
+                             std::shared_ptr<NoticedReplicas> noticed)
     : settings(settings),
       control_thread(this->clock),
       http_client(HttpClient::Create(kClientThreads)),
@@ -42,11 +43,13 @@
           [this](std::shared_ptr<const SharedState> shared) {
             this->feed->Publish(std::move(shared));
           })),
+      noticed(std::move(noticed)),
       service(*this->state, *this->feed, this->clock),
       seeds(settings.seeds) {
   this->leader_client = std::make_shared<LeaderRpcClient>(
       [this] { return this->KnownReplicas(); }, *this->rpc,
       this->control_thread, this->clock, kLeaderTryTimeout);
+  this->service.SetNoticedReplicas(*this->noticed);
 }
 
 ControlDaemon::~ControlDaemon() {
@@ -54,8 +57,10 @@
 }
 
 Result<std::unique_ptr<ControlDaemon>> ControlDaemon::Start(
-    const ControlSettings& settings) {
-  std::unique_ptr<ControlDaemon> daemon(new ControlDaemon(settings));
+    const ControlSettings& settings,
+    std::shared_ptr<NoticedReplicas> noticed) {
+  std::unique_ptr<ControlDaemon> daemon(
+      new ControlDaemon(settings, std::move(noticed)));
   BOOST_OUTCOME_TRY(daemon->Listen());
   if (settings.seeds.empty()) {
     BOOST_OUTCOME_TRY(
@@ -111,6 +116,9 @@
                                         this->control_thread, this->clock));
   this->log = std::move(started);
   this->identity = new_identity;
+  if (!new_identity.epoch.empty()) {
+    this->noticed->SetEpoch(new_identity.epoch);
+  }
   ReplicaSetTarget target;
   target.voters = this->settings.voters;
   this->service.SetLog(*this->log, target);
@@ -144,19 +152,33 @@
 }
 
 std::vector<std::string> ControlDaemon::KnownReplicas() const {
-  std::vector<std::string> known = this->state->Shared()->replicas;
-  std::lock_guard lock(this->mutex);
-  for (const std::string& seed : this->seeds) {
-    if (std::find(known.begin(), known.end(), seed) == known.end()) {
-      known.push_back(seed);
+  const std::shared_ptr<const SharedState> shared = this->state->Shared();
+  std::vector<std::string> known = this->noticed->Addresses(shared->version);
+  const auto add = [&known](const std::vector<std::string>& addresses) {
+    for (const std::string& address : addresses) {
+      if (std::find(known.begin(), known.end(), address) == known.end()) {
+        known.push_back(address);
+      }
     }
-  }
+  };
+  add(shared->replicas);
+  std::lock_guard lock(this->mutex);
+  add(this->seeds);
   return known;
 }
 
-void ControlDaemon::SetSeeds(std::vector<std::string> new_seeds) {
+bool ControlDaemon::SetSeeds(std::vector<std::string> new_seeds) {
   std::lock_guard lock(this->mutex);
+  if (this->seeds == new_seeds) {
+    return false;
+  }
   this->seeds = std::move(new_seeds);
+  return true;
+}
+
+bool ControlDaemon::HasContact() const {
+  return this->log != nullptr &&
+         this->log->ConfirmationAge() < kMembershipCheckAge;
 }
 
 Status ControlDaemon::Advance() {
@@ -191,6 +213,7 @@
     return Success();
   }
   this->identity.epoch = epoch;
+  this->noticed->SetEpoch(epoch);
   return StoreIdentity(this->settings.log.data_directory, this->identity);
 }
 
@@ -206,6 +229,7 @@
   this->next_request = now + kIdentityRequestInterval;
   Json::Value params;
   params["address"] = this->settings.log.address;
+  params["epoch"] = this->noticed->Epoch();
   this->leader_client->Call(
       kReplicaJoinMethod, params, now + seconds(2),
       [leader_responses =
--- a/src/controld/control_daemon.h
+++ b/src/controld/control_daemon.h
@@ -22,8 +22,11 @@
  public:
   // Listens for RPC, and starts the log if the replica's identity is known.
   // Otherwise Advance requests an identity from the leader.
+  // @param noticed what an earlier daemon of this process was told.
   static Result<std::unique_ptr<ControlDaemon>> Start(
-      const ControlSettings& settings);
+      const ControlSettings& settings,
+      std::shared_ptr<NoticedReplicas> noticed =
+          std::make_shared<NoticedReplicas>());
   ~ControlDaemon();
   ControlDaemon(const ControlDaemon&) = delete;
   ControlDaemon& operator=(const ControlDaemon&) = delete;
@@ -36,6 +39,10 @@
   // then stops the daemon, erases its data directory and starts a new one.
   bool WasRemoved() const { return this->removed_from_set; }
 
+  // @return false if no replica responds: this one has no identity, or its
+  // state was not confirmed recently.
+  bool HasContact() const;
+
   // Stops gracefully: transfers leadership and waits for open calls.
   void Stop();
 
@@ -49,7 +56,8 @@
   DutyRunner* Duties() { return this->duties.get(); }
 
   // Replaces the seed addresses after the settings were reloaded. Thread-safe.
-  void SetSeeds(std::vector<std::string> seeds);
+  // @return true if they differ.
+  bool SetSeeds(std::vector<std::string> seeds);
 
   // @return the client for calls to the leader. Thread-safe.
   ControlRpcClient& Leader() { return *this->leader_client; }
@@ -60,7 +68,8 @@
   const Clock& GetClock() const { return this->clock; }
 
  private:
-  explicit ControlDaemon(const ControlSettings& settings);
+  ControlDaemon(const ControlSettings& settings,
+                std::shared_ptr<NoticedReplicas> noticed);
 
   Status Listen();
   Status StartLog(const ReplicaIdentity& new_identity);
@@ -70,7 +79,8 @@
   // Acts on the response to kReplicaMemberMethod; null if there is none.
   void UpdateMembership(const Json::Value& response);
   void CheckMembership();
-  // @return the addresses of the replica set, then the seeds not in it.
+  // @return the replicas of the newest notice, of the replica set, and the
+  // seeds.
   std::vector<std::string> KnownReplicas() const;
 
   ControlSettings settings;
@@ -82,6 +92,7 @@
   std::unique_ptr<ControlState> state;
   std::unique_ptr<DutyRunner> duties;
   std::unique_ptr<EngineOrderRunner> engine_orders;
+  const std::shared_ptr<NoticedReplicas> noticed;
   std::unique_ptr<NoticeSender> notice_sender;
   std::unique_ptr<ReplicaNotifier> notifier;
   ControlService service;
--- a/src/controld/control_process.h
+++ b/src/controld/control_process.h
@@ -27,7 +27,8 @@
     std::function<Result<std::unique_ptr<ControlExtension>>(ControlDaemon&)>;
 
 // Runs a control replica until a stop signal. On SIGHUP the settings are loaded
-// again; only the seeds and the log severity of the new ones take effect.
+// again; only the seeds and the log severity of the new ones take effect. While
+// no replica responds, the seeds are loaded again once a second.
 // @param load reads the settings.
 // @param signals signals that the caller has blocked and that this function
 // waits for.
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "control/field_reader.h"
+#include "feed/replica_notice.h"
 #include "sycamorebend/policy.h"
 #include "sycamorebend/settings.h"
 
@@ -121,7 +122,8 @@
 void ControlService::CountCall(const std::string& method, ResultCode code) {
   const bool known = Methods().count(method) > 0 ||
                      method == kRaftMessageMethod ||
-                     method == kFeedPollMethod || method == kStatusMethod;
+                     method == kFeedPollMethod || method == kStatusMethod ||
+                     method == kReplicaNoticeMethod;
   std::lock_guard lock(this->counts_mutex);
   ++this->counts[{known ? method : "other", code}];
 }
@@ -133,6 +135,9 @@
 
 Result<Json::Value> ControlService::Dispatch(const std::string& method,
                                              const Json::Value& params) {
+  if (method == kReplicaNoticeMethod) {
+    return this->ReceiveNotice(params);
+  }
   ReplicatedLogService* const replica_log = this->log;
   if (replica_log == nullptr) {
     return MakeError(ResultCode::kNotLeader, "");
@@ -330,29 +335,33 @@
   return response;
 }
 
+Status ControlService::CheckDeployment(const Json::Value& params) const {
+  FieldReader reader(params);
+  // Empty if the caller does not know its deployment, or is of an earlier
+  // release.
+  const std::string caller_epoch = reader.OptionalString("epoch");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  if (!caller_epoch.empty() && caller_epoch != this->state.Shared()->epoch) {
+    return MakeError(ResultCode::kNotLeader,
+                     "this is a replica of another deployment");
+  }
+  return Success();
+}
+
 Result<Json::Value> ControlService::JoinReplica(const Json::Value& params) {
+  BOOST_OUTCOME_TRYV(this->CheckDeployment(params));
   BOOST_OUTCOME_TRY(response, this->manager->Join(params));
   response["epoch"] = this->state.Shared()->epoch;
   return response;
 }
 
 Result<Json::Value> ControlService::CheckMember(const Json::Value& params) {
-  FieldReader reader(params);
-  // Empty if the caller does not know its deployment, or is of an earlier
-  // release.
-  const std::string caller_epoch = reader.OptionalString("epoch");
-  BOOST_OUTCOME_TRY(reader.Finish());
   // Waits until the state contains what was committed.
   BOOST_OUTCOME_TRY(response, this->manager->CheckMember(params));
-  const std::string epoch = this->state.Shared()->epoch;
-  if (!caller_epoch.empty() && caller_epoch != epoch) {
-    // The caller goes on to the next replica that it knows.
-    return MakeError(ResultCode::kNotLeader,
-                     "this is a replica of another deployment");
-  }
-  response["epoch"] = epoch;
+  BOOST_OUTCOME_TRYV(this->CheckDeployment(params));
+  response["epoch"] = this->state.Shared()->epoch;
   response["known_address"] =
-      this->KnowsReplicaAt(reader.OptionalString("address"));
+      this->KnowsReplicaAt(FieldReader(params).OptionalString("address"));
   return response;
 }
 
@@ -367,6 +376,16 @@
                      });
 }
 
+Result<Json::Value> ControlService::ReceiveNotice(const Json::Value& params) {
+  NoticedReplicas* const noticed_replicas = this->noticed;
+  BOOST_OUTCOME_TRY(notice, internal::ReplicaNoticeFromJson(params));
+  if (noticed_replicas == nullptr || !noticed_replicas->Accept(notice)) {
+    return MakeError(ResultCode::kVersionConflict,
+                     "the notice is of another deployment or an old one");
+  }
+  return Json::Value(Json::objectValue);
+}
+
 Result<Json::Value> ControlService::Drain(const Json::Value& params) {
   return this->Propose("server.drain", params);
 }
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -15,6 +15,7 @@
 
 #include <json/value.h>
 
+#include "controld/noticed_replicas.h"
 #include "controld/replica_manager.h"
 #include "controld/replica_notifier.h"
 #include "controld/server_liveness.h"
@@ -49,6 +50,11 @@
     this->notifier = &new_notifier;
   }
 
+  // Sets where notices are kept, which must outlive the service.
+  void SetNoticedReplicas(NoticedReplicas& new_noticed) {
+    this->noticed = &new_noticed;
+  }
+
   // @return the result of `duty.status`; null if this deployment has none.
   Json::Value DutyReport() const;
 
@@ -101,6 +107,11 @@
   Result<Json::Value> Leave(const Json::Value& params);
   Result<Json::Value> JoinReplica(const Json::Value& params);
   Result<Json::Value> CheckMember(const Json::Value& params);
+  // @return kNotLeader if the caller is of another deployment; it then goes on
+  // to the next replica that it knows.
+  Status CheckDeployment(const Json::Value& params) const;
+  // replica.notice: also without a log, as it helps to join again.
+  Result<Json::Value> ReceiveNotice(const Json::Value& params);
   // @return true if a replica at `address` is, or was lately, in the set.
   bool KnowsReplicaAt(const std::string& address) const;
   Result<Json::Value> Drain(const Json::Value& params);
@@ -153,6 +164,7 @@
   std::atomic<DutyRunner*> duties{nullptr};
   std::atomic<const EngineOrderRunner*> engine_orders{nullptr};
   std::atomic<ReplicaNotifier*> notifier{nullptr};
+  std::atomic<NoticedReplicas*> noticed{nullptr};
   std::atomic<bool> stopping{false};
   std::unique_ptr<ReplicaManager> manager;
   std::mutex liveness_mutex;
--- a/tests/control/removed_founder_test.cc
+++ b/tests/control/removed_founder_test.cc
@@ -30,6 +30,8 @@
 
 constexpr std::size_t kFounders = 3;
 constexpr std::size_t kSpare = 3;
+// Further replicas are started by single cases.
+constexpr std::size_t kReplicas = 7;
 // Well above the time of any step, so that only a failed condition reaches it.
 constexpr Duration kStepTimeout = seconds(45);
 constexpr Duration kCallTimeout = seconds(1);
@@ -102,8 +104,8 @@
 }
 
 // Control replicas that find each other by `seeds`, in separate processes:
-// three founders and a spare. Each has its own loopback address, as all use one
-// port.
+// three founders, a spare, and their successors. Each has its own loopback
+// address, as all use one port.
 class SeededSet {
  public:
   SeededSet() {
@@ -129,16 +131,24 @@
     return ReadFile(this->Path("log", i));
   }
 
-  void Start(std::size_t i, bool bootstrap) {
+  void WriteSettings(std::size_t i,
+                     bool bootstrap,
+                     const std::vector<std::size_t>& seeds) const {
     Json::Value settings;
     settings["address"] = this->Address(i);
     settings["failure_domain"] = "a";
     settings["data_directory"] = this->DataDirectory(i);
-    for (std::size_t seed = 0; seed < kFounders; ++seed) {
+    for (const std::size_t seed : seeds) {
       settings["seeds"].append(this->Address(seed));
     }
     settings["bootstrap"] = bootstrap;
     WriteFile(this->Path("settings", i), WriteJson(settings));
+  }
+
+  void Start(std::size_t i,
+             bool bootstrap,
+             const std::vector<std::size_t>& seeds = {0, 1, 2}) {
+    this->WriteSettings(i, bootstrap, seeds);
     this->processes.at(i) = std::make_unique<ChildProcess>(
         "sycamorebend-control",
         std::vector<std::string>{"--settings=" + this->Path("settings", i)},
@@ -160,7 +170,7 @@
 
   // @return the members by the status of the leader; nothing without a leader.
   std::optional<std::vector<ReplicatedLog::ReplicaStatus>> Members() const {
-    for (std::size_t i = 0; i <= kSpare; ++i) {
+    for (std::size_t i = 0; i < kReplicas; ++i) {
       const auto status = this->Call(i, "control.status", "{}");
       if (!status || !status.value()["is_leader"].asBool()) {
         continue;
@@ -224,7 +234,7 @@
   void Apply(std::uint64_t version) const {
     BOOST_REQUIRE(WaitFor(
         [&] {
-          for (std::size_t i = 0; i <= kSpare; ++i) {
+          for (std::size_t i = 0; i < kReplicas; ++i) {
             if (this->Call(i, "config.replace",
                            fmt::format(R"({{"version":{},"operator":"alice",)"
                                        R"("document":{{}}}})",
@@ -243,7 +253,7 @@
     std::uint64_t version = 0;
     WaitFor(
         [&] {
-          for (std::size_t i = 0; i <= kSpare && version == 0; ++i) {
+          for (std::size_t i = 0; i < kReplicas && version == 0; ++i) {
             const auto shown = this->Call(i, "control.show", "{}");
             version = shown ? shown.value()["version"].asUInt64() : 0;
           }
@@ -274,7 +284,7 @@
   std::string port;
   const std::unique_ptr<HttpClient> client = HttpClient::Create(1);
   const std::unique_ptr<RpcClient> rpc = RpcClient::Create(*client);
-  std::array<std::unique_ptr<ChildProcess>, kSpare + 1> processes;
+  std::array<std::unique_ptr<ChildProcess>, kReplicas> processes;
 };
 
 }  // namespace
@@ -351,4 +361,42 @@
   BOOST_TEST(this->ReadVersion() == 1U);
 }
 
+// Guards against a replica that was removed while it was frozen, knows only
+// replicas that are gone when it runs again, and stays away for good, as nobody
+// tells it of the present ones.
+BOOST_FIXTURE_TEST_CASE(FrozenReplicaIsToldOfItsSuccessors, SeededSet) {
+  this->RemoveStopped(0);
+  const struct {
+    std::size_t lost;
+    std::size_t successor;
+    std::vector<std::size_t> seeds;
+    std::set<std::size_t> voters;
+  } replacements[] = {{1, 4, {2, 3}, {2, 3, 4}},
+                      {2, 5, {3, 4}, {3, 4, 5}},
+                      {3, 6, {4, 5}, {4, 5, 6}}};
+  ReplicaId last_id = kSpare + 1;
+  for (const auto& replacement : replacements) {
+    this->Start(replacement.successor, false, replacement.seeds);
+    last_id = this->AwaitMember(replacement.successor, last_id);
+    this->Process(replacement.lost).Kill();
+    this->AwaitVoters(replacement.voters);
+  }
+  this->Process(0).Signal(SIGCONT);
+  this->AwaitMember(0, last_id);
+  this->Process(4).Kill();
+  this->AwaitVoters({0, 5, 6});
+  BOOST_TEST(this->ReadVersion() == 1U);
+}
+
+// Guards against a replica whose seeds are all gone and that reads new ones
+// only after a signal, which the platform does not send.
+BOOST_FIXTURE_TEST_CASE(SeedsAreReadAgainWithoutContact, SeededSet) {
+  this->Start(4, false, {5});
+  BOOST_REQUIRE(WaitFor(
+      [this] { return Count(this->Log(4), R"("method":"replica.join")") > 0; },
+      kStepTimeout));
+  this->WriteSettings(4, false, {0});
+  this->AwaitMember(4, kSpare + 1);
+}
+
 }  // namespace sycamorebend
--- a/tests/control/replica_notifier_test.cc
+++ b/tests/control/replica_notifier_test.cc
@@ -134,4 +134,34 @@
   BOOST_TEST(!sender.value()->SendDatagram("nowhere", "text").has_value());
 }
 
+// Guards against a removed replica that follows an old notice, or one of
+// another deployment at an address that was reused.
+BOOST_AUTO_TEST_CASE(NewestNoticeOfTheOwnDeploymentIsKept) {
+  NoticedReplicas noticed;
+  BOOST_TEST(noticed.Accept({"a", 5, {"127.0.0.1:5"}, ""}));
+  BOOST_TEST(!noticed.Accept({"a", 4, {"127.0.0.1:4"}, ""}));
+  BOOST_TEST(noticed.Addresses(5).front() == "127.0.0.1:5");
+  BOOST_TEST(noticed.Addresses(6).empty());
+  noticed.SetEpoch("b");
+  BOOST_TEST(noticed.Addresses(0).empty());
+  BOOST_TEST(!noticed.Accept({"a", 9, {"127.0.0.1:9"}, ""}));
+  BOOST_TEST(noticed.Accept({"b", 1, {"127.0.0.1:1"}, ""}));
+  BOOST_TEST(noticed.Addresses(0).front() == "127.0.0.1:1");
+}
+
+// Guards against a notice that a replica without a log refuses although it
+// needs it to join again.
+BOOST_FIXTURE_TEST_CASE(NoticeIsReceivedWithoutALog, NotifyingLeader) {
+  NoticedReplicas noticed;
+  ControlService starting(*this->node.state, *this->node.source, this->clock);
+  starting.SetNoticedReplicas(noticed);
+  const Json::Value params =
+      internal::ReplicaNoticeToJson({"a", 1, {"127.0.0.1:1"}, ""});
+  BOOST_TEST(starting.Call(kReplicaNoticeMethod, params).has_value());
+  BOOST_TEST(noticed.Addresses(0).size() == 1U);
+  const auto refused =
+      starting.Call(kReplicaNoticeMethod, Json::Value(Json::objectValue));
+  BOOST_TEST((refused.error().code == ResultCode::kMalformedRequest));
+}
+
 }  // namespace sycamorebend
