Mend what the review of the notices found

Mended here: - A replica that asked an address which belongs to another deployment, an earlier release or a process of another kind asked only that one from then on: the client kept it as the leader. It begins at another known replica now. - A member that lost its disk while the others were replaced was never told: the leader notified former replicas only. Members that do not respond are notified. - A replica without a known deployment asked the replicas of any notice before its seeds. - A full disk at the moment at which the epoch is first stored ended the process, though the log bears a full disk. It is logged and tried again. - Gateways queried others in calm: the age of a confirmation reaches twice the wait of a poll.

--- a/src/control/leader_rpc_client.cc
+++ b/src/control/leader_rpc_client.cc
@@ -99,7 +99,10 @@
                                const std::string& address,
                                Result<Json::Value> result) {
   if (result || !IsRetryable(result.error().code)) {
-    {
+    if (!result && result.error().code == ResultCode::kUnknownCommand) {
+      // The address may belong to a process of another kind by now.
+      this->SelectNextReplica(address, {});
+    } else {
       std::lock_guard lock(this->mutex);
       this->preferred_replica = address;
     }
@@ -124,6 +127,12 @@
   });
 }
 
+void LeaderRpcClient::ForgetLeader() {
+  std::lock_guard lock(this->mutex);
+  this->preferred_replica.clear();
+  ++this->next_replica;
+}
+
 std::string LeaderRpcClient::ChooseAddress() {
   const std::vector<std::string> known = this->replicas();
   std::lock_guard lock(this->mutex);
--- a/src/control/leader_rpc_client.h
+++ b/src/control/leader_rpc_client.h
@@ -57,6 +57,10 @@
             TimePoint deadline,
             RpcCallback callback) override;
 
+  // Begins the next call at another of the known replicas than the one that
+  // responded last, which may be of another deployment.
+  void ForgetLeader();
+
  private:
   struct PendingCall;
 
--- a/src/controld/control_daemon.cc
+++ b/src/controld/control_daemon.cc
@@ -29,6 +29,8 @@
 // still in the replica set, and asks again at this interval. Longer than an
 // election.
 constexpr Duration kMembershipCheckAge = seconds(3);
+// Time until the epoch is stored again after a failure.
+constexpr Duration kEpochStoreInterval = seconds(5);
 
 }  // namespace
 
@@ -153,7 +155,9 @@
 
 std::vector<std::string> ControlDaemon::KnownReplicas() const {
   const std::shared_ptr<const SharedState> shared = this->state->Shared();
-  std::vector<std::string> known = this->noticed->Addresses(shared->version);
+  const std::vector<std::string> noticed_addresses =
+      this->noticed->Addresses(shared->version);
+  std::vector<std::string> known;
   const auto add = [&known](const std::vector<std::string>& addresses) {
     for (const std::string& address : addresses) {
       if (std::find(known.begin(), known.end(), address) == known.end()) {
@@ -161,9 +165,17 @@
       }
     }
   };
+  // A notice of an unknown deployment counts less than the settings.
+  const bool deployment_known = !this->noticed->Epoch().empty();
+  if (deployment_known) {
+    add(noticed_addresses);
+  }
   add(shared->replicas);
-  std::lock_guard lock(this->mutex);
-  add(this->seeds);
+  {
+    std::lock_guard lock(this->mutex);
+    add(this->seeds);
+  }
+  add(noticed_addresses);
   return known;
 }
 
@@ -200,21 +212,33 @@
     return this->StartLog(assigned);
   }
   if (!this->settings.seeds.empty()) {
-    BOOST_OUTCOME_TRY(this->StoreEpoch());
+    this->StoreEpoch();
     this->UpdateMembership(membership);
     this->CheckMembership();
   }
   return Success();
 }
 
-Status ControlDaemon::StoreEpoch() {
+void ControlDaemon::StoreEpoch() {
   const std::string epoch = this->state->Shared()->epoch;
-  if (epoch.empty() || epoch == this->identity.epoch) {
-    return Success();
+  const TimePoint now = this->clock.Now();
+  if (epoch.empty() || epoch == this->identity.epoch ||
+      now < this->next_epoch_store) {
+    return;
   }
-  this->identity.epoch = epoch;
   this->noticed->SetEpoch(epoch);
-  return StoreIdentity(this->settings.log.data_directory, this->identity);
+  ReplicaIdentity complete = this->identity;
+  complete.epoch = epoch;
+  const Status stored =
+      StoreIdentity(this->settings.log.data_directory, complete);
+  if (stored) {
+    this->identity = std::move(complete);
+    return;
+  }
+  // A full disk must not end a replica whose log bears it.
+  this->next_epoch_store = now + kEpochStoreInterval;
+  LogEvent(Severity::kWarning, Event::kStorageFailed,
+           {{"file", "identity"}, {"message", stored.error().message}});
 }
 
 void ControlDaemon::RequestIdentity() {
@@ -260,6 +284,7 @@
               {"message",
                "the removal is not certain: the response is of another "
                "deployment or of an earlier release"}});
+    this->leader_client->ForgetLeader();
   }
 }
 
--- a/src/controld/control_daemon.h
+++ b/src/controld/control_daemon.h
@@ -75,7 +75,7 @@
   Status StartLog(const ReplicaIdentity& new_identity);
   void RequestIdentity();
   // Stores the epoch of the deployment with the identity once it is known.
-  Status StoreEpoch();
+  void StoreEpoch();
   // Acts on the response to kReplicaMemberMethod; null if there is none.
   void UpdateMembership(const Json::Value& response);
   void CheckMembership();
@@ -117,6 +117,7 @@
   // As stored, if the replica set manages its own membership.
   ReplicaIdentity identity;
   TimePoint next_request;
+  TimePoint next_epoch_store;
   bool removed_from_set = false;
   bool stopped = false;
 };
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -593,7 +593,13 @@
     return;
   }
   const std::map<std::string, TimePoint> renewals = this->feed.RenewalTimes();
-  const LostMembers lost = this->state.Lost();
+  LostMembers lost = this->state.Lost();
+  // A member may have lost its disk, and the addresses that it knew with it.
+  for (const ReplicatedLog::ReplicaStatus& replica : status.replicas) {
+    if (replica.id != status.id && !replica.reachable) {
+      lost.replicas.push_back({replica.address, this->clock.WallTimeMs()});
+    }
+  }
   lost_notifier->Tick({status.term, shared, renewals, lost}, this->clock.Now());
 }
 
--- a/src/controld/replica_notifier.cc
+++ b/src/controld/replica_notifier.cc
@@ -21,8 +21,6 @@
 // A replica that was frozen answers at once when it runs again. Shorter than
 // the interval of the notices, so that there is one call to each.
 constexpr Duration kCallTimeout = milliseconds(500);
-// Receivers refuse notices that name more.
-constexpr std::size_t kMaxNamedReplicas = 16;
 
 Error SendError(const std::string& address, int error) {
   return MakeError(ResultCode::kConnectFailed,
@@ -115,15 +113,10 @@
 
 void ReplicaNotifier::Notify(const NoticeTarget& target,
                              const SharedState& shared) {
-  ReplicaNotice notice;
-  notice.epoch = shared.epoch;
-  notice.version = shared.version;
-  notice.replicas.assign(shared.replicas.begin(),
-                         shared.replicas.begin() +
-                             static_cast<std::ptrdiff_t>(std::min(
-                                 shared.replicas.size(), kMaxNamedReplicas)));
-  if (target.kind == NoticeTarget::Kind::kEntry) {
-    notice.entry_id = target.id;
+  const bool is_entry = target.kind == NoticeTarget::Kind::kEntry;
+  const ReplicaNotice notice =
+      internal::MakeReplicaNotice(shared, is_entry ? target.id : std::string());
+  if (is_entry) {
     const Status sent = this->sender.SendDatagram(
         target.address, internal::EncodeReplicaDatagram(notice));
     this->counts->entries.Add(sent.has_value());
--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -241,7 +241,7 @@
   void Run() {
     this->StartSearch({}, "this daemon starts", Duration(0));
     while (!this->responses->Stopped()) {
-      this->TakeNotice();
+      this->TakeNewSources();
       this->SendDuePolls();
       const SteadyClock::time_point next =
           this->searching ? this->next_search_poll : this->late_at;
@@ -253,7 +253,7 @@
   }
 
   // Takes over what SetReplicas and OnReplicaNotice were called with.
-  void TakeNotice() {
+  void TakeNewSources() {
     std::optional<std::vector<std::string>> replicas;
     std::optional<ReplicaNotice> notice;
     {
@@ -264,12 +264,16 @@
     if (replicas) {
       this->sources.SetReplicas(std::move(*replicas));
     }
-    const std::shared_ptr<const SharedState> state = this->server.Current();
-    if (!notice || (this->noticed_version == notice->version &&
-                    this->NoticeIsOpen(state))) {
+    if (!notice) {
       return;
     }
+    const bool repeated =
+        this->noticed_version && this->noticed_replicas == notice->replicas;
     this->noticed_version = notice->version;
+    if (repeated) {
+      return;
+    }
+    this->noticed_replicas = notice->replicas;
     this->sources.SetNoticed(notice->replicas);
     if (this->searching) {
       LogEvent(
@@ -797,8 +801,9 @@
       std::make_shared<ResponseQueue>();
   // Used only by the follower's thread.
   SourceList sources;
-  // Version of the notice whose replicas `sources` has.
+  // Version of the newest notice, and its replicas, which `sources` has.
   std::optional<std::uint64_t> noticed_version;
+  std::vector<std::string> noticed_replicas;
   // The last response could not be applied to the current state.
   bool needs_snapshot = false;
   std::vector<OpenPoll> open_polls;
--- a/src/feed/replica_notice.cc
+++ b/src/feed/replica_notice.cc
@@ -29,16 +29,12 @@
                                    std::vector<std::string>,
                                    std::string>;
 
-// Replicas and learners of a deployment in the middle of a replacement are
-// fewer. Bounds what a corrupt datagram makes a receiver poll.
-constexpr std::size_t kMaxReplicas = 16;
-
 Error Malformed(const std::string& reason) {
   return MakeError(ResultCode::kProtocolError, "replica datagram: " + reason);
 }
 
 Status CheckReplicas(const std::vector<std::string>& replicas) {
-  if (replicas.empty() || replicas.size() > kMaxReplicas) {
+  if (replicas.empty() || replicas.size() > kMaxNoticeReplicas) {
     return Malformed("the number of replicas is out of range");
   }
   if (!std::all_of(replicas.begin(), replicas.end(), IsAddress)) {
@@ -68,6 +64,16 @@
   return {buffer.data(), buffer.size()};
 }
 
+ReplicaNotice MakeReplicaNotice(const SharedState& state,
+                                const std::string& entry_id) {
+  const auto count = static_cast<std::ptrdiff_t>(
+      std::min(state.replicas.size(), kMaxNoticeReplicas));
+  return {state.epoch,
+          state.version,
+          {state.replicas.begin(), state.replicas.begin() + count},
+          entry_id};
+}
+
 bool IsReplicaDatagram(std::string_view data) {
   return !data.empty() && data.front() == kMark;
 }
--- a/src/feed/replica_notice.h
+++ b/src/feed/replica_notice.h
@@ -3,6 +3,7 @@
 #ifndef SYCAMOREBEND_SRC_FEED_REPLICA_NOTICE_H_
 #define SYCAMOREBEND_SRC_FEED_REPLICA_NOTICE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -21,6 +22,11 @@
   std::uint64_t version = 0;
 };
 
+// Maximum number of replicas that a notice names; more than a deployment has in
+// the middle of a replacement. Bounds what a corrupt datagram makes a receiver
+// poll.
+inline constexpr std::size_t kMaxNoticeReplicas = 16;
+
 using ReplicaDatagram = std::variant<ReplicaQuery, ReplicaNotice>;
 
 std::string EncodeReplicaDatagram(const ReplicaDatagram& datagram);
@@ -29,6 +35,11 @@
 // MessagePack never do.
 bool IsReplicaDatagram(std::string_view data);
 
+// @return a notice of the replicas in `state`, for the entry daemon `entry_id`;
+// for any process if that is empty.
+ReplicaNotice MakeReplicaNotice(const SharedState& state,
+                                const std::string& entry_id);
+
 // @return the datagram, or kProtocolError if `data` is not one.
 Result<ReplicaDatagram> DecodeReplicaDatagram(std::string_view data);
 
--- a/src/feed/source_list.cc
+++ b/src/feed/source_list.cc
@@ -61,6 +61,13 @@
 }
 
 void SourceList::Prepend(std::vector<std::string> addresses) {
+  this->remaining.erase(
+      std::remove_if(this->remaining.begin(), this->remaining.end(),
+                     [&addresses](const std::string& source) {
+                       return std::find(addresses.begin(), addresses.end(),
+                                        source) != addresses.end();
+                     }),
+      this->remaining.end());
   std::vector<std::string> other_sources;
   std::swap(other_sources, this->remaining);
   this->Append(std::move(addresses));
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -310,7 +310,7 @@
   this->follower->SetReplicas(replicas);
 }
 
-bool Gateway::WithoutReplicas() const {
+bool Gateway::IsUnconfirmed() const {
   return this->follower->ConfirmationAge() >
          this->settings.max_confirmation_age;
 }
@@ -524,10 +524,9 @@
       "sycamorebend_gateway_replica_queries_total",
       "Other gateways that were asked for the control replicas.", {},
       static_cast<double>(this->replica_queries));
-  this->metrics.SetTotal(
-      "sycamorebend_gateway_replica_notices_total",
-      "Notices of control replicas that were not known or were replaced.", {},
-      static_cast<double>(this->replica_notices));
+  this->metrics.SetTotal("sycamorebend_gateway_replica_notices_total",
+                         "Notices of control replicas that were polled.", {},
+                         static_cast<double>(this->replica_notices));
 }
 
 void Gateway::BeginStop() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -53,7 +53,7 @@
   // Replaces the control replicas of the settings, after these were read again.
   void SetReplicas(const std::vector<std::string>& replicas);
   // @return true if no control replica has confirmed the state for a while.
-  bool WithoutReplicas() const;
+  bool IsUnconfirmed() const;
 
   // Begins a graceful stop, which stops the loop when it is complete.
   void BeginStop();
--- a/src/gateway/gateway_process.cc
+++ b/src/gateway/gateway_process.cc
@@ -54,7 +54,7 @@
   const std::unique_ptr<net::EventLoop> loop = net::EventLoop::Create(clock);
   BOOST_OUTCOME_TRY(gateway, Gateway::Start(settings, format, *loop, clock));
   loop->SubscribePeriodic(kSeedReadInterval, [&] {
-    if (gateway->WithoutReplicas()) {
+    if (gateway->IsUnconfirmed()) {
       ReadSeeds(settings_path, *gateway);
     }
   });
--- a/src/gateway/replica_finder.cc
+++ b/src/gateway/replica_finder.cc
@@ -8,8 +8,9 @@
 namespace {
 
 // A state that was confirmed longer ago makes a gateway ask, and keeps it from
-// answering. Longer than a poll of the feed that waits and one lost response.
-constexpr Duration kMaxConfirmedAge = seconds(1);
+// answering. In calm operation the age is up to twice the wait of a poll: it
+// counts from the sending of the last poll that was responded to.
+constexpr Duration kMaxConfirmedAge = milliseconds(1500);
 constexpr std::size_t kGatewaysPerQuery = 3;
 // Without an answer for so long, no gateway knows the replicas, or there is no
 // leader. Queries go on less often.
@@ -66,7 +67,7 @@
   if (++this->answers > kMaxAnswersPerSecond) {
     return std::nullopt;
   }
-  return ReplicaNotice{state->epoch, state->version, state->replicas, {}};
+  return internal::MakeReplicaNotice(*state, {});
 }
 
 }  // namespace sycamorebend::gateway
