--- a/tests/control/lost_member_test.cc
+++ b/tests/control/lost_member_test.cc
@@ -91,6 +91,7 @@
 // deployment ever had.
 BOOST_FIXTURE_TEST_CASE(LostMembersAreBounded, LostMemberFixture) {
   std::vector<std::string> replicas;
+  replicas.reserve(20);
   for (int i = 0; i < 20; ++i) {
     replicas.push_back(fmt::format("127.0.0.1:{}", 100 + i));
   }
@@ -103,7 +104,7 @@
   BOOST_TEST(this->state->Lost().entries.size() == 1024U);
   BOOST_TEST(this->state->Lost().entries.front().entry_id == "6");
 
-  const std::int64_t hour_ms = 3600 * 1000;
+  const std::int64_t hour_ms = 3600LL * 1000;
   BOOST_TEST(!this->state->NeedsTick(this->now_ms + hour_ms - 1));
   BOOST_TEST(this->state->NeedsTick(this->now_ms + hour_ms));
   this->now_ms += hour_ms;
