--- a/src/feed/feed_follower.cc
+++ b/src/feed/feed_follower.cc
@@ -459,9 +459,10 @@
       return;
     }
     this->next_silence_log = now + kLogInterval;
-    std::string tried;
+    std::vector<std::string> tried;
+    tried.reserve(this->last_failures.size());
     for (const auto& [source, reason] : this->last_failures) {
-      tried += (tried.empty() ? "" : ", ") + source + " (" + reason + ")";
+      tried.push_back(fmt::format("{} ({})", source, reason));
     }
     const std::shared_ptr<const SharedState> state = this->server.Current();
     LogEvent(Severity::kWarning, Event::kFeedSilent,
@@ -470,7 +471,7 @@
               {"configuration_version",
                state == nullptr ? 0 : state->configuration_version},
               {"confirmed_age_ms", AgeMilliseconds(this->ConfirmationAge())},
-              {"tried", tried}});
+              {"tried", fmt::format("{}", fmt::join(tried, ", "))}});
   }
 
   // @return the age in milliseconds; -1 if there was no confirmation.
@@ -514,7 +515,8 @@
     }
     SourceReport report;
     const Status applied = this->Apply(poll, item.response, report);
-    if (!applied && this->last_failures.size() < kMaxLoggedSources) {
+    if (!applied && (this->last_failures.size() < kMaxLoggedSources ||
+                     this->last_failures.count(poll.source) > 0)) {
       this->last_failures[poll.source] = applied.error().message;
     }
     if (!applied || report.full) {
