--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -306,8 +306,8 @@
 // Guards against returning addresses of draining gateways.
 BOOST_FIXTURE_TEST_CASE(ResolveOmitsDrainingGateways, Fixture) {
   BOOST_TEST(this->Send("GET", "/api/resolve")->status == 503);
-  this->state->entries = {{"e1", "10.0.0.1:80", "a", "x", false, ""},
-                          {"e2", "10.0.0.2:80", "a", "x", true, ""}};
+  this->state->entries = {{"e1", "10.0.0.1:80", "a", "x", false, "", ""},
+                          {"e2", "10.0.0.2:80", "a", "x", true, "", ""}};
   const auto exchange = this->Send("GET", "/api/resolve");
   BOOST_TEST(exchange->body == R"({"addresses":["10.0.0.1:80"],"ttl_s":2.0})");
 }
--- a/tests/platform/fleet_feed_test.cc
+++ b/tests/platform/fleet_feed_test.cc
@@ -175,6 +175,31 @@
       WaitFor([&] { return fleet.InForce(3) == kGateways; }, kStepTimeout));
 }
 
+// Guards against a replica that lost its disk while all others were replaced,
+// and asks only its seeds, which are gone, for a place in the replica set.
+BOOST_AUTO_TEST_CASE(ReplicaWithoutADiskFindsTheSuccessorsOfItsSeeds) {
+  constexpr std::size_t kReplicas = 5;
+  constexpr std::size_t kLost = kReplicas - 1;
+  PlatformFleet fleet(kReplicas, /*gateways=*/1, /*max_followers=*/64);
+  BOOST_REQUIRE(
+      WaitFor([&] { return fleet.PresentReplicasVote(); }, kStepTimeout));
+  fleet.LoseDisk(kLost);
+  for (std::size_t i = 0; i < kLost; ++i) {
+    fleet.ReplaceReplica(i);
+    // One of the replicas that are down was removed for it: the loss of the
+    // next one is borne.
+    const auto replaced = [&] {
+      const std::set<std::string> voters = fleet.VoterAddresses();
+      return voters.size() == kReplicas &&
+             voters.count(fleet.ReplicaAddress(i)) > 0;
+    };
+    BOOST_REQUIRE(WaitFor(replaced, kStepTimeout));
+  }
+  fleet.StartReplica(kLost);
+  BOOST_TEST(
+      WaitFor([&] { return fleet.PresentReplicasVote(); }, kStepTimeout));
+}
+
 // Guards against an address in the shared state or in a look-up at which the
 // named program does not serve what the address is given out for.
 BOOST_AUTO_TEST_CASE(AddressesGivenOutAreServed) {
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -261,23 +261,27 @@
   return voters;
 }
 
-bool PlatformFleet::PresentReplicasVote() {
+std::set<std::string> PlatformFleet::VoterAddresses() {
+  std::set<std::string> voters;
   const std::size_t leader = this->Leader();
   if (leader == this->replica_count) {
-    return false;
+    return voters;
   }
   const Json::Value status = this->StatusAt(leader);
-  std::set<std::string> voters;
   for (const Json::Value& replica : status["replicas"]) {
     if (replica["voter"].asBool()) {
       voters.insert(replica["address"].asString());
     }
   }
+  return voters;
+}
+
+bool PlatformFleet::PresentReplicasVote() {
   std::set<std::string> present;
   for (std::size_t i = 0; i < this->replica_count; ++i) {
     present.insert(this->ReplicaAddress(i));
   }
-  return voters == present;
+  return this->VoterAddresses() == present;
 }
 
 std::string PlatformFleet::ReplicaAddress(std::size_t replica) const {
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,8 @@
   std::size_t Leader();
   // @return number of voters in the replica set.
   std::size_t Voters();
+  // @return the addresses of the voters; none without a leader.
+  std::set<std::string> VoterAddresses();
   // @return true if the voters of the replica set are the present replicas, and
   // no other.
   bool PresentReplicasVote();
