--- a/tests/gateway/replica_finder_test.cc
+++ b/tests/gateway/replica_finder_test.cc
@@ -22,9 +22,10 @@
   return state;
 }
 
-std::vector<std::string> Gateways(int count) {
+std::vector<std::string> Gateways(std::size_t count) {
   std::vector<std::string> ips;
-  for (int i = 0; i < count; ++i) {
+  ips.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
     ips.push_back("10.1.0." + std::to_string(i));
   }
   return ips;
@@ -36,7 +37,7 @@
 // that asks the same few others, which may be gone as well: 80 gateways, of
 // which one has contact.
 BOOST_AUTO_TEST_CASE(UnconfirmedGatewayAsksAllOthersInTurn) {
-  constexpr int kGateways = 79;
+  constexpr std::size_t kGateways = 79;
   ReplicaFinder finder(/*seed=*/7);
   finder.SetGateways(Gateways(kGateways));
   TimePoint now{};
