--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -271,12 +271,15 @@
             time.sleep(self.restart_after)
 
     def on_line(self, at, text):
-        self.fleet.record.line("engine %s %s" % (self.id, text), at)
+        if not self.quiet or text == "registered":
+            self.fleet.record.line("engine %s %s" % (self.id, text), at)
         hook = self.options_hook
         if hook is not None:
             hook(self, at, text)
 
     options_hook = None
+    # Set by a case that records by itself what engines do.
+    quiet = False
 
     def stop(self):
         self.stopped = True
