Log the content hash of each failed attempt

The logs could not tell a repeat that is not recognized (its content differs) from one that is recognized but never counted. server_failed now has request_hash, the hash by which crash_quarantine compares requests.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -409,6 +409,7 @@
               {"framing", this->ResponseFraming()},
               {"unfinished_bytes", this->splitter.PendingBytes()},
               {"response_begun", this->first_byte_seen},
+              {"request_hash", fmt::format("{:x}", this->content.request)},
               {"shared_blocks", SharedBlockNames(this->profile.generation)},
               {"after_ms", ToMilliseconds(now - this->sent_at)}});
   }
