Count requests whose responses had begun when their servers crashed

Cause: a first event was taken for a proof that the request does not crash its server. HandleLostConnection reported an attempt only if it had no event, and HandleEvents cleared the whole request at the first one. The trace shows it: server_failed has response_begun true for the lost attempts and no server_checked follows; with request_hash all repeats have one hash, so recognition was not at fault.

Change: each lost connection is checked, and a crash counts against every request that was running there. A first event clears the blocks of the prompt, the end of the response clears the request. Candidates say whether their response had begun, also between gateways (a fourth member, which older releases ignore and whose absence means false). Such a request needs three crashes, two moments apart: streams that take seconds are cut twice by unrelated ends of servers. It does not hide a cause whose response had not begun, and takes the blame from shared blocks beside it. The tracker's evidence leaves out what was at one crash only, and the number of candidates is bounded, since there are more of them.

The entry daemon's scheduler already counted requests with tokens; it now uses the same threshold.

--- a/src/gateway/crash_quarantine.cc
+++ b/src/gateway/crash_quarantine.cc
@@ -28,6 +28,7 @@
 constexpr Duration kSenderRetention = seconds(60);
 // Bounds of the news in one message.
 constexpr std::size_t kMaxCandidates = 64;
+constexpr std::size_t kMaxBegunCandidates = 128;
 constexpr std::size_t kMaxCleared = 128;
 constexpr std::size_t kMaxCauses = 32;
 
@@ -45,6 +46,23 @@
 constexpr std::string_view kPartsPrefix = "parts:";
 constexpr int kHexBase = 16;
 
+// Bounds the requests whose responses had begun apart from the others: there
+// are many more of them, and they have no parts.
+void KeepNewestCandidates(std::vector<CrashCandidate>& candidates) {
+  std::size_t begun_left = kMaxBegunCandidates;
+  std::size_t others_left = kMaxCandidates;
+  std::vector<CrashCandidate> kept;
+  for (auto it = candidates.rbegin(); it != candidates.rend(); ++it) {
+    std::size_t& left = it->begun ? begun_left : others_left;
+    if (left > 0) {
+      --left;
+      kept.push_back(std::move(*it));
+    }
+  }
+  std::reverse(kept.begin(), kept.end());
+  candidates = std::move(kept);
+}
+
 template <typename Value>
 void KeepNewest(std::vector<Value>& values, std::size_t count) {
   if (values.size() > count) {
@@ -160,9 +178,10 @@
 
 void CrashQuarantine::RecordCrash(const std::string& server_key,
                                   const RequestContent& content,
+                                  bool begun,
                                   TimePoint now) {
-  ++this->lost_requests;
-  if (this->tracker.RecordCrash({StableHash32(server_key), content},
+  ++this->lost_requests[begun];
+  if (this->tracker.RecordCrash({StableHash32(server_key), content, begun},
                                 NewsSource::kOwn, now)) {
     this->on_crash();
   }
@@ -221,7 +240,7 @@
   CrashNews& news = message.crash_news;
   news.candidates = this->tracker.CandidatesSince(since, scope);
   news.cleared = this->tracker.ClearedSince(since, scope);
-  KeepNewest(news.candidates, kMaxCandidates);
+  KeepNewestCandidates(news.candidates);
   KeepNewest(news.cleared, kMaxCleared);
   TimePoint& sent_at = this->causes_sent_at[message.scope];
   if (this->causes_changed_at < since && now - sent_at < kCauseInterval) {
@@ -271,10 +290,13 @@
 }
 
 void CrashQuarantine::Publish(Metrics& metrics, TimePoint now) const {
-  metrics.SetTotal("sycamorebend_gateway_crash_candidates_total",
-                   "Requests that were running on a server that crashed and "
-                   "had received no response.",
-                   {}, static_cast<double>(this->lost_requests));
+  for (const auto& [begun, count] : this->lost_requests) {
+    metrics.SetTotal("sycamorebend_gateway_crash_candidates_total",
+                     "Requests that were running on a server that crashed, by "
+                     "whether their responses had begun.",
+                     {{"begun", begun ? "true" : "false"}},
+                     static_cast<double>(count));
+  }
   for (const auto& [kind, count] : this->findings) {
     metrics.SetTotal("sycamorebend_gateway_crash_causes_found_total",
                      "Causes of crashes found by this gateway, by kind.",
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -71,13 +71,20 @@
                                       TimePoint now) const {
     return this->tracker.EvaluationDue(content, now);
   }
-  // Records that a server began to respond to the request.
+  // Records that a server began to respond to the request, which may still
+  // crash it.
+  void RecordBegun(const internal::RequestContent& content, TimePoint now) {
+    this->tracker.RecordServed({0, content.parts}, now);
+  }
+  // Records that a server ran the request to its end.
   void RecordServed(const internal::RequestContent& content, TimePoint now) {
     this->tracker.RecordServed(content, now);
   }
-  // Records that the server crashed before it began to respond to the request.
+  // Records that the server crashed while it was running the request.
+  // @param begun whether it had begun to respond to it.
   void RecordCrash(const std::string& server_key,
                    const internal::RequestContent& content,
+                   bool begun,
                    TimePoint now);
 
   // @param interval time between two messages to the same gateway.
@@ -118,7 +125,9 @@
   // Causes that the control replicas have recorded, as text, and the end of
   // their quarantine there.
   std::map<std::string, TimePoint, std::less<>> recorded;
-  std::uint64_t lost_requests = 0;
+  // Requests that were running on a server that crashed, by whether their
+  // responses had begun.
+  std::map<bool, std::uint64_t> lost_requests;
   // By kind of the cause.
   std::map<std::string, std::uint64_t> findings;
   std::map<std::string, std::uint64_t> refused;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -506,7 +506,7 @@
     const bool comment = event->IsComment();
     if (!comment && !this->attempt_has_events) {
       this->attempt_has_events = true;
-      this->context.quarantine.RecordServed(this->content, now);
+      this->context.quarantine.RecordBegun(this->content, now);
     }
     if (event->id) {
       if (this->last_event && *event->id <= *this->last_event) {
@@ -602,6 +602,12 @@
     return;
   }
   this->EndCall(AttemptOutcome::kAnswered);
+  // A server that crashes between two events ends a response without other
+  // framing in the same way.
+  if (this->response.framing != net::BodyFraming::kUntilClose) {
+    this->context.quarantine.RecordServed(this->content,
+                                          this->context.loop.Now());
+  }
   this->StartStream();
   this->job.exchange->Finish();
   this->Finish(this->response.status, "whole");
@@ -703,26 +709,23 @@
 }
 
 void Forwarder::HandleLostConnection(const std::string& reason) {
-  if (this->attempt_has_events) {
-    // The server began to respond, so the request did not crash it.
-    this->HandleFailedAttempt(reason);
-    return;
-  }
   const bool may_retry = this->CanRetry();
   this->context.pool.CheckReachable(
       this->choice.server_key, this->choice.address,
       [weak = this->weak_from_this(), &context = this->context,
-       key = this->choice.server_key, content = this->content, may_retry,
-       reason, request_id = this->request_id,
+       key = this->choice.server_key, content = this->content,
+       begun = this->attempt_has_events, may_retry, reason,
+       request_id = this->request_id,
        server_id = this->choice.server_id](Reachability reachability) {
         LogEvent(Severity::kInfo, Event::kServerChecked,
                  {{"request_id", request_id},
                   {"server_id", server_id},
+                  {"response_begun", begun},
                   {"result", ReachabilityName(reachability)}});
         const TimePoint now = context.loop.Now();
         if (reachability == Reachability::kRefused &&
             context.balancer.IsExpectedToRun(key, now)) {
-          context.quarantine.RecordCrash(key, content, now);
+          context.quarantine.RecordCrash(key, content, begun, now);
         }
         const auto forwarder = weak.lock();
         if (may_retry && forwarder) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -138,8 +138,8 @@
   void DeliverBufferedResponse();
   // Handles a response that guarantees that the request was not run.
   void HandleRefusal();
-  // Handles an attempt whose connection was lost. If the response had not
-  // begun, finds out first whether the server has crashed.
+  // Handles an attempt whose connection was lost, after finding out whether the
+  // server has crashed.
   void HandleLostConnection(const std::string& reason);
   // Handles an attempt that failed after the request may have been run: retries
   // it, or responds with an error.
--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -60,9 +60,9 @@
 using EncodedDemand = std::tuple<std::uint32_t, std::vector<EncodedRoute>>;
 using EncodedPlacement = std::tuple<std::uint64_t, std::uint32_t>;
 using EncodedHashes = std::vector<std::uint64_t>;
-// Server, request and parts.
+// Server, request, parts, and whether its response had begun.
 using EncodedCandidate =
-    std::tuple<std::uint32_t, std::uint64_t, EncodedHashes>;
+    std::tuple<std::uint32_t, std::uint64_t, EncodedHashes, bool>;
 // Request, parts, crashes, findings, milliseconds of quarantine left, and
 // whether it is only suspected.
 using EncodedCause =
@@ -137,8 +137,9 @@
 EncodedNews EncodeNews(const CrashNews& news) {
   EncodedNews encoded;
   for (const internal::CrashCandidate& candidate : news.candidates) {
-    std::get<0>(encoded).emplace_back(
-        candidate.server, candidate.content.request, candidate.content.parts);
+    std::get<0>(encoded).emplace_back(candidate.server,
+                                      candidate.content.request,
+                                      candidate.content.parts, candidate.begun);
   }
   std::get<1>(encoded) = news.cleared;
   for (const SharedCrashCause& shared : news.causes) {
@@ -157,8 +158,8 @@
     std::sort(hashes.begin(), hashes.end());
     return hashes;
   };
-  for (const auto& [server, request, parts] : std::get<0>(encoded)) {
-    news.candidates.push_back({server, {request, sorted(parts)}});
+  for (const auto& [server, request, parts, begun] : std::get<0>(encoded)) {
+    news.candidates.push_back({server, {request, sorted(parts)}, begun});
   }
   news.cleared = std::get<1>(encoded);
   for (const auto& [request, parts, crashes, findings, left, suspected] :
--- a/src/routing/attempts.cc
+++ b/src/routing/attempts.cc
@@ -248,12 +248,9 @@
   const auto hash = static_cast<std::uint32_t>(
       StableHash64(state.server_id + "#" + state.incarnation));
   for (Request* request : this->servers.At(server).own_requests) {
-    RequestContent content = ContentOf(request->info);
-    if (request->first_token_seen) {
-      content.parts.clear();  // The server has begun to respond to them.
-    }
-    this->crashes.RecordCrash({hash, std::move(content)}, NewsSource::kOwn,
-                              now);
+    this->crashes.RecordCrash(
+        {hash, ContentOf(request->info), request->first_token_seen},
+        NewsSource::kOwn, now);
     if (!request->info.fingerprint.empty()) {
       report.fingerprints.push_back(request->info.fingerprint);
     }
--- a/src/routing/crash_tracker.cc
+++ b/src/routing/crash_tracker.cc
@@ -12,6 +12,8 @@
 constexpr Duration kCrashRetention = std::chrono::minutes(10);
 constexpr std::size_t kMaxCrashes = 256;
 constexpr std::size_t kMaxCandidatesPerCrash = 256;
+// In all crashes; the oldest crashes are forgotten first.
+constexpr std::size_t kMaxCandidates = 1 << 14;
 // What a server ran without a crash this long before another one crashed is not
 // a candidate.
 constexpr Duration kServedRetention = seconds(10);
@@ -22,6 +24,10 @@
 constexpr Duration kSameMoment = milliseconds(250);
 
 constexpr std::size_t kCrashesOfRequest = 2;
+// The same if the response had begun at one of them, and the number of
+// different moments at which they have to occur.
+constexpr std::size_t kCrashesOfBegunRequest = 3;
+constexpr std::size_t kMomentsOfBegunRequest = 2;
 // Crashes of a part of different requests, if nothing else was running during
 // all of them, and otherwise.
 constexpr std::size_t kCrashesOfPart = 2;
@@ -155,23 +161,30 @@
   }
 }
 
-void CrashTracker::Prune(TimePoint now) {
+void CrashTracker::RemoveOldestCrash() {
   const auto forget = [this](std::uint64_t hash) {
     const auto found = this->suspects.find(hash);
     if (found != this->suspects.end() && --found->second <= 0) {
       this->suspects.erase(found);
     }
   };
+  const Crash& oldest = this->crashes.front();
+  for (const Candidate& candidate : oldest.candidates) {
+    forget(candidate.content.request);
+    for (const std::uint64_t part : candidate.content.parts) {
+      forget(part);
+    }
+  }
+  this->candidate_count -= oldest.candidates.size();
+  this->crashes.pop_front();
+}
+
+void CrashTracker::Prune(TimePoint now) {
   while (!this->crashes.empty() &&
          (now - this->crashes.front().at > kCrashRetention ||
-          this->crashes.size() > kMaxCrashes)) {
-    for (const Candidate& candidate : this->crashes.front().candidates) {
-      forget(candidate.content.request);
-      for (const std::uint64_t part : candidate.content.parts) {
-        forget(part);
-      }
-    }
-    this->crashes.pop_front();
+          this->crashes.size() > kMaxCrashes ||
+          this->candidate_count > kMaxCandidates)) {
+    this->RemoveOldestCrash();
   }
   while (!this->cleared.empty() &&
          now - this->cleared.front().at > kNewsRetention) {
@@ -197,17 +210,22 @@
     this->crashes.push_back({reported.server, now, {}});
     crash = std::prev(this->crashes.end());
   }
+  Candidate candidate;
+  candidate.reported = reported.content;
+  candidate.begun = reported.begun;
+  if (reported.begun) {
+    candidate.reported.parts.clear();
+  }
   const bool known = std::any_of(
       crash->candidates.begin(), crash->candidates.end(),
-      [&](const Candidate& candidate) {
-        return candidate.reported.request == reported.content.request &&
-               candidate.reported.parts == reported.content.parts;
+      [&](const Candidate& other) {
+        return other.begun == candidate.begun &&
+               other.reported.request == candidate.reported.request &&
+               other.reported.parts == candidate.reported.parts;
       });
   if (known || crash->candidates.size() >= kMaxCandidatesPerCrash) {
     return false;
   }
-  Candidate candidate;
-  candidate.reported = reported.content;
   candidate.at = now;
   candidate.source = source;
   const auto add = [&](std::uint64_t hash) {
@@ -221,12 +239,13 @@
   if (reported.content.request != 0 && add(reported.content.request)) {
     candidate.content.request = reported.content.request;
   }
-  for (const std::uint64_t part : reported.content.parts) {
+  for (const std::uint64_t part : candidate.reported.parts) {
     if (add(part)) {
       candidate.content.parts.push_back(part);
     }
   }
   crash->candidates.push_back(std::move(candidate));
+  ++this->candidate_count;
   this->last_candidate_at = now;
   this->next_evaluation =
       std::min(this->next_evaluation,
@@ -290,6 +309,11 @@
     const std::vector<const Crash*>& due,
     TimePoint now) const {
   EvidenceTable table;
+  // What was running during one crash is neither a cause nor a rival of one.
+  const auto seen_often = [this](std::uint64_t hash) {
+    const auto found = this->suspects.find(hash);
+    return found != this->suspects.end() && found->second > 1;
+  };
   for (std::size_t i = 0; i < due.size(); ++i) {
     const std::vector<const Candidate*> candidates =
         this->Unexplained(*due[i], now);
@@ -300,13 +324,17 @@
                                      }) == 1;
     for (const Candidate* candidate : candidates) {
       const RequestContent& content = candidate->content;
-      if (content.request != 0) {
+      if (content.request != 0 && seen_often(content.request)) {
         Evidence& request = table.requests[content.request];
         request.crashes.insert(i);
         request.together = content.parts;
         request.alone = request.alone || alone;
+        request.begun = request.begun || candidate->begun;
       }
       for (const std::uint64_t hash : content.parts) {
+        if (!seen_often(hash)) {
+          continue;
+        }
         Evidence& part = table.parts[hash];
         part.together = part.crashes.empty()
                             ? content.parts
@@ -319,41 +347,77 @@
   return table;
 }
 
-bool CrashTracker::HasRivals(const EvidenceTable& table,
-                             const Evidence& suspect) {
+CrashTracker::Rivals CrashTracker::FindRivals(const EvidenceTable& table,
+                                              const Evidence& suspect) {
   const auto covers = [&](const Evidence& other) {
     return &other != &suspect &&
            std::includes(other.crashes.begin(), other.crashes.end(),
                          suspect.crashes.begin(), suspect.crashes.end());
   };
-  return std::any_of(table.parts.begin(), table.parts.end(),
-                     [&](const auto& part) {
-                       return !Contains(suspect.together, part.first) &&
-                              covers(part.second);
-                     }) ||
-         std::any_of(table.requests.begin(), table.requests.end(),
-                     [&](const auto& request) {
-                       return suspect.requests.count(request.first) == 0 &&
-                              covers(request.second);
-                     });
+  if (std::any_of(table.parts.begin(), table.parts.end(),
+                  [&](const auto& part) {
+                    return !Contains(suspect.together, part.first) &&
+                           covers(part.second);
+                  })) {
+    return Rivals::kOthers;
+  }
+  Rivals rivals = Rivals::kNone;
+  for (const auto& [request, evidence] : table.requests) {
+    if (suspect.requests.count(request) > 0 || !covers(evidence)) {
+      continue;
+    }
+    if (!evidence.begun) {
+      return Rivals::kOthers;
+    }
+    rivals = Rivals::kBegun;
+  }
+  return rivals;
+}
+
+std::size_t CrashTracker::CrashesToConvict(bool begun) {
+  return begun ? kCrashesOfBegunRequest : kCrashesOfRequest;
+}
+
+std::optional<CrashCause> CrashTracker::WeighRequest(
+    std::uint64_t request,
+    const std::vector<const Crash*>& due,
+    const EvidenceTable& table) {
+  const Evidence& evidence = table.requests.at(request);
+  const std::size_t count = evidence.crashes.size();
+  const std::size_t needed = CrashesToConvict(evidence.begun);
+  if (count < needed || (evidence.begun && Moments(due, evidence.crashes) <
+                                               kMomentsOfBegunRequest)) {
+    return std::nullopt;
+  }
+  const Rivals rivals = FindRivals(table, evidence);
+  // A request whose response had not begun is the more likely cause of two.
+  if (rivals == Rivals::kOthers ||
+      (rivals == Rivals::kBegun && evidence.begun)) {
+    return std::nullopt;
+  }
+  CrashCause cause;
+  cause.request = request;
+  cause.crashes = static_cast<int>(count);
+  cause.suspected =
+      rivals == Rivals::kBegun || (!evidence.alone && count == needed);
+  return cause;
 }
 
 std::optional<CrashCause> CrashTracker::FindRequestCause(
+    const std::vector<const Crash*>& due,
     const EvidenceTable& table,
     TimePoint now) const {
   for (const auto& [request, evidence] : table.requests) {
-    CrashCause cause;
-    cause.request = request;
-    cause.crashes = static_cast<int>(evidence.crashes.size());
-    cause.suspected =
-        !evidence.alone && evidence.crashes.size() == kCrashesOfRequest;
+    const std::optional<CrashCause> cause = WeighRequest(request, due, table);
+    if (!cause) {
+      continue;
+    }
     const bool known = std::any_of(
         this->causes.begin(), this->causes.end(), [&](const CrashCause& other) {
-          return SameContent(other, cause) && now < other.quarantined_until &&
-                 (cause.suspected ? !other.reported : !other.suspected);
+          return SameContent(other, *cause) && now < other.quarantined_until &&
+                 (cause->suspected ? !other.reported : !other.suspected);
         });
-    if (!known && evidence.crashes.size() >= kCrashesOfRequest &&
-        !HasRivals(table, evidence)) {
+    if (!known) {
       return cause;
     }
   }
@@ -372,7 +436,9 @@
         (best && count <= best->crashes)) {
       continue;
     }
-    if (moments >= kCrashesOfPartWithRivals || !HasRivals(table, evidence)) {
+    const Rivals rivals = FindRivals(table, evidence);
+    if (rivals == Rivals::kNone ||
+        (rivals == Rivals::kOthers && moments >= kCrashesOfPartWithRivals)) {
       best = CrashCause{0, evidence.together, count, 1, {}};
     }
   }
@@ -441,7 +507,8 @@
     const auto found = table.requests.find(cause.request);
     return cause.suspected && !cause.reported &&
            (found == table.requests.end() ||
-            found->second.crashes.size() < kCrashesOfRequest);
+            found->second.crashes.size() <
+                CrashesToConvict(found->second.begun));
   };
   this->causes.erase(
       std::remove_if(this->causes.begin(), this->causes.end(), released),
@@ -506,7 +573,7 @@
       this->ReleaseSuspects(table);
       cause = FindPartCause(due, table);
       if (!cause) {
-        cause = this->FindRequestCause(table, now);
+        cause = this->FindRequestCause(due, table, now);
       }
     }
     if (!cause) {
@@ -552,18 +619,23 @@
     if (hash == 0 || this->suspects.count(hash) == 0) {
       return;
     }
-    int count = 0;
+    std::size_t count = 0;
+    bool begun = false;
     TimePoint last;
     for (const Crash& crash : this->crashes) {
-      if (std::any_of(crash.candidates.begin(), crash.candidates.end(),
-                      [&](const Candidate& candidate) {
-                        return has(candidate.content);
-                      })) {
+      bool running = false;
+      for (const Candidate& candidate : crash.candidates) {
+        if (has(candidate.content)) {
+          running = true;
+          begun = begun || candidate.begun;
+        }
+      }
+      if (running) {
         ++count;
         last = std::max(last, crash.at + this->options.report_window);
       }
     }
-    if (count > 1 && last > now) {
+    if (count >= CrashesToConvict(begun) && last > now) {
       due = std::max(due.value_or(last), last);
     }
   };
@@ -607,7 +679,7 @@
   for (const Crash& crash : this->crashes) {
     for (const Candidate& candidate : crash.candidates) {
       if (candidate.at >= since && InScope(candidate.source, scope)) {
-        recent.push_back({crash.server, candidate.reported});
+        recent.push_back({crash.server, candidate.reported, candidate.begun});
       }
     }
   }
--- a/src/routing/crash_tracker.h
+++ b/src/routing/crash_tracker.h
@@ -26,6 +26,9 @@
 struct CrashCandidate {
   std::uint32_t server = 0;  // Hash that identifies the server's incarnation.
   RequestContent content;
+  // The server had sent a part of the response. It has run the parts of the
+  // prompt then, but the request as a whole may still be the cause.
+  bool begun = false;
 };
 
 // Content that crashes servers: the whole request or, if `request` is 0, all of
@@ -56,12 +59,16 @@
 };
 
 // Every request that was running during a crash is a candidate. A server that
-// runs one of its parts, or the whole of it, without a crash clears that part.
-// What was never cleared and was running during several crashes is their cause;
-// two crashes suffice for a repeated request, and for a part of different
-// requests, if nothing else was running during both. A repeated request that
-// was never alone is only suspected then: each crash may have another cause. A
-// crash with a known cause is no evidence against the other candidates.
+// begins to respond to it clears its parts, and one that runs it to its end
+// clears the request. What was never cleared and was running during several
+// crashes is their cause; two crashes suffice for a repeated request, and for a
+// part of different requests, if nothing else was running during both. A
+// repeated request that was never alone is only suspected then: each crash may
+// have another cause. A crash with a known cause is no evidence against the
+// other candidates.
+//
+// A request whose response had begun needs one crash more, not all of them at
+// the same moment: long streams are often cut twice by crashes of others.
 //
 // Several servers that crash at the same moment count as one crash: they have
 // failed together, for another reason.
@@ -80,7 +87,8 @@
     this->gather_time = std::max(time, this->options.report_window);
   }
 
-  // Records that a server ran the content without a crash.
+  // Records that a server ran the content without a crash: the parts of a
+  // prompt once it begins to respond, the request at its end.
   void RecordServed(const RequestContent& content, TimePoint now);
   // The same, as reported by another daemon.
   void RecordCleared(const std::vector<std::uint64_t>& hashes, TimePoint now);
@@ -125,11 +133,14 @@
   // the cause explains.
   bool HasOwnCandidate(const CrashCause& cause) const;
   std::size_t CrashCount() const { return this->crashes.size(); }
+  // @return the number of candidates in all crashes.
+  std::size_t CandidateCount() const { return this->candidate_count; }
 
  private:
   struct Candidate {
     RequestContent content;  // Without what was cleared.
     RequestContent reported;
+    bool begun = false;
     TimePoint at;
     NewsSource source = NewsSource::kOwn;
   };
@@ -146,6 +157,8 @@
     std::vector<std::uint64_t> together;
     // Nothing else was running during one of the crashes.
     bool alone = false;
+    // The response had begun at one of the crashes.
+    bool begun = false;
   };
   struct EvidenceTable {
     std::unordered_map<std::uint64_t, Evidence> requests;
@@ -158,6 +171,7 @@
   };
 
   void Prune(TimePoint now);
+  void RemoveOldestCrash();
   // Removes the hash from the candidates and the causes.
   void Clear(std::uint64_t hash, NewsSource source, TimePoint now);
   bool ServedRecently(std::uint64_t hash, TimePoint now) const;
@@ -173,10 +187,25 @@
                              const std::set<std::size_t>& indices);
   EvidenceTable CollectEvidence(const std::vector<const Crash*>& due,
                                 TimePoint now) const;
-  // @return true if something else was running during the same crashes.
-  static bool HasRivals(const EvidenceTable& table, const Evidence& suspect);
-  std::optional<CrashCause> FindRequestCause(const EvidenceTable& table,
-                                             TimePoint now) const;
+  // What else was running during the same crashes as a suspect.
+  enum class Rivals {
+    kNone = 0,
+    // Only requests whose responses had begun.
+    kBegun = 1,
+    kOthers = 2,
+  };
+  static Rivals FindRivals(const EvidenceTable& table, const Evidence& suspect);
+  // @return the number of crashes that convict a request.
+  static std::size_t CrashesToConvict(bool begun);
+  // @return the request as a cause if the evidence suffices.
+  static std::optional<CrashCause> WeighRequest(
+      std::uint64_t request,
+      const std::vector<const Crash*>& due,
+      const EvidenceTable& table);
+  std::optional<CrashCause> FindRequestCause(
+      const std::vector<const Crash*>& due,
+      const EvidenceTable& table,
+      TimePoint now) const;
   static std::optional<CrashCause> FindPartCause(
       const std::vector<const Crash*>& due,
       const EvidenceTable& table);
@@ -194,6 +223,7 @@
   std::unordered_map<std::uint64_t, TimePoint> served;
   TimePoint next_served_prune;
   std::deque<Crash> crashes;  // The oldest first.
+  std::size_t candidate_count = 0;
   // Hashes of the candidates that were not cleared.
   std::unordered_map<std::uint64_t, int> suspects;
   std::deque<Cleared> cleared;
--- a/tests/gateway/crash_quarantine_test.cc
+++ b/tests/gateway/crash_quarantine_test.cc
@@ -17,11 +17,12 @@
 
 constexpr Duration kStep = milliseconds(10);
 constexpr Duration kRound = milliseconds(50);
-// Time after the fifth crash from which gateways must know the cause.
+// Time after the last crash of the limit from which gateways must know the
+// cause.
 constexpr Duration kContact = seconds(3);
-constexpr int kCrashesUntilLimit = 5;
 constexpr int kRequestsAfterLimit = 3;
-constexpr int kMaxAttempts = 2;
+// Time from the first event of a bad request's stream to its crash.
+constexpr Duration kCrashDelay = milliseconds(40);
 constexpr std::uint64_t kFirstBadRequest = 900;
 constexpr std::uint64_t kFirstSoundRequest = 1000000;
 
@@ -35,10 +36,20 @@
   bool bad_request = false;
   // Number of different requests that crash servers as a whole.
   int bad_requests = 1;
+  // Whether bad requests crash their servers after the first event of their
+  // streams instead of before it.
+  bool crash_during_stream = false;
+  // Longest time from the first event of a sound request to its last.
+  Duration stream_time{0};
+  // Sendings of a request, those of its returning caller included.
+  int max_attempts = 2;
+  int crashes_until_limit = 5;
   // Interval at which a gateway sends to the others.
   Duration round = kRound;
   // Crashes of a third of the servers at once, for other reasons.
   Duration rack_failure_interval{0};
+  // Crashes of one server after the other, for other reasons.
+  Duration server_failure_interval{0};
   // A random gateway starts anew, or hears nothing for two seconds.
   Duration restart_interval{0};
   Duration silence_interval{0};
@@ -52,7 +63,9 @@
   int attempts = 1;
   bool bad = false;
   internal::RequestContent content;
-  TimePoint responds_at;
+  // Its server has sent the first event.
+  bool begun = false;
+  TimePoint next_event_at;  // The first event or, if it has begun, the last.
 };
 
 class Fleet {
@@ -120,6 +133,10 @@
         this->Crash(i);
       }
     }
+    if (this->Due(this->options.server_failure_interval)) {
+      this->Crash(static_cast<int>(
+          this->Draw(static_cast<std::size_t>(this->options.servers))));
+    }
     if (this->Due(this->options.restart_interval)) {
       const std::size_t restarted = this->Draw(this->gateways.size());
       this->gateways[restarted] = std::make_unique<CrashQuarantine>();
@@ -203,36 +220,54 @@
     const bool in_touch =
         this->now >=
         this->out_of_touch_until[static_cast<std::size_t>(run.gateway)];
-    if (run.bad && in_touch && this->crashes >= kCrashesUntilLimit &&
+    if (run.bad && in_touch &&
+        this->crashes >= this->options.crashes_until_limit &&
         this->now > this->limit_at) {
       ++this->arrivals_after_limit;
     }
     run.server = up[this->Draw(up.size())];
-    run.responds_at = this->now + milliseconds(50 + this->Draw(250));
+    run.begun = false;
+    run.next_event_at = this->now + milliseconds(50 + this->Draw(250));
     this->runs.push_back(run);
   }
 
   void Respond() {
     for (std::size_t i = 0; i < this->runs.size();) {
-      const Run run = this->runs[i];
-      if (this->now < run.responds_at) {
+      Run& run = this->runs[i];
+      if (this->now < run.next_event_at) {
+        ++i;
+        continue;
+      }
+      CrashQuarantine& gateway =
+          *this->gateways[static_cast<std::size_t>(run.gateway)];
+      const bool streams = run.bad ? this->options.crash_during_stream
+                                   : this->options.stream_time > Duration{0};
+      if (streams && !run.begun) {
+        run.begun = true;
+        run.next_event_at =
+            this->now + (run.bad ? kCrashDelay : this->DrawStreamTime());
+        gateway.RecordBegun(run.content, this->now);
         ++i;
         continue;
       }
       if (run.bad) {
-        if (++this->crashes == kCrashesUntilLimit) {
+        if (++this->crashes == this->options.crashes_until_limit) {
           this->limit_at = this->now + kContact;
         }
         this->Crash(run.server);
         i = 0;
         continue;
       }
-      this->gateways[static_cast<std::size_t>(run.gateway)]->RecordServed(
-          run.content, this->now);
+      gateway.RecordServed(run.content, this->now);
       this->runs.erase(this->runs.begin() + static_cast<std::ptrdiff_t>(i));
     }
   }
 
+  Duration DrawStreamTime() {
+    return milliseconds(this->Draw(
+        static_cast<std::size_t>(ToMilliseconds(this->options.stream_time))));
+  }
+
   void Crash(int server) {
     const auto index = static_cast<std::size_t>(server);
     if (this->now < this->back_at[index]) {
@@ -253,11 +288,11 @@
         this->lost_sound.push_back(run);
       }
       this->gateways[static_cast<std::size_t>(run.gateway)]->RecordCrash(
-          this->Key(server), run.content, this->now);
+          this->Key(server), run.content, run.begun, this->now);
     }
     ++this->incarnations[index];
     for (Run run : lost) {
-      if (run.attempts++ < kMaxAttempts) {
+      if (run.attempts++ < this->options.max_attempts) {
         this->Send(run);
       }
     }
@@ -321,6 +356,39 @@
   CheckFleet(options);
 }
 
+// Guards against a request that crashes servers after it has begun its stream,
+// through many gateways and beside streams that its crashes cut.
+BOOST_AUTO_TEST_CASE(GatewaysFindARequestThatCrashesDuringItsStream) {
+  FleetOptions options;
+  options.bad_request = true;
+  options.crash_during_stream = true;
+  options.crashes_until_limit = 3;
+  options.stream_time = seconds(3);
+  CheckFleet(options);
+  options.max_attempts = 4;
+  CheckFleet(options);
+  options.gateways = 24;
+  options.servers = 60;
+  options.round = milliseconds(700);
+  CheckFleet(options);
+}
+
+// Guards against refusing streams that were cut by servers that crash for other
+// reasons and whose callers come back.
+BOOST_AUTO_TEST_CASE(OrdinaryCrashesBlameNoStream) {
+  FleetOptions options;
+  options.bad_fraction = 0;
+  options.stream_time = seconds(3);
+  options.max_attempts = 4;
+  FleetOptions racks = options;
+  racks.rack_failure_interval = milliseconds(1700);
+  FleetOptions servers = options;
+  servers.server_failure_interval = milliseconds(400);
+  for (const FleetOptions& fleet_options : {racks, servers}) {
+    CheckFleet(fleet_options);
+  }
+}
+
 // Guards against blaming a sound request that was lost with two servers, each
 // of which another request crashed.
 BOOST_AUTO_TEST_CASE(CompanionsOfSeveralBadRequestsAreNotBlamed) {
@@ -375,7 +443,8 @@
   TimePoint now{seconds(100)};
   CrashQuarantine first;
   for (std::uint64_t i = 0; i < 3; ++i) {
-    first.RecordCrash(fmt::format("server{}", i), {70 + i, bad.parts}, now);
+    first.RecordCrash(fmt::format("server{}", i), {70 + i, bad.parts}, false,
+                      now);
     now += seconds(1);
   }
   BOOST_TEST(first.Check(bad, now).has_value());
--- a/tests/gateway/crashing_content_test.cc
+++ b/tests/gateway/crashing_content_test.cc
@@ -20,16 +20,30 @@
 constexpr int kCrashesUntilLimit = 5;
 constexpr int kRequestsAfterLimit = 3;
 constexpr int kRounds = 12;
+// Rounds of a request that crashes servers during its stream.
+constexpr int kStreamRounds = 8;
 // Time between two requests that crash servers.
 constexpr Duration kPace = milliseconds(300);
+// Crashes of a repeated request until the limit.
+constexpr int kCrashesOfRequestUntilLimit = 3;
+// Time between the events of a response and the crash that follows.
+constexpr Duration kEventPause = milliseconds(30);
 
-// Servers that crash when they begin to respond to a marked request.
+struct CrashOptions {
+  // Events of the response before the crash.
+  int events = 0;
+  int crashes_until_limit = kCrashesUntilLimit;
+};
+
+// Servers that crash when they begin to respond to a marked request, or after
+// some events of the response.
 class CrashableServers {
  public:
   CrashableServers(GatewayFixture& gateway,
                    int count,
-                   const std::string& marker)
-      : marker(marker) {
+                   const std::string& marker,
+                   const CrashOptions& options = {})
+      : marker(marker), options(options) {
     for (int i = 0; i < count; ++i) {
       this->servers.push_back(std::make_unique<ScriptedServer>(
           [this, i](const ReceivedRequest& request, Socket& socket) {
@@ -54,16 +68,21 @@
                   std::string(net::kLastChunk));
       return true;
     }
-    if (this->crashes >= kCrashesUntilLimit) {
+    if (this->crashes >= this->options.crashes_until_limit) {
       ++this->arrivals_after_limit;
     }
-    ++this->crashes;
     socket.Send(StreamResponseHead(request));
+    for (int event = 1; event <= this->options.events; ++event) {
+      socket.Send(EventChunk(event, "one"));
+      std::this_thread::sleep_for(kEventPause);
+    }
+    ++this->crashes;
     this->servers[index]->Crash();
     return false;
   }
 
   const std::string marker;
+  const CrashOptions options;
   std::atomic<int> crashes{0};
   std::atomic<int> arrivals_after_limit{0};
   std::vector<std::unique_ptr<ScriptedServer>> servers;
@@ -115,6 +134,58 @@
   BOOST_TEST(servers.ArrivalsAfterLimit() <= kRequestsAfterLimit);
 }
 
+// Guards against a repeated stream that crashes each server after it has begun
+// to respond, which looks like a stream that was cut by another's crash.
+BOOST_AUTO_TEST_CASE(RequestThatCrashesDuringItsStreamIsKeptFromServers) {
+  for (const char* const path : {"/stream/x", "/live/x"}) {
+    for (const int events : {1, 3}) {
+      BOOST_TEST_CONTEXT(path << ", crashes after " << events << " events") {
+        GatewayFixture gateway;
+        CrashableServers servers(gateway, 2 * kStreamRounds + 2, "crash me",
+                                 {events, kCrashesOfRequestUntilLimit});
+        for (int i = 0; i < kStreamRounds; ++i) {
+          RawCaller caller(gateway.Address());
+          caller.Send(Request(fmt::format("bad{}", i), path, "crash me",
+                              "Connection: close\r\n"));
+          caller.ReadToEnd();
+          std::this_thread::sleep_for(2 * kCrashReportWindow);
+        }
+        BOOST_TEST(servers.ArrivalsAfterLimit() <= kRequestsAfterLimit);
+      }
+    }
+  }
+}
+
+// Guards against refusing a sound stream that was cut by the ends of two
+// servers, alone on each of them.
+BOOST_FIXTURE_TEST_CASE(StreamCutByTwoCrashesIsServedLater, GatewayFixture) {
+  std::atomic<int> crashes_left{2};
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  for (std::size_t i = 0; i < 4; ++i) {
+    servers.push_back(std::make_unique<ScriptedServer>(
+        [&, i](const ReceivedRequest& request, Socket& socket) {
+          socket.Send(StreamResponseHead(request) + EventChunk(1, "one"));
+          if (--crashes_left >= 0) {
+            std::this_thread::sleep_for(kEventPause);
+            servers[i]->Crash();
+            return false;
+          }
+          socket.Send(EventChunk(2, "two") + std::string(net::kLastChunk));
+          return true;
+        }));
+    this->AddServer(*servers.back());
+  }
+  std::string response;
+  for (int i = 0; i < 3; ++i) {
+    RawCaller caller(this->Address());
+    caller.Send(Request(fmt::format("sound{}", i), "/live/x", "ask",
+                        "Connection: close\r\n"));
+    response = caller.ReadToEnd();
+    std::this_thread::sleep_for(kPace);
+  }
+  BOOST_TEST(Contains(response, "data: two"), response);
+}
+
 // Guards against a third server that crashes while the gateways still tell each
 // other what was running on the second one.
 BOOST_FIXTURE_TEST_CASE(RepeatedRequestWaitsForTheFinding, GatewayFixture) {
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -82,7 +82,8 @@
 // quarantines without an end.
 BOOST_AUTO_TEST_CASE(CrashNewsRoundTripThroughCodec) {
   LoadMessage sent = Message("one", 7, 3);
-  sent.crash_news.candidates = {{kServer, {11, {12, 13}}}};
+  sent.crash_news.candidates = {{kServer, {11, {12, 13}}},
+                                {kServer, {17, {}}, true}};
   sent.crash_news.cleared = {14};
   sent.crash_news.causes.resize(1);
   sent.crash_news.causes[0].cause.parts = {15, 16};
@@ -91,12 +92,14 @@
   const auto read = DecodeLoadMessage(EncodeLoadMessage(sent));
   BOOST_REQUIRE(read);
   const CrashNews& news = read.value().crash_news;
-  BOOST_REQUIRE(news.candidates.size() == 1U);
+  BOOST_REQUIRE(news.candidates.size() == 2U);
   BOOST_TEST(news.candidates[0].server == kServer);
   BOOST_TEST(news.candidates[0].content.request == 11U);
   BOOST_TEST(
       news.candidates[0].content.parts == std::vector<std::uint64_t>({12, 13}),
       boost::test_tools::per_element());
+  BOOST_TEST(!news.candidates[0].begun);
+  BOOST_TEST(news.candidates[1].begun);
   BOOST_TEST(news.cleared == std::vector<std::uint64_t>{14},
              boost::test_tools::per_element());
   BOOST_REQUIRE(news.causes.size() == 1U);
@@ -120,6 +123,28 @@
   BOOST_TEST(read.value().crash_news.Empty());
 }
 
+// Guards against gateways of different releases that reject each other's
+// candidates, with and without the last member.
+BOOST_AUTO_TEST_CASE(CandidatesOfOtherReleasesAreRead) {
+  const auto read_with = [](const auto& candidate) {
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer,
+                  std::make_tuple(std::string("other"), 3, std::vector<int>(),
+                                  std::vector<int>(), 0, std::string("a"),
+                                  std::vector<int>(),
+                                  std::make_tuple(std::vector{candidate})));
+    const auto read = DecodeLoadMessage({buffer.data(), buffer.size()});
+    BOOST_REQUIRE(read);
+    BOOST_REQUIRE(read.value().crash_news.candidates.size() == 1U);
+    return read.value().crash_news.candidates[0];
+  };
+  const std::vector<std::uint64_t> parts = {12};
+  BOOST_TEST(!read_with(std::make_tuple(kServer, 11, parts)).begun);
+  const auto newer = read_with(std::make_tuple(kServer, 11, parts, true, 5));
+  BOOST_TEST(newer.begun);
+  BOOST_TEST(newer.content.request == 11U);
+}
+
 // Guards against a crash of the process by datagrams of other programs.
 BOOST_AUTO_TEST_CASE(InvalidDatagramsAreRejected) {
   std::mt19937 random(1);
--- a/tests/routing/crash_tracker_test.cc
+++ b/tests/routing/crash_tracker_test.cc
@@ -11,13 +11,19 @@
 constexpr std::uint64_t kBad = 66;
 
 struct Fixture {
-  // Records that requests were running on a server that crashed.
-  void Crash(std::initializer_list<RequestContent> candidates) {
+  // Records that requests were running on a server that crashed, and others
+  // whose responses had begun.
+  void Crash(std::initializer_list<RequestContent> candidates,
+             std::initializer_list<RequestContent> begun = {}) {
     ++this->server;
     for (const RequestContent& content : candidates) {
       this->tracker.RecordCrash({this->server, content}, NewsSource::kOwn,
                                 this->now);
     }
+    for (const RequestContent& content : begun) {
+      this->tracker.RecordCrash({this->server, content, true}, NewsSource::kOwn,
+                                this->now);
+    }
     this->now += seconds(1);
     this->found = this->tracker.Evaluate(this->now);
   }
@@ -122,6 +128,74 @@
   }
 }
 
+// Guards against a request that crashes servers after it has begun to stream,
+// beside streams that are cut by its crashes.
+BOOST_FIXTURE_TEST_CASE(BegunRequestIsRefusedAfterThreeCrashes, Fixture) {
+  const RequestContent bad{100, {kShared}};
+  this->Crash({}, {bad, {201, {}}});
+  this->Crash({}, {bad, {202, {}}});
+  BOOST_TEST(!this->Refused(bad));
+  this->Crash({}, {bad, {203, {}}});
+  BOOST_TEST(this->Refused(bad));
+  BOOST_TEST(!this->Refused({300, {kShared}}));
+  for (const std::uint64_t sound : {201, 202, 203}) {
+    BOOST_TEST(!this->Refused({sound, {}}));
+  }
+}
+
+// Guards against refusing a stream that was cut by two servers of a rack and,
+// right after it was resumed, by a third one.
+BOOST_FIXTURE_TEST_CASE(BegunRequestAtOneMomentIsNotRefused, Fixture) {
+  const RequestContent sound{100, {}};
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    this->tracker.RecordCrash({i, sound, true}, NewsSource::kOwn, this->now);
+    this->now += milliseconds(80);
+  }
+  this->now += seconds(1);
+  this->tracker.Evaluate(this->now);
+  BOOST_TEST(!this->Refused(sound));
+}
+
+// Guards against refusing a stream that ran to its end between the crashes that
+// cut it.
+BOOST_FIXTURE_TEST_CASE(EndOfAStreamClearsIt, Fixture) {
+  const RequestContent sound{100, {kShared}};
+  this->Crash({}, {sound});
+  this->Crash({}, {sound});
+  this->tracker.RecordServed(sound, this->now);
+  this->now += seconds(60);
+  this->Crash({}, {sound});
+  BOOST_TEST(!this->Refused(sound));
+}
+
+// Guards against a stream that was cut by the same crashes as the cause, which
+// hides a request that crashes servers before its response, or is blamed for
+// it.
+BOOST_FIXTURE_TEST_CASE(BegunCompanionDoesNotHideTheCause, Fixture) {
+  const RequestContent bad{100, {}};
+  const RequestContent sound{200, {}};
+  this->Crash({bad}, {sound});
+  this->Crash({bad}, {sound});
+  BOOST_TEST(this->Refused(bad));
+  BOOST_TEST(!this->Refused(sound));
+  // The companion was the cause after all.
+  this->Crash({}, {sound});
+  BOOST_TEST(this->Refused(sound));
+  BOOST_TEST(!this->Refused(bad));
+}
+
+// Guards against blaming a part that was present at each crash of a stream.
+BOOST_FIXTURE_TEST_CASE(PartBesideABegunRequestIsNotBlamed, Fixture) {
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    this->Crash({{200 + i, {kShared}}}, {{100, {}}});
+  }
+  BOOST_TEST(!this->Refused({300, {kShared}}));
+  this->tracker.RecordServed({300, {kShared}}, this->now);
+  this->found = this->tracker.Evaluate(this->now);
+  this->Crash({}, {{100, {}}});
+  BOOST_TEST(this->Refused({100, {}}));
+}
+
 // Guards against suspicions that gateways confirm to each other for good.
 BOOST_FIXTURE_TEST_CASE(ReportedSuspicionEndsWithItsReports, Fixture) {
   CrashCause cause;
@@ -204,4 +278,18 @@
   BOOST_TEST(this->tracker.Causes(this->now).size() <= 64U);
 }
 
+// Guards against memory that grows with the streams that are cut by crashes.
+BOOST_FIXTURE_TEST_CASE(CandidatesAreBounded, Fixture) {
+  for (std::uint32_t server = 0; server < 200; ++server) {
+    for (std::uint64_t i = 0; i < 300; ++i) {
+      this->tracker.RecordCrash({server, {1 + server * 1000 + i, {}}, true},
+                                NewsSource::kPeer, this->now);
+    }
+    this->now += milliseconds(10);
+  }
+  this->tracker.Evaluate(this->now + seconds(1));
+  BOOST_TEST(this->tracker.CandidateCount() <= 16640U);
+  BOOST_TEST(this->tracker.Causes(this->now).empty());
+}
+
 }  // namespace sycamorebend::internal
