Require keys of a configuration whose list of tenants is empty

Cause: RouteHandler asked for a key only if the table had tenants. "Needs keys" was derived from the number of tenants, so that the withdrawal of the last one read like a configuration without keys.

Related paths: the product's own configuration refuses null by its type, and an entry daemon without customers refuses every key; its limits and the scaling rules widen nothing when a list becomes empty.

--- a/src/gateway/route_handler.cc
+++ b/src/gateway/route_handler.cc
@@ -116,8 +116,7 @@
     return;
   }
   job.tenant = this->table->FindTenant(job.fields.api_key);
-  if (job.tenant == nullptr && !job.route->open &&
-      !this->table->tenants.empty()) {
+  if (job.tenant == nullptr && this->table->NeedsKey(*job.route)) {
     this->RejectByTable(*exchange, job.fields, kUnauthorized,
                         job.fields.api_key.empty() ? "there is no API key"
                                                    : "the API key is unknown");
--- a/src/gateway/routes.h
+++ b/src/gateway/routes.h
@@ -98,6 +98,9 @@
   std::vector<Route> routes;
   std::map<std::string, ServiceLimits> services;
   std::vector<Tenant> tenants;
+  // Requests need an API key unless their route is open. Not derived from
+  // `tenants`: a configuration may have none left, and then no key is valid.
+  bool keys_required = false;
   // Index into `tenants` by API key.
   std::map<std::string, std::size_t, std::less<>> keys;
   CallerLimits limits;
@@ -113,6 +116,10 @@
   // Computes the priority levels; must be called once `routes` and `tenants`
   // are set.
   void BuildPriorityLevels();
+  // @return true if only requests with the key of a tenant may use the route.
+  bool NeedsKey(const Route& route) const {
+    return this->keys_required && !route.open;
+  }
   // @return nullptr for an unknown key.
   const Tenant* FindTenant(std::string_view key) const;
 
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -597,4 +597,26 @@
   BOOST_TEST(Contains(caller.ReadUntil("body of r1"), "HTTP/1.1 200"));
 }
 
+// Guards against a configuration whose last tenant was removed and that then
+// lets requests with any key pass.
+BOOST_FIXTURE_TEST_CASE(NoKeyPassesWithoutTenants, GatewayFixture) {
+  ScriptedServer server(Echo);
+  this->AddServer(server);
+  const auto status = [&](bool keys_required, const std::string& path) {
+    this->SetTable([&](RouteTable& table) {
+      table.keys_required = keys_required;
+      for (Route& route : table.routes) {
+        route.open = route.name == "safe";
+      }
+    });
+    RawCaller caller(this->Address());
+    caller.Send(Request("r1", path, "order", "Key: dropped\r\n"));
+    return caller.ReadUntil("\r\n\r\n").substr(0, 12);
+  };
+  BOOST_TEST(status(true, "/once/x") == "HTTP/1.1 401");
+  BOOST_TEST(status(true, "/safe/x") == "HTTP/1.1 200");
+  BOOST_TEST(server.Requests().size() == 1U);
+  BOOST_TEST(status(false, "/once/x") == "HTTP/1.1 200");
+}
+
 }  // namespace sycamorebend::gateway
--- a/tests/platform/configuration_format_test.cc
+++ b/tests/platform/configuration_format_test.cc
@@ -126,4 +126,36 @@
               }).empty());
 }
 
+// Guards against a configuration that needs no keys any more once its last
+// tenant is removed.
+BOOST_AUTO_TEST_CASE(EmptyListOfTenantsNeedsKeys) {
+  const auto needs_key = [](const Json::Value& document, std::size_t route) {
+    const auto read = ReadConfiguration(document);
+    BOOST_REQUIRE(read);
+    return read.value().NeedsKey(read.value().routes[route]);
+  };
+  Json::Value document = Document();
+  BOOST_TEST(needs_key(document, 0));
+  BOOST_TEST(!needs_key(document, 1));
+  document["tenants"] = Json::arrayValue;
+  BOOST_TEST(needs_key(document, 0));
+  BOOST_TEST(!needs_key(document, 1));
+  document.removeMember("tenants");
+  BOOST_TEST(!needs_key(document, 0));
+}
+
+// Guards against lists that cannot be read and count as absent ones.
+BOOST_AUTO_TEST_CASE(UnreadableListsAreRejected) {
+  for (const char* const text : {"null", "{}", "\"t\"", "0", "false"}) {
+    BOOST_TEST_CONTEXT(text) {
+      const Json::Value other = ParseStoredJson(text).value();
+      for (const char* const key : {"tenants", "backends", "route_table"}) {
+        BOOST_TEST(ErrorAfter([&](Json::Value& document) {
+                     document[key] = other;
+                   }).find(key) != std::string::npos);
+      }
+    }
+  }
+}
+
 }  // namespace sycamorebend::platform
