--- a/tests/platform/configuration_format_test.cc
+++ b/tests/platform/configuration_format_test.cc
@@ -158,4 +158,26 @@
   }
 }
 
+// Guards against members of a tenant or a service that cannot be read and count
+// as absent: keys of a tenant that are taken from an object or ignored, and an
+// engine that is treated as a plain server.
+BOOST_AUTO_TEST_CASE(UnreadableMembersAreRejected) {
+  for (const char* const text : {"null", "{\"a\": \"k1\"}", "\"k1\"", "0"}) {
+    BOOST_TEST(ErrorAfter([&](Json::Value& document) {
+                 document["tenants"][0]["api_keys"] =
+                     ParseStoredJson(text).value();
+               }).find("api_keys") != std::string::npos,
+               text);
+  }
+  BOOST_TEST(ErrorAfter([&](Json::Value& document) {
+               document["tenants"][0].removeMember("api_keys");
+             }).find("api_keys") != std::string::npos);
+  BOOST_TEST(ErrorAfter([&](Json::Value& document) {
+               document["backends"][0]["engine_type"] = "llm";
+             }).find("engine_type") != std::string::npos);
+  BOOST_TEST(ErrorAfter([&](Json::Value& document) {
+               document["tenants"][0]["api_keys"] = Json::arrayValue;
+             }).empty());
+}
+
 }  // namespace sycamorebend::platform
