Pass on complete answers of servers that reset before they read the request

Callers got 502 instead, for an order with an unknown outcome.

Cause: TcpConnection ended as soon as a write failed, and what lay in the socket's receive buffer was dropped.

Change: a server's connection delivers what arrived before its write failed, and only then ends, always as a reset. A failed write takes the error from the socket, so that a later read finds an ordinary end; until now a part of an answer without a length was not taken for whole only because the posted end ran before the next read. Both directions no longer depend on the order of events. Callers' connections end as before: a caller that has reset is gone, and what it sent is not started. A connection whose write failed after the peer had closed its side is closed now instead of being kept.

--- a/src/gateway/server_pool.cc
+++ b/src/gateway/server_pool.cc
@@ -24,6 +24,12 @@
 constexpr std::array<std::string_view, 3> kReachabilityNames = {
     "reachable", "refused", "unknown"};
 
+net::TcpOptions ServerOptions() {
+  net::TcpOptions options;
+  options.read_after_write_failure = true;
+  return options;
+}
+
 }  // namespace
 
 std::string_view CallFailureName(CallFailure failure) {
@@ -199,8 +205,7 @@
                                    const std::string& address)
     : pool(&pool),
       server_key(std::move(server_key)),
-      socket(
-          net::TcpConnection::Connect(pool.loop, address, net::TcpOptions())),
+      socket(net::TcpConnection::Connect(pool.loop, address, ServerOptions())),
       reader(net::HttpReader::Kind::kResponse, *this, kMaxResponseHeadBytes) {
   this->socket->SetObserver(this);
 }
--- a/src/net/tcp_connection.cc
+++ b/src/net/tcp_connection.cc
@@ -21,6 +21,8 @@
 // Sent bytes are erased from the output buffer once they exceed this.
 constexpr std::size_t kCompactBytes = 64 << 10;
 constexpr int kProbeCount = 2;
+// More than a socket's buffer holds after its connection was reset.
+constexpr int kMaxReadsAfterWriteFailure = 256;
 
 void SetOption(int fd, int level, int name, int value) {
   // Errors are ignored: without the option, request timeouts still apply.
@@ -51,8 +53,14 @@
 
 }  // namespace
 
-TcpConnection::TcpConnection(EventLoop& loop, int fd, bool connected)
-    : loop(loop), fd(fd), connected(connected) {}
+TcpConnection::TcpConnection(EventLoop& loop,
+                             int fd,
+                             bool connected,
+                             const TcpOptions& options)
+    : loop(loop),
+      fd(fd),
+      connected(connected),
+      read_after_write_failure(options.read_after_write_failure) {}
 
 TcpConnection::~TcpConnection() {
   this->Close();
@@ -62,7 +70,8 @@
                                                     int fd,
                                                     const TcpOptions& options) {
   SetOptions(fd, options);
-  std::shared_ptr<TcpConnection> connection(new TcpConnection(loop, fd, true));
+  std::shared_ptr<TcpConnection> connection(
+      new TcpConnection(loop, fd, true, options));
   connection->UpdateWatch();
   return connection;
 }
@@ -72,7 +81,8 @@
     const std::string& address,
     const TcpOptions& options) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  std::shared_ptr<TcpConnection> connection(new TcpConnection(loop, fd, false));
+  std::shared_ptr<TcpConnection> connection(
+      new TcpConnection(loop, fd, false, options));
   sockaddr_in peer{};
   bool started = fd >= 0 && ParseAddress(address, peer);
   if (started) {
@@ -98,7 +108,8 @@
   if (this->fd < 0) {
     return;
   }
-  const bool write = !this->connected || this->UnsentBytes() > 0;
+  const bool write =
+      !this->connected || (this->UnsentBytes() > 0 && !this->write_failed);
   const bool read = this->connected && this->reading && !this->ended;
   this->loop.Watch(this->fd, *this, read, write);
 }
@@ -123,7 +134,8 @@
 }
 
 void TcpConnection::CloseAfterFlush() {
-  if (this->fd < 0 || !this->connected || this->UnsentBytes() == 0) {
+  if (this->fd < 0 || !this->connected || this->write_failed ||
+      this->UnsentBytes() == 0) {
     this->CloseFlushed();
     return;
   }
@@ -209,19 +221,25 @@
   if (this->observer != nullptr && !this->observer->MayRead()) {
     return;
   }
-  static thread_local char buffer[kReadBytes];
-  const ssize_t size = ::recv(this->fd, buffer, sizeof(buffer), 0);
-  if (size > 0) {
-    if (this->observer != nullptr) {
-      this->observer->OnData({buffer, static_cast<std::size_t>(size)});
-    }
-  } else if (size == 0) {
+  const std::int64_t size = this->Receive();
+  if (size == 0 && !this->write_failed) {
     this->End(ConnectionEnd::kEndOfStream);
-  } else if (!WouldBlock()) {
+  } else if (size == 0 || (size < 0 && !WouldBlock())) {
+    // A failed write has taken the error from the socket, which then reports an
+    // ordinary end.
     this->End(ConnectionEnd::kReset);
   }
 }
 
+std::int64_t TcpConnection::Receive() {
+  static thread_local char buffer[kReadBytes];
+  const ssize_t size = ::recv(this->fd, buffer, sizeof(buffer), 0);
+  if (size > 0 && this->observer != nullptr) {
+    this->observer->OnData({buffer, static_cast<std::size_t>(size)});
+  }
+  return size;
+}
+
 void TcpConnection::FinishConnect() {
   int error = 0;
   socklen_t size = sizeof(error);
@@ -248,8 +266,22 @@
   this->Flush();
 }
 
+void TcpConnection::FailWrite() {
+  for (int reads = 0;
+       this->read_after_write_failure && this->fd >= 0 && !this->ended &&
+       this->observer != nullptr && reads < kMaxReadsAfterWriteFailure;
+       ++reads) {
+    if (this->Receive() <= 0) {
+      break;
+    }
+  }
+  this->End(ConnectionEnd::kReset);
+  // It had ended by kEndOfStream.
+  this->Close();
+}
+
 void TcpConnection::Write(std::string_view data) {
-  if (this->fd < 0) {
+  if (this->fd < 0 || this->write_failed) {
     return;
   }
   this->out.append(data);
@@ -260,17 +292,15 @@
 }
 
 void TcpConnection::Flush() {
-  while (this->UnsentBytes() > 0) {
+  while (this->UnsentBytes() > 0 && !this->write_failed) {
     const ssize_t size = ::send(this->fd, this->out.data() + this->out_sent,
                                 this->UnsentBytes(), MSG_NOSIGNAL);
     if (size < 0) {
       if (!WouldBlock()) {
-        // OnEnd must not be called from within Write.
-        this->out.clear();
-        this->out_sent = 0;
-        this->loop.Post([self = this->shared_from_this()] {
-          self->End(ConnectionEnd::kReset);
-        });
+        this->write_failed = true;
+        // The observer must not be called from within Write.
+        this->loop.Post(
+            [self = this->shared_from_this()] { self->FailWrite(); });
         return;
       }
       break;
--- a/src/net/tcp_connection.h
+++ b/src/net/tcp_connection.h
@@ -3,6 +3,7 @@
 #define SYCAMOREBEND_SRC_NET_TCP_CONNECTION_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,7 @@
   virtual bool MayRead() { return true; }
   virtual void OnData(std::string_view data) = 0;
   // Called last. The connection is closed unless it ended by kEndOfStream.
+  // After a failed write it never ends by kEndOfStream.
   virtual void OnEnd(ConnectionEnd end) = 0;
   // All written data was passed to the socket.
   virtual void OnDrained() {}
@@ -42,6 +44,10 @@
   // Idle time before the kernel's first keepalive probe, and the time between
   // probes; two unanswered probes end the connection.
   Duration probe_interval = seconds(1);
+  // Whether data that arrived before a write failed is still delivered. A
+  // server may respond to a request that it does not read to its end, and then
+  // reset the connection.
+  bool read_after_write_failure = false;
 };
 
 class TcpConnection : public FdHandler,
@@ -80,19 +86,26 @@
   bool Closed() const { return this->fd < 0; }
   // @return true if connecting failed because nothing listens at the address.
   bool Refused() const { return this->refused; }
+  // Not 0 after a failed write.
   std::size_t UnsentBytes() const { return this->out.size() - this->out_sent; }
 
   void OnReadable() override;
   void OnWritable() override;
 
  private:
-  TcpConnection(EventLoop& loop, int fd, bool connected);
+  TcpConnection(EventLoop& loop,
+                int fd,
+                bool connected,
+                const TcpOptions& options);
 
   void FinishConnect();
   void Drain();
   // Ends the sending side of a connection that is draining.
   void ShutdownSending();
+  // @return the result of recv(2), after passing received data on.
+  std::int64_t Receive();
   void Flush();
+  void FailWrite();
   // Closes a connection whose written data was passed to the socket.
   void CloseFlushed();
   void End(ConnectionEnd end);
@@ -103,6 +116,8 @@
   bool connected;
   bool reading = true;
   bool ended = false;
+  const bool read_after_write_failure;
+  bool write_failed = false;
   bool refused = false;
   bool reset_unless_flushed = false;
   // Set while the connection flushes before it closes.
--- a/tests/gateway/scripted_server.cc
+++ b/tests/gateway/scripted_server.cc
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr int kReadBytes = 65536;
+constexpr int kSmallBufferBytes = 4096;
 
 }  // namespace
 
@@ -69,8 +70,14 @@
   return this->head.substr(begin, this->head.find("\r\n", begin) - begin);
 }
 
-ScriptedServer::ScriptedServer(Script script) : script(std::move(script)) {
+ScriptedServer::ScriptedServer(Script script, Bodies bodies)
+    : script(std::move(script)), bodies(bodies) {
   this->listen_fd = socket(AF_INET, SOCK_STREAM, 0);
+  if (bodies == Bodies::kIgnored) {
+    // Accepted sockets inherit it.
+    setsockopt(this->listen_fd, SOL_SOCKET, SO_RCVBUF, &kSmallBufferBytes,
+               sizeof(kSmallBufferBytes));
+  }
   sockaddr_in local{};
   local.sin_family = AF_INET;
   local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -159,7 +166,7 @@
     buffer.erase(0, end + 4);
     const std::string length = request.Header("Content-Length");
     const std::size_t size = length.empty() ? 0 : std::stoul(length);
-    while (buffer.size() < size) {
+    while (this->bodies == Bodies::kRead && buffer.size() < size) {
       buffer += socket.Receive();
     }
     request.body = buffer.substr(0, size);
--- a/tests/gateway/scripted_server.h
+++ b/tests/gateway/scripted_server.h
@@ -56,7 +56,14 @@
   // Responds on the socket. Returns false to close the connection.
   using Script = std::function<bool(const ReceivedRequest&, Socket&)>;
 
-  explicit ScriptedServer(Script script);
+  enum class Bodies {
+    kRead = 0,
+    // The script runs once the head is there. The rest of the request stays
+    // unread, so that a long one is still being sent.
+    kIgnored = 1,
+  };
+
+  explicit ScriptedServer(Script script, Bodies bodies = Bodies::kRead);
   ~ScriptedServer();
 
   std::string Address() const { return this->address; }
@@ -74,6 +81,7 @@
   void ServeRequests(int fd, Socket& socket);
 
   const Script script;
+  const Bodies bodies;
   std::string address;
   int listen_fd = -1;
   std::atomic<bool> stopping{false};
