--- a/tests/gateway/caller_test.cc
+++ b/tests/gateway/caller_test.cc
@@ -123,6 +123,7 @@
 BOOST_FIXTURE_TEST_CASE(RequestsWithoutPermissionAreRejected, OneServer) {
   this->SetTable([](RouteTable& table) {
     table.routes.front().open = false;
+    table.keys_required = true;
     table.tenants = {{"t", 0}};
     table.keys = {{"secret", 0}};
   });
@@ -144,6 +145,7 @@
 BOOST_FIXTURE_TEST_CASE(UnconfirmedConfigurationRejectsForNowOnly, OneServer) {
   this->SetTable([](RouteTable& table) {
     table.routes.front().open = false;
+    table.keys_required = true;
     table.tenants = {{"t", 0}};
     table.keys = {{"secret", 0}};
   });
