Reject responses without a valid status code

Tried on each hop with a stand-in, before any change:

- gateway to server (net::HttpReader; requests, resumed streams): 600, 999 and "0200" reached the caller, the last as a 200. 000, 099 and 20 were taken for informational responses: with a body the call failed, as the body is no response; without one the caller got no answer until its deadline, while the server kept its request.
- everything over libcurl (entry daemon to servers, resumes and cancellations included; RPC and feed between processes; duties at the platform; load tool): libcurl refuses 000 and other malformed numbers, 600 and 999 were passed on.
- probes of a server (ReachabilityCheck) only connect and read nothing; the gateway has no health or warm-up calls.

Change: a status code has three digits and is from 100 to 599 (IsStatusCode). HttpReader checks the form of the status line too, of which http_parser accepts four digits and several spaces. Such an answer is a malformed one: the connection is closed, the request is repeated if it may be, and an order gets 502, since it may have run.

Evidence: gateway_forward_test/AnswerWithoutAStatusIsAFailure failed in each of its 12 parts, net_test/ InvalidStatusIsRejected in 42 checks, http_test/InvalidStatusIsAnError for 600 and 999; all pass now.

--- a/include/sycamorebend/http.h
+++ b/include/sycamorebend/http.h
@@ -29,6 +29,12 @@
 std::optional<std::string> FindHeader(const HttpHeaders& headers,
                                       std::string_view name);
 
+// @return true if a number of three digits is a status code (RFC 9110, section
+// 15): 100 to 599. A response with another one is no response.
+constexpr bool IsStatusCode(int status) {
+  return status >= 100 && status <= 599;
+}
+
 // Immutable text that several responses share, with its compressed form.
 // Thread-safe.
 class SharedText {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -180,11 +180,13 @@
     if (transfer->header_bytes > kMaxHeaderBytes) {
       return kAbort;
     }
-    transfer->AddHeaderLine(std::string_view(data, size * count));
-    return size * count;
+    return transfer->AddHeaderLine(std::string_view(data, size * count))
+               ? size * count
+               : kAbort;
   }
 
-  void AddHeaderLine(std::string_view line) {
+  // @return false if it is a status line without a status code.
+  bool AddHeaderLine(std::string_view line) {
     while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
       line.remove_suffix(1);
     }
@@ -197,18 +199,18 @@
         std::from_chars(digits.data(), digits.data() + digits.size(),
                         this->status);
       }
-      return;
+      return IsStatusCode(this->status);
     }
     if (line.empty()) {
       if (this->status >= 200) {
         this->head_complete = true;
         this->observer->OnHeaders(this->status, this->response_headers);
       }
-      return;
+      return true;
     }
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos) {
-      return;
+      return true;
     }
     std::string_view value = line.substr(colon + 1);
     while (!value.empty() && (value.front() == ' ' || value.front() == '\t')) {
@@ -216,6 +218,7 @@
     }
     this->response_headers.push_back(
         {std::string(line.substr(0, colon)), std::string(value)});
+    return true;
   }
 
   static std::size_t OnBody(char* data,
--- a/src/net/http_reader.cc
+++ b/src/net/http_reader.cc
@@ -15,6 +15,7 @@
 // five, and a few more with an extension.
 constexpr std::size_t kFramingPerBodyByte = 16;
 constexpr std::size_t kParseBytes = 1024;
+constexpr int kStatusDigits = 3;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 // Return values of on_headers_complete.
@@ -137,6 +138,9 @@
         http_method_str(static_cast<http_method>(this->parser.method));
   } else {
     this->head.status = static_cast<int>(this->parser.status_code);
+    if (!IsStatusCode(this->head.status)) {
+      return kParserError;
+    }
     this->informational = this->head.status < kMinFinalStatus;
     if (this->informational) {
       return kSkipBody;
@@ -161,12 +165,40 @@
   return !request && this->no_body ? kSkipBody : kHasBody;
 }
 
+void HttpReader::CheckStatusLine(std::string_view data) {
+  if (!this->in_message) {
+    this->status_line_part = StatusLinePart::kVersion;
+    this->status_digits = 0;
+  }
+  for (const char c : data) {
+    if (this->status_line_part == StatusLinePart::kRest) {
+      return;
+    }
+    if (this->status_line_part == StatusLinePart::kVersion) {
+      if (c == ' ') {
+        this->status_line_part = StatusLinePart::kStatus;
+      }
+    } else if (c >= '0' && c <= '9') {
+      ++this->status_digits;
+    } else {
+      this->status_line_part = StatusLinePart::kRest;
+      this->failed = this->failed || this->status_digits != kStatusDigits;
+    }
+  }
+}
+
 std::size_t HttpReader::Read(std::string_view data) {
   std::size_t used = 0;
   while (used < data.size() && !this->failed) {
     // In pieces, so that the body bytes of a large read do not count as
     // framing.
     const std::string_view rest = data.substr(used, kParseBytes);
+    if (this->kind == Kind::kResponse) {
+      this->CheckStatusLine(rest);
+      if (this->failed) {
+        return used;
+      }
+    }
     const std::size_t size = http_parser_execute(
         &this->parser, &Callbacks::Settings(), rest.data(), rest.size());
     used += size;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -75,8 +75,12 @@
 
  private:
   struct Callbacks;
+  enum class StatusLinePart { kVersion = 0, kStatus = 1, kRest = 2 };
 
   void Start();
+  // Checks the form of a response's status line, of which http_parser accepts
+  // more than three digits and several spaces. Fails if it is malformed.
+  void CheckStatusLine(std::string_view data);
   // @return a parser error if the head is too large, otherwise 0.
   int CountHead(std::size_t size);
   void FinishHeader();
@@ -95,6 +99,8 @@
   bool no_body = false;
   bool failed = false;
   bool head_too_large = false;
+  StatusLinePart status_line_part = StatusLinePart::kVersion;
+  int status_digits = 0;
   std::size_t head_bytes = 0;
   // Bytes consumed since the end of a message that the pieces of its body do
   // not make up for.
--- a/tests/gateway/faulty_answer_test.cc
+++ b/tests/gateway/faulty_answer_test.cc
@@ -155,4 +155,60 @@
   }
 }
 
+// Guards against a response without a valid status code that reaches the
+// caller, or for which the request waits until its deadline.
+BOOST_AUTO_TEST_CASE(AnswerWithoutAStatusIsAFailure) {
+  for (const char* const status : {"000", "099", "600", "999", "20", "0200"}) {
+    for (const char* const path : {"/once/x", "/live/x"}) {
+      BOOST_TEST_CONTEXT(path << " " << status) {
+        GatewayFixture gateway;
+        ScriptedServer server(
+            [&](const ReceivedRequest& /*request*/, Socket& socket) {
+              socket.Send(Answer(std::string(status) + " Status",
+                                 "Signed: yes\r\nContent-Length: 0\r\n", ""));
+              // It is no informational response either, which another follows.
+              socket.WaitForPeerClose(4000);
+              return false;
+            });
+        gateway.AddServer(server);
+        RawCaller caller(gateway.Address());
+        caller.Send(Request("r1", path, "order"));
+        const std::string response = caller.ReadUntil("\r\n\r\n", 2000);
+        BOOST_TEST(Contains(response, "HTTP/1.1 502"), response);
+      }
+    }
+  }
+}
+
+// Guards against a stream that goes on with the answer of a server without a
+// valid status code.
+BOOST_AUTO_TEST_CASE(RestOfAStreamWithoutAStatusCutsIt) {
+  GatewayFixture gateway;
+  std::atomic<int> count{0};
+  const auto script = [&](const ReceivedRequest& request, Socket& socket) {
+    if (++count == 1) {
+      socket.Send(StreamResponseHead(request) + EventChunk(1, "one"));
+      std::this_thread::sleep_for(milliseconds(20));
+      socket.Reset();
+      return false;
+    }
+    socket.Send(Answer("000 Trouble",
+                       "Signed: yes\r\nContent-Type: text/event-stream\r\n"
+                       "Content-Length: 20\r\n",
+                       "id: 2\ndata: error\n\n\n"));
+    return false;
+  };
+  ScriptedServer first(script);
+  ScriptedServer second(script);
+  gateway.AddServer(first);
+  gateway.AddServer(second);
+  RawCaller caller(gateway.Address());
+  caller.Send(Request("r1", "/stream/x", "ask"));
+  const std::string received = caller.ReadToEnd();
+  BOOST_TEST(count == 2);
+  BOOST_TEST(Contains(received, "data: one"));
+  BOOST_TEST(!Contains(received, "error"));
+  BOOST_TEST(!Contains(received, "\r\n0\r\n"));
+}
+
 }  // namespace sycamorebend::gateway
--- a/tests/http/truncation_test.cc
+++ b/tests/http/truncation_test.cc
@@ -65,6 +65,45 @@
   }
 }
 
+// Guards against a response whose status is no status code.
+BOOST_AUTO_TEST_CASE(InvalidStatusIsAnError) {
+  for (const char* const status :
+       {"000", "001", "099", "600", "999", "20", "2", "0200", "2000", "+200",
+        "-200", " 200", "20x", "2 0", "", "OK"}) {
+    const Result<HttpResponse> response =
+        FetchFrom({status,
+                   "HTTP/1.1 " + std::string(status) +
+                       " Status\r\nContent-Length: 4\r\n\r\nbody",
+                   false});
+    BOOST_TEST(!response, "\"" << status << "\" gave "
+                               << (response ? response.value().status : 0));
+  }
+}
+
+// Guards against a response without a length that is reset while the request is
+// still being sent, and counts as complete.
+BOOST_AUTO_TEST_CASE(EarlyResponseThatIsResetIsAnError) {
+  for (const int pause_ms : {0, 1, 5, 30}) {
+    for (int i = 0; i < 4; ++i) {
+      gateway::ScriptedServer server(
+          [&](const gateway::ReceivedRequest&, gateway::Socket& socket) {
+            socket.Send(kHead + "\r\npart");
+            std::this_thread::sleep_for(milliseconds(pause_ms));
+            socket.Reset();
+            return false;
+          },
+          gateway::ScriptedServer::Bodies::kIgnored);
+      const auto client = HttpClient::Create(1);
+      HttpCall call;
+      call.method = "POST";
+      call.url = "http://" + server.Address() + "/";
+      call.body.assign(8 << 20, 'a');
+      const Result<HttpResponse> response = client->Fetch(call);
+      BOOST_TEST(!response, "reset after " << pause_ms << " ms");
+    }
+  }
+}
+
 // Guards against a sound response that counts as broken off.
 BOOST_AUTO_TEST_CASE(ResponsesEndByEachFraming) {
   const std::vector<Ending> endings = {
--- a/tests/net/http_reader_test.cc
+++ b/tests/net/http_reader_test.cc
@@ -218,4 +218,42 @@
   }
 }
 
+// Guards against a response whose status is no status code, and that is passed
+// on, or awaited further as an informational one.
+BOOST_AUTO_TEST_CASE(InvalidStatusIsRejected) {
+  for (const char* const status :
+       {"000", "099", "001", "600", "999", "20", "2", "0200", "2000", "+200",
+        "-200", " 200", "20x", "0x1", "2 0", "", "OK"}) {
+    for (const std::size_t size : {1, 4, 1000}) {
+      Recorder recorder(kResponse);
+      recorder.Feed("HTTP/1.1 " + std::string(status) +
+                        " Status\r\nContent-Length: 0\r\n\r\n",
+                    size);
+      BOOST_TEST(recorder.reader.Failed(),
+                 "\"" << status << "\" in pieces of " << size);
+      BOOST_TEST(recorder.heads.empty(), status);
+    }
+  }
+}
+
+// Guards against rejecting the status codes of sound responses, alone and after
+// others on the same connection.
+BOOST_AUTO_TEST_CASE(ValidStatusIsRead) {
+  const std::string data =
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n"
+      "HTTP/1.1 200\r\nContent-Length: 1\r\n\r\na"
+      "\r\nHTTP/1.1 599 Late\r\nContent-Length: 0\r\n\r\n"
+      "HTTP/1.0 404 \r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t size = 1; size <= data.size(); ++size) {
+    Recorder recorder(kResponse);
+    recorder.Feed(data, size);
+    BOOST_TEST(!recorder.reader.Failed(), size);
+    BOOST_REQUIRE(recorder.heads.size() == 3U);
+    BOOST_TEST(recorder.heads[0].status == 200);
+    BOOST_TEST(recorder.heads[1].status == 599);
+    BOOST_TEST(recorder.heads[2].status == 404);
+  }
+}
+
 }  // namespace sycamorebend::net
