Send candidates whose responses had begun apart from the others

They are a list of their own at the end of the news now, which that release does not read.

Evidence: gateway_test/CrashNewsOfOtherReleasesAreRead reads news of the earlier and of a later form, and checks that the list that the earlier release reads holds none of them; gateway_test passes.

--- a/src/gateway/load_exchange.cc
+++ b/src/gateway/load_exchange.cc
@@ -60,16 +60,19 @@
 using EncodedDemand = std::tuple<std::uint32_t, std::vector<EncodedRoute>>;
 using EncodedPlacement = std::tuple<std::uint64_t, std::uint32_t>;
 using EncodedHashes = std::vector<std::uint64_t>;
-// Server, request, parts, and whether its response had begun.
+// Server, request and parts.
 using EncodedCandidate =
-    std::tuple<std::uint32_t, std::uint64_t, EncodedHashes, bool>;
+    std::tuple<std::uint32_t, std::uint64_t, EncodedHashes>;
+// Server and request, whose response had begun.
+using EncodedBegunCandidate = std::tuple<std::uint32_t, std::uint64_t>;
 // Request, parts, crashes, findings, milliseconds of quarantine left, and
 // whether it is only suspected.
 using EncodedCause =
     std::tuple<std::uint64_t, EncodedHashes, int, int, std::uint32_t, bool>;
 using EncodedNews = std::tuple<std::vector<EncodedCandidate>,
                                EncodedHashes,
-                               std::vector<EncodedCause>>;
+                               std::vector<EncodedCause>,
+                               std::vector<EncodedBegunCandidate>>;
 // Members that are missing at the end are left empty, so that gateways of
 // different releases understand each other.
 using EncodedMessage = std::tuple<std::string,
@@ -137,9 +140,14 @@
 EncodedNews EncodeNews(const CrashNews& news) {
   EncodedNews encoded;
   for (const internal::CrashCandidate& candidate : news.candidates) {
-    std::get<0>(encoded).emplace_back(candidate.server,
-                                      candidate.content.request,
-                                      candidate.content.parts, candidate.begun);
+    const std::uint64_t request = candidate.content.request;
+    if (candidate.begun) {
+      // Apart from the others, among which an earlier release would count them.
+      std::get<3>(encoded).emplace_back(candidate.server, request);
+    } else {
+      std::get<0>(encoded).emplace_back(candidate.server, request,
+                                        candidate.content.parts);
+    }
   }
   std::get<1>(encoded) = news.cleared;
   for (const SharedCrashCause& shared : news.causes) {
@@ -158,8 +166,11 @@
     std::sort(hashes.begin(), hashes.end());
     return hashes;
   };
-  for (const auto& [server, request, parts, begun] : std::get<0>(encoded)) {
-    news.candidates.push_back({server, {request, sorted(parts)}, begun});
+  for (const auto& [server, request, parts] : std::get<0>(encoded)) {
+    news.candidates.push_back({server, {request, sorted(parts)}, false});
+  }
+  for (const auto& [server, request] : std::get<3>(encoded)) {
+    news.candidates.push_back({server, {request, {}}, true});
   }
   news.cleared = std::get<1>(encoded);
   for (const auto& [request, parts, crashes, findings, left, suspected] :
--- a/tests/gateway/load_exchange_test.cc
+++ b/tests/gateway/load_exchange_test.cc
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <boost/test/unit_test.hpp>
@@ -124,25 +125,40 @@
 }
 
 // Guards against gateways of different releases that reject each other's
-// candidates, with and without the last member.
-BOOST_AUTO_TEST_CASE(CandidatesOfOtherReleasesAreRead) {
-  const auto read_with = [](const auto& candidate) {
+// findings, and against one of an earlier release that takes requests whose
+// responses had begun for others.
+BOOST_AUTO_TEST_CASE(CrashNewsOfOtherReleasesAreRead) {
+  const std::vector<std::uint64_t> none;
+  const std::vector<
+      std::tuple<std::uint32_t, std::uint64_t, std::vector<std::uint64_t>>>
+      candidates = {{kServer, 11, {12}}};
+  const auto read_with = [](const auto& news) {
     msgpack::sbuffer buffer;
     msgpack::pack(buffer,
                   std::make_tuple(std::string("other"), 3, std::vector<int>(),
                                   std::vector<int>(), 0, std::string("a"),
-                                  std::vector<int>(),
-                                  std::make_tuple(std::vector{candidate})));
+                                  std::vector<int>(), news));
     const auto read = DecodeLoadMessage({buffer.data(), buffer.size()});
     BOOST_REQUIRE(read);
-    BOOST_REQUIRE(read.value().crash_news.candidates.size() == 1U);
-    return read.value().crash_news.candidates[0];
+    return read.value().crash_news.candidates;
   };
-  const std::vector<std::uint64_t> parts = {12};
-  BOOST_TEST(!read_with(std::make_tuple(kServer, 11, parts)).begun);
-  const auto newer = read_with(std::make_tuple(kServer, 11, parts, true, 5));
-  BOOST_TEST(newer.begun);
-  BOOST_TEST(newer.content.request == 11U);
+  const auto earlier = read_with(std::make_tuple(candidates, none));
+  BOOST_REQUIRE(earlier.size() == 1U);
+  BOOST_TEST(!earlier[0].begun);
+  const std::vector<std::tuple<std::uint32_t, std::uint64_t>> begun = {
+      {kServer, 13}};
+  const auto later = read_with(std::make_tuple(
+      candidates, none, std::vector<int>(), begun, std::string("more")));
+  BOOST_REQUIRE(later.size() == 2U);
+  BOOST_TEST(later[1].begun);
+  BOOST_TEST(later[1].content.request == 13U);
+
+  LoadMessage sent = Message("one", 7, 3);
+  sent.crash_news.candidates = {{kServer, {17, {}}, true}};
+  const std::string encoded = EncodeLoadMessage(sent);
+  const auto object = msgpack::unpack(encoded.data(), encoded.size());
+  const msgpack::object& news = object.get().via.array.ptr[7];
+  BOOST_TEST(news.via.array.ptr[0].via.array.size == 0U);
 }
 
 // Guards against a crash of the process by datagrams of other programs.
