Clear a suspect without reading all crashes

Since requests whose responses had begun count as candidates, the loss of a failure domain makes thousands of them suspects, and each is cleared by its end elsewhere. CrashTracker::Clear read every candidate of every crash for each. Suspects now name the servers at whose crashes they were.

--- a/src/routing/crash_tracker.cc
+++ b/src/routing/crash_tracker.cc
@@ -123,9 +123,16 @@
 }
 
 void CrashTracker::Clear(std::uint64_t hash, NewsSource source, TimePoint now) {
-  const bool suspect = this->suspects.erase(hash) > 0;
+  const auto found = this->suspects.find(hash);
+  const bool suspect = found != this->suspects.end();
   if (suspect) {
+    const std::vector<std::uint32_t> servers = std::move(found->second);
+    this->suspects.erase(found);
     for (Crash& crash : this->crashes) {
+      if (std::find(servers.begin(), servers.end(), crash.server) ==
+          servers.end()) {
+        continue;
+      }
       for (Candidate& candidate : crash.candidates) {
         RequestContent& content = candidate.content;
         if (content.request == hash) {
@@ -162,13 +169,22 @@
 }
 
 void CrashTracker::RemoveOldestCrash() {
-  const auto forget = [this](std::uint64_t hash) {
+  const Crash& oldest = this->crashes.front();
+  const auto forget = [&](std::uint64_t hash) {
     const auto found = this->suspects.find(hash);
-    if (found != this->suspects.end() && --found->second <= 0) {
+    if (found == this->suspects.end()) {
+      return;
+    }
+    std::vector<std::uint32_t>& servers = found->second;
+    const auto server =
+        std::find(servers.begin(), servers.end(), oldest.server);
+    if (server != servers.end()) {
+      servers.erase(server);
+    }
+    if (servers.empty()) {
       this->suspects.erase(found);
     }
   };
-  const Crash& oldest = this->crashes.front();
   for (const Candidate& candidate : oldest.candidates) {
     forget(candidate.content.request);
     for (const std::uint64_t part : candidate.content.parts) {
@@ -233,7 +249,7 @@
       this->cleared.push_back({hash, now, NewsSource::kOwn});
       return false;
     }
-    ++this->suspects[hash];
+    this->suspects[hash].push_back(reported.server);
     return true;
   };
   if (reported.content.request != 0 && add(reported.content.request)) {
@@ -312,7 +328,7 @@
   // What was running during one crash is neither a cause nor a rival of one.
   const auto seen_often = [this](std::uint64_t hash) {
     const auto found = this->suspects.find(hash);
-    return found != this->suspects.end() && found->second > 1;
+    return found != this->suspects.end() && found->second.size() > 1;
   };
   for (std::size_t i = 0; i < due.size(); ++i) {
     const std::vector<const Candidate*> candidates =
@@ -408,7 +424,7 @@
     const EvidenceTable& table,
     TimePoint now) const {
   for (const auto& [request, evidence] : table.requests) {
-    const std::optional<CrashCause> cause = WeighRequest(request, due, table);
+    std::optional<CrashCause> cause = WeighRequest(request, due, table);
     if (!cause) {
       continue;
     }
--- a/src/routing/crash_tracker.h
+++ b/src/routing/crash_tracker.h
@@ -224,8 +224,9 @@
   TimePoint next_served_prune;
   std::deque<Crash> crashes;  // The oldest first.
   std::size_t candidate_count = 0;
-  // Hashes of the candidates that were not cleared.
-  std::unordered_map<std::uint64_t, int> suspects;
+  // Hashes of the candidates that were not cleared, and the servers at whose
+  // crashes they were, one for each candidate.
+  std::unordered_map<std::uint64_t, std::vector<std::uint32_t>> suspects;
   std::deque<Cleared> cleared;
   // In quarantine, or remembered after it.
   std::vector<CrashCause> causes;
