--- a/scripts/play_deployments.sh
+++ b/scripts/play_deployments.sh
@@ -20,8 +20,8 @@
   "sites/pcsc-bend 40"
   "grown/karoo-platen-grown 8"
   "grown/pcsc-bend-grown 8"
-  "further/lsffa-cold 40"
-  "further-grown/lsffa-cold-grown 8"
+  "demands/bea-jatim-grown 8"
+  "demands/magnolia-tours-grown 8"
   "large/karoo-platen-large 8"
 )
 failed=0
