--- a/review/lib-3/engine.py
+++ b/review/lib-3/engine.py
@@ -4,8 +4,10 @@
 Settings (JSON, first argument): id, ip, port, backend, slots, zone, controls,
 work_ms, and those of the cases.
 """
+import hashlib
 import json
 import os
+import random
 import socket
 import sys
 import threading
@@ -18,6 +20,7 @@
 LOCK = threading.Lock()
 SLOTS = threading.Semaphore(SETTINGS["slots"])
 RUNNING = [0]
+RANDOM = random.Random(SETTINGS["id"])
 
 
 def say(what, **fields):
@@ -42,16 +45,23 @@
             except (OSError, ValueError):
                 continue
             if status // 100 == 2:
-                say("beat", sequence=sequence)
+                say("beat", sequence=sequence, born=BORN)
                 break
         time.sleep(1.2)
 
 
-def answer(sock, status, reason, headers, body):
+def answer(sock, status, reason, headers, body, spoiled=""):
     lines = ["HTTP/1.1 %d %s" % (status, reason)]
     lines += ["%s: %s" % item for item in headers.items()]
-    lines.append("Content-Length: %d" % len(body))
-    sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+    if spoiled == "framing":
+        lines.append("Transfer-Encoding : chunked")
+        body = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+    else:
+        lines.append("Content-Length: %d" % len(body))
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    if spoiled == "name":
+        head = head.replace("Instance-Load:", "Instance Load:")
+    sock.sendall(head.encode() + body)
 
 
 class SlowReader(Reader):
@@ -75,7 +85,11 @@
         while True:
             first, headers = reader.head()
             body = reader.body(headers, False)
-            method, path, _ = first.split(" ")
+            if len(first.split(" ")) != 3:
+                answer(sock, 400, "Bad Request", {"X-Sycamorebend-Not-Executed": "1",
+                                                  "Connection": "close"}, b"")
+                return
+            _, path, _ = first.split(" ")
             request = headers.get("x-sycamorebend-request-id", "")
             fields = {"X-Sycamorebend-Request-Id": request, "Keep-Alive": "timeout=15",
                       "X-Sycamorebend-Instance-Load": "%d,0,%d" % (RUNNING[0], SETTINGS["slots"])}
@@ -92,13 +106,19 @@
             with SLOTS:
                 with LOCK:
                     RUNNING[0] += 1
-                say("begin", id=request, path=path, bytes=len(body))
+                say("begin", id=request, path=path, bytes=len(body),
+                    body=hashlib.sha256(body).hexdigest()[:16],
+                    tenant=headers.get("x-sycamorebend-tenant", ""))
                 time.sleep(SETTINGS.get("work_ms", 30) / 1000)
                 with LOCK:
                     RUNNING[0] -= 1
                 say("end", id=request)
             fields["X-Sycamorebend-Response-Signature"] = "%s.%s" % (SETTINGS["id"], request)
-            answer(sock, 200, "OK", fields, ("done " + request).encode() + b"." * 780)
+            spoiled = ""
+            if RANDOM.random() < SETTINGS.get("spoil", 0):
+                spoiled = RANDOM.choice(["name", "framing"])
+                say("spoiled", id=request, how=spoiled)
+            answer(sock, 200, "OK", fields, ("done " + request).encode() + b"." * 780, spoiled)
     except (OSError, ValueError):
         pass
     finally:
--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -343,6 +343,9 @@
                 raise CannotRun("engine %s was not acknowledged" % self.name)
             time.sleep(0.05)
 
+    def born(self):
+        return next(event["born"] for event in self.events if event["what"] == "beat")
+
     def stop(self):
         if self.process.poll() is None:
             self.process.kill()
