--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,7 +1,7 @@
-"""An answer with a spoiled head reaches the caller as a success."""
+"""Control replicas grow by the size of each change of a large configuration."""
+import json
 import os
-import re
-import socket
+import queue
 import sys
 import threading
 import time
@@ -9,102 +9,102 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-3"))
 import fleet  # noqa: E402
+from large import configuration, resident_mb  # noqa: E402
 
-CLIENTS = 8
-SECONDS = 25
-SPOIL = 0.02
-# A field line of RFC 9112, section 5: no white space in the name or before the colon.
-FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[ \t]*[\t\x20-\x7e\x80-\xff]*\Z")
-
-CONFIGURATION = {
-    "version": 1,
-    "route_table": [{
-        "name": "r-stock", "hostname": "desk.example", "path_prefix": "/stock/",
-        "route_type": "idempotent", "timeout_ms": 1200, "target_latency_ms": 150,
-        "priority": 2, "backend": "desk", "max_attempts": 2, "public": True,
-        "session_affinity": False, "stream_resume": False}],
-    "backends": [{"name": "desk", "health_check": "/healthz", "max_connections": 110,
-                  "protocol": "h1", "tls": False}],
-    "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
-               "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
-
-
-def read_answer(sock):
-    """Reads the head of an answer as it comes: its lines, and what was read behind it."""
-    data = b""
-    while b"\r\n\r\n" not in data:
-        more = sock.recv(65536)
-        if not more:
-            raise ConnectionError("closed")
-        data += more
-    head, rest = data.split(b"\r\n\r\n", 1)
-    return head.split(b"\r\n"), rest
-
-
-def client(number, address, record, answers, stop):
-    sock, count = None, 0
-    while not stop.is_set():
-        count += 1
-        request = "%04x%012x" % (number, count)
-        headers = {"Host": "desk.example", "X-Sycamorebend-Request-Id": request,
-                   "X-Sycamorebend-Deadline-Ms": "2500"}
-        try:
-            if sock is None:
-                sock = socket.create_connection(address, timeout=1.0)
-            sock.settimeout(2.5)
-            sock.sendall(fleet.request_bytes("GET", "/stock/7", headers))
-            lines, rest = read_answer(sock)
-            odd = [line for line in lines[1:] if not FIELD_LINE.match(line)]
-            answers[request] = (int(lines[0].split()[1]), odd, lines)
-            record.note("client %d gets %s for %s%s" % (
-                number, lines[0].decode(), request, ", odd lines %r" % odd if odd else ""))
-            length = [int(line.split(b":")[1]) for line in lines
-                      if line.lower().startswith(b"content-length:")]
-            if odd or not length:
-                raise ConnectionError("no answer in the protocol")
-            while len(rest) < length[0]:
-                more = sock.recv(65536)
-                if not more:
-                    raise ConnectionError("closed")
-                rest += more
-        except (OSError, ValueError) as error:
-            record.note("client %d: %r" % (number, error))
-            if sock is not None:
-                sock.close()
-            sock = None
-        time.sleep(0.01)
+ROUTES = 1580 + 12
+MEMORY_MB = 256
+IN_PROGRESS = 6
+END_S = 100
 
 
 def case(record, trouble):
+    routes = ROUTES if trouble else 12
     net = fleet.Fleet(record)
+    stop = threading.Event()
+    ended = {core.name: 0 for core in net.cores}
+    most = {core.name: 0.0 for core in net.cores}
+
+    def platform():
+        """Ends a process that uses more than memory_mb, and starts it again, as DEPLOY.md says."""
+        while not stop.is_set():
+            for core in net.cores:
+                if core.process.poll() is None:
+                    most[core.name] = max(most[core.name], resident_mb(core))
+                    if resident_mb(core) <= MEMORY_MB:
+                        continue
+                    record.note("platform: %s uses %.0f MB of %d and is killed" % (
+                        core.name, resident_mb(core), MEMORY_MB))
+                    core.kill()
+                else:
+                    record.note("platform: %s has ended by itself" % core.name)
+                ended[core.name] += 1
+                time.sleep(0.3)
+                core.write_settings(False, [one.ip for one in net.cores])
+                core.start()
+            time.sleep(0.05)
+
     try:
         net.start()
-        net.put(CONFIGURATION)
-        engines = [fleet.Engine(net, "i-desk%d" % i, "127.61.20%d.1" % i, "desk", slots=20,
-                                extra={"spoil": SPOIL if trouble and i == 0 else 0})
-                   for i in range(3)]
-        for engine in engines:
-            engine.wait_acknowledged()
+        net.put(configuration(1, 12))
         net.wait_ready()
-        time.sleep(1)
-        answers, stop = {}, threading.Event()
-        address = (net.gateways[0].ip, net.caller_port)
-        threads = [threading.Thread(target=client, args=(i, address, record, answers, stop))
-                   for i in range(CLIENTS)]
-        for thread in threads:
+        watcher = threading.Thread(target=platform)
+        watcher.start()
+        began = time.monotonic()
+        orders, lock, acknowledged = queue.Queue(), threading.Lock(), [0]
+        for version in range(2, 800):
+            orders.put(version)
+
+        def operator(number):
+            while not stop.is_set():
+                try:
+                    version = orders.get_nowait()
+                except queue.Empty:
+                    return
+                body = json.dumps(configuration(version, routes), separators=(",", ":"))
+                wait = 0.05
+                for attempt in range(100):
+                    if stop.is_set():
+                        return
+                    core = (version + attempt) % len(net.cores)
+                    try:
+                        status, _, _ = fleet.call(net.control(core), "POST",
+                                                  "/api/config/replace", body, timeout=3.0)
+                    except (OSError, ValueError):
+                        status = 0
+                    if status == 200:
+                        break
+                    time.sleep(wait)
+                    wait = min(1.0, wait * 2)
+                with lock:
+                    acknowledged[0] += status == 200
+                    if version % 20 == 0:
+                        record.note("operator: version %d, %d bytes, gets %d; %d acknowledged; %s" % (
+                            version, len(body), status, acknowledged[0],
+                            {name: round(size) for name, size in most.items()}))
+
+        operators = [threading.Thread(target=operator, args=(number,))
+                     for number in range(IN_PROGRESS)]
+        for thread in operators:
             thread.start()
-        time.sleep(SECONDS)
+        while time.monotonic() - began < END_S and sum(ended.values()) < 3 and any(
+                thread.is_alive() for thread in operators):
+            time.sleep(0.2)
         stop.set()
-        for thread in threads:
+        for thread in operators + [watcher]:
             thread.join()
-        time.sleep(0.5)
-        spoiled = sum(event["what"] == "spoiled" for engine in engines for event in engine.events)
-        print("%d answers, %d spoiled by an engine" % (len(answers), spoiled))
-        if len(answers) < 500 or (trouble and spoiled < 3):
-            raise fleet.CannotRun("too few answers")
-        return ["MIXED: %s got %d with %r" % (request, status, odd)
-                for request, (status, odd, _) in sorted(answers.items()) if odd]
+        text = "%d changes acknowledged; most memory %s MB; ended %s" % (
+            acknowledged[0], {name: round(size) for name, size in most.items()}, ended)
+        record.note(text)
+        print(text)
+        if acknowledged[0] < 100:
+            raise fleet.CannotRun("too few changes were acknowledged")
+        half = [name for name, count in ended.items() if count > 0]
+        if 2 * len(half) >= len(net.cores) and sum(ended.values()) >= 3:
+            return ["Fault: processes on %s ended %d times with no disruption there" % (
+                ", ".join(half), sum(ended.values()))]
+        return []
     finally:
+        stop.set()
         net.stop()
 
 
--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -118,7 +118,7 @@
             "internal_ports": [fleet.internal_port, fleet.internal_port],
             "seed_nodes": ["%s:%d" % (ip, fleet.api_port) for ip in seeds],
             "bootstrap": bootstrap, "data_dir": None if edge else self.data,
-            "fault_tolerance": {"nodes": 1, "zones": 0, "regions": 0},
+            "fault_tolerance": {"nodes": fleet.tolerated, "zones": 0, "regions": 0},
             "limits": {"memory_mb": fleet.memory_mb, "max_fds": 4100},
             "bounds": BOUNDS}
         text = render("gateway.json" if edge else "control.json", fields)
@@ -150,11 +150,11 @@
 
 
 class Fleet:
-    def __init__(self, record, cores=3, gateways=1, memory_mb=260, net="127.61"):
+    def __init__(self, record, cores=3, gateways=1, memory_mb=260, net="127.61", tolerated=1):
         for program in (GATEWAY, CONTROL):
             if not os.access(program, os.X_OK):
                 raise CannotRun("%s is not built" % program)
-        self.record, self.memory_mb = record, memory_mb
+        self.record, self.memory_mb, self.tolerated = record, memory_mb, tolerated
         self.directory = tempfile.mkdtemp(prefix="review-3-")
         (self.caller_port, self.admin_port, self.api_port, self.directory_port,
          self.internal_port) = free_ports(5)
