--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,7 +1,7 @@
-"""A frozen gateway answers 503 for an order that it had passed on."""
+"""Control replicas grow by the size of each change of a large configuration."""
+import json
 import os
-import signal
-import socket
+import queue
 import sys
 import threading
 import time
@@ -9,142 +9,102 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib-3"))
 import fleet  # noqa: E402
+from large import configuration, resident_mb  # noqa: E402
 
-CLIENTS = 80
-ROUNDS = 10
-FREEZE_S = 1.5
-TIMEOUT_MS = 1200
-DEADLINE_MS = 2500
-PROMISES = (408, 421, 429, 503)
-
-CONFIGURATION = {
-    "version": 1,
-    "route_table": [{
-        "name": "r-order", "hostname": "desk.example", "path_prefix": "/order/",
-        "route_type": "non_idempotent", "timeout_ms": TIMEOUT_MS, "target_latency_ms": 150,
-        "priority": 2, "backend": "desk", "max_attempts": 1, "public": True,
-        "session_affinity": False, "stream_resume": False}],
-    "backends": [{"name": "desk", "health_check": "/healthz", "max_connections": 110,
-                  "protocol": "h1", "tls": False}],
-    "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
-               "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
-
-
-class Client:
-    """Sends orders one after the other; keeps its connection."""
-
-    def __init__(self, address, number, record, answers):
-        self.address, self.number, self.record, self.answers = address, number, record, answers
-        self.sock = None
-        self.sent = 0
-
-    def prepare(self):
-        self.sent += 1
-        self.request = "%04x%012x" % (self.number, self.sent)
-        if self.sock is None:
-            self.sock = socket.create_connection(self.address, timeout=1.0)
-            self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        headers = {"Host": "desk.example", "X-Sycamorebend-Request-Id": self.request,
-                   "X-Sycamorebend-Deadline-Ms": str(DEADLINE_MS)}
-        self.text = fleet.request_bytes("POST", "/order/new", headers, b"x" * 600)
-
-    def send(self):
-        self.began = time.monotonic()
-        self.sock.settimeout(DEADLINE_MS / 1000)
-        self.sock.sendall(self.text)
-
-    def receive(self):
-        try:
-            status, fields, _ = fleet.Reader(self.sock).response()
-            retry_after = fields.get("retry-after", "none")
-            if fields.get("connection", "").lower() == "close":
-                raise ConnectionError("to be closed")
-        except (OSError, ValueError) as error:
-            if not isinstance(error, ConnectionError) or "to be closed" not in str(error):
-                status, retry_after = 0, repr(error)
-            self.sock.close()
-            self.sock = None
-        self.record.note("client %d sent %s and gets %d after %.0f ms, Retry-After %s" % (
-            self.number, self.request, status, (time.monotonic() - self.began) * 1000,
-            retry_after))
-        self.answers[self.request] = status
+ROUTES = 1580 + 12
+MEMORY_MB = 256
+IN_PROGRESS = 6
+END_S = 100
 
 
 def case(record, trouble):
+    routes = ROUTES if trouble else 12
     net = fleet.Fleet(record)
+    stop = threading.Event()
+    ended = {core.name: 0 for core in net.cores}
+    most = {core.name: 0.0 for core in net.cores}
+
+    def platform():
+        """Ends a process that uses more than memory_mb, and starts it again, as DEPLOY.md says."""
+        while not stop.is_set():
+            for core in net.cores:
+                if core.process.poll() is None:
+                    most[core.name] = max(most[core.name], resident_mb(core))
+                    if resident_mb(core) <= MEMORY_MB:
+                        continue
+                    record.note("platform: %s uses %.0f MB of %d and is killed" % (
+                        core.name, resident_mb(core), MEMORY_MB))
+                    core.kill()
+                else:
+                    record.note("platform: %s has ended by itself" % core.name)
+                ended[core.name] += 1
+                time.sleep(0.3)
+                core.write_settings(False, [one.ip for one in net.cores])
+                core.start()
+            time.sleep(0.05)
+
     try:
         net.start()
-        net.put(CONFIGURATION)
-        engines = [fleet.Engine(net, "i-desk%d" % i, "127.61.20%d.1" % i, "desk", slots=20,
-                                extra={"work_ms": 30}) for i in range(3)]
-        for engine in engines:
-            engine.wait_acknowledged()
+        net.put(configuration(1, 12))
         net.wait_ready()
-        time.sleep(1)
-        gateway = net.gateways[0]
-        answers = {}
-        address = (gateway.ip, net.caller_port)
-        clients = [Client(address, i, record, answers) for i in range(CLIENTS)]
-        first = threading.Event()
-
-        def on_event(event):
-            if event["what"] == "begin":
-                first.set()
-
-        for engine in engines:
-            engine.on_event = on_event
-
-        def together():
-            """All clients send one order each at the same moment."""
-            for client in clients:
-                client.prepare()
-            threads = [threading.Thread(target=client.receive) for client in clients]
-            for client in clients:
-                client.send()
-            for thread in threads:
-                thread.start()
-            return threads
-
-        def freeze_when_begun(number):
-            if not first.wait(2):
-                return
-            gateway.signal(signal.SIGSTOP)
-            record.note("freeze %d of %s" % (number + 1, gateway.name))
-            time.sleep(FREEZE_S)
-            gateway.signal(signal.SIGCONT)
-            record.note("%s wakes" % gateway.name)
-
-        for number in range(ROUNDS):
-            # The connections to the engines are open and idle after this one.
-            for thread in together():
-                thread.join()
-            time.sleep(0.5)
-            freezer = threading.Thread(target=freeze_when_begun, args=(number,))
-            first.clear()
-            if trouble:
-                freezer.start()
-            threads = together()
-            if trouble:
-                freezer.join()
-            for thread in threads:
-                thread.join()
-            time.sleep(0.5)
-        time.sleep(1)
-        if gateway.process.poll() is not None:
-            raise fleet.CannotRun("the gateway ended")
-        began = {event["id"] for engine in engines for event in engine.events
-                 if event["what"] == "begin"}
-        counts = {}
-        for status in answers.values():
-            counts[status] = counts.get(status, 0) + 1
-        record.note("answers: %s" % counts)
-        print("answers: %s" % counts)
-        if counts.get(200, 0) < 100:
-            raise fleet.CannotRun("too few orders were served")
-        return ["REFUSED: %s got %d and has run" % (request, status)
-                for request, status in sorted(answers.items())
-                if status in PROMISES and request in began]
+        watcher = threading.Thread(target=platform)
+        watcher.start()
+        began = time.monotonic()
+        orders, lock, acknowledged = queue.Queue(), threading.Lock(), [0]
+        for version in range(2, 800):
+            orders.put(version)
+
+        def operator(number):
+            while not stop.is_set():
+                try:
+                    version = orders.get_nowait()
+                except queue.Empty:
+                    return
+                body = json.dumps(configuration(version, routes), separators=(",", ":"))
+                wait = 0.05
+                for attempt in range(100):
+                    if stop.is_set():
+                        return
+                    core = (version + attempt) % len(net.cores)
+                    try:
+                        status, _, _ = fleet.call(net.control(core), "POST",
+                                                  "/api/config/replace", body, timeout=3.0)
+                    except (OSError, ValueError):
+                        status = 0
+                    if status == 200:
+                        break
+                    time.sleep(wait)
+                    wait = min(1.0, wait * 2)
+                with lock:
+                    acknowledged[0] += status == 200
+                    if version % 20 == 0:
+                        record.note("operator: version %d, %d bytes, gets %d; %d acknowledged; %s" % (
+                            version, len(body), status, acknowledged[0],
+                            {name: round(size) for name, size in most.items()}))
+
+        operators = [threading.Thread(target=operator, args=(number,))
+                     for number in range(IN_PROGRESS)]
+        for thread in operators:
+            thread.start()
+        while time.monotonic() - began < END_S and sum(ended.values()) < 3 and any(
+                thread.is_alive() for thread in operators):
+            time.sleep(0.2)
+        stop.set()
+        for thread in operators + [watcher]:
+            thread.join()
+        text = "%d changes acknowledged; most memory %s MB; ended %s" % (
+            acknowledged[0], {name: round(size) for name, size in most.items()}, ended)
+        record.note(text)
+        print(text)
+        if acknowledged[0] < 100:
+            raise fleet.CannotRun("too few changes were acknowledged")
+        half = [name for name, count in ended.items() if count > 0]
+        if 2 * len(half) >= len(net.cores) and sum(ended.values()) >= 3:
+            return ["Fault: processes on %s ended %d times with no disruption there" % (
+                ", ".join(half), sum(ended.values()))]
+        return []
     finally:
+        stop.set()
         net.stop()
 
 
