--- a/review/lib-3/engine.py
+++ b/review/lib-3/engine.py
@@ -89,7 +89,7 @@
                 answer(sock, 400, "Bad Request", {"X-Sycamorebend-Not-Executed": "1",
                                                   "Connection": "close"}, b"")
                 return
-            _, path, _ = first.split(" ")
+            method, path, _ = first.split(" ")
             request = headers.get("x-sycamorebend-request-id", "")
             fields = {"X-Sycamorebend-Request-Id": request, "Keep-Alive": "timeout=15",
                       "X-Sycamorebend-Instance-Load": "%d,0,%d" % (RUNNING[0], SETTINGS["slots"])}
@@ -114,6 +114,17 @@
                     RUNNING[0] -= 1
                 say("end", id=request)
             fields["X-Sycamorebend-Response-Signature"] = "%s.%s" % (SETTINGS["id"], request)
+            if SETTINGS.get("stream"):
+                fields["Content-Type"] = "text/event-stream"
+                head = "HTTP/1.1 200 OK\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n" % "\r\n".join(
+                    "%s: %s" % item for item in fields.items())
+                sock.sendall(head.encode())
+                if method != "HEAD":
+                    for number in range(1, 4):
+                        event = b"id: %d\ndata: part\n\n" % number
+                        sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+                    sock.sendall(b"0\r\n\r\n")
+                continue
             spoiled = ""
             if RANDOM.random() < SETTINGS.get("spoil", 0):
                 spoiled = RANDOM.choice(["name", "framing"])
