--- a/review/11/case.py
+++ b/review/11/case.py
@@ -23,11 +23,13 @@
 READ_S = 5.0
 
 
-def put(net, record, version, routes, acknowledged):
+def put(net, record, version, routes, acknowledged, end):
     """An order of the operator: sent again, to any daemon, until it is acknowledged."""
     body = json.dumps(configuration(version, routes), separators=(",", ":"))
     wait = 0.1
     for attempt in range(40):
+        if time.monotonic() > end:
+            break
         core = (version + attempt) % len(net.cores)
         try:
             status, _, _ = fleet.call(net.control(core), "POST", "/api/config/replace", body,
@@ -86,7 +88,8 @@
         for version in range(2, CHANGES + 2):
             if time.monotonic() - began > CHANGES_END_S:
                 break
-            thread = threading.Thread(target=put, args=(net, record, version, ROUTES, acknowledged))
+            thread = threading.Thread(target=put, args=(
+                net, record, version, ROUTES, acknowledged, began + CHANGES_END_S + 4.0))
             thread.start()
             threads.append(thread)
             time.sleep(GAP_S)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -51,7 +51,7 @@
         watcher.start()
         began = time.monotonic()
         orders, lock, acknowledged = queue.Queue(), threading.Lock(), [0]
-        for version in range(2, 800):
+        for version in range(2, 1500):
             orders.put(version)
 
         def operator(number):
