--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -218,6 +218,7 @@
   kStorageFailed = 709,
   kReplicaPromoted = 710,
   kStateConfirmed = 711,
+  kSnapshotSent = 712,
   // 8xx: transport between processes.
   kRpcFailed = 801,
   kPeerUnreachable = 802,
--- a/include/sycamorebend/consensus.h
+++ b/include/sycamorebend/consensus.h
@@ -56,6 +56,9 @@
     bool voter = false;
     bool reachable = false;
     LogIndex match_index = 0;
+    // Bytes of the committed entries that the replica lacks, as far as this
+    // replica has them in memory. Known on the leader; otherwise 0.
+    std::uint64_t lag_bytes = 0;
   };
 
   struct LogStatus {
@@ -69,6 +72,9 @@
     LogIndex applied_index = 0;
     LogIndex last_index = 0;
     LogIndex snapshot_index = 0;
+    // Memory of the entries that this replica keeps for its own use and for
+    // other replicas.
+    std::uint64_t log_bytes = 0;
     // The largest replica ID ever used. A new replica needs a larger one.
     ReplicaId largest_id = 0;
     // The replica set in effect. A change takes effect before it is committed
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -130,6 +130,8 @@
     {Event::kStateConfirmed, "state_confirmed",
      "A quorum confirmed this replica's state for the first time since its "
      "start."},
+    {Event::kSnapshotSent, "snapshot_sent",
+     "The leader sends a replica the snapshot instead of entries."},
     {Event::kRpcFailed, "rpc_failed", "A call to another process failed."},
     {Event::kPeerUnreachable, "peer_unreachable",
      "Another process cannot be reached."},
--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -21,15 +21,15 @@
   this->replica_sets.push_back({0, {}});
   if (stored.snapshot != nullptr) {
     this->snapshot = stored.snapshot;
-    this->base_index = this->snapshot->index;
-    this->base_term = this->snapshot->term;
+    this->log.Reset(this->snapshot->index, this->snapshot->term);
     this->last_time_ms = this->snapshot->leader_time_ms;
     this->delivered_time_ms = this->last_time_ms;
-    this->commit_index = this->base_index;
-    this->delivered_index = this->base_index;
-    this->replica_sets.back() = {this->base_index, this->snapshot->replicas};
+    this->commit_index = this->snapshot->index;
+    this->delivered_index = this->snapshot->index;
+    this->replica_sets.back() = {this->snapshot->index,
+                                 this->snapshot->replicas};
     // A snapshot at index 0 holds only the initial replica set, no state.
-    if (this->base_index > 0) {
+    if (this->snapshot->index > 0) {
       this->output.restore = this->snapshot;
     }
   } else if (initial != nullptr) {
@@ -48,10 +48,6 @@
   this->ResetElectionTimer(now);
 }
 
-LogIndex Core::LastIndex() const {
-  return this->base_index + this->log.size();
-}
-
 LogIndex Core::SnapshotIndex() const {
   return this->snapshot == nullptr ? 0 : this->snapshot->index;
 }
@@ -60,52 +56,30 @@
   return this->snapshot == nullptr ? 0 : this->snapshot->state.size();
 }
 
-std::optional<Term> Core::TermAt(LogIndex index) const {
-  if (index == this->base_index) {
-    return this->base_term;
-  }
-  if (index < this->base_index || index > this->LastIndex()) {
-    return std::nullopt;
-  }
-  return this->EntryAt(index)->term;
-}
-
-Term Core::LastTerm() const {
-  return this->log.empty() ? this->base_term : this->log.back()->term;
-}
-
-const EntryPtr& Core::EntryAt(LogIndex index) const {
-  return this->log[index - this->base_index - 1];
-}
-
 bool Core::LogUpToDate(LogIndex last_index, Term last_term) const {
   return std::make_pair(last_term, last_index) >=
-         std::make_pair(this->LastTerm(), this->LastIndex());
+         std::make_pair(this->log.LastTerm(), this->LastIndex());
 }
 
 void Core::AppendToLog(EntryPtr entry) {
   this->last_time_ms = entry->leader_time_ms;
-  this->log_bytes += entry->payload.size();
   if (entry->kind == EntryKind::kReplicaSet) {
     this->replica_sets.push_back(
         {entry->index,
          DecodeReplicaSet(entry->payload).value_or(ReplicaSet{})});
   }
-  this->log.push_back(std::move(entry));
+  this->log.Append(std::move(entry));
 }
 
 void Core::TruncateLog(LogIndex from) {
-  while (this->LastIndex() >= from) {
-    this->log_bytes -= std::min<std::uint64_t>(
-        this->log_bytes, this->log.back()->payload.size());
-    this->log.pop_back();
-  }
+  this->log.TruncateFrom(from);
   while (this->replica_sets.size() > 1 &&
          this->replica_sets.back().index >= from) {
     this->replica_sets.pop_back();
   }
-  this->last_time_ms = this->log.empty() ? this->delivered_time_ms
-                                         : this->log.back()->leader_time_ms;
+  this->last_time_ms = this->log.Empty()
+                           ? this->delivered_time_ms
+                           : this->log.At(this->LastIndex())->leader_time_ms;
   this->durable_index = std::min(this->durable_index, from - 1);
   for (PendingWrite& write : this->pending_writes) {
     write.last_index = std::min(write.last_index, from - 1);
@@ -178,7 +152,7 @@
   this->commit_index = std::max(this->commit_index, index);
   while (this->delivered_index < this->commit_index) {
     ++this->delivered_index;
-    const EntryPtr& entry = this->EntryAt(this->delivered_index);
+    const EntryPtr& entry = this->log.At(this->delivered_index);
     this->delivered_time_ms = entry->leader_time_ms;
     this->output.committed.push_back(entry);
   }
@@ -202,8 +176,8 @@
   }
   auto next = std::make_shared<SnapshotData>();
   next->index = this->applied_index;
-  next->term = *this->TermAt(this->applied_index);
-  next->leader_time_ms = this->EntryAt(this->applied_index)->leader_time_ms;
+  next->term = *this->log.TermAt(this->applied_index);
+  next->leader_time_ms = this->log.At(this->applied_index)->leader_time_ms;
   next->replicas = this->ReplicasAt(this->applied_index);
   next->state = std::move(state);
   this->snapshot = next;
@@ -212,16 +186,11 @@
   this->AddWrite(std::move(write));
   const LogIndex keep_after =
       next->index - std::min(next->index, this->options.trailing_entries);
-  while (this->base_index < keep_after) {
-    this->base_term = this->log.front()->term;
-    ++this->base_index;
-    this->log.pop_front();
-  }
+  this->log.DropThrough(keep_after);
   while (this->replica_sets.size() > 1 &&
-         this->replica_sets[1].index <= this->base_index) {
+         this->replica_sets[1].index <= this->log.BaseIndex()) {
     this->replica_sets.erase(this->replica_sets.begin());
   }
-  this->log_bytes = 0;
 }
 
 void Core::UpdateConfirmedAt() {
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "consensus/log_window.h"
 #include "consensus/types.h"
 
 namespace sycamorebend::internal {
@@ -146,10 +147,19 @@
   ReplicaId Leader() const { return this->leader; }
   LogIndex CommitIndex() const { return this->commit_index; }
   LogIndex AppliedIndex() const { return this->applied_index; }
-  LogIndex LastIndex() const;
+  LogIndex LastIndex() const { return this->log.LastIndex(); }
   LogIndex SnapshotIndex() const;
   std::uint64_t SnapshotBytes() const;
-  std::uint64_t BytesSinceSnapshot() const { return this->log_bytes; }
+  // @return bytes of the entries that are applied and not in the snapshot.
+  std::uint64_t BytesSinceSnapshot() const {
+    return this->log.BytesBetween(this->SnapshotIndex(), this->applied_index);
+  }
+  // @return bytes of the entries in memory.
+  std::uint64_t LogBytes() const { return this->log.Bytes(); }
+  // @return bytes of the committed entries after `index` that are in memory.
+  std::uint64_t CommittedBytesAfter(LogIndex index) const {
+    return this->log.BytesBetween(index, this->commit_index);
+  }
   const ReplicaSet& Replicas() const { return this->replica_sets.back().set; }
   const ReplicaSet& CommittedReplicas() const {
     return this->ReplicasAt(this->commit_index);
@@ -178,9 +188,6 @@
   };
 
   // Defined in core.cc: log, writes and outputs.
-  std::optional<Term> TermAt(LogIndex index) const;
-  Term LastTerm() const;
-  const EntryPtr& EntryAt(LogIndex index) const;
   bool LogUpToDate(LogIndex last_index, Term last_term) const;
   void AppendToLog(EntryPtr entry);
   void TruncateLog(LogIndex from);
@@ -269,12 +276,8 @@
   TimePoint election_deadline;
   std::set<ReplicaId> votes;
 
-  // Entries after `base_index`.
-  std::deque<EntryPtr> log;
-  LogIndex base_index = 0;
-  Term base_term = 0;
+  LogWindow log;
   SnapshotPtr snapshot;
-  std::uint64_t log_bytes = 0;
   std::int64_t last_time_ms = 0;
   // Leader time of the entry at `delivered_index`.
   std::int64_t delivered_time_ms = 0;
--- a/src/consensus/core_election.cc
+++ b/src/consensus/core_election.cc
@@ -62,7 +62,7 @@
     Message message = this->MakeMessage(type, member.id);
     message.term = term;
     message.index = this->LastIndex();
-    message.index_term = this->LastTerm();
+    message.index_term = this->log.LastTerm();
     message.leadership_transfer = leadership_transfer;
     this->SendAfterWrite(std::move(message), this->hard_state_write_id);
   }
--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -72,7 +72,7 @@
   Message message = this->MakeMessage(MessageType::kAppend, id);
   // Refers to the last matching entry, so that the follower accepts the
   // heartbeat regardless of its order relative to the appends.
-  const std::optional<Term> term = this->TermAt(progress.match);
+  const std::optional<Term> term = this->log.TermAt(progress.match);
   if (term) {
     message.index = progress.match;
     message.index_term = *term;
@@ -106,7 +106,7 @@
       progress.next > this->LastIndex()) {
     return;
   }
-  if (progress.next <= this->base_index) {
+  if (progress.next <= this->log.BaseIndex()) {
     progress.snapshot =
         std::make_shared<const std::string>(EncodeSnapshot(*this->snapshot));
     progress.snapshot_index = this->snapshot->index;
@@ -117,10 +117,10 @@
   }
   Message message = this->MakeMessage(MessageType::kAppend, id);
   message.index = progress.next - 1;
-  message.index_term = *this->TermAt(message.index);
+  message.index_term = *this->log.TermAt(message.index);
   std::size_t bytes = 0;
   for (LogIndex index = progress.next; index <= this->LastIndex(); ++index) {
-    const EntryPtr& entry = this->EntryAt(index);
+    const EntryPtr& entry = this->log.At(index);
     bytes += entry->payload.size();
     if (!message.entries.empty() && bytes > this->options.max_message_bytes) {
       break;
@@ -154,8 +154,8 @@
   this->BecomeFollower(message.term, message.from, now);
   this->last_leader_contact = now;
   this->ResetElectionTimer(now);
-  const std::optional<Term> own_term = this->TermAt(message.index);
-  const bool covered = message.index < this->base_index;
+  const std::optional<Term> own_term = this->log.TermAt(message.index);
+  const bool covered = message.index < this->log.BaseIndex();
   if (!covered && own_term != message.index_term) {
     this->RejectAppend(message, now);
     return;
@@ -170,11 +170,11 @@
 std::uint64_t Core::StoreEntries(const Message& message) {
   Write write;
   for (const EntryPtr& entry : message.entries) {
-    if (entry->index <= this->base_index) {
+    if (entry->index <= this->log.BaseIndex()) {
       continue;
     }
     if (write.entries.empty()) {
-      if (this->TermAt(entry->index) == entry->term) {
+      if (this->log.TermAt(entry->index) == entry->term) {
         continue;
       }
       if (entry->index <= this->LastIndex()) {
@@ -201,10 +201,10 @@
   reply.hint = std::min(this->LastIndex(),
                         message.index - std::min<LogIndex>(message.index, 1));
   while (reply.hint > this->commit_index &&
-         this->TermAt(reply.hint).value_or(0) > message.index_term) {
+         this->log.TermAt(reply.hint).value_or(0) > message.index_term) {
     --reply.hint;
   }
-  reply.index_term = this->TermAt(reply.hint).value_or(0);
+  reply.index_term = this->log.TermAt(reply.hint).value_or(0);
   this->SendAfterWrite(std::move(reply), this->hard_state_write_id);
 }
 
@@ -275,7 +275,7 @@
   if (!message.granted) {
     LogIndex matching = std::min(progress.next - 1, message.hint);
     while (matching > progress.match &&
-           this->TermAt(matching).value_or(0) > message.index_term) {
+           this->log.TermAt(matching).value_or(0) > message.index_term) {
       --matching;
     }
     progress.next = std::max(progress.match, matching) + 1;
@@ -316,7 +316,7 @@
   std::sort(matches.begin(), matches.end(), std::greater<>());
   const LogIndex index = matches[quorum - 1];
   if (index > this->commit_index &&
-      this->TermAt(index) == this->hard_state.term) {
+      this->log.TermAt(index) == this->hard_state.term) {
     this->CommitTo(index);
   }
 }
@@ -369,21 +369,17 @@
 std::uint64_t Core::InstallSnapshot(SnapshotPtr snapshot) {
   Write write;
   write.snapshot = snapshot;
-  if (this->TermAt(snapshot->index) == snapshot->term) {
+  if (this->log.TermAt(snapshot->index) == snapshot->term) {
     // The log continues the snapshot. Keep the entries after it, because some
     // may have been acknowledged.
-    while (this->base_index < snapshot->index) {
-      ++this->base_index;
-      this->log.pop_front();
-    }
+    this->log.DropThrough(snapshot->index);
   } else {
-    if (this->LastIndex() > this->base_index) {
-      write.truncate_from = this->base_index + 1;
-      this->TruncateLog(this->base_index + 1);
+    if (this->LastIndex() > this->log.BaseIndex()) {
+      write.truncate_from = this->log.BaseIndex() + 1;
+      this->TruncateLog(this->log.BaseIndex() + 1);
     }
-    this->base_index = snapshot->index;
+    this->log.Reset(snapshot->index, snapshot->term);
   }
-  this->base_term = snapshot->term;
   std::vector<IndexedReplicaSet> sets = {{snapshot->index, snapshot->replicas}};
   for (IndexedReplicaSet& item : this->replica_sets) {
     if (item.index > snapshot->index) {
@@ -391,11 +387,10 @@
     }
   }
   this->replica_sets = std::move(sets);
-  if (this->log.empty()) {
+  if (this->log.Empty()) {
     this->last_time_ms = snapshot->leader_time_ms;
   }
   this->delivered_time_ms = snapshot->leader_time_ms;
-  this->log_bytes = 0;
   this->snapshot = std::move(snapshot);
   this->commit_index = this->snapshot->index;
   this->delivered_index = this->snapshot->index;
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -93,6 +93,7 @@
   void FailLostProposals();
   void FailAll(ResultCode code);
   void LogLeadershipChange();
+  void LogSnapshotSent(const Message& message) const;
   void PublishStatus(bool include_replicas);
   std::string AddressOf(ReplicaId id) const;
   Error NotLeader() const;
@@ -318,6 +319,9 @@
       this->storage->Submit(std::move(write));
     }
     for (const Message& message : output.messages) {
+      if (message.type == MessageType::kSnapshot && message.offset == 0) {
+        this->LogSnapshotSent(message);
+      }
       const std::string address = this->AddressOf(message.to);
       if (!address.empty()) {
         this->dependencies.transport->Send(address, message);
@@ -469,6 +473,17 @@
   }
 }
 
+void Replica::LogSnapshotSent(const Message& message) const {
+  const auto follower = this->core->Followers().find(message.to);
+  const LogIndex match =
+      follower == this->core->Followers().end() ? 0 : follower->second.match;
+  LogEvent(Severity::kInfo, Event::kSnapshotSent,
+           {{"replica", message.to},
+            {"index", message.index},
+            {"bytes", message.total},
+            {"lag_bytes", this->core->CommittedBytesAfter(match)}});
+}
+
 std::string Replica::AddressOf(ReplicaId id) const {
   const Member* member = this->core->Replicas().Find(id);
   if (member != nullptr) {
@@ -504,6 +519,7 @@
   status.applied_index = this->core->AppliedIndex();
   status.last_index = this->core->LastIndex();
   status.snapshot_index = this->core->SnapshotIndex();
+  status.log_bytes = this->core->LogBytes();
   const bool confirmed_before = this->confirmed_at != TimePoint::min();
   // What was confirmed of an earlier state holds for each later one.
   this->confirmed_at =
@@ -534,8 +550,11 @@
     } else {
       replica.reachable =
           this->dependencies.transport->Reachable(member.address);
-      replica.match_index =
-          found == this->core->Followers().end() ? 0 : found->second.match;
+      if (found != this->core->Followers().end()) {
+        replica.match_index = found->second.match;
+        replica.lag_bytes =
+            this->core->CommittedBytesAfter(found->second.match);
+      }
     }
     status.replicas.push_back(std::move(replica));
   }
--- a/src/controld/control_http.cc
+++ b/src/controld/control_http.cc
@@ -45,6 +45,23 @@
                           : value.asDouble());
 }
 
+// Voters and learners whose bytes the leader knows.
+void AddReplicaMetrics(prometheus::Registry& registry,
+                       const Json::Value& report) {
+  if (!report["is_leader"].asBool()) {
+    return;
+  }
+  auto& lag = prometheus::BuildGauge()
+                  .Name("sycamorebend_control_replica_lag_bytes")
+                  .Help("Committed bytes of the log that a replica lacks.")
+                  .Register(registry);
+  for (const Json::Value& replica : report["replicas"]) {
+    lag.Add({{"address", replica["address"].asString()},
+             {"voter", replica["voter"].asBool() ? "true" : "false"}})
+        .Set(replica["lag_bytes"].asDouble());
+  }
+}
+
 void AddScalingMetrics(prometheus::Registry& registry,
                        const Json::Value& services) {
   auto& work = prometheus::BuildGauge()
@@ -182,6 +199,9 @@
              report["applied_index"]);
     AddGauge(registry, "snapshot_index", "Last entry in the newest snapshot.",
              report["snapshot_index"]);
+    AddGauge(registry, "log_bytes", "Memory of the entries of the log.",
+             report["log_bytes"]);
+    AddReplicaMetrics(registry, report);
     AddGauge(registry, "confirmation_age_seconds",
              "Time since a quorum confirmed the state; negative if never.",
              report["confirmation_age_ms"].asDouble() / 1000);
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -58,6 +58,7 @@
     item["voter"] = replica.voter;
     item["reachable"] = replica.reachable;
     item["match_index"] = Json::UInt64(replica.match_index);
+    item["lag_bytes"] = Json::UInt64(replica.lag_bytes);
     list.append(item);
   }
   return list;
@@ -629,6 +630,7 @@
   response["applied_index"] = Json::UInt64(status.applied_index);
   response["last_index"] = Json::UInt64(status.last_index);
   response["snapshot_index"] = Json::UInt64(status.snapshot_index);
+  response["log_bytes"] = Json::UInt64(status.log_bytes);
   response["replicas"] = ReplicasToJson(status);
   response["longest_wait_ms"] =
       Json::Int64(ToMilliseconds(status.longest_wait));
