--- a/include/sycamorebend/consensus.h
+++ b/include/sycamorebend/consensus.h
@@ -166,6 +166,9 @@
   // Entries kept in memory from before the snapshot, so that a follower that is
   // slightly behind does not need the whole snapshot.
   std::uint64_t trailing_entries = 2000;
+  // A follower that lacks more bytes of applied entries than this, and than the
+  // snapshot has, is sent the snapshot instead.
+  std::uint64_t catch_up_bytes = 4 << 20;
   std::size_t max_command_bytes = 1 << 20;
 };
 
--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -170,10 +170,22 @@
   return std::prev(after)->set;
 }
 
-void Core::Compact(std::string state) {
+bool Core::SnapshotDue() const {
+  if (this->applied_index <= this->SnapshotIndex()) {
+    return false;
+  }
+  return this->snapshot_requested ||
+         this->applied_index - this->SnapshotIndex() >=
+             this->options.snapshot_entries ||
+         this->BytesSinceSnapshot() >=
+             this->options.snapshot_bytes + this->SnapshotBytes();
+}
+
+void Core::Compact(std::string state, TimePoint now) {
   if (this->applied_index <= this->SnapshotIndex()) {
     return;
   }
+  this->snapshot_requested = false;
   auto next = std::make_shared<SnapshotData>();
   next->index = this->applied_index;
   next->term = *this->log.TermAt(this->applied_index);
@@ -191,6 +203,7 @@
          this->replica_sets[1].index <= this->log.BaseIndex()) {
     this->replica_sets.erase(this->replica_sets.begin());
   }
+  this->ReplicateAll(now);
 }
 
 void Core::UpdateConfirmedAt() {
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -36,7 +37,11 @@
   // Payload bytes of the entries in one message; at least one entry is sent.
   std::size_t max_message_bytes = 512 << 10;
   std::size_t snapshot_chunk_bytes = 256 << 10;
+  // See ReplicatedLogOptions.
+  std::uint64_t snapshot_entries = 20000;
+  std::uint64_t snapshot_bytes = 16 << 20;
   std::uint64_t trailing_entries = 2000;
+  std::uint64_t catch_up_bytes = 4 << 20;
   std::uint64_t random_seed = 0;
   Safeguards safeguards;
 };
@@ -104,9 +109,14 @@
   // kept, so that reads are still served.
   void TransferFromFullDisk(TimePoint now);
 
+  // @return true if Compact is due: the log has grown enough since the last
+  // snapshot, or a follower waits for a newer one. To be checked before each
+  // TakeOutput.
+  bool SnapshotDue() const;
+
   // Stores a snapshot and drops old log entries.
   // @param state the state machine's snapshot at AppliedIndex().
-  void Compact(std::string state);
+  void Compact(std::string state, TimePoint now);
 
   CoreOutput TakeOutput();
 
@@ -225,6 +235,15 @@
   void TickLeader(TimePoint now);
   void SendHeartbeat(ReplicaId id, Progress& progress, TimePoint now);
   void Replicate(ReplicaId id, Progress& progress, TimePoint now);
+  // @return bytes up to which a follower is sent the entries that it lacks.
+  std::uint64_t CatchUpBytes() const;
+  // @return true if the snapshot brings the follower up to date sooner than the
+  // entries do, or if the entries are no longer in memory.
+  bool NeedsSnapshot(const Progress& progress) const;
+  // Sends the snapshot, or requests a newer one if this one is too old for the
+  // follower.
+  void StartSnapshot(ReplicaId id, Progress& progress, TimePoint now);
+  std::shared_ptr<const std::string> EncodedSnapshot();
   void ReplicateAll(TimePoint now);
   void SendSnapshotChunk(ReplicaId id, Progress& progress, TimePoint now);
   void SetAppendHeader(Message& message,
@@ -300,6 +319,12 @@
 
   // Used only by the leader.
   std::map<ReplicaId, Progress> followers;
+  // A follower waits for a snapshot that is newer than `snapshot`.
+  bool snapshot_requested = false;
+  // Encoded form of the snapshot at `encoded_index`, shared by the followers to
+  // which it is being sent.
+  std::weak_ptr<const std::string> encoded_snapshot;
+  LogIndex encoded_index = 0;
   LogIndex term_start_index = 0;
   // Start of leadership, or of its transfer to another replica.
   TimePoint leader_since;
--- a/src/consensus/core_election.cc
+++ b/src/consensus/core_election.cc
@@ -9,6 +9,7 @@
   if (this->role == Role::kLeader) {
     this->confirmed_at = this->ConfirmedAt(now);
     this->followers.clear();
+    this->snapshot_requested = false;
     this->ResetElectionTimer(now);
   }
   if (term > this->hard_state.term) {
--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -106,13 +106,8 @@
       progress.next > this->LastIndex()) {
     return;
   }
-  if (progress.next <= this->log.BaseIndex()) {
-    progress.snapshot =
-        std::make_shared<const std::string>(EncodeSnapshot(*this->snapshot));
-    progress.snapshot_index = this->snapshot->index;
-    progress.snapshot_term = this->snapshot->term;
-    progress.snapshot_offset = 0;
-    this->SendSnapshotChunk(id, progress, now);
+  if (this->NeedsSnapshot(progress)) {
+    this->StartSnapshot(id, progress, now);
     return;
   }
   Message message = this->MakeMessage(MessageType::kAppend, id);
@@ -133,6 +128,46 @@
   this->Send(std::move(message));
 }
 
+std::uint64_t Core::CatchUpBytes() const {
+  return std::max(this->options.catch_up_bytes, this->SnapshotBytes());
+}
+
+// Compares applied entries only. A snapshot cannot contain later ones, and a
+// follower that gets it must not be sent the same one again.
+bool Core::NeedsSnapshot(const Progress& progress) const {
+  return progress.next <= this->log.BaseIndex() ||
+         this->log.BytesBetween(progress.next - 1, this->applied_index) >
+             this->CatchUpBytes();
+}
+
+void Core::StartSnapshot(ReplicaId id, Progress& progress, TimePoint now) {
+  // The follower is sent the entries after the snapshot, which therefore must
+  // not be close to the limit itself.
+  const std::uint64_t entries_after =
+      this->log.BytesBetween(this->SnapshotIndex(), this->applied_index);
+  if (this->SnapshotIndex() < progress.next ||
+      entries_after > this->CatchUpBytes() / 2) {
+    this->snapshot_requested = true;
+    return;
+  }
+  progress.snapshot = this->EncodedSnapshot();
+  progress.snapshot_index = this->snapshot->index;
+  progress.snapshot_term = this->snapshot->term;
+  progress.snapshot_offset = 0;
+  this->SendSnapshotChunk(id, progress, now);
+}
+
+std::shared_ptr<const std::string> Core::EncodedSnapshot() {
+  std::shared_ptr<const std::string> encoded = this->encoded_snapshot.lock();
+  if (encoded == nullptr || this->encoded_index != this->snapshot->index) {
+    encoded =
+        std::make_shared<const std::string>(EncodeSnapshot(*this->snapshot));
+    this->encoded_snapshot = encoded;
+    this->encoded_index = this->snapshot->index;
+  }
+  return encoded;
+}
+
 void Core::SendSnapshotChunk(ReplicaId id, Progress& progress, TimePoint now) {
   Message message = this->MakeMessage(MessageType::kSnapshot, id);
   message.index = progress.snapshot_index;
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -141,7 +141,10 @@
   core_options.id = this->options.id;
   core_options.timings = this->options.timings;
   core_options.max_command_bytes = this->options.max_command_bytes;
+  core_options.snapshot_entries = this->options.snapshot_entries;
+  core_options.snapshot_bytes = this->options.snapshot_bytes;
   core_options.trailing_entries = this->options.trailing_entries;
+  core_options.catch_up_bytes = this->options.catch_up_bytes;
   core_options.random_seed = StableHash64(RandomId());
   ReplicaSet initial;
   for (const ReplicaAddress& replica : this->options.initial_replicas) {
@@ -310,6 +313,7 @@
 
 void Replica::ProcessOutput() {
   for (;;) {
+    this->MaybeSnapshot();
     CoreOutput output = this->core->TakeOutput();
     if (output.writes.empty() && output.messages.empty() &&
         output.restore == nullptr && output.committed.empty()) {
@@ -346,7 +350,6 @@
     if (!this->apply_posted) {
       this->ApplyCommitted();
     }
-    this->MaybeSnapshot();
   }
   this->LogLeadershipChange();
   this->FailLostProposals();
@@ -367,7 +370,6 @@
       replica.apply_posted = false;
       if (!replica.stopped) {
         replica.ApplyCommitted();
-        replica.MaybeSnapshot();
         replica.ProcessOutput();
       }
     });
@@ -401,14 +403,9 @@
 }
 
 void Replica::MaybeSnapshot() {
-  const std::uint64_t entries =
-      this->core->AppliedIndex() - this->core->SnapshotIndex();
-  const std::uint64_t bytes = this->core->BytesSinceSnapshot();
-  const bool due =
-      entries >= this->options.snapshot_entries ||
-      bytes >= this->options.snapshot_bytes + this->core->SnapshotBytes();
-  if (due && entries > 0) {
-    this->core->Compact(this->dependencies.state_machine.Snapshot());
+  if (this->core->SnapshotDue()) {
+    this->core->Compact(this->dependencies.state_machine.Snapshot(),
+                        this->Now());
   }
 }
 
--- /dev/null
+++ b/tests/consensus/catch_up_test.cc
@@ -0,0 +1,105 @@
+#include <boost/test/unit_test.hpp>
+
+#include "direct_cluster.h"
+
+namespace sycamorebend {
+
+namespace {
+
+constexpr std::size_t kLargeEntry = 441000;
+constexpr std::size_t kSmallEntry = 500;
+
+internal::CoreOptions DefaultOptions() {
+  return {};
+}
+
+bool HasAll(DirectCluster& cluster, ReplicaId id) {
+  return cluster.AppliedBy(id) == cluster.Leader().CommitIndex();
+}
+
+}  // namespace
+
+// Guards against a new replica that is sent the whole log although a snapshot
+// is much smaller, and has no vote for all that time.
+BOOST_AUTO_TEST_CASE(ReplicaWithoutEntriesGetsTheSnapshotOfALargeLog) {
+  DirectCluster cluster(DefaultOptions(), kLargeEntry);
+  for (int i = 0; i < 290; ++i) {
+    BOOST_REQUIRE(cluster.Propose(kLargeEntry));
+    cluster.Steps(1);
+  }
+  cluster.Join(4);
+  cluster.Steps(100);
+  BOOST_TEST(HasAll(cluster, 4));
+  BOOST_TEST(cluster.SentTo(4).snapshots >= 1U);
+  const internal::CoreOptions options = DefaultOptions();
+  BOOST_TEST(cluster.SentTo(4).entry_bytes <= options.catch_up_bytes);
+  BOOST_TEST(cluster.SentTo(4).snapshot_bytes <= 2 * kLargeEntry);
+}
+
+// Guards against a learner that never reaches the end because entries come as
+// fast as it can be sent any.
+BOOST_AUTO_TEST_CASE(LearnerCatchesUpWhileLargeEntriesComeAtItsPace) {
+  DirectCluster cluster(DefaultOptions(), kLargeEntry);
+  for (int i = 0; i < 150; ++i) {
+    BOOST_REQUIRE(cluster.Propose(kLargeEntry));
+    cluster.Steps(1);
+  }
+  cluster.SetSlow(4);
+  cluster.Join(4);
+  bool promoted = false;
+  for (int i = 0; i < 200 && !promoted; ++i) {
+    BOOST_REQUIRE(cluster.Propose(kLargeEntry));
+    cluster.Steps(1);
+    const auto result = cluster.Leader().PromoteReplica(4, cluster.Now(), 0);
+    promoted = result && result.value() > 0;
+  }
+  BOOST_TEST(promoted);
+  const LogIndex lag = cluster.Leader().CommitIndex() - cluster.AppliedBy(4);
+  BOOST_TEST(lag <= 10U);
+}
+
+// Guards against a whole state that is sent to a replica which was away for a
+// second and lacks a few large entries, or many small ones.
+BOOST_AUTO_TEST_CASE(ReplicaThatLacksAFewEntriesGetsNoSnapshot) {
+  for (const std::size_t bytes : {kLargeEntry, kSmallEntry}) {
+    DirectCluster cluster(DefaultOptions(), kLargeEntry);
+    const ReplicaId leader = cluster.Leader().Id();
+    const ReplicaId away = leader % 3 + 1;
+    const int count = bytes == kLargeEntry ? 8 : 1500;
+    for (int i = 0; i < 60; ++i) {
+      BOOST_REQUIRE(cluster.Propose(bytes));
+      cluster.Steps(1);
+    }
+    cluster.SetConnected(away, false);
+    for (int i = 0; i < count; ++i) {
+      BOOST_REQUIRE(cluster.Propose(bytes));
+      if (i % (count / 8) == 0) {
+        cluster.Steps(1);
+      }
+    }
+    cluster.SetConnected(away, true);
+    cluster.Steps(50);
+    BOOST_TEST(HasAll(cluster, away));
+    BOOST_TEST(cluster.SentTo(away).snapshots == 0U);
+  }
+}
+
+// Guards against two learners that each make the leader encode and keep a copy
+// of the snapshot, and against one that waits for the other.
+BOOST_AUTO_TEST_CASE(TwoLearnersCatchUpAtOnce) {
+  DirectCluster cluster(DefaultOptions(), kLargeEntry);
+  for (int i = 0; i < 100; ++i) {
+    BOOST_REQUIRE(cluster.Propose(kLargeEntry));
+    cluster.Steps(1);
+  }
+  cluster.Join(4);
+  cluster.Steps(2);
+  cluster.Join(5);
+  cluster.Steps(100);
+  for (const ReplicaId id : {4, 5}) {
+    BOOST_TEST(HasAll(cluster, id));
+    BOOST_TEST(cluster.SentTo(id).snapshots >= 1U);
+  }
+}
+
+}  // namespace sycamorebend
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -149,7 +149,12 @@
   core_options.id = replica.id;
   core_options.max_message_bytes = 200;
   core_options.snapshot_chunk_bytes = 100;
+  core_options.snapshot_entries = kSnapshotEntries;
   core_options.trailing_entries = 10;
+  // Every other schedule prefers snapshots to a few entries.
+  if (this->options.seed % 2 == 0) {
+    core_options.catch_up_bytes = 1000;
+  }
   core_options.random_seed = this->random();
   core_options.safeguards = this->options.safeguards;
   replica.applied = 0;
@@ -529,6 +534,13 @@
 
 void Simulation::ProcessOutput(Replica& replica) {
   for (;;) {
+    if (replica.core->SnapshotDue()) {
+      ++this->counts.snapshots;
+      // The padding makes the snapshot larger than one chunk.
+      replica.core->Compact(
+          std::to_string(replica.history_hash) + std::string(400, ' '),
+          this->LocalTime(replica));
+    }
     internal::CoreOutput output = replica.core->TakeOutput();
     if (output.writes.empty() && output.messages.empty() &&
         output.restore == nullptr && output.committed.empty()) {
@@ -547,12 +559,6 @@
       this->CheckReads(replica);
       this->CheckConfirmation(replica);
     }
-    if (replica.applied >= replica.core->SnapshotIndex() + kSnapshotEntries) {
-      ++this->counts.snapshots;
-      // The padding makes the snapshot larger than one chunk.
-      replica.core->Compact(std::to_string(replica.history_hash) +
-                            std::string(400, ' '));
-    }
   }
   this->CheckLeaders(replica);
   this->CheckReads(replica);
