Count the lag of a learner that is promoted in bytes

What operators would see: commits that wait for a new voter. A learner counted as caught up within 64 entries of the commit index (planner) or 100 (core). With configurations of 441 KB that is 28 MB, some seconds of transfer, in which the larger set needs it for its majority.

Change: Core::CaughtUp is the one rule, 64 entries and 4 MiB; the planner and PromoteReplica use it (ReplicaStatus::caught_up). The tests of the planner set that field now; the rule itself is tested with Core.

Evidence: with the old rule LearnerThatLacksMegabytesIsNotPromoted failed (20 entries of 441 KB behind, promotion accepted).

--- a/include/sycamorebend/consensus.h
+++ b/include/sycamorebend/consensus.h
@@ -59,6 +59,8 @@
     // Bytes of the committed entries that the replica lacks, as far as this
     // replica has them in memory. Known on the leader; otherwise 0.
     std::uint64_t lag_bytes = 0;
+    // Leader only: a learner lacks so little that it can be promoted.
+    bool caught_up = false;
   };
 
   struct LogStatus {
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -174,6 +174,9 @@
   const ReplicaSet& CommittedReplicas() const {
     return this->ReplicasAt(this->commit_index);
   }
+  // @return true if a learner has the log but for what can be sent within a
+  // fraction of a proposal's timeout, so that it can be promoted.
+  bool CaughtUp(const Progress& progress) const;
   const std::map<ReplicaId, Progress>& Followers() const {
     return this->followers;
   }
--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -11,9 +11,11 @@
 // An append or snapshot chunk that is unacknowledged for this many heartbeat
 // intervals is sent again.
 constexpr int kResendHeartbeats = 2;
-// A learner may be promoted while it is up to this many entries behind, because
-// under steady load an append is always in flight.
-constexpr LogIndex kPromotionLagEntries = 100;
+// A learner may be promoted while it lacks up to this many committed entries
+// and bytes, because under steady load an append is always in flight. Commits
+// may wait for it until it has them.
+constexpr LogIndex kPromotionLagEntries = 64;
+constexpr std::uint64_t kPromotionLagBytes = 4 << 20;
 // Bound on the confirmations that wait for entries to be applied.
 constexpr std::size_t kMaxPendingConfirmations = 64;
 
@@ -539,6 +541,12 @@
   return this->ChangeReplicas(set, now, wall_ms);
 }
 
+bool Core::CaughtUp(const Progress& progress) const {
+  return progress.match > 0 && progress.match >= this->log.BaseIndex() &&
+         progress.match + kPromotionLagEntries >= this->commit_index &&
+         this->CommittedBytesAfter(progress.match) <= kPromotionLagBytes;
+}
+
 Result<LogIndex> Core::PromoteReplica(ReplicaId id,
                                       TimePoint now,
                                       std::int64_t wall_ms) {
@@ -552,9 +560,7 @@
     return LogIndex{0};
   }
   const auto found = this->followers.find(id);
-  const LogIndex match =
-      found == this->followers.end() ? 0 : found->second.match;
-  if (match == 0 || match + kPromotionLagEntries < this->commit_index) {
+  if (found == this->followers.end() || !this->CaughtUp(found->second)) {
     return MakeError(ResultCode::kReplicaNotCaughtUp);
   }
   member->voter = true;
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -549,6 +549,7 @@
           this->dependencies.transport->Reachable(member.address);
       if (found != this->core->Followers().end()) {
         replica.match_index = found->second.match;
+        replica.caught_up = this->core->CaughtUp(found->second);
         replica.lag_bytes =
             this->core->CommittedBytesAfter(found->second.match);
       }
--- a/src/controld/replica_manager.cc
+++ b/src/controld/replica_manager.cc
@@ -16,10 +16,6 @@
 using ReplicaStatus = ReplicatedLog::ReplicaStatus;
 using LogStatus = ReplicatedLog::LogStatus;
 
-// Log entries by which a learner may lag behind the commit index when it is
-// promoted.
-constexpr LogIndex kMaxPromotionLag = 64;
-
 Error NotLeader(const LogStatus& status) {
   return {ResultCode::kNotLeader, status.leader_address};
 }
@@ -89,8 +85,7 @@
       if (unreachable > this->target.remove_learner_after) {
         return ReplicaChange{ReplicaChange::Kind::kRemove, replica.id};
       }
-      if (replica.reachable && replica.match_index > 0 &&
-          replica.match_index + kMaxPromotionLag >= status.commit_index) {
+      if (replica.reachable && replica.caught_up) {
         learner = learner == nullptr ? &replica : learner;
       }
       continue;
--- a/tests/consensus/catch_up_test.cc
+++ b/tests/consensus/catch_up_test.cc
@@ -84,6 +84,27 @@
   }
 }
 
+// Guards against a voter that lacks many megabytes, because its lag was counted
+// in entries: commits would wait for all of them.
+BOOST_AUTO_TEST_CASE(LearnerThatLacksMegabytesIsNotPromoted) {
+  DirectCluster cluster(DefaultOptions(), kLargeEntry);
+  cluster.SetSlow(4);
+  cluster.Join(4);
+  cluster.Steps(20);
+  BOOST_TEST(cluster.Leader().CaughtUp(cluster.Leader().Followers().at(4)));
+  cluster.SetConnected(4, false);
+  for (int i = 0; i < 20; ++i) {
+    BOOST_REQUIRE(cluster.Propose(kLargeEntry));
+    cluster.Steps(1);
+  }
+  const auto refused = cluster.Leader().PromoteReplica(4, cluster.Now(), 0);
+  BOOST_REQUIRE(!refused);
+  BOOST_TEST((refused.error().code == ResultCode::kReplicaNotCaughtUp));
+  cluster.SetConnected(4, true);
+  cluster.Steps(100);
+  BOOST_TEST(cluster.Leader().PromoteReplica(4, cluster.Now(), 0).has_value());
+}
+
 // Guards against two learners that each make the leader encode and keep a copy
 // of the snapshot, and against one that waits for the other.
 BOOST_AUTO_TEST_CASE(TwoLearnersCatchUpAtOnce) {
--- a/tests/control/replica_manager_test.cc
+++ b/tests/control/replica_manager_test.cc
@@ -26,7 +26,7 @@
     replica.id = id;
     replica.voter = voter;
     replica.reachable = true;
-    replica.match_index = 100;
+    replica.caught_up = true;
     this->status.replicas.push_back(replica);
     return this->status.replicas.back();
   }
@@ -34,7 +34,6 @@
   Cluster() {
     this->status.id = 1;
     this->status.is_leader = true;
-    this->status.commit_index = 100;
     for (ReplicaId id = 1; id <= 3; ++id) {
       this->Add(id, true);
     }
@@ -101,9 +100,9 @@
 BOOST_FIXTURE_TEST_CASE(LearnerWithoutTheLogIsNotPromoted, Cluster) {
   this->status.replicas.pop_back();
   ReplicatedLog::ReplicaStatus& learner = this->Add(4, false);
-  learner.match_index = 0;
+  learner.caught_up = false;
   BOOST_TEST(!this->PlanAfter(seconds(3)).has_value());
-  learner.match_index = 99;
+  learner.caught_up = true;
   BOOST_REQUIRE(this->PlanAfter(seconds(1)).has_value());
 }
 
