Refuse to write a head with a field that would end its line

The ID of the server in the state ended with CR LF, and the gateway wrote it into the head of each request.

Cause: the function that writes heads trusted its input.

Change: IsHeaderName and IsHeaderValue (RFC 9110) guard every hop that writes a head: FormatRequestHead returns an error, and the gateway excludes the server and sends the request elsewhere (nothing was sent, the attempt does not count); FormatResponseHead and the server of the daemons leave the header out; HttpClient fails a call, before anything is sent, whose method or headers libcurl would write as they are.

--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -222,6 +222,7 @@
   // 8xx: transport between processes.
   kRpcFailed = 801,
   kPeerUnreachable = 802,
+  kHeaderRefused = 803,
   // 9xx: duties, which one VM at a time performs.
   kDutyGranted = 901,
   kDutyReleased = 902,
--- a/include/sycamorebend/http.h
+++ b/include/sycamorebend/http.h
@@ -35,6 +35,19 @@
   return status >= 100 && status <= 599;
 }
 
+// @return true if `name` is the name of a header (RFC 9110, section 5.1).
+bool IsHeaderName(std::string_view name);
+
+// @return true if `value` can be the value of a header (RFC 9110, section 5.5):
+// it has no control characters except for tabs. Any other value could end the
+// line, and what follows would be read as further headers or requests.
+bool IsHeaderValue(std::string_view value);
+
+// @return true if a header with this name and value can be written.
+inline bool IsValidHeader(const HttpHeader& header) {
+  return IsHeaderName(header.name) && IsHeaderValue(header.value);
+}
+
 // Immutable text that several responses share, with its compressed form.
 // Thread-safe.
 class SharedText {
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -135,6 +135,8 @@
     {Event::kRpcFailed, "rpc_failed", "A call to another process failed."},
     {Event::kPeerUnreachable, "peer_unreachable",
      "Another process cannot be reached."},
+    {Event::kHeaderRefused, "header_refused",
+     "A header that would end its line early was not sent."},
     {Event::kDutyGranted, "duty_granted",
      "This VM took a duty, or a new fencing token for it."},
     {Event::kDutyReleased, "duty_released",
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -318,6 +318,21 @@
   const TimePoint now = this->context.loop.Now();
   const Route& route = *this->job.route;
   this->choice = selected;
+  const AttemptFields fields = this->FieldsOfAttempt(now);
+  const net::MessageHead& head = this->job.exchange->Head();
+  Result<std::string> request_head =
+      net::FormatRequestHead(head.method, head.target,
+                             this->context.format.ServerHeaders(head, fields),
+                             this->job.exchange->Body().size());
+  if (!request_head) {
+    LogEvent(Severity::kError, Event::kHeaderRefused,
+             {{"request_id", this->request_id},
+              {"server_id", selected.server_id},
+              {"address", selected.address},
+              {"reason", request_head.error().message}});
+    this->SendElsewhere();
+    return;
+  }
   ++this->attempts;
   this->sent_at = now;
   this->first_byte_seen = false;
@@ -328,26 +343,11 @@
   this->splitter = net::SseSplitter();
   this->context.balancer.OnSent(this->choice, this->profile, now);
 
-  AttemptFields fields;
-  fields.server_id = selected.server_id;
-  fields.deadline = this->deadline - now;
-  if (this->job.tenant != nullptr) {
-    fields.tenant = this->job.tenant->name;
-  }
-  if (this->profile.generation != nullptr) {
-    fields.priority = this->profile.priority_level;
-  }
-  fields.resume_after = this->last_event;
-
-  const net::MessageHead& head = this->job.exchange->Head();
   ServerRequest request;
   request.server_key = selected.server_key;
   request.address = selected.address;
   request.request_id = this->request_id;
-  request.head =
-      net::FormatRequestHead(head.method, head.target,
-                             this->context.format.ServerHeaders(head, fields),
-                             this->job.exchange->Body().size());
+  request.head = std::move(request_head.value());
   request.body = this->job.exchange->Body();
   request.no_response_body = head.method == "HEAD";
   LogEvent(
@@ -378,6 +378,20 @@
   }
 }
 
+AttemptFields Forwarder::FieldsOfAttempt(TimePoint now) const {
+  AttemptFields fields;
+  fields.server_id = this->choice.server_id;
+  fields.deadline = this->deadline - now;
+  if (this->job.tenant != nullptr) {
+    fields.tenant = this->job.tenant->name;
+  }
+  if (this->profile.generation != nullptr) {
+    fields.priority = this->profile.priority_level;
+  }
+  fields.resume_after = this->last_event;
+  return fields;
+}
+
 void Forwarder::SetAttemptTimer(Duration wait,
                                 void (Forwarder::*on_timeout)()) {
   this->context.loop.Cancel(std::exchange(this->attempt_timer, 0));
@@ -690,17 +704,13 @@
   const bool nothing_sent = failure == CallFailure::kConnect;
   this->EndCall(nothing_sent ? AttemptOutcome::kConnectFailed
                              : AttemptOutcome::kConnectionLost);
-  this->profile.excluded.push_back(this->choice.server_key);
   if (nothing_sent) {
     // The request has not reached the server: do not count the attempt.
     --this->attempts;
-    if (this->job.exchange->Started() && !this->CanRetry()) {
-      this->HandleFailedAttempt("no connection for the rest of the stream");
-      return;
-    }
-    this->Dispatch();
+    this->SendElsewhere();
     return;
   }
+  this->profile.excluded.push_back(this->choice.server_key);
   if (failure == CallFailure::kReset) {
     this->HandleLostConnection(std::string(CallFailureName(failure)));
   } else {
@@ -708,6 +718,15 @@
   }
 }
 
+void Forwarder::SendElsewhere() {
+  this->profile.excluded.push_back(this->choice.server_key);
+  if (this->job.exchange->Started() && !this->CanRetry()) {
+    this->HandleFailedAttempt("no connection for the rest of the stream");
+    return;
+  }
+  this->Dispatch();
+}
+
 void Forwarder::HandleLostConnection(const std::string& reason) {
   const bool may_retry = this->CanRetry();
   this->context.pool.CheckReachable(
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -104,6 +104,9 @@
   // @return true if the request crashes servers and was answered with an error.
   bool RefuseIfQuarantined(TimePoint now);
   void Send(const Choice& selected);
+  // Chooses another server for an attempt of which nothing was sent.
+  void SendElsewhere();
+  AttemptFields FieldsOfAttempt(TimePoint now) const;
   // Acts on what a server states about itself in its response.
   void HandleNotices(const ResponseFields& fields, TimePoint now);
   // Allows the servers again that responded with an error: a second attempt at
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -83,14 +83,31 @@
   }
 
   void Fail(ResultCode code) {
+    this->Fail(code, std::string(GetResultCodeInfo(code).message));
+  }
+  void Fail(ResultCode code, const std::string& reason) {
     HttpOutcome outcome = this->BuildOutcome();
     outcome.code = code;
     outcome.message =
-        fmt::format("{} {}: {}", this->call.method, this->call.url,
-                    GetResultCodeInfo(code).message);
+        fmt::format("{} {}: {}", this->call.method, this->call.url, reason);
     this->observer->OnDone(outcome);
   }
 
+  // libcurl writes the method and the headers as they are.
+  // @return why the head cannot be written; empty if it can.
+  std::string FindInvalidHead() const {
+    if (!IsHeaderName(this->call.method)) {
+      return "the method has characters of no method";
+    }
+    const auto invalid = std::find_if_not(
+        this->call.headers.begin(), this->call.headers.end(), IsValidHeader);
+    return invalid == this->call.headers.end()
+               ? std::string()
+               : fmt::format(
+                     "header \"{}\" would end its line early and was not sent",
+                     invalid->name);
+  }
+
  private:
   void Configure() {
     CURL* const handle = this->easy;
@@ -361,6 +378,11 @@
     for (NewCall& call : new_calls) {
       auto transfer = std::make_unique<Transfer>(
           call.id, std::move(call.call), std::move(call.observer), this->clock);
+      const std::string invalid = transfer->FindInvalidHead();
+      if (!invalid.empty()) {
+        transfer->Fail(ResultCode::kMalformedRequest, invalid);
+        continue;
+      }
       curl_multi_add_handle(this->multi, transfer->Handle());
       this->transfers.emplace(call.id, std::move(transfer));
     }
--- a/src/http/server_exchange.cc
+++ b/src/http/server_exchange.cc
@@ -29,8 +29,14 @@
         this->pending.size(), this->pending.data(), MHD_RESPMEM_MUST_COPY);
   }
   for (const HttpHeader& header : this->headers) {
-    MHD_add_response_header(response, header.name.c_str(),
-                            header.value.c_str());
+    if (!IsValidHeader(header) ||
+        MHD_add_response_header(response, header.name.c_str(),
+                                header.value.c_str()) != MHD_YES) {
+      LogEvent(
+          Severity::kError, Event::kHeaderRefused,
+          {{"header", header.name},
+           {"reason", "the name or the value has characters of no header"}});
+    }
   }
   return response;
 }
--- a/src/net/http_writer.cc
+++ b/src/net/http_writer.cc
@@ -42,10 +42,13 @@
   return names;
 }
 
-void AppendHeaders(std::string& out, const HttpHeaders& headers) {
-  for (const HttpHeader& header : headers) {
-    out.append(header.name).append(": ").append(header.value).append("\r\n");
-  }
+void AppendHeader(std::string& out, const HttpHeader& header) {
+  out.append(header.name).append(": ").append(header.value).append("\r\n");
+}
+
+bool IsRequestTarget(std::string_view target) {
+  return !target.empty() && IsHeaderValue(target) &&
+         target.find_first_of(" \t") == std::string_view::npos;
 }
 
 }  // namespace
@@ -77,12 +80,23 @@
   return kept;
 }
 
-std::string FormatRequestHead(const std::string& method,
-                              const std::string& target,
-                              const HttpHeaders& headers,
-                              std::size_t body_size) {
+Result<std::string> FormatRequestHead(const std::string& method,
+                                      const std::string& target,
+                                      const HttpHeaders& headers,
+                                      std::size_t body_size) {
+  if (!IsHeaderName(method) || !IsRequestTarget(target)) {
+    return MakeError(ResultCode::kMalformedRequest,
+                     "the method or the target has characters of neither");
+  }
   std::string out = fmt::format("{} {} HTTP/1.1\r\n", method, target);
-  AppendHeaders(out, headers);
+  for (const HttpHeader& header : headers) {
+    if (!IsValidHeader(header)) {
+      return MakeError(
+          ResultCode::kMalformedRequest,
+          fmt::format("header \"{}\" would end its line early", header.name));
+    }
+    AppendHeader(out, header);
+  }
   const bool bodyless =
       method == "GET" || method == "HEAD" || method == "DELETE";
   if (body_size > 0 || !bodyless) {
@@ -100,7 +114,16 @@
   std::string out =
       fmt::format("HTTP/1.1 {} {}\r\n", status,
                   http_status_str(static_cast<http_status>(status)));
-  AppendHeaders(out, headers);
+  for (const HttpHeader& header : headers) {
+    if (IsValidHeader(header)) {
+      AppendHeader(out, header);
+    } else {
+      LogEvent(Severity::kError, Event::kHeaderRefused,
+               {{"header", header.name},
+                {"status", status},
+                {"reason", "it would end its line early"}});
+    }
+  }
   if (framing == BodyFraming::kLength) {
     out += fmt::format("Content-Length: {}\r\n", body_size);
   } else if (framing == BodyFraming::kChunked) {
--- a/src/net/http_writer.h
+++ b/src/net/http_writer.h
@@ -19,12 +19,15 @@
 HttpHeaders ForwardableHeaders(const HttpHeaders& headers);
 
 // @return a request head with `Content-Length: body_size`, which is left out
-// for an empty body of GET, HEAD and DELETE.
-std::string FormatRequestHead(const std::string& method,
-                              const std::string& target,
-                              const HttpHeaders& headers,
-                              std::size_t body_size);
-
+// for an empty body of GET, HEAD and DELETE; kMalformedRequest, naming the
+// part, if the method, the target or a header would end its line early. The
+// server would then read another request than the one that was meant.
+Result<std::string> FormatRequestHead(const std::string& method,
+                                      const std::string& target,
+                                      const HttpHeaders& headers,
+                                      std::size_t body_size);
+
+// A header that would end its line early is left out (event header_refused).
 // @param body_size used with kLength.
 std::string FormatResponseHead(int status,
                                const HttpHeaders& headers,
--- a/tests/gateway/forward_test.cc
+++ b/tests/gateway/forward_test.cc
@@ -42,6 +42,29 @@
   BOOST_TEST(requests[0].Header("Other") == "x");
 }
 
+// Guards against a server ID that cuts the head of the requests to that server,
+// whoever has let it into the state: nothing is sent, and no run is suspected.
+BOOST_FIXTURE_TEST_CASE(IdWithALineEndCutsNoRequest, GatewayFixture) {
+  ScriptedServer server(Echo);
+  for (const char* end : {"\r\n", "\n", "\r\nForged: 1"}) {
+    this->SetServers({server.Address()}, end);
+    RawCaller caller(this->Address());
+    caller.Send(Request("r1", "/once/x", "order"));
+    BOOST_TEST(Contains(caller.ReadUntil("\r\n\r\n"), "HTTP/1.1 503"));
+  }
+  BOOST_TEST(server.Connections() == 0);
+  ++this->incarnation;
+  this->SetServers({server.Address()}, "!#$%&'*+-.^_`|~ (a):\xc3\xa9");
+  RawCaller caller(this->Address());
+  caller.Send(Request("r2", "/once/x", "order"));
+  BOOST_TEST(Contains(caller.ReadUntil("body of r2"), "HTTP/1.1 200"));
+  const auto requests = server.Requests();
+  BOOST_REQUIRE(requests.size() == 1U);
+  BOOST_TEST(requests[0].body == "order");
+  BOOST_TEST(requests[0].Header("Expect-Server") ==
+             "at-" + server.Address() + "!#$%&'*+-.^_`|~ (a):\xc3\xa9");
+}
+
 // Guards against opening a new connection for each request.
 BOOST_FIXTURE_TEST_CASE(ConnectionsAreReused, GatewayFixture) {
   ScriptedServer server(Echo);
--- a/tests/gateway/gateway_fixture.cc
+++ b/tests/gateway/gateway_fixture.cc
@@ -73,6 +73,7 @@
                                       const AttemptFields& fields) const {
   HttpHeaders headers = net::ForwardableHeaders(head.headers);
   headers.push_back({"Left", std::to_string(ToMilliseconds(fields.deadline))});
+  headers.push_back({"Expect-Server", fields.server_id});
   if (fields.resume_after) {
     headers.push_back({"Resume-After", std::to_string(*fields.resume_after)});
   }
@@ -136,11 +137,13 @@
   this->SetServers(this->addresses);
 }
 
-void GatewayFixture::SetServers(const std::vector<std::string>& list) {
+void GatewayFixture::SetServers(const std::vector<std::string>& list,
+                                const std::string& id_end) {
   std::vector<ServerRecord> records;
   for (const std::string& address : list) {
     ServerRecord record;
-    record.server_id = "at-" + address;
+    record.server_id = "at-";
+    record.server_id.append(address).append(id_end);
     record.incarnation = this->incarnation;
     record.service = "app";
     record.address = address;
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -37,7 +37,9 @@
 
   // Adds a server to the service "app".
   void AddServer(const ScriptedServer& server);
-  void SetServers(const std::vector<std::string>& list);
+  // @param id_end is appended to the servers' IDs.
+  void SetServers(const std::vector<std::string>& list,
+                  const std::string& id_end = "");
   // Sets the routes of TestFormat::ReadConfiguration, after applying `change`
   // to them.
   void SetTable(const std::function<void(RouteTable&)>& change = {});
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -404,6 +404,32 @@
   BOOST_TEST(calls.load() == 0);
 }
 
+// Guards against a value from outside that cuts the head of a call between
+// processes or to a backend server, or of a response.
+BOOST_FIXTURE_TEST_CASE(FieldsWithLineEndsAreNotSent, Fixture) {
+  std::atomic<int> calls{0};
+  handler.routes["/"] = [&](std::shared_ptr<HttpExchange> exchange) {
+    ++calls;
+    exchange->Respond(200, {{"Cut", "a\r\nForged: 1"}, {"Whole", "b"}}, "");
+  };
+  for (const char* text : {"a\r\nForged: 1", "a\n", "a\r"}) {
+    HttpCall call = MakeCall("/");
+    call.headers.push_back({"Id", text});
+    BOOST_TEST(
+        (client->Fetch(call).error().code == ResultCode::kMalformedRequest));
+    call = MakeCall("/");
+    call.method = text;
+    BOOST_TEST(
+        (client->Fetch(call).error().code == ResultCode::kMalformedRequest));
+  }
+  BOOST_TEST(calls.load() == 0);
+  const auto response = client->Fetch(MakeCall("/"));
+  BOOST_REQUIRE(response);
+  BOOST_TEST(!FindHeader(response.value().headers, "Forged"));
+  BOOST_TEST(!FindHeader(response.value().headers, "Cut"));
+  BOOST_TEST(FindHeader(response.value().headers, "Whole").value_or("") == "b");
+}
+
 BOOST_FIXTURE_TEST_CASE(SilentServerTimesOut, Fixture) {
   Capture capture;
   handler.routes["/wait"] = capture.AsRoute();
