Refuse names that no header can carry

A heartbeat to the path /api/instances/i-desk0%0D%0A/heartbeat was acknowledged and took the place of the server at its address until that server's own next heartbeat.

Cause: IDs, services and failure domains of announcements were checked for their length only, and percent-decoding had made the line end of them.

Change: IsName is the grammar of such names: 1 to 256 bytes of UTF-8, no control characters, no space at either end.

--- a/include/sycamorebend/control.h
+++ b/include/sycamorebend/control.h
@@ -75,6 +75,8 @@
 // again, since replicas of different releases must agree on it.
 // @return kMalformedRequest naming the field.
 Status CheckAnnouncement(const ServerRecord& record);
+// @return kMalformedRequest if no server can have this ID.
+Status CheckServerId(const std::string& server_id);
 
 // What gateways found to crash backend servers.
 struct CrashFinding {
--- a/include/sycamorebend/settings.h
+++ b/include/sycamorebend/settings.h
@@ -120,6 +120,11 @@
 // it is absent.
 Severity ReadLogSeverity(SettingsObject& object);
 
+// @return true if `text` can be the name of a server, service, customer or the
+// like: 1 to 256 bytes of UTF-8 without control characters, and no space at
+// either end. Such a name is the same text in JSON, headers and logs.
+bool IsName(std::string_view text);
+
 // @return true if `text` is an IPv4 address and a port from 1 to 65535.
 bool IsAddress(std::string_view text);
 
--- a/src/control/server_directory.cc
+++ b/src/control/server_directory.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::uint64_t kMaxSlots = 1U << 20U;
+constexpr const char* kAcceptedNames =
+    "1 to 256 bytes of UTF-8 without control characters";
 
 // Each announcement states the remaining time again, and is delayed by some
 // time. Differences up to this are no change, so that they need no log entry.
@@ -81,13 +83,27 @@
   const Json::Value value = ServerRecordToJson(record);
   BOOST_OUTCOME_TRYV(ServerRecordFromJson(value));
   internal::FieldReader reader(value);
-  reader.Name("failure_domain");
+  // The ID is sent in headers, and a name is compared as text; one that another
+  // process reads differently names no server.
+  for (const char* key : {"server_id", "service", "failure_domain"}) {
+    if (!IsName(value[key].asString())) {
+      reader.Reject(key, kAcceptedNames);
+    }
+  }
   if (!IsAddress(record.address)) {
     reader.Reject("address", "\"IP:port\" with an IPv4 address");
   }
   return reader.Finish();
 }
 
+Status CheckServerId(const std::string& server_id) {
+  if (IsName(server_id)) {
+    return Success();
+  }
+  return MakeError(ResultCode::kMalformedRequest,
+                   std::string("\"server_id\" must be ") + kAcceptedNames);
+}
+
 namespace internal {
 
 namespace {
--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -333,6 +333,8 @@
 }
 
 Result<Json::Value> ControlService::Leave(const Json::Value& params) {
+  BOOST_OUTCOME_TRYV(
+      CheckServerId(FieldReader(params).OptionalString("server_id")));
   Result<Json::Value> response = this->Propose("server.leave", params);
   if (response) {
     LogEvent(Severity::kInfo, Event::kServerLeft,
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -5,6 +5,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <boost/locale/utf.hpp>
 #include <charconv>
 #include <fstream>
 #include <sstream>
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr int kMaxPort = 65535;
+constexpr std::size_t kMaxNameBytes = 256;
+constexpr boost::locale::utf::code_point kFirstPrintable = 0x20;
+constexpr boost::locale::utf::code_point kDelete = 0x7f;
 
 double ToSeconds(Duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -48,6 +52,23 @@
   std::vector<Object> objects;
 };
 
+bool IsName(std::string_view text) {
+  if (text.empty() || text.size() > kMaxNameBytes || text.front() == ' ' ||
+      text.back() == ' ') {
+    return false;
+  }
+  using Utf8 = boost::locale::utf::utf_traits<char>;
+  for (const char* next = text.begin(); next != text.end();) {
+    const boost::locale::utf::code_point symbol =
+        Utf8::decode(next, text.end());
+    if (!boost::locale::utf::is_valid_codepoint(symbol) ||
+        symbol < kFirstPrintable || symbol == kDelete) {
+      return false;
+    }
+  }
+  return true;
+}
+
 bool IsAddress(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) {
--- a/tests/platform/configuration_format_test.cc
+++ b/tests/platform/configuration_format_test.cc
@@ -43,6 +43,30 @@
 
 }  // namespace
 
+// Guards against a customer whose name cuts the head of its requests, and
+// against an entry daemon that drops a stored document for such a name.
+BOOST_AUTO_TEST_CASE(NamesThatNoHeaderCanCarryAreRefused) {
+  for (const auto& [list, kind] :
+       {std::pair("tenants", "tenant"), std::pair("backends", "service")}) {
+    for (const char* name : {"t\r\n", "t\nForged: 1", " t", "t\x7f"}) {
+      Json::Value document = Document();
+      document[list][list == std::string("backends") ? 1 : 0]["name"] = name;
+      if (list == std::string("backends")) {
+        document["route_table"][1]["traffic_split"][1]["backend"] = name;
+      }
+      const auto read = ReadConfiguration(document);
+      BOOST_REQUIRE(read);
+      const Status names = CheckNames(read.value());
+      BOOST_REQUIRE(!names);
+      BOOST_TEST((names.error().code == ResultCode::kConfigurationInvalid));
+      BOOST_TEST(names.error().message.find(kind) != std::string::npos);
+    }
+  }
+  Json::Value document = Document();
+  document["tenants"][0]["name"] = "T\xc3\xa9 & co.";
+  BOOST_TEST(CheckNames(ReadConfiguration(document).value()).has_value());
+}
+
 // Guards against prices and limits that are parsed into the wrong member, and
 // against refusing a document that the platform accepts.
 BOOST_AUTO_TEST_CASE(ParsesAutoscaling) {
--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -183,6 +183,50 @@
   }
 }
 
+// Guards against an ID that no header can carry: requests with it would be cut,
+// and the entry would take the place of the server at its address.
+BOOST_FIXTURE_TEST_CASE(IdsThatNoHeaderCanCarryNameNoServer, Fixture) {
+  for (const std::string& id :
+       {std::string("i-7\r\n"), std::string("i-7\n"), std::string("\ri-7"),
+        std::string("i-7\0", 4), std::string("i-7\x7f"), std::string("i-\t7"),
+        std::string(" i-7"), std::string("i-7 "), std::string("i-\xff"),
+        std::string("i-\xc3"), std::string("i-\xed\xa0\x80"),
+        std::string(257, 'i')}) {
+    for (const char* call : {"/heartbeat", "/deregister"}) {
+      const auto exchange =
+          this->Send("POST", "/api/instances/" + id + call, kHeartbeatBody);
+      BOOST_TEST(exchange->status == 400, call << " of " << id);
+    }
+  }
+  Json::Value beat = ParseJson(kHeartbeatBody).value();
+  for (const char* key : {"backend", "zone"}) {
+    Json::Value broken = beat;
+    broken[key] = "a\r\n";
+    BOOST_TEST(
+        this->Send("POST", "/api/instances/i-7/heartbeat", WriteJson(broken))
+            ->status == 400);
+  }
+  BOOST_TEST(this->leader.calls.empty());
+}
+
+// Guards against refusing a server for a character that its ID may have.
+BOOST_FIXTURE_TEST_CASE(IdsThatAHeaderCanCarryAreForwarded, Fixture) {
+  std::string printable;
+  for (char symbol = '!'; symbol <= '~'; ++symbol) {
+    printable.push_back(symbol);
+  }
+  for (const std::string& id :
+       {printable, std::string("a b"), std::string("\xc3\xa9"),
+        std::string(256, 'i')}) {
+    BOOST_TEST(this->Send("POST", "/api/instances/" + id + "/heartbeat",
+                          kHeartbeatBody)
+                   ->status == 200);
+    const auto record = ServerRecordFromJson(this->leader.calls.back().second);
+    BOOST_REQUIRE(record);
+    BOOST_TEST(record.value().server_id == id);
+  }
+}
+
 // Bodies of which members are missing, repeated or replaced, or of which bytes
 // are changed, sent to each call. Guards against one that ends the process, or
 // that reaches the leader as a record that cannot be read.
