Bound the log in memory in bytes

Evidence, with the number of entries only: LogInMemoryIsBoundedInBytes failed (264,652,888 bytes after 600 entries, 22,461,096 allowed).

--- a/src/consensus/core.cc
+++ b/src/consensus/core.cc
@@ -160,6 +160,7 @@
 
 void Core::SetApplied(LogIndex index) {
   this->applied_index = index;
+  this->TrimLog();
   this->UpdateConfirmedAt();
 }
 
@@ -196,14 +197,24 @@
   Write write;
   write.snapshot = this->snapshot;
   this->AddWrite(std::move(write));
-  const LogIndex keep_after =
-      next->index - std::min(next->index, this->options.trailing_entries);
-  this->log.DropThrough(keep_after);
+  this->TrimLog();
+  this->ReplicateAll(now);
+}
+
+void Core::TrimLog() {
+  const LogIndex covered = std::min(this->SnapshotIndex(), this->applied_index);
+  const auto surplus = [this, covered] {
+    return covered - this->log.BaseIndex() > this->options.trailing_entries ||
+           this->log.BytesBetween(this->log.BaseIndex(), this->applied_index) >
+               this->CatchUpBytes();
+  };
+  while (this->log.BaseIndex() < covered && surplus()) {
+    this->log.DropThrough(this->log.BaseIndex() + 1);
+  }
   while (this->replica_sets.size() > 1 &&
          this->replica_sets[1].index <= this->log.BaseIndex()) {
     this->replica_sets.erase(this->replica_sets.begin());
   }
-  this->ReplicateAll(now);
 }
 
 void Core::UpdateConfirmedAt() {
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -247,6 +247,8 @@
   // follower.
   void StartSnapshot(ReplicaId id, Progress& progress, TimePoint now);
   std::shared_ptr<const std::string> EncodedSnapshot();
+  // Removes the entries that the snapshot covers and no follower is sent.
+  void TrimLog();
   void ReplicateAll(TimePoint now);
   void SendSnapshotChunk(ReplicaId id, Progress& progress, TimePoint now);
   void SetAppendHeader(Message& message,
--- a/tests/consensus/catch_up_test.cc
+++ b/tests/consensus/catch_up_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <boost/test/unit_test.hpp>
 
 #include "direct_cluster.h"
@@ -105,6 +107,29 @@
   BOOST_TEST(cluster.Leader().PromoteReplica(4, cluster.Now(), 0).has_value());
 }
 
+// Guards against a log in memory whose size is bounded by a number of entries:
+// with large entries, each change adds its size until the process is killed.
+BOOST_AUTO_TEST_CASE(LogInMemoryIsBoundedInBytes) {
+  const internal::CoreOptions options = DefaultOptions();
+  for (const std::size_t bytes : {kLargeEntry, kSmallEntry}) {
+    DirectCluster cluster(options, bytes);
+    std::uint64_t most = 0;
+    const int count = bytes == kLargeEntry ? 600 : 45000;
+    for (int i = 0; i < count; ++i) {
+      BOOST_REQUIRE(cluster.Propose(bytes));
+      if (bytes == kLargeEntry || i % 50 == 0) {
+        cluster.Steps(1);
+      }
+      for (ReplicaId id = 1; id <= 3; ++id) {
+        most = std::max(most, cluster.Of(id).LogBytes());
+      }
+    }
+    // Entries before the snapshot, those after it, and those in progress.
+    BOOST_TEST(most <= options.catch_up_bytes + options.snapshot_bytes + bytes +
+                           (1 << 20));
+  }
+}
+
 // Guards against two learners that each make the leader encode and keep a copy
 // of the snapshot, and against one that waits for the other.
 BOOST_AUTO_TEST_CASE(TwoLearnersCatchUpAtOnce) {
