Refuse proposals while too many bytes are not applied yet

What operators would see: a leader that is killed for its memory while a majority responds but stores slowly. Entries that are not applied cannot be removed from memory, and nothing limited them.

Change: Core::Propose answers log_busy while more than 16 MiB are not applied. Changes of the replica set are small and are not refused.

Evidence, without the check: ProposalsAreRefusedBefore... failed with the disks of two of three replicas held. With it, all accepted entries are committed once the disks go on, and proposals are accepted again.

--- a/include/sycamorebend/base.h
+++ b/include/sycamorebend/base.h
@@ -95,6 +95,7 @@
   kMembershipChangeInProgress = 707,
   kEntryTooLarge = 708,
   kStorageFull = 709,
+  kLogBusy = 710,
   // 8xx: transport between processes.
   kConnectFailed = 801,
   kTransportTimeout = 802,
--- a/include/sycamorebend/consensus.h
+++ b/include/sycamorebend/consensus.h
@@ -97,7 +97,8 @@
   // command is committed and applied. Errors: kNotLeader (nothing was appended;
   // the message is the leader's address, or empty if no leader is known),
   // kNoQuorum or kTransportTimeout (the command may still be committed),
-  // kEntryTooLarge, kStorageFull.
+  // kEntryTooLarge, kStorageFull, kLogBusy (entries of max_pending_bytes are
+  // not applied yet).
   virtual void Propose(std::string command, ProposeCallback callback) = 0;
 
   // Linearizable read: calls back once this replica's state machine has applied
@@ -172,6 +173,9 @@
   // snapshot has, is sent the snapshot instead.
   std::uint64_t catch_up_bytes = 4 << 20;
   std::size_t max_command_bytes = 1 << 20;
+  // Proposals are refused while entries of so many bytes are not applied yet:
+  // they cannot be removed from memory.
+  std::uint64_t max_pending_bytes = 16 << 20;
 };
 
 // A replica of the log.
--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -123,6 +123,8 @@
     {Code::kEntryTooLarge, "entry_too_large",
      "The entry exceeds the size limit of the log.", kNever},
     {Code::kStorageFull, "storage_full", "The data directory is full.", kLater},
+    {Code::kLogBusy, "log_busy",
+     "Too many bytes of changes wait to be committed.", kLater},
     {Code::kConnectFailed, "connect_failed",
      "The connection could not be opened.", kOtherAddress},
     {Code::kTransportTimeout, "transport_timeout",
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -42,6 +42,7 @@
   std::uint64_t snapshot_bytes = 16 << 20;
   std::uint64_t trailing_entries = 2000;
   std::uint64_t catch_up_bytes = 4 << 20;
+  std::uint64_t max_pending_bytes = 16 << 20;
   std::uint64_t random_seed = 0;
   Safeguards safeguards;
 };
@@ -79,7 +80,7 @@
   void Receive(const Message& message, TimePoint now);
   void WriteDone(std::uint64_t write_id, TimePoint now);
 
-  // @return the index of the new entry; kNotLeader or kEntryTooLarge.
+  // @return the index of the new entry; kNotLeader, kEntryTooLarge or kLogBusy.
   Result<LogIndex> Propose(std::string command,
                            TimePoint now,
                            std::int64_t wall_ms);
--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -494,6 +494,10 @@
   if (command.size() > this->options.max_command_bytes) {
     return MakeError(ResultCode::kEntryTooLarge);
   }
+  if (this->log.BytesAfter(this->applied_index) + command.size() >
+      this->options.max_pending_bytes) {
+    return MakeError(ResultCode::kLogBusy);
+  }
   return this->AppendAsLeader(EntryKind::kCommand, std::move(command), now,
                               wall_ms);
 }
--- a/src/consensus/service.cc
+++ b/src/consensus/service.cc
@@ -145,6 +145,7 @@
   core_options.snapshot_bytes = this->options.snapshot_bytes;
   core_options.trailing_entries = this->options.trailing_entries;
   core_options.catch_up_bytes = this->options.catch_up_bytes;
+  core_options.max_pending_bytes = this->options.max_pending_bytes;
   core_options.random_seed = StableHash64(RandomId());
   ReplicaSet initial;
   for (const ReplicaAddress& replica : this->options.initial_replicas) {
--- a/src/control/leader_rpc_client.cc
+++ b/src/control/leader_rpc_client.cc
@@ -16,16 +16,21 @@
          code == ResultCode::kShuttingDown ||
          code == ResultCode::kConnectFailed ||
          code == ResultCode::kTransportTimeout ||
-         code == ResultCode::kProtocolError ||
+         code == ResultCode::kProtocolError || code == ResultCode::kLogBusy ||
          // A leader with a full disk hands its leadership over.
          code == ResultCode::kStorageFull;
 }
 
+// @return true if the leader has refused the call before it did anything.
+bool IsRefusal(ResultCode code) {
+  return code == ResultCode::kStorageFull || code == ResultCode::kLogBusy;
+}
+
 }  // namespace
 
 bool MayHaveExecuted(ResultCode code) {
   return code == ResultCode::kCancelled ||
-         (IsRetryable(code) && code != ResultCode::kStorageFull);
+         (IsRetryable(code) && !IsRefusal(code));
 }
 
 std::string FindAddress(const std::string& text) {
--- a/tests/consensus/catch_up_test.cc
+++ b/tests/consensus/catch_up_test.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <optional>
+#include <vector>
 
 #include <boost/test/unit_test.hpp>
 
@@ -130,6 +132,40 @@
   }
 }
 
+// Guards against a log that grows without bound while a majority answers the
+// leader but stores nothing. Entries that were accepted are still committed.
+BOOST_AUTO_TEST_CASE(ProposalsAreRefusedBeforePendingEntriesFillTheMemory) {
+  const internal::CoreOptions options = DefaultOptions();
+  DirectCluster cluster(options, kLargeEntry);
+  const ReplicaId leader = cluster.Leader().Id();
+  const std::vector<ReplicaId> others = {leader % 3 + 1, (leader + 1) % 3 + 1};
+  for (const ReplicaId id : others) {
+    cluster.SetDiskHeld(id, true);
+  }
+  int accepted = 0;
+  std::optional<ResultCode> refusal;
+  for (int i = 0; i < 100; ++i) {
+    const Status status = cluster.Propose(kLargeEntry);
+    accepted += status ? 1 : 0;
+    if (!status) {
+      refusal = status.error().code;
+    }
+    cluster.Steps(1);
+    BOOST_REQUIRE(cluster.Of(leader).LogBytes() <=
+                  options.max_pending_bytes + options.catch_up_bytes);
+  }
+  BOOST_TEST(accepted > 20);
+  BOOST_REQUIRE(refusal.has_value());
+  BOOST_TEST((*refusal == ResultCode::kLogBusy));
+  for (const ReplicaId id : others) {
+    cluster.SetDiskHeld(id, false);
+  }
+  cluster.Steps(100);
+  BOOST_TEST(cluster.Of(leader).AppliedIndex() ==
+             cluster.Of(leader).LastIndex());
+  BOOST_TEST(cluster.Propose(kLargeEntry).has_value());
+}
+
 // Guards against two learners that each make the leader encode and keep a copy
 // of the snapshot, and against one that waits for the other.
 BOOST_AUTO_TEST_CASE(TwoLearnersCatchUpAtOnce) {
