Bound the messages that wait for a replica in bytes

What operators would see: memory of the other replicas that grows while one responds slowly or not at all. The queue of the transport held 256 messages of up to a megabyte.

Change: it holds 4 MiB as well. Dropped messages are sent again by the core, as before.

Evidence, without the bound: MessagesToASilentReplicaAreBoundedInBytes failed (349,571,000 bytes, 16,777,216 allowed). SmallMessagesAreQueued passes before and after.

--- a/src/consensus/rpc_transport.cc
+++ b/src/consensus/rpc_transport.cc
@@ -16,12 +16,14 @@
 // Encoded message bytes per call, before base64. With base64 a call stays well
 // below the 4 MiB body limit that the HTTP server has by default.
 constexpr std::size_t kMaxCallBytes = 2 << 20;
-// Messages queued per peer. Further ones are dropped; the core sends them
-// again.
+// Messages queued per peer, and their bytes. Further ones are dropped; the core
+// sends them again.
 constexpr std::size_t kMaxQueuedMessages = 256;
+constexpr std::size_t kMaxQueuedBytes = 4 << 20;
 
 struct Peer {
   std::vector<std::string> queue;
+  std::size_t queued_bytes = 0;
   int calls_in_flight = 0;
   bool reachable = true;
 };
@@ -41,10 +43,12 @@
     {
       std::lock_guard lock(this->mutex);
       Peer& peer = this->peers[address];
-      if (this->stopping || peer.queue.size() >= kMaxQueuedMessages) {
+      if (this->stopping || peer.queue.size() >= kMaxQueuedMessages ||
+          peer.queued_bytes >= kMaxQueuedBytes) {
         return;
       }
       peer.queue.push_back(EncodeMessage(message));
+      peer.queued_bytes += peer.queue.back().size();
     }
     this->StartCall(address);
   }
@@ -93,6 +97,7 @@
       batch.append(Base64Encode(peer.queue[count]));
       ++count;
     }
+    peer.queued_bytes -= bytes;
     peer.queue.erase(peer.queue.begin(),
                      peer.queue.begin() + static_cast<std::ptrdiff_t>(count));
     return batch;
