Propose a configuration version once while it is in progress

Cause: config.replace proposed the whole document for every call. The state machine recognizes a repeat, but only after it was written and sent.

Change: calls for a version that is being proposed wait for that proposal (VersionProposals). A version that is not higher than the one in force is confirmed by a read barrier, without an entry; a replica that does not lead still answers not_leader.

--- a/src/controld/control_service.cc
+++ b/src/controld/control_service.cc
@@ -258,6 +258,27 @@
 }
 
 Result<Json::Value> ControlService::Replace(const Json::Value& params) {
+  FieldReader reader(params);
+  const std::uint64_t version = reader.Unsigned("version");
+  BOOST_OUTCOME_TRY(reader.Finish());
+  return this->version_proposals.Run(version, [this, version, &params] {
+    return this->ProposeReplacement(version, params);
+  });
+}
+
+Result<Json::Value> ControlService::ProposeReplacement(
+    std::uint64_t version,
+    const Json::Value& params) {
+  if (version <= this->state.Shared()->configuration_version) {
+    // Without the barrier, a replica that has been deposed could confirm a
+    // version that it has only read.
+    BOOST_OUTCOME_TRY(this->Barrier());
+    Json::Value unchanged;
+    unchanged["version"] =
+        Json::UInt64(this->state.Shared()->configuration_version);
+    unchanged["changed"] = false;
+    return unchanged;
+  }
   Result<Json::Value> response = this->Propose("config.replace", params);
   if (response && response.value()["changed"].asBool()) {
     LogEvent(Severity::kInfo, Event::kConfigurationAccepted,
--- a/src/controld/control_service.h
+++ b/src/controld/control_service.h
@@ -19,6 +19,7 @@
 #include "controld/replica_manager.h"
 #include "controld/replica_notifier.h"
 #include "controld/server_liveness.h"
+#include "controld/version_proposals.h"
 #include "duties/duty_runner.h"
 #include "scaling/order_runner.h"
 #include "sycamorebend/consensus.h"
@@ -99,8 +100,11 @@
   Result<Json::Value> Show(const Json::Value& params);
   Result<Json::Value> History(const Json::Value& params);
   // config.replace: the highest version wins. The caller has validated the
-  // document.
+  // document. Nothing is proposed for a version that is not higher than the one
+  // in force, or that is being proposed.
   Result<Json::Value> Replace(const Json::Value& params);
+  Result<Json::Value> ProposeReplacement(std::uint64_t version,
+                                         const Json::Value& params);
   // server.heartbeat: proposes the announcement if it changes the server's
   // record. Succeeds once this announcement or a newer one is committed.
   Result<Json::Value> Heartbeat(const Json::Value& params);
@@ -172,6 +176,7 @@
   // Newest proposal of each backend server that is not known to be committed,
   // by server ID. Older and repeated announcements wait for it.
   std::map<std::string, AnnouncementProposal> announcement_proposals;
+  VersionProposals version_proposals;
   Term liveness_term = 0;
   TimePoint last_tick;
   mutable std::mutex counts_mutex;
--- a/tests/control/service_test.cc
+++ b/tests/control/service_test.cc
@@ -421,6 +421,51 @@
   BOOST_TEST(first.get().has_value());
 }
 
+// Guards against writing a large document into the log again for each repeat of
+// a call that takes long, and for versions that change nothing.
+BOOST_FIXTURE_TEST_CASE(RepeatedReplacementIsProposedOnce, Fixture) {
+  const auto replace = [this](int version) {
+    return this->Call("config.replace",
+                      R"({"version":)" + std::to_string(version) +
+                          R"(,"operator":"o","document":{"a":1}})");
+  };
+  BOOST_REQUIRE(replace(4).has_value());
+  const LogIndex before = this->node.log.GetStatus().last_index;
+  this->node.log.largest_command = 0;
+  std::promise<void> commit;
+  this->node.control_thread.Post(
+      [allowed = commit.get_future().share()] { allowed.wait(); });
+  std::vector<std::future<Result<Json::Value>>> calls;
+  for (int i = 0; i < 3; ++i) {
+    calls.push_back(
+        std::async(std::launch::async, [&replace] { return replace(5); }));
+    while (this->node.log.largest_command == 0) {
+      std::this_thread::sleep_for(milliseconds(2));
+    }
+  }
+  for (auto& call : calls) {
+    BOOST_TEST(
+        (call.wait_for(milliseconds(100)) == std::future_status::timeout),
+        "acknowledged before the commit");
+  }
+  commit.set_value();
+  for (auto& call : calls) {
+    BOOST_TEST(call.get().has_value());
+  }
+  BOOST_TEST(this->node.log.GetStatus().last_index == before + 1);
+  for (const int version : {5, 2}) {
+    const Result<Json::Value> unchanged = replace(version);
+    BOOST_REQUIRE(unchanged.has_value());
+    BOOST_TEST(!unchanged.value()["changed"].asBool());
+    BOOST_TEST(unchanged.value()["version"].asInt() == 5);
+  }
+  BOOST_TEST(this->node.log.GetStatus().last_index == before + 1);
+  this->node.log.Follow("10.0.0.1:7000");
+  BOOST_TEST((this->CallError("config.replace",
+                              R"({"version":5,"operator":"o","document":{}})")
+                  .code == ResultCode::kNotLeader));
+}
+
 // Guards against comparing an announcement with a record that an announcement
 // in flight is about to change: the record would keep the older one.
 BOOST_FIXTURE_TEST_CASE(AnnouncementFollowsAnUncommittedOne, Fixture) {
