--- a/src/consensus/core_replication.cc
+++ b/src/consensus/core_replication.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <functional>
 
+#include <fmt/format.h>
+
 #include "consensus/core.h"
 #include "consensus/encoding.h"
 
@@ -492,7 +494,10 @@
     return MakeError(ResultCode::kNotLeader);
   }
   if (command.size() > this->options.max_command_bytes) {
-    return MakeError(ResultCode::kEntryTooLarge);
+    return MakeError(
+        ResultCode::kEntryTooLarge,
+        fmt::format("the entry has {} bytes; the log accepts at most {}",
+                    command.size(), this->options.max_command_bytes));
   }
   if (this->log.BytesAfter(this->applied_index) + command.size() >
       this->options.max_pending_bytes) {
--- a/tests/consensus/catch_up_test.cc
+++ b/tests/consensus/catch_up_test.cc
@@ -166,6 +166,17 @@
   BOOST_TEST(cluster.Propose(kLargeEntry).has_value());
 }
 
+// Guards against an error that does not say how large an entry may be.
+BOOST_AUTO_TEST_CASE(TooLargeEntryNamesTheLimit) {
+  const internal::CoreOptions options = DefaultOptions();
+  DirectCluster cluster(options, kSmallEntry);
+  const Status status = cluster.Propose(options.max_command_bytes + 1);
+  BOOST_REQUIRE(!status);
+  BOOST_TEST((status.error().code == ResultCode::kEntryTooLarge));
+  BOOST_TEST(status.error().message.find("1048576") != std::string::npos);
+  BOOST_TEST(cluster.Propose(options.max_command_bytes).has_value());
+}
+
 // Guards against two learners that each make the leader encode and keep a copy
 // of the snapshot, and against one that waits for the other.
 BOOST_AUTO_TEST_CASE(TwoLearnersCatchUpAtOnce) {
--- a/tests/platform/control_api_test.cc
+++ b/tests/platform/control_api_test.cc
@@ -317,6 +317,18 @@
   BOOST_TEST(this->leader.calls.empty());
 }
 
+// Guards against an operator that repeats for ever what the log cannot hold.
+BOOST_FIXTURE_TEST_CASE(ConfigurationLargerThanAnEntryIsFinal, Fixture) {
+  const std::string body = R"({"version":3,"route_table":[],"backends":[]})";
+  this->leader.result = MakeError(ResultCode::kEntryTooLarge,
+                                  "the entry has 2 bytes; the log accepts 1");
+  const auto refused = this->Send("POST", "/api/config/replace", body);
+  BOOST_TEST(refused->status == 413);
+  BOOST_TEST(refused->body.find("accepts 1") != std::string::npos);
+  this->leader.result = MakeError(ResultCode::kLogBusy);
+  BOOST_TEST(this->Send("POST", "/api/config/replace", body)->status == 503);
+}
+
 // Guards against a fetched configuration that differs from the stored one.
 BOOST_FIXTURE_TEST_CASE(FetchedConfigurationEqualsReplacement, Fixture) {
   const std::string sent =
